--- /dev/null
+++ b/subscriber/view.go
@@ -0,0 +1,102 @@
+package subscriber
+
+import (
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/wire"
+)
+
+// View is what an agent knows at one offset. It is immutable; the messages it
+// returns are shared and must not be modified.
+type View struct {
+	offset   int64
+	sections map[string]*wire.SectionState
+	claims   []*wire.TaskState
+	shards   []*wire.ShardAssignment
+	alive    *wire.Position
+	leaving  bool
+	joined   bool
+}
+
+func newView() *View {
+	return &View{
+		offset:   beforeFirst,
+		sections: map[string]*wire.SectionState{},
+	}
+}
+
+// Offset is the state offset that the view reflects.
+func (v *View) Offset() int64 { return v.offset }
+
+// Section returns a configuration section, including a removed one.
+func (v *View) Section(name string) (*wire.SectionState, bool) {
+	section, ok := v.sections[name]
+	return section, ok
+}
+
+// Sections returns all sections in the order of their names, including removed
+// ones.
+func (v *View) Sections() []*wire.SectionState {
+	sections := make([]*wire.SectionState, 0, len(v.sections))
+	for _, name := range slices.Sorted(maps.Keys(v.sections)) {
+		sections = append(sections, v.sections[name])
+	}
+	return sections
+}
+
+// Claims are the claims on this host.
+func (v *View) Claims() []*wire.TaskState { return v.claims }
+
+// Shards are the shards in which this host is primary or secondary.
+func (v *View) Shards() []*wire.ShardAssignment { return v.shards }
+
+// Alive is the position of the host's latest alive record.
+func (v *View) Alive() *wire.Position { return v.alive }
+
+// Leaving reports whether the host's departure is applied.
+func (v *View) Leaving() bool { return v.leaving }
+
+// Joined reports whether the incarnation is a member.
+func (v *View) Joined() bool { return v.joined }
+
+// withoutMembership asks for everything again.
+func (v *View) withoutMembership() *View {
+	return &View{
+		offset:   beforeFirst,
+		sections: v.sections,
+	}
+}
+
+// apply returns the view after a response and whether it differs in more than
+// its offset.
+func (v *View) apply(response *wire.SyncResponse) (*View, bool) {
+	next := &View{
+		offset:   response.GetOffset(),
+		sections: v.sections,
+		claims:   response.GetClaims(),
+		shards:   response.GetShards(),
+		alive:    response.GetAlive(),
+		leaving:  response.GetLeaving(),
+		joined:   true,
+	}
+	if response.GetUnchanged() {
+		next.claims, next.shards = v.claims, v.shards
+	}
+	if len(response.GetSections()) > 0 {
+		next.sections = maps.Clone(v.sections)
+	}
+	for _, section := range response.GetSections() {
+		current := next.sections[section.GetSection()]
+		// A lower position never replaces a higher one.
+		if current == nil || damaskspread.Token(section.GetPosition()) >= damaskspread.Token(current.GetPosition()) {
+			next.sections[section.GetSection()] = section
+		}
+	}
+	differs := !v.joined || len(response.GetSections()) > 0 || !response.GetUnchanged() ||
+		v.leaving != next.leaving || !proto.Equal(v.alive, next.alive)
+	return next, differs
+}
