Parse and validate settings and the configuration document

Cause: the scheduler, the router and the daemons need typed settings and a checked configuration document, and operators need to know which line is wrong.

Ruled out: ini.v1 alone (it has no lines, lets the last duplicate win and joins quoted or continued lines), and reflection into structs (it cannot name the expected values of a key).

--- /dev/null
+++ b/validator/limits.go
@@ -0,0 +1,158 @@
+package validator
+
+import (
+	"fmt"
+	"time"
+
+	"damaskspread.example/damaskspread/parser"
+)
+
+// Emulator is the section of the emulated platform.
+type Emulator struct {
+	listen      string
+	workers     int
+	retention   time.Duration
+	appendDelay time.Duration
+}
+
+// Listen is the address of the emulated log and of the fault switches.
+func (e *Emulator) Listen() string { return e.listen }
+
+// Workers is the number of emulated workers.
+func (e *Emulator) Workers() int { return e.workers }
+
+// Retention is how long the emulated log keeps records.
+func (e *Emulator) Retention() time.Duration { return e.retention }
+
+// AppendDelay is the emulated time of an append.
+func (e *Emulator) AppendDelay() time.Duration { return e.appendDelay }
+
+func (e *Emulator) fields() []Field {
+	return []Field{
+		optional("listen", "127.0.0.1:7100", "address of the emulated log and of the fault switches", address(&e.listen, false)),
+		optional("workers", "3", "number of emulated workers", integer(&e.workers, 0, 10_000)),
+		optional("retention", "24h", "how long the emulated log keeps records", duration(&e.retention, time.Second, 365*24*time.Hour)),
+		optional("append_delay", "0s", "emulated time of an append", duration(&e.appendDelay, 0, time.Minute)),
+	}
+}
+
+// Limits is the section of bounds and intervals.
+type Limits struct {
+	currencyLimit, memberHold, taskHold, keyLifetime time.Duration
+	syncWait, requestTimeout, drainTimeout           time.Duration
+	appendsPerSecond, batchRecords, snapshotEvery    int
+	maxBodyBytes                                     int64
+	retryPercent                                     float64
+}
+
+// CurrencyLimit is the currency age above which a process starts nothing.
+func (l *Limits) CurrencyLimit() time.Duration { return l.currencyLimit }
+
+// MemberHold is how long a silent host stays an endpoint.
+func (l *Limits) MemberHold() time.Duration { return l.memberHold }
+
+// TaskHold is how long tasks stay with a silent host.
+func (l *Limits) TaskHold() time.Duration { return l.taskHold }
+
+// KeyLifetime is how long an idempotency key is remembered.
+func (l *Limits) KeyLifetime() time.Duration { return l.keyLifetime }
+
+// SyncWait is how long a Sync call waits for a change.
+func (l *Limits) SyncWait() time.Duration { return l.syncWait }
+
+// RequestTimeout is the deadline of a request that names none.
+func (l *Limits) RequestTimeout() time.Duration { return l.requestTimeout }
+
+// DrainTimeout bounds how long a planned stop waits for running work.
+func (l *Limits) DrainTimeout() time.Duration { return l.drainTimeout }
+
+// AppendsPerSecond is the append budget of an entry process.
+func (l *Limits) AppendsPerSecond() int { return l.appendsPerSecond }
+
+// BatchRecords bounds the records of one batch.
+func (l *Limits) BatchRecords() int { return l.batchRecords }
+
+// SnapshotEvery is the number of batches between snapshots.
+func (l *Limits) SnapshotEvery() int { return l.snapshotEvery }
+
+// MaxBodyBytes bounds a request's and a response's body.
+func (l *Limits) MaxBodyBytes() int64 { return l.maxBodyBytes }
+
+// RetryPercent is the retry budget in percent of the first tries.
+func (l *Limits) RetryPercent() float64 { return l.retryPercent }
+
+func (l *Limits) fields() []Field {
+	return []Field{
+		optional("currency_limit", "3s", "currency age above which a process starts nothing", duration(&l.currencyLimit, 100*time.Millisecond, 4*time.Second)),
+		optional("member_hold", "6s", "how long a silent host stays an endpoint", duration(&l.memberHold, 200*time.Millisecond, time.Hour)),
+		optional("task_hold", "15m", "how long tasks stay with a silent host", duration(&l.taskHold, time.Second, 24*time.Hour)),
+		optional("key_lifetime", "10m", "how long an idempotency key is remembered", duration(&l.keyLifetime, time.Second, 24*time.Hour)),
+		optional("sync_wait", "1s", "how long a Sync call waits for a change", duration(&l.syncWait, 10*time.Millisecond, time.Minute)),
+		optional("request_timeout", "2s", "deadline of a request that names none", duration(&l.requestTimeout, time.Millisecond, time.Hour)),
+		optional("drain_timeout", "30s", "how long a planned stop waits for running work", duration(&l.drainTimeout, 0, time.Hour)),
+		optional("appends_per_second", "50", "append budget of an entry process", integer(&l.appendsPerSecond, 1, 10_000)),
+		optional("batch_records", "1024", "records in one batch", integer(&l.batchRecords, 1, 65_536)),
+		optional("snapshot_every", "5000", "batches between snapshots", integer(&l.snapshotEvery, 1, 1_000_000)),
+		optional("max_body", "8MiB", "body of a request or response", memory(&l.maxBodyBytes, false)),
+		optional("retry_percent", "10", "retry budget in percent of first tries", number(&l.retryPercent, 0, 100)),
+	}
+}
+
+// check tests what spans keys and sections.
+func (s *Settings) check(parsed *parser.Text) []Diagnostic {
+	l := &s.limits
+	rules := []struct {
+		broken                 bool
+		section, key, expected string
+		found                  time.Duration
+	}{
+		{
+			// Currency is dated from the start of a read, so a wait near the
+			// limit would leave the process stale between two reads.
+			broken:   s.log.readWait > l.currencyLimit/2,
+			section:  "log",
+			key:      "read_wait",
+			expected: fmt.Sprintf("at most half of currency_limit (%s)", short(l.currencyLimit)),
+			found:    s.log.readWait,
+		},
+		{
+			broken:   l.syncWait > l.currencyLimit/2,
+			section:  "limits",
+			key:      "sync_wait",
+			expected: fmt.Sprintf("at most half of currency_limit (%s)", short(l.currencyLimit)),
+			found:    l.syncWait,
+		},
+		{
+			broken:   l.memberHold < 2*l.syncWait,
+			section:  "limits",
+			key:      "member_hold",
+			expected: fmt.Sprintf("at least twice sync_wait (%s)", short(l.syncWait)),
+			found:    l.memberHold,
+		},
+		{
+			broken:   l.taskHold < l.memberHold,
+			section:  "limits",
+			key:      "task_hold",
+			expected: fmt.Sprintf("at least member_hold (%s)", short(l.memberHold)),
+			found:    l.taskHold,
+		},
+	}
+	var diagnostics []Diagnostic
+	for _, rule := range rules {
+		if rule.broken {
+			diagnostics = append(diagnostics, at(parsed, rule.section, rule.key, short(rule.found), rule.expected))
+		}
+	}
+	return diagnostics
+}
+
+func at(parsed *parser.Text, name, key, found, expected string) Diagnostic {
+	section, ok := parsed.Section(name)
+	if !ok {
+		section = parser.ParseBody(parsed.Sections()[0].File(), name, "")
+	}
+	k, _ := section.Key(key)
+	d := diagnose(section, k, found, expected, "")
+	d.Key = key
+	return d
+}
--- /dev/null
+++ b/validator/schema.go
@@ -0,0 +1,136 @@
+package validator
+
+import (
+	"slices"
+	"time"
+
+	"damaskspread.example/damaskspread/parser"
+	"damaskspread.example/damaskspread/wire"
+)
+
+var sectionKinds = []string{"zone", "service", "team", "kind", "objective"}
+
+// described is a section that lists its keys and checks what spans keys.
+type described interface {
+	fields() []Field
+	check(section *parser.Section) []Diagnostic
+}
+
+func readSection(section *parser.Section, target described) []Diagnostic {
+	if diagnostics := read(section, target.fields()); len(diagnostics) > 0 {
+		return diagnostics
+	}
+	return target.check(section)
+}
+
+const ownerAbout = "team that may change the section"
+
+func (z *Zone) fields() []Field {
+	return []Field{
+		required("owner", ownerAbout, name(&z.owner)),
+		optional("region", "", "region of the zone, for display", name(&z.region)),
+		optional("in_service", "yes", "whether tasks and requests may start in the zone", flag(&z.inService)),
+		optional("drain", "no", "whether running tasks are evicted while the zone is out of service", flag(&z.drain)),
+	}
+}
+
+func (z *Zone) check(*parser.Section) []Diagnostic { return nil }
+
+func (s *Service) fields() []Field {
+	if s.resources == nil {
+		s.resources = &wire.Resources{}
+	}
+	fields := []Field{
+		required("owner", ownerAbout, name(&s.owner)),
+		optional("slots", "0", "requests that an endpoint runs at once; 0 uses the endpoint's settings", integer(&s.slots, 0, 100_000)),
+	}
+	fields = append(fields, resourceFields(s.resources, "", "0", "reserved on the host of each endpoint", false)...)
+	return append(
+		fields,
+		optional("classes", "", "request classes, the first is shed first", names(&s.classes)),
+		optional("idempotent", "", "classes whose requests may run more than once", names(&s.idempotent)),
+		optional("timeout", "2s", "deadline of a request that names none", duration(&s.timeout, time.Millisecond, time.Hour)),
+		optional("hedging", "off", "whether a slow idempotent request is sent a second time", flag(&s.hedging)),
+		optional("stale_limit", "0s", "how long endpoints serve on the last known configuration; during that time they may serve in a zone that was taken out", duration(&s.staleLimit, 0, 24*time.Hour)),
+	)
+}
+
+func (s *Service) check(section *parser.Section) []Diagnostic {
+	for _, class := range s.idempotent {
+		if !slices.Contains(s.classes, class) {
+			key, _ := section.Key("idempotent")
+			return []Diagnostic{diagnose(section, key, class, "classes that the key classes lists", nearest(class, s.classes))}
+		}
+	}
+	return nil
+}
+
+func (t *Team) fields() []Field {
+	if t.quota == nil {
+		t.quota = &wire.Resources{}
+	}
+	fields := []Field{
+		required("owner", ownerAbout, name(&t.owner)),
+	}
+	fields = append(fields, resourceFields(t.quota, "", "unlimited", "quota of what the team's tasks hold at once", true)...)
+	return append(fields, optional("share", "1", "weight when teams compete", number(&t.share, 0.001, 1000)))
+}
+
+func (t *Team) check(*parser.Section) []Diagnostic { return nil }
+
+func (k *Kind) fields() []Field {
+	if k.resources == nil {
+		k.resources = &wire.Resources{}
+	}
+	fields := []Field{
+		required("owner", ownerAbout, name(&k.owner)),
+		optional("class", "batch", "class of the kind's tasks", choice(&k.class, "batch", "latency_critical")),
+	}
+	fields = append(fields, resourceFields(k.resources, "", "0", "needed by a task that declares none", false)...)
+	return append(
+		fields,
+		optional("priority", "50", "order among kinds, a higher one goes first", integer(&k.priority, 0, 100)),
+		optional("may_wait", "1h", "how long a task may wait before it starts", duration(&k.mayWait, 0, 30*24*time.Hour)),
+	)
+}
+
+func (k *Kind) check(*parser.Section) []Diagnostic { return nil }
+
+func (o *Objective) fields() []Field {
+	return []Field{
+		required("owner", ownerAbout, name(&o.owner)),
+		optional("tail_latency", "1", "weight of the services' tail latency", number(&o.tailLatency, 0, 100)),
+		optional("batch_throughput", "1", "weight of finished batch work", number(&o.batchThroughput, 0, 100)),
+		optional("evictions", "1", "weight of avoided evictions", number(&o.eviction, 0, 100)),
+	}
+}
+
+func (o *Objective) check(section *parser.Section) []Diagnostic {
+	if o.tailLatency+o.batchThroughput+o.eviction == 0 {
+		return []Diagnostic{diagnose(section, nil, "all weights are 0", "at least one weight above 0", "")}
+	}
+	return nil
+}
+
+// SectionSchema describes the keys of one kind of section.
+type SectionSchema struct {
+	name   string
+	fields []Field
+}
+
+// Name is the section's header without brackets.
+func (s SectionSchema) Name() string { return s.name }
+
+// Fields are the section's keys.
+func (s SectionSchema) Fields() []Field { return s.fields }
+
+// DocumentSchema describes the sections of the configuration document.
+func DocumentSchema() []SectionSchema {
+	return []SectionSchema{
+		{name: "zone NAME", fields: (&Zone{}).fields()},
+		{name: "service NAME", fields: (&Service{}).fields()},
+		{name: "team NAME", fields: (&Team{}).fields()},
+		{name: "kind NAME", fields: (&Kind{}).fields()},
+		{name: "objective", fields: (&Objective{}).fields()},
+	}
+}
--- /dev/null
+++ b/validator/settings.go
@@ -0,0 +1,322 @@
+package validator
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+
+	"damaskspread.example/damaskspread/parser"
+	"damaskspread.example/damaskspread/wire"
+)
+
+// Settings are the checked settings of one process.
+type Settings struct {
+	process  Process
+	log      Log
+	entry    Entry
+	agent    Agent
+	endpoint Endpoint
+	worker   Worker
+	emulator Emulator
+	limits   Limits
+}
+
+// Process is the section of what every process has.
+type Process struct {
+	id, role, region, zone, rack, host string
+	monitorListen, pprofListen         string
+	logLevel                           string
+	seed                               int
+}
+
+// Process is the section [process].
+func (s *Settings) Process() *Process { return &s.process }
+
+// Log is the section [log].
+func (s *Settings) Log() *Log { return &s.log }
+
+// Entry is the section [entry].
+func (s *Settings) Entry() *Entry { return &s.entry }
+
+// Agent is the section [agent].
+func (s *Settings) Agent() *Agent { return &s.agent }
+
+// Endpoint is the section [endpoint].
+func (s *Settings) Endpoint() *Endpoint { return &s.endpoint }
+
+// Worker is the section [worker].
+func (s *Settings) Worker() *Worker { return &s.worker }
+
+// Emulator is the section [emulator].
+func (s *Settings) Emulator() *Emulator { return &s.emulator }
+
+// Limits is the section [limits].
+func (s *Settings) Limits() *Limits { return &s.limits }
+
+// ID names the process in records and logs.
+func (p *Process) ID() string { return p.id }
+
+// Role is entry, agent, emulator or dev.
+func (p *Process) Role() string { return p.role }
+
+// Region is the region of the process.
+func (p *Process) Region() string { return p.region }
+
+// Zone is the availability zone of the process.
+func (p *Process) Zone() string { return p.zone }
+
+// Rack is the rack of the host; it may be empty.
+func (p *Process) Rack() string { return p.rack }
+
+// Host is the host's id, by default the process id.
+func (p *Process) Host() string { return p.host }
+
+// MonitorListen is the address of health, readiness and metrics.
+func (p *Process) MonitorListen() string { return p.monitorListen }
+
+// PprofListen is the loopback address of pprof; empty turns it off.
+func (p *Process) PprofListen() string { return p.pprofListen }
+
+// LogLevel is the least level that is logged.
+func (p *Process) LogLevel() string { return p.logLevel }
+
+// Seed seeds the injected randomness; 0 picks a seed that is logged.
+func (p *Process) Seed() int { return p.seed }
+
+func (p *Process) fields() []Field {
+	return []Field{
+		required("id", "name of the process in records and logs", name(&p.id)),
+		optional("role", "dev", "what the process does", choice(&p.role, "entry", "agent", "emulator", "dev")),
+		required("region", "region of the process", name(&p.region)),
+		required("zone", "availability zone of the process", name(&p.zone)),
+		optional("rack", "", "rack of the host", name(&p.rack)),
+		optional("host", "", "id of the host; the process id if absent", name(&p.host)),
+		optional("monitor_listen", "127.0.0.1:7402", "address of /healthz, /readyz and /metrics", address(&p.monitorListen, false)),
+		optional("pprof_listen", "", "loopback address of pprof; off if absent", address(&p.pprofListen, true)),
+		optional("log_level", "info", "least level that is logged", choice(&p.logLevel, "debug", "info", "warn", "error")),
+		optional("seed", "0", "seed of the randomness; 0 picks one and logs it", integer(&p.seed, 0, math.MaxInt32)),
+	}
+}
+
+// Log is the section of the platform's log.
+type Log struct {
+	address                              string
+	appendTimeout, readTimeout, readWait time.Duration
+}
+
+// Address is the log's address.
+func (l *Log) Address() string { return l.address }
+
+// AppendTimeout is the deadline of an append.
+func (l *Log) AppendTimeout() time.Duration { return l.appendTimeout }
+
+// ReadTimeout is the deadline of a read on top of its wait.
+func (l *Log) ReadTimeout() time.Duration { return l.readTimeout }
+
+// ReadWait is how long a read at the head waits for the next entry.
+func (l *Log) ReadWait() time.Duration { return l.readWait }
+
+func (l *Log) fields() []Field {
+	return []Field{
+		optional("address", "127.0.0.1:7100", "address of the platform's log", address(&l.address, false)),
+		optional("append_timeout", "2s", "deadline of an append", duration(&l.appendTimeout, 10*time.Millisecond, time.Minute)),
+		optional("read_timeout", "2s", "deadline of a read on top of its wait", duration(&l.readTimeout, 10*time.Millisecond, time.Minute)),
+		optional("read_wait", "500ms", "how long a read at the head waits for the next entry", duration(&l.readWait, time.Millisecond, time.Minute)),
+	}
+}
+
+// Entry is the section of an entry process.
+type Entry struct {
+	listen, peerListen, address string
+}
+
+// Listen is the address for callers and operators.
+func (e *Entry) Listen() string { return e.listen }
+
+// PeerListen is the address for agents and other entries.
+func (e *Entry) PeerListen() string { return e.peerListen }
+
+// Address is the address that agents and other entries use, by default
+// PeerListen.
+func (e *Entry) Address() string { return e.address }
+
+func (e *Entry) fields() []Field {
+	return []Field{
+		optional("listen", "127.0.0.1:7400", "address for callers and operators (HTTP)", address(&e.listen, false)),
+		optional("peer_listen", "127.0.0.1:7401", "address for agents and other entries", address(&e.peerListen, false)),
+		optional("address", "", "address that agents and other entries use; peer_listen if absent", address(&e.address, false)),
+	}
+}
+
+// Agent is the section of an agent process.
+type Agent struct {
+	entries         []string
+	listen, address string
+}
+
+// Entries are the addresses of entry processes.
+func (a *Agent) Entries() []string { return a.entries }
+
+// Listen is the address for entries and other agents.
+func (a *Agent) Listen() string { return a.listen }
+
+// Address is the address that the agent announces, by default Listen.
+func (a *Agent) Address() string { return a.address }
+
+func (a *Agent) fields() []Field {
+	return []Field{
+		optional("entries", "127.0.0.1:7401", "addresses of entry processes", addresses(&a.entries)),
+		optional("listen", "127.0.0.1:7410", "address for entries and other agents", address(&a.listen, false)),
+		optional("address", "", "address that the agent announces; listen if absent", address(&a.address, false)),
+	}
+}
+
+// Endpoint is the section of the back end beside an agent.
+type Endpoint struct {
+	service, address   string
+	slots, connections int
+	reserved           wire.Resources
+}
+
+// Service is the endpoint's service; empty for a host without endpoint.
+func (e *Endpoint) Service() string { return e.service }
+
+// Address is the endpoint's HTTP address.
+func (e *Endpoint) Address() string { return e.address }
+
+// Slots is the number of requests that run at once.
+func (e *Endpoint) Slots() int { return e.slots }
+
+// Connections is the number of connections that the endpoint accepts.
+func (e *Endpoint) Connections() int { return e.connections }
+
+// Reserved is what the endpoint holds on its host.
+func (e *Endpoint) Reserved() *wire.Resources { return &e.reserved }
+
+// Spec is the endpoint as a host announces it, nil without a service.
+func (e *Endpoint) Spec() *wire.EndpointSpec {
+	if e.service == "" {
+		return nil
+	}
+	return &wire.EndpointSpec{
+		Service:     e.service,
+		Slots:       int32(e.slots),
+		Connections: int32(e.connections),
+		Reserved:    &e.reserved,
+	}
+}
+
+func (e *Endpoint) fields() []Field {
+	return append(
+		[]Field{
+			optional("service", "", "service of the endpoint; no endpoint if absent", name(&e.service)),
+			optional("address", "127.0.0.1:7420", "HTTP address of the endpoint", address(&e.address, false)),
+			optional("slots", "8", "requests that run at once", integer(&e.slots, 1, 100_000)),
+			optional("connections", "64", "connections that the endpoint accepts", integer(&e.connections, 1, 1_000_000)),
+		},
+		resourceFields(&e.reserved, "reserved_", "0", "held by the endpoint on its host", false)...,
+	)
+}
+
+// Worker is the section of the platform's worker on the agent's host.
+type Worker struct {
+	address string
+	timeout time.Duration
+}
+
+// Address is the worker's address; empty for a host that runs no tasks.
+func (w *Worker) Address() string { return w.address }
+
+// Timeout is the deadline of a call to the worker.
+func (w *Worker) Timeout() time.Duration { return w.timeout }
+
+func (w *Worker) fields() []Field {
+	return []Field{
+		optional("address", "", "address of the platform's worker; no tasks if absent", address(&w.address, false)),
+		optional("timeout", "2s", "deadline of a call to the worker", duration(&w.timeout, 10*time.Millisecond, time.Minute)),
+	}
+}
+
+// LoadSettings reads the settings text of a process.
+func LoadSettings(file, text string) (*Settings, []Diagnostic) {
+	settings := &Settings{}
+	sections := settings.sections()
+	var diagnostics []Diagnostic
+	parsed := parser.Parse(file, text)
+	headers := make([]string, len(sections))
+	for i, s := range sections {
+		headers[i] = s.name
+		section, ok := parsed.Section(s.name)
+		if !ok {
+			section = parser.ParseBody(file, s.name, "")
+		}
+		diagnostics = append(diagnostics, read(section, s.fields)...)
+	}
+	for _, section := range parsed.Sections() {
+		if first, _ := parsed.Section(section.Name()); !contains(headers, section.Name()) {
+			diagnostics = append(diagnostics, diagnose(section, nil, "["+section.Name()+"]",
+				"one of the sections ["+strings.Join(headers, "], [")+"]", nearest(section.Name(), headers)))
+		} else if first != section {
+			diagnostics = append(diagnostics, read(section, nil)...)
+		}
+	}
+	if len(diagnostics) > 0 {
+		return settings, diagnostics
+	}
+	settings.complete()
+	return settings, settings.check(parsed)
+}
+
+func (s *Settings) complete() {
+	for _, pair := range []struct {
+		target *string
+		other  string
+	}{
+		{target: &s.process.host, other: s.process.id},
+		{target: &s.entry.address, other: s.entry.peerListen},
+		{target: &s.agent.address, other: s.agent.listen},
+	} {
+		if *pair.target == "" {
+			*pair.target = pair.other
+		}
+	}
+}
+
+func (s *Settings) sections() []SectionSchema {
+	return []SectionSchema{
+		{name: "process", fields: s.process.fields()},
+		{name: "log", fields: s.log.fields()},
+		{name: "entry", fields: s.entry.fields()},
+		{name: "agent", fields: s.agent.fields()},
+		{name: "endpoint", fields: s.endpoint.fields()},
+		{name: "worker", fields: s.worker.fields()},
+		{name: "emulator", fields: s.emulator.fields()},
+		{name: "limits", fields: s.limits.fields()},
+	}
+}
+
+// SettingsSchema describes the sections of a process's settings.
+func SettingsSchema() []SectionSchema { return (&Settings{}).sections() }
+
+// FormatDefaults writes every section with its keys, defaults and meaning as
+// INI text. Keys without default stand in comments.
+func FormatDefaults(schema []SectionSchema) string {
+	var b strings.Builder
+	for _, section := range schema {
+		fmt.Fprintf(&b, "[%s]\n", section.name)
+		for _, f := range section.fields {
+			fmt.Fprintf(&b, "# %s: %s\n", f.about, f.Expected())
+			switch {
+			case f.required:
+				fmt.Fprintf(&b, "# %s =   (required)\n", f.name)
+			case f.fallback == "":
+				fmt.Fprintf(&b, "# %s =\n", f.name)
+			default:
+				fmt.Fprintf(&b, "%s = %s\n", f.name, f.fallback)
+			}
+		}
+		b.WriteString("\n")
+	}
+	return b.String()
+}
