Add the router and the endpoint picker interface

Cause: an entry has to choose among thousands of endpoints per request. Change: zone-aware power of two choices with spill-over, slow start, bounded ejection, gradual readmission; baseline pickers.

--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,172 @@
+package router_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/router"
+	"damaskspread.example/damaskspread/wire"
+)
+
+func endpoints(n, zones int) []damaskspread.Endpoint {
+	list := make([]damaskspread.Endpoint, n)
+	for i := range list {
+		list[i] = damaskspread.Endpoint{
+			Host:    fmt.Sprintf("h%d", i),
+			Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250),
+			Zone:    fmt.Sprintf("z%d", i%zones),
+			Slots:   8,
+		}
+	}
+	return list
+}
+
+func newRouter(n, zones int) (*router.Router, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	r := &router.Router{
+		Clock: clock,
+		Zone:  "z0",
+		Seed:  1,
+	}
+	r.SetEndpoints("s", endpoints(n, zones))
+	return r, clock
+}
+
+func count(t *testing.T, r *router.Router, picks int, finish bool) map[string]int {
+	t.Helper()
+	seen := map[string]int{}
+	for range picks {
+		pick, ok := r.Pick("s", "")
+		assert.Assert(t, ok)
+		seen[pick.Host]++
+		if finish {
+			r.Done(pick, damaskspread.PickResult{
+				Latency: time.Millisecond,
+			})
+		}
+	}
+	return seen
+}
+
+// Guards against requests that cross zones while the local zone has room, and
+// against a local zone that is filled beyond its limit while others are empty.
+func TestLocalZoneFirstThenSpillOver(t *testing.T) {
+	r, _ := newRouter(12, 3)
+	local := 0
+	for range 16 {
+		pick, _ := r.Pick("s", "")
+		if pick.Zone == "z0" {
+			local++
+		}
+	}
+	assert.Equal(t, local, 16)
+	remote := 0
+	for range 60 {
+		if pick, _ := r.Pick("s", ""); pick.Zone != "z0" {
+			remote++
+		}
+	}
+	assert.Assert(t, remote > 30, "remote %d", remote)
+}
+
+// Guards against a herd on an endpoint that has just returned and is empty.
+func TestReturnedEndpointStartsSlowly(t *testing.T) {
+	r, clock := newRouter(10, 1)
+	list := endpoints(10, 1)
+	r.SetEndpoints("s", list[:9])
+	clock.Advance(time.Minute)
+	r.SetEndpoints("s", list)
+	count(t, r, 27, false) // three in flight at each of the others
+	seen := count(t, r, 20, false)
+	assert.Assert(t, seen["h9"] <= 2, "%v", seen)
+	clock.Advance(20 * time.Second)
+	seen = count(t, r, 100, true)
+	assert.Assert(t, seen["h9"] > 5, "%v", seen)
+}
+
+// Guards against ejecting so many endpoints that the rest is overloaded, and
+// against an ejected endpoint that never returns.
+func TestEjectionIsBoundedAndEnds(t *testing.T) {
+	r, clock := newRouter(10, 1)
+	for range 500 {
+		pick, _ := r.Pick("s", "")
+		r.Done(pick, damaskspread.PickResult{
+			Failed: true,
+		})
+	}
+	assert.Equal(t, r.Ejected("s"), 3)
+	clock.Advance(2 * time.Minute)
+	count(t, r, 1000, true)
+	assert.Equal(t, r.Ejected("s"), 0)
+}
+
+// Guards against a slow endpoint that keeps its share of the requests.
+func TestSlowEndpointIsEjected(t *testing.T) {
+	r, _ := newRouter(10, 1)
+	for range 2000 {
+		pick, _ := r.Pick("s", "")
+		latency := time.Millisecond
+		if pick.Host == "h3" {
+			latency = 50 * time.Millisecond
+		}
+		r.Done(pick, damaskspread.PickResult{
+			Latency: latency,
+		})
+	}
+	assert.Equal(t, r.Ejected("s"), 1)
+	assert.Equal(t, count(t, r, 200, true)["h3"], 0)
+}
+
+// Guards against choosing an endpoint that reports a full queue, and against
+// believing a report for longer than it is fresh.
+func TestReportedLoad(t *testing.T) {
+	r, clock := newRouter(2, 1)
+	r.ObserveLoad("h0", &wire.EndpointLoad{
+		Running: 8,
+		Queued:  20,
+		Limit:   8,
+	})
+	assert.Assert(t, count(t, r, 100, true)["h0"] < 20)
+	clock.Advance(3 * time.Second)
+	assert.Assert(t, count(t, r, 100, true)["h0"] > 20)
+}
+
+// Guards against a second try at the endpoint that just refused the first.
+func TestAvoid(t *testing.T) {
+	r, _ := newRouter(2, 1)
+	for range 50 {
+		pick, _ := r.Pick("s", "h0")
+		assert.Equal(t, pick.Host, "h1")
+	}
+	_, ok := r.Pick("absent", "")
+	assert.Assert(t, !ok)
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{1850, 3700, 7400} {
+		pickers := map[string]damaskspread.EndpointPicker{}
+		pickers["router"] = &router.Router{Clock: clockwork.NewRealClock(), Zone: "z0"}
+		for name, rule := range map[string]router.Rule{
+			"random": router.Random, "round_robin": router.RoundRobin, "least_loaded": router.LeastLoaded,
+		} {
+			p := &router.Baseline{Rule: rule}
+			p.Clock = clockwork.NewRealClock()
+			pickers[name] = p
+		}
+		for name, p := range pickers {
+			p.SetEndpoints("s", endpoints(n, 10))
+			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					pick, _ := p.Pick("s", "")
+					p.Done(pick, damaskspread.PickResult{Latency: time.Millisecond})
+				}
+			})
+		}
+	}
+}
