Add placement policies and an incremental host index

Cause: claims need a host within 50 µs at 3,100 hosts, with a reason, and a refusal has to name the constraint that binds.

Ruled out: scoring every host (cost linear in hosts); a tree over free room (several dimensions prune badly); one free-room class per host (memory and processors run out independently).

Random, round robin, least loaded, first fit and best fit stand behind the same PlacementPolicy.

--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,329 @@
+package placer_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/placer"
+	"damaskspread.example/damaskspread/wire"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func hostIn(id, zone string, millicores, memoryGB, accelerators int64) *wire.HostState {
+	return &wire.HostState{
+		Spec: &wire.HostSpec{
+			Host:       id,
+			WorkerBoot: "boot-" + id,
+			Zone:       zone,
+			Rack:       "rack-" + id,
+			Capacity:   resources(millicores, memoryGB, accelerators),
+		},
+	}
+}
+
+func resources(millicores, memoryGB, accelerators int64) *wire.Resources {
+	return &wire.Resources{
+		Millicores:   millicores,
+		MemoryBytes:  memoryGB << 30,
+		Accelerators: accelerators,
+	}
+}
+
+func batch(id string, need *wire.Resources) *wire.TaskSpec {
+	return &wire.TaskSpec{
+		Task:          id,
+		Team:          "team",
+		Kind:          "render",
+		Class:         wire.TaskClass_TASK_CLASS_BATCH,
+		CanCheckpoint: true,
+		Resources:     need,
+	}
+}
+
+func spread(x *placer.Index, seed uint64) *placer.Spread {
+	return &placer.Spread{
+		Index:  x,
+		Random: rand.New(rand.NewPCG(seed, 0)),
+	}
+}
+
+func place(p damaskspread.PlacementPolicy, spec *wire.TaskSpec, avoid ...string) (damaskspread.Placement, error) {
+	return p.Place(&damaskspread.PlacementTask{
+		Spec:  spec,
+		Avoid: avoid,
+	}, start)
+}
+
+// Guards against a refusal that names the wrong constraint, or that says a
+// task can never run although it only has to wait.
+func TestRefusalNamesTheBindingConstraint(t *testing.T) {
+	for name, c := range map[string]struct {
+		spec    *wire.TaskSpec
+		prepare func(*placer.Index)
+		binding damaskspread.Binding
+		never   bool
+	}{
+		"too many processors": {
+			spec:    batch("t", resources(32_000, 1, 0)),
+			binding: damaskspread.BindingMillicores,
+			never:   true,
+		},
+		"too much memory": {
+			spec:    batch("t", resources(1_000, 100, 0)),
+			binding: damaskspread.BindingMemory,
+			never:   true,
+		},
+		"processors in use": {
+			spec: batch("t", resources(9_000, 1, 0)),
+			prepare: func(x *placer.Index) {
+				x.Commit(batch("1", resources(8_000, 1, 0)), "a")
+				x.Commit(batch("2", resources(8_000, 1, 0)), "b")
+			},
+			binding: damaskspread.BindingMillicores,
+		},
+		"no accelerators": {
+			spec:    batch("t", resources(1_000, 1, 1)),
+			binding: damaskspread.BindingAccelerators,
+			never:   true,
+		},
+		"unknown zone": {
+			spec: &wire.TaskSpec{
+				Resources: resources(1, 1, 0),
+				Zones:     []string{"elsewhere"},
+			},
+			binding: damaskspread.BindingZone,
+			never:   true,
+		},
+		"zones out": {
+			spec: batch("t", resources(1, 1, 0)),
+			prepare: func(x *placer.Index) {
+				x.SetZone("z1", false, start)
+				x.SetZone("z2", false, start)
+			},
+			binding: damaskspread.BindingZone,
+		},
+		"quarantined": {
+			spec: batch("t", resources(1, 1, 0)),
+			prepare: func(x *placer.Index) {
+				x.SetAdmission("a", placer.Quarantined)
+				x.SetAdmission("b", placer.Quarantined)
+			},
+			binding: damaskspread.BindingQuarantine,
+		},
+		"headroom": {
+			spec: &wire.TaskSpec{
+				Task:      "t",
+				Class:     wire.TaskClass_TASK_CLASS_BATCH,
+				Resources: resources(10_000, 1, 0),
+			},
+			prepare: func(x *placer.Index) {
+				for _, id := range []string{"a", "b"} {
+					urgent := batch("u"+id, resources(6_000, 1, 0))
+					urgent.Class = wire.TaskClass_TASK_CLASS_LATENCY_CRITICAL
+					x.Commit(urgent, id)
+				}
+			},
+			binding: damaskspread.BindingHeadroom,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := placer.NewIndex()
+			x.SetHost(hostIn("a", "z1", 16_000, 60, 0))
+			x.SetHost(hostIn("b", "z2", 16_000, 60, 0))
+			if c.prepare != nil {
+				c.prepare(x)
+			}
+			_, err := place(spread(x, 1), c.spec)
+			var refused *damaskspread.PlacementRefusedError
+			assert.Assert(t, errors.As(err, &refused))
+			assert.Equal(t, refused.Binding, c.binding, refused.Detail)
+			assert.Equal(t, refused.Never, c.never, refused.Detail)
+		})
+	}
+}
+
+// Guards against using scarce hosts for tasks that don't need them, and
+// against returning a task to the host where it failed.
+func TestPlacePrefersSuitableHosts(t *testing.T) {
+	x := placer.NewIndex()
+	x.SetHost(hostIn("plain", "z1", 16_000, 60, 0))
+	x.SetHost(hostIn("accelerated", "z2", 16_000, 60, 4))
+	for seed := range uint64(20) {
+		p, err := place(spread(x, seed), batch("t", resources(1_000, 1, 0)))
+		assert.NilError(t, err)
+		assert.Equal(t, p.Host, "plain")
+		p, err = place(spread(x, seed), batch("t", resources(1_000, 1, 0)), "plain")
+		assert.NilError(t, err)
+		assert.Equal(t, p.Host, "accelerated")
+		p, err = place(spread(x, seed), batch("t", resources(1_000, 1, 0)), "plain", "accelerated")
+		assert.NilError(t, err)
+		assert.Equal(t, p.Host, "plain")
+	}
+}
+
+// Guards against a returned zone that takes the whole queue at once.
+func TestReturnedZoneRamps(t *testing.T) {
+	x := placer.NewIndex()
+	x.RampTime = time.Minute
+	x.SetHost(hostIn("a", "z1", 16_000, 60, 0))
+	x.SetZone("z1", false, start)
+	x.SetZone("z1", true, start)
+	placed := 0
+	for second := range 61 {
+		for n := 0; ; n++ {
+			spec := batch(fmt.Sprint(second, "-", n), resources(1_000, 1, 0))
+			p, err := spread(x, 1).Place(&damaskspread.PlacementTask{
+				Spec: spec,
+			}, start.Add(time.Duration(second)*time.Second))
+			if err != nil {
+				break
+			}
+			x.Commit(spec, p.Host)
+			placed++
+			assert.Assert(t, placed <= 2+second*16/60)
+			assert.Assert(t, n < 2)
+		}
+	}
+	assert.Equal(t, placed, 16)
+}
+
+type ledger struct {
+	capacity, used *wire.Resources
+}
+
+// Guards against an index that loses count: every policy must stay within
+// each host's capacity, and a refusal must be true.
+func TestPoliciesNeverExceedAHost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x := placer.NewIndex()
+		hosts := map[string]*ledger{}
+		for i := range rapid.IntRange(1, 8).Draw(t, "hosts") {
+			state := hostIn(fmt.Sprint("h", i), fmt.Sprint("z", i%3), rapid.Int64Range(1_000, 32_000).Draw(t, "cores"),
+				rapid.Int64Range(1, 64).Draw(t, "memory"), rapid.Int64Range(0, 2).Draw(t, "accelerators"))
+			x.SetHost(state)
+			hosts[state.GetSpec().GetHost()] = &ledger{
+				capacity: state.GetSpec().GetCapacity(),
+				used:     &wire.Resources{},
+			}
+		}
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		policies := []damaskspread.PlacementPolicy{spread(x, 1)}
+		for _, order := range []placer.Order{placer.RandomOrder, placer.RoundRobin, placer.LeastLoaded, placer.FirstFit, placer.BestFit} {
+			policies = append(policies, &placer.Baseline{
+				Index:  x,
+				Order:  order,
+				Random: random,
+			})
+		}
+		placed := map[string]string{}
+		specs := map[string]*wire.TaskSpec{}
+		for i := range rapid.IntRange(1, 60).Draw(t, "tasks") {
+			for id, host := range placed {
+				if rapid.IntRange(0, 5).Draw(t, "release") == 0 {
+					x.Release(id)
+					charge(hosts[host].used, specs[id].GetResources(), -1)
+					delete(placed, id)
+				}
+				break
+			}
+			spec := batch(fmt.Sprint("t", i), resources(rapid.Int64Range(0, 12_000).Draw(t, "need"),
+				rapid.Int64Range(0, 20).Draw(t, "memory need"), rapid.Int64Range(0, 1).Draw(t, "accelerator need")))
+			p, err := place(policies[i%len(policies)], spec)
+			if err != nil {
+				for id, h := range hosts {
+					if fits(h, spec.GetResources()) {
+						t.Fatalf("refused with %v although host %s fits", err, id)
+					}
+				}
+				continue
+			}
+			if !fits(hosts[p.Host], spec.GetResources()) {
+				t.Fatalf("%s exceeds host %s", policies[i%len(policies)].Name(), p.Host)
+			}
+			x.Commit(spec, p.Host)
+			charge(hosts[p.Host].used, spec.GetResources(), 1)
+			placed[spec.GetTask()], specs[spec.GetTask()] = p.Host, spec
+		}
+	})
+}
+
+func charge(total, part *wire.Resources, sign int64) {
+	total.Millicores += sign * part.GetMillicores()
+	total.MemoryBytes += sign * part.GetMemoryBytes()
+	total.Accelerators += sign * part.GetAccelerators()
+}
+
+func fits(h *ledger, need *wire.Resources) bool {
+	return h.used.GetMillicores()+need.GetMillicores() <= h.capacity.GetMillicores() &&
+		h.used.GetMemoryBytes()+need.GetMemoryBytes() <= h.capacity.GetMemoryBytes() &&
+		h.used.GetAccelerators()+need.GetAccelerators() <= h.capacity.GetAccelerators()
+}
+
+// BenchmarkPlace places and releases one task on hosts that hold the running
+// tasks of the target size, and reports the median decision.
+func BenchmarkPlace(b *testing.B) {
+	for _, hosts := range []int{775, 1550, 3100} {
+		b.Run(fmt.Sprint("hosts=", hosts), func(b *testing.B) {
+			x := placer.NewIndex()
+			for i := range hosts {
+				state := hostIn(fmt.Sprint("h", i), fmt.Sprint("z", i%10), 32_000, 120, int64(i%2*3))
+				state.Spec.Rack = fmt.Sprint("rack", i/3)
+				x.SetHost(state)
+			}
+			p := spread(x, 1)
+			random := rand.New(rand.NewPCG(2, 0))
+			for i := range hosts * 35_400 / 3_100 {
+				spec := batch(fmt.Sprint("r", i), resources(500+random.Int64N(3_000), 1+random.Int64N(10), 0))
+				spec.Team = fmt.Sprint("team", i%680)
+				placed, err := place(p, spec)
+				assert.NilError(b, err)
+				x.Commit(spec, placed.Host)
+			}
+			durations := make([]time.Duration, 0, 1<<20)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				spec := batch("new", resources(500+random.Int64N(3_000), 1+random.Int64N(10), 0))
+				spec.Team = fmt.Sprint("team", i%680)
+				began := time.Now()
+				placed, err := place(p, spec)
+				durations = append(durations, time.Since(began))
+				if err == nil {
+					x.Commit(spec, placed.Host)
+					x.Release("new")
+				}
+			}
+			b.ReportMetric(float64(median(durations).Nanoseconds()), "median-ns/decision")
+		})
+	}
+}
+
+// BenchmarkRefusal is the cost of a decision that has to look at every host.
+func BenchmarkRefusal(b *testing.B) {
+	x := placer.NewIndex()
+	for i := range 3_100 {
+		x.SetHost(hostIn(fmt.Sprint("h", i), fmt.Sprint("z", i%10), 32_000, 120, 0))
+		x.Commit(batch(fmt.Sprint("r", i), resources(31_000, 100, 0)), fmt.Sprint("h", i))
+	}
+	p := spread(x, 1)
+	spec := batch("new", resources(2_000, 1, 0))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := place(p, spec); err == nil {
+			b.Fatal("placed on a full host")
+		}
+	}
+}
+
+func median(durations []time.Duration) time.Duration {
+	slices.Sort(durations)
+	return durations[len(durations)/2]
+}
