--- /dev/null
+++ b/auditor/auditor_test.go
@@ -0,0 +1,147 @@
+package auditor_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gopkg.in/tomb.v2"
+	"gotest.tools/v3/assert"
+
+	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/auditor"
+	"damaskspread.example/damaskspread/replayer"
+	"damaskspread.example/damaskspread/wire"
+)
+
+func publish(id, section, text string, base *wire.Position) *wire.Record {
+	return &wire.Record{
+		Id:    id,
+		Actor: "ops/ana",
+		Body: &wire.Record_SectionPublished{SectionPublished: &wire.SectionPublished{
+			Section: section,
+			Text:    text,
+			Base:    base,
+			Team:    "ops",
+		}},
+	}
+}
+
+func apply(state *replayer.State, records ...*wire.Record) []replayer.Change {
+	return state.Apply(state.Offset()+1, &wire.RecordBatch{
+		Records: records,
+	})
+}
+
+// Guards against an audit trail that shows a conflicting publication as
+// applied, or the values of another change.
+func TestSections(t *testing.T) {
+	state, audit := replayer.New(), &auditor.Auditor{}
+	audit.Observe(apply(state, publish("r1", "zone a", "owner = ops\nin_service = yes\n", nil)))
+	base := &wire.Position{
+		Offset: 0,
+	}
+	audit.Observe(apply(
+		state,
+		publish("r2", "zone a", "owner = ops\nin_service = no\n", base),
+		publish("r3", "zone a", "owner = ops\ndrain = yes\n", base),
+	))
+	list := audit.List(auditor.Filter{Subject: "zone a", Limit: 10})
+	assert.Equal(t, len(list), 3)
+	assert.Assert(t, !list[0].Applied())
+	assert.Equal(t, list[0].Reason(), damaskspread.ReasonConflict)
+	assert.Assert(t, list[1].Applied())
+	assert.Equal(t, list[1].From(), "in_service = yes")
+	assert.Equal(t, list[1].To(), "in_service = no")
+	entry, ok := audit.Await(context.Background(), "r3")
+	assert.Assert(t, ok && !entry.Applied())
+	canceled, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, ok = audit.Await(canceled, "r9")
+	assert.Assert(t, !ok)
+}
+
+// Guards against task traffic that pushes operators' changes out, and against
+// a list that grows without bound.
+func TestBounds(t *testing.T) {
+	state, audit := replayer.New(), &auditor.Auditor{}
+	audit.Observe(apply(state, publish("r1", "zone a", "owner = ops\n", nil)))
+	const tasks = 20_000
+	for i := range tasks {
+		audit.Observe(apply(state, &wire.Record{
+			Id: fmt.Sprintf("s%d", i),
+			Body: &wire.Record_TaskSubmitted{TaskSubmitted: &wire.TaskSubmitted{
+				Spec: &wire.TaskSpec{
+					Task: fmt.Sprintf("t%d", i),
+				},
+			}},
+		}))
+	}
+	list := audit.List(auditor.Filter{Limit: 2 * tasks})
+	assert.Equal(t, len(list), 16384+1)
+	assert.Equal(t, list[0].Subject(), fmt.Sprintf("t%d", tasks-1))
+	assert.Equal(t, list[len(list)-1].Subject(), "zone a")
+	canceled, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, ok := audit.Await(canceled, "s0")
+	assert.Assert(t, !ok)
+	_, ok = audit.Await(canceled, "r1")
+	assert.Assert(t, ok)
+}
+
+type source chan []replayer.Change
+
+func (s source) Next(ctx context.Context) ([]replayer.Change, bool, error) {
+	select {
+	case <-ctx.Done():
+		return nil, false, ctx.Err()
+	case changes := <-s:
+		return changes, changes == nil, nil
+	}
+}
+
+// Guards against a dropped range that is not reported and against values from
+// before it.
+func TestReload(t *testing.T) {
+	var mu sync.Mutex
+	state, started := replayer.New(), make(chan struct{}, 2)
+	locked := func(records ...*wire.Record) []replayer.Change {
+		mu.Lock()
+		defer mu.Unlock()
+		return apply(state, records...)
+	}
+	locked(publish("r0", "zone a", "owner = ops\ndrain = no\n", nil))
+	changes := make(source)
+	audit := &auditor.Auditor{
+		Source: changes,
+		View: func(read func(*replayer.State)) {
+			mu.Lock()
+			defer mu.Unlock()
+			read(state)
+			started <- struct{}{}
+		},
+	}
+	var runner tomb.Tomb
+	runner.Go(func() error { return audit.Run(&runner) })
+	<-started
+	changes <- locked(publish("r1", "kind b", "owner = ops\n", nil))
+	late := locked(publish("r2", "zone a", "owner = ops\ndrain = yes\n", &wire.Position{}))
+	changes <- nil
+	<-started
+	changes <- late
+	changes <- locked(publish("r3", "zone a", "owner = ops\n", &wire.Position{Offset: 2}))
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	entry, ok := audit.Await(ctx, "r3")
+	assert.Assert(t, ok)
+	assert.Equal(t, entry.From(), "drain = yes")
+	entry, ok = audit.Await(ctx, "r2")
+	assert.Assert(t, ok && entry.Applied())
+	since, gaps := audit.Coverage()
+	assert.Equal(t, since, int64(1))
+	assert.Equal(t, gaps, 1)
+	runner.Kill(nil)
+	assert.NilError(t, runner.Wait())
+}
--- a/validator/validator.go
+++ b/validator/validator.go
@@ -202,3 +202,7 @@
 	}
 	return row[len(b)]
 }
+
+// Nearest returns the candidate that a misspelled word most likely means, or
+// "".
+func Nearest(word string, candidates []string) string { return nearest(word, candidates) }
