Read the values of a section in one pass

Ruled out: a smaller reader buffer (ini.v1 enforces 4 KiB) and reading values without ini.v1 (the replayer reads the same text with it, and both must agree).

Change: the values of a section come from one ini.v1 file. Only if it is rejected are the lines loaded one by one to find the faulty one.

--- a/parser/parser.go
+++ b/parser/parser.go
@@ -11,6 +11,7 @@
 import (
 	"fmt"
 	"regexp"
+	"slices"
 	"strings"
 	"unicode"
 	"unicode/utf8"
@@ -44,6 +45,7 @@
 type Key struct {
 	name  string
 	value string
+	text  string
 	line  int
 }
 
@@ -167,10 +169,12 @@
 		}
 		section.readLine(line, i+1)
 	}
+	section.readValues()
 	return section
 }
 
 func (t *Text) keep(section *Section) {
+	section.readValues()
 	if section.name == "" && section.line == 1 && len(section.keys) == 0 && len(section.errors) == 0 {
 		return
 	}
@@ -275,32 +279,50 @@
 		s.fail(name, number, rest, "values are written on one line without quotes")
 		return
 	}
-	value, err := readValue(trimmed, name)
-	if err != nil {
-		s.fail(name, number, rest, err.Error())
+	if first, ok := s.byName[name]; ok {
+		s.fail(name, number, rest, fmt.Sprintf("the key already stands at line %d", first.line))
 		return
 	}
-	s.addKey(name, value, number)
-}
-
-func readValue(line, name string) (string, error) {
-	file, err := ini.Load([]byte(line))
-	if err != nil {
-		return "", err
+	key := &Key{
+		name: name,
+		text: trimmed,
+		line: number,
 	}
-	return file.Section("").Key(name).Value(), nil
+	s.keys = append(s.keys, key)
+	s.byName[name] = key
 }
 
-func (s *Section) addKey(name, value string, line int) {
-	if first, ok := s.byName[name]; ok {
-		s.fail(name, line, value, fmt.Sprintf("the key already stands at line %d", first.line))
+// readValues takes the values of all keys from one ini.v1 file: a file for each
+// key costs a 4 KiB buffer each.
+func (s *Section) readValues() {
+	if len(s.keys) == 0 {
 		return
 	}
-	key := &Key{
-		name:  name,
-		value: value,
-		line:  line,
+	lines := make([]string, len(s.keys))
+	for i, key := range s.keys {
+		lines[i] = key.text
 	}
-	s.keys = append(s.keys, key)
-	s.byName[name] = key
+	file, err := ini.Load([]byte(strings.Join(lines, "\n")))
+	if err != nil {
+		s.dropUnreadable()
+		return
+	}
+	values := file.Section("")
+	for _, key := range s.keys {
+		key.value = values.Key(key.name).Value()
+	}
+}
+
+// dropUnreadable finds the lines that ini.v1 rejects.
+func (s *Section) dropUnreadable() {
+	s.keys = slices.DeleteFunc(s.keys, func(key *Key) bool {
+		file, err := ini.Load([]byte(key.text))
+		if err != nil {
+			s.fail(key.name, key.line, key.text, err.Error())
+			delete(s.byName, key.name)
+			return true
+		}
+		key.value = file.Section("").Key(key.name).Value()
+		return false
+	})
 }
