Parse sections without the state's read lock

Cause: status, services, zones and task submission parsed the sections while they held the read lock, which delays the replay at the target size.

Ruled out: a cached document (it needs a subscription of its own to stay current).

Change: the handlers collect the sections in force under the lock and parse them outside. Section states are replaced as a whole, never modified.

Conclusion: a listing holds the lock for the copy only.

--- a/operator/config.go
+++ b/operator/config.go
@@ -32,14 +32,10 @@
 		Sections: []client.Section{},
 		AgeMs:    milliseconds(h.State.Age()),
 	}
-	h.State.View(func(state *replayer.State) {
-		response.Offset = state.Offset()
-		for section := range state.Sections() {
-			if !section.GetRemoved() {
-				response.Sections = append(response.Sections, sectionOf(section))
-			}
-		}
-	})
+	h.State.View(func(state *replayer.State) { response.Offset = state.Offset() })
+	for _, section := range h.sections() {
+		response.Sections = append(response.Sections, sectionOf(section))
+	}
 	slices.SortFunc(response.Sections, func(a, b client.Section) int { return cmp.Compare(a.Section, b.Section) })
 	return ok(w, response)
 }
@@ -49,11 +45,9 @@
 	current, exists := h.section(name)
 	if !exists || current.GetRemoved() {
 		var names []string
-		h.State.View(func(state *replayer.State) {
-			for section := range state.Sections() {
-				names = append(names, section.GetSection())
-			}
-		})
+		for _, section := range h.sections() {
+			names = append(names, section.GetSection())
+		}
 		return notFound("section", "["+name+"]", names)
 	}
 	return ok(w, sectionOf(current))
@@ -68,6 +62,20 @@
 	return section, exists
 }
 
+// sections returns the sections in force. They are parsed without the lock, so
+// a document of hundreds of sections does not delay the replay.
+func (h *Handler) sections() []*wire.SectionState {
+	var list []*wire.SectionState
+	h.State.View(func(state *replayer.State) {
+		for section := range state.Sections() {
+			if !section.GetRemoved() {
+				list = append(list, section)
+			}
+		}
+	})
+	return list
+}
+
 func (h *Handler) check(w http.ResponseWriter, r bunrouter.Request) error {
 	var request client.CheckRequest
 	if err := decode(r, &request); err != nil {
--- a/operator/hosts.go
+++ b/operator/hosts.go
@@ -170,12 +170,12 @@
 		}
 		return services[name]
 	}
+	document, _ := validator.FromSections(slices.Values(h.sections()))
+	for declared := range document.Services() {
+		service(declared.Name()).Declared = true
+		service(declared.Name()).Owner = declared.Owner()
+	}
 	h.State.View(func(state *replayer.State) {
-		document, _ := validator.FromSections(state.Sections())
-		for declared := range document.Services() {
-			service(declared.Name()).Declared = true
-			service(declared.Name()).Owner = declared.Owner()
-		}
 		for name := range state.Services() {
 			countShards(service(name), state.Shards(name))
 		}
--- a/operator/status.go
+++ b/operator/status.go
@@ -50,8 +50,8 @@
 				status.ZonesOut = append(status.ZonesOut, zone)
 			}
 		}
-		_, status.Rejected = validator.FromSections(state.Sections())
 	})
+	_, status.Rejected = validator.FromSections(slices.Values(h.sections()))
 	slices.Sort(status.Entries)
 	slices.Sort(status.ZonesOut)
 	return ok(w, status)
--- a/operator/submission.go
+++ b/operator/submission.go
@@ -3,11 +3,12 @@
 import (
 	"bytes"
 	"io"
+	"slices"
+	"strings"
 	"time"
 
 	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/client"
-	"damaskspread.example/damaskspread/replayer"
 	"damaskspread.example/damaskspread/validator"
 	"damaskspread.example/damaskspread/wire"
 )
@@ -79,16 +80,10 @@
 
 // kind returns the checked section of a kind and the names of all kinds.
 func (h *Handler) kind(name string) (*validator.Kind, []string) {
-	var document *validator.Document
-	h.State.View(func(state *replayer.State) {
-		document, _ = validator.FromSections(func(yield func(*wire.SectionState) bool) {
-			for section := range state.Sections() {
-				if isKind(section.GetSection()) && !yield(section) {
-					return
-				}
-			}
-		})
+	declarations := slices.DeleteFunc(h.sections(), func(section *wire.SectionState) bool {
+		return !strings.HasPrefix(section.GetSection(), "kind ")
 	})
+	document, _ := validator.FromSections(slices.Values(declarations))
 	var names []string
 	for kind := range document.Kinds() {
 		names = append(names, kind.Name())
@@ -100,8 +95,6 @@
 	return kind, names
 }
 
-func isKind(section string) bool { return len(section) > 5 && section[:5] == "kind " }
-
 func fillIn(spec *wire.TaskSpec, kind *validator.Kind) {
 	if spec.GetClass() == wire.TaskClass_TASK_CLASS_UNSPECIFIED {
 		spec.Class = kind.Class()
--- a/operator/zones.go
+++ b/operator/zones.go
@@ -33,7 +33,7 @@
 
 // zones returns the zones that a section or a host names.
 func (h *Handler) zones() map[string]*client.Zone {
-	zones := map[string]*client.Zone{}
+	zones, sections := map[string]*client.Zone{}, h.sections()
 	h.State.View(func(state *replayer.State) {
 		zone := func(name string) *client.Zone {
 			if zones[name] == nil {
@@ -44,11 +44,6 @@
 			}
 			return zones[name]
 		}
-		for section := range state.Sections() {
-			if name, isZone := strings.CutPrefix(section.GetSection(), "zone "); isZone && !section.GetRemoved() {
-				describeZone(zone(name), section)
-			}
-		}
 		for host := range state.Hosts() {
 			z := zone(host.GetSpec().GetZone())
 			z.Hosts++
@@ -56,7 +51,17 @@
 				z.Members++
 			}
 		}
+		for _, section := range sections {
+			if name, isZone := strings.CutPrefix(section.GetSection(), "zone "); isZone {
+				zone(name)
+			}
+		}
 	})
+	for _, section := range sections {
+		if name, isZone := strings.CutPrefix(section.GetSection(), "zone "); isZone {
+			describeZone(zones[name], section)
+		}
+	}
 	return zones
 }
 
