--- a/validator/values.go
+++ b/validator/values.go
@@ -287,3 +287,32 @@
 		optional(prefix+"accelerators", fallback, about+": accelerators", accelerators(&target.Accelerators, unlimited)),
 	}
 }
+
+// IsAddress reports whether text is ip:port.
+func IsAddress(text string) bool {
+	_, err := netip.ParseAddrPort(text)
+	return err == nil
+}
+
+// ParseResources reads amounts of resources as the document writes them.
+func ParseResources(cores, bytes, devices string) (*wire.Resources, *Diagnostic) {
+	amounts := &wire.Resources{}
+	for _, part := range []struct {
+		key, text string
+		value     value
+	}{
+		{"processors", cores, processors(&amounts.Millicores, false)},
+		{"memory", bytes, memory(&amounts.MemoryBytes, false)},
+		{"accelerators", devices, accelerators(&amounts.Accelerators, false)},
+	} {
+		if part.value.set(part.text) != nil {
+			return nil, &Diagnostic{
+				File:     "arguments",
+				Key:      part.key,
+				Found:    part.text,
+				Expected: part.value.expected,
+			}
+		}
+	}
+	return amounts, nil
+}
