Add the command line

Cause: operators control everything through one document and need its errors, conflicts and unknown outcomes to be told apart by people and scripts.

Ruled out: a base version from the server at publish time by default. It would overwrite what another operator published after the document was shown.

Change: commander holds the command tree with tables, JSON and documented exit codes. config show writes each section's version into its header, and publish takes it as the base. The daemons are run functions in fields; without one, a daemon's command checks its settings and says so.

--- /dev/null
+++ b/commander/commander_test.go
@@ -0,0 +1,267 @@
+package commander_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/spf13/cobra"
+	"github.com/uptrace/bunrouter"
+	"gotest.tools/v3/assert"
+
+	"damaskspread.example/damaskspread/auditor"
+	"damaskspread.example/damaskspread/client"
+	"damaskspread.example/damaskspread/commander"
+	"damaskspread.example/damaskspread/operator"
+	"damaskspread.example/damaskspread/replayer"
+	"damaskspread.example/damaskspread/validator"
+	"damaskspread.example/damaskspread/wire"
+)
+
+// entry is an entry process whose log applies each append at once.
+type entry struct {
+	mu    sync.Mutex
+	state *replayer.State
+	audit *auditor.Auditor
+	next  int64
+}
+
+func (e *entry) View(read func(*replayer.State)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	read(e.state)
+}
+
+func (e *entry) Age() time.Duration { return time.Second }
+
+func (e *entry) Wait(context.Context, int64) error { return nil }
+
+func (e *entry) AppendRecords(_ context.Context, records []*wire.Record) (int64, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.audit.Observe(e.state.Apply(e.next, &wire.RecordBatch{
+		Records: records,
+	}))
+	e.next++
+	return e.next - 1, nil
+}
+
+// shell runs command lines against an entry process.
+type shell struct {
+	t         *testing.T
+	directory string
+	address   string
+}
+
+func newShell(t *testing.T) *shell {
+	t.Helper()
+	e := &entry{
+		state: replayer.New(),
+		audit: &auditor.Auditor{},
+	}
+	handler := &operator.Handler{
+		State:         e,
+		Appender:      e,
+		Audit:         e.audit,
+		Clock:         clockwork.NewFakeClock(),
+		Entry:         "entry-1",
+		CurrencyLimit: 3 * time.Second,
+	}
+	router := bunrouter.New()
+	handler.Register(router)
+	router.POST("/v1/services/:service/requests/*path", func(w http.ResponseWriter, r bunrouter.Request) error {
+		outcome, status := client.Ran, http.StatusOK
+		switch r.Param("service") {
+		case "shed":
+			outcome, status = client.NotRun, http.StatusTooManyRequests
+		case "lost":
+			outcome, status = client.Unknown, http.StatusBadGateway
+		case "broken":
+			status = http.StatusTeapot
+		}
+		w.Header().Set(client.HeaderOutcome, outcome)
+		w.WriteHeader(status)
+		if outcome != client.Ran {
+			return json.NewEncoder(w).Encode(client.ErrorResponse{Error: &client.ErrorBody{
+				Outcome: outcome,
+				Reason:  "overloaded",
+			}})
+		}
+		_, err := w.Write([]byte("tag 412"))
+		return err
+	})
+	server := httptest.NewServer(router)
+	t.Cleanup(server.Close)
+	return &shell{
+		t:         t,
+		directory: t.TempDir(),
+		address:   strings.TrimPrefix(server.URL, "http://"),
+	}
+}
+
+func (s *shell) file(name, text string) string {
+	s.t.Helper()
+	path := filepath.Join(s.directory, name)
+	assert.NilError(s.t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func (s *shell) run(args ...string) (code int, out, errs string) {
+	s.t.Helper()
+	var stdout, stderr bytes.Buffer
+	c := &commander.Commander{
+		Out: &stdout,
+		Err: &stderr,
+		In:  strings.NewReader(""),
+	}
+	code = c.Execute(context.Background(), append([]string{"--entry", s.address}, args...))
+	return code, stdout.String(), stderr.String()
+}
+
+// Guards against scripts that cannot tell a conflict, an invalid text and an
+// unknown outcome from a plain failure.
+func TestExitCodes(t *testing.T) {
+	s := newShell(t)
+	document := s.file("document.ini", "[zone gaspe]\nowner = ops\n[kind render]\nowner = ops\nprocessors = 1\n")
+	broken := s.file("broken.ini", "[zone gaspe]\nowner = ops\nin_servce = no\n")
+	settings := s.file("entry.ini", "[process]\nid = e\nrole = entry\nregion = quebec\nzone = gaspe\n")
+	conflicting := s.file("conflicting.ini", "[zone gaspe]\nowner = ops\ndrain = yes\n")
+	cases := []struct {
+		args string
+		code int
+		want string
+	}{
+		{"config check " + document, commander.ExitOK, "is valid"},
+		{"config check " + broken, commander.ExitInvalid, `did you mean "in_service"?`},
+		{"config check --settings " + settings, commander.ExitOK, "is valid"},
+		{"config check " + settings, commander.ExitInvalid, "expected [zone NAME]"},
+		{"config check none.ini", commander.ExitFailure, "no such file"},
+		{"config publish " + document, commander.ExitUsage, "--team is required"},
+		{"config publish --team ops " + document, commander.ExitOK, "zone gaspe   published"},
+		{"config publish --team ops " + document, commander.ExitOK, "zone gaspe   unchanged"},
+		{"config publish --team ops " + conflicting, commander.ExitConflict, "conflict"},
+		{"config publish --team ops --onto-current " + conflicting, commander.ExitOK, "published"},
+		{"config publish --team ops " + broken, commander.ExitInvalid, "in_servce"},
+		{"config publish --team ops --remove \"kind render\" " + conflicting, commander.ExitOK, "kind render"},
+		{"config diff " + document, commander.ExitOK, "- [zone gaspe] drain = yes"},
+		{"config show \"zone gapse\"", commander.ExitFailure, "did you mean zone gaspe?"},
+		{"config defaults", commander.ExitOK, "currency_limit = 3s"},
+		{"config defaults --document", commander.ExitOK, "[zone NAME]"},
+		{"zone out gapse --team ops", commander.ExitFailure, "did you mean gaspe?"},
+		{"zone out gaspe --team ops", commander.ExitOK, "gaspe  no"},
+		{"zone out gaspe --team other", commander.ExitFailure, "belongs to team ops"},
+		{"zone list", commander.ExitOK, "gaspe  no"},
+		{"status", commander.ExitOK, "zones out     gaspe"},
+		{"task submit --team cutting --kind render", commander.ExitInvalid, "class is batch"},
+		{"task submit --team cutting --kind render --class batch --processors 0.5 --memory 4GB --id t1 --key k", commander.ExitOK, "0.5 cores, 4.0GB"},
+		{"task submit --team cutting --kind render --class batch --processors 2 --key k", commander.ExitConflict, "with another body"},
+		{"task submit --team cutting --kind render --memory 4", commander.ExitUsage, "expected memory with a unit"},
+		{"task list --phase pending", commander.ExitOK, "t1"},
+		{"task show t1", commander.ExitOK, "pending"},
+		{"task explain t1", commander.ExitOK, "null"},
+		{"task cancel t1 --team cutting", commander.ExitOK, "canceled"},
+		{"task show t9", commander.ExitFailure, "no task t9"},
+		{"host list", commander.ExitOK, "HOST"},
+		{"host lost host-01 --team ops", commander.ExitFailure, "no host host-01"},
+		{"endpoint list", commander.ExitOK, "SERVICE"},
+		{"service list", commander.ExitOK, "SERVICE"},
+		{"audit --subject \"zone gaspe\"", commander.ExitOK, "in_service = no"},
+		{"request tags /counter", commander.ExitOK, "tag 412"},
+		{"request shed /counter --timeout 10s", commander.ExitNotRun, "not_run"},
+		{"request lost /counter", commander.ExitUnknown, "unknown"},
+		{"request broken /counter", commander.ExitFailure, "status 418"},
+		{"entry --settings " + settings, commander.ExitOK, "this build has no entry daemon"},
+		{"agent --settings " + settings, commander.ExitInvalid, "expected agent"},
+		{"entry", commander.ExitUsage, "--settings is required"},
+		{"dev", commander.ExitOK, "settings are valid"},
+		{"version", commander.ExitOK, ""},
+		{"completion bash", commander.ExitOK, "bash completion"},
+		{"", commander.ExitUsage, "needs a subcommand"},
+		{"config", commander.ExitUsage, "needs a subcommand"},
+		{"config pubish", commander.ExitUsage, `did you mean "publish"?`},
+		{"stauts", commander.ExitUsage, `did you mean "status"?`},
+		{"status --no-such-flag", commander.ExitUsage, "unknown flag"},
+		{"status --output xml", commander.ExitUsage, "--output is table or json"},
+		{"status --entry localhost:1", commander.ExitUsage, "--entry is ip:port"},
+		{"zone out", commander.ExitUsage, "accepts 1 arg"},
+	}
+	for _, c := range cases {
+		code, out, errs := s.run(split(c.args)...)
+		assert.Equal(t, code, c.code, "%s\n%s%s", c.args, out, errs)
+		assert.Assert(t, strings.Contains(out+errs, c.want), "%s\n%s%s", c.args, out, errs)
+	}
+}
+
+// split separates arguments at spaces outside double quotes.
+func split(line string) []string {
+	var args []string
+	for i, part := range strings.Split(line, `"`) {
+		if i%2 == 1 {
+			args = append(args, part)
+		} else {
+			args = append(args, strings.Fields(part)...)
+		}
+	}
+	return args
+}
+
+// Guards against an edit of a shown document that conflicts in sections that
+// the operator left alone, or overwrites one that changed since.
+func TestShowEditPublish(t *testing.T) {
+	s := newShell(t)
+	first := s.file("first.ini", "[zone a]\nowner = ops\nin_service = yes\n[zone b]\nowner = ops\nin_service = yes\n")
+	code, _, errs := s.run("config", "publish", first, "--team", "ops")
+	assert.Equal(t, code, commander.ExitOK, errs)
+	_, shown, _ := s.run("config", "show")
+	code, _, errs = s.run("zone", "out", "a", "--team", "ops")
+	assert.Equal(t, code, commander.ExitOK, errs)
+	edited := s.file("edited.ini", shown+"drain = yes\n")
+	code, out, errs := s.run("config", "publish", edited, "--team", "ops", "-o", "json")
+	assert.Equal(t, code, commander.ExitOK, errs)
+	var response client.PublishResponse
+	assert.NilError(t, json.Unmarshal([]byte(out), &response))
+	assert.Equal(t, response.Results[0].Result, client.ResultUnchanged)
+	assert.Equal(t, response.Results[1].Result, client.ResultPublished)
+	late := s.file("late.ini", strings.Replace(shown, "in_service = yes", "drain = yes", 1))
+	code, _, errs = s.run("config", "publish", late, "--team", "ops", "--section", "zone a", "-o", "json")
+	assert.Equal(t, code, commander.ExitConflict)
+	var refused client.ErrorResponse
+	assert.NilError(t, json.Unmarshal([]byte(errs), &refused))
+	assert.Equal(t, refused.Error.Outcome, client.NotRun)
+	_, out, _ = s.run("zone", "list")
+	assert.Assert(t, strings.Contains(out, "a     no"), out)
+}
+
+// Guards against a command without an example, and against a daemon that is
+// wired in but not started.
+func TestTree(t *testing.T) {
+	started := ""
+	c := &commander.Commander{
+		Out: &bytes.Buffer{},
+		Err: &bytes.Buffer{},
+		Dev: func(_ context.Context, settings *validator.Settings) error {
+			started = settings.Process().ID()
+			return nil
+		},
+	}
+	var walk func(command *cobra.Command)
+	walk = func(command *cobra.Command) {
+		assert.Assert(t, command.Example != "", command.CommandPath())
+		assert.Assert(t, command.Short != "", command.CommandPath())
+		for _, child := range command.Commands() {
+			walk(child)
+		}
+	}
+	walk(c.Root())
+	assert.Equal(t, c.Execute(context.Background(), []string{"dev"}), commander.ExitOK)
+	assert.Equal(t, started, "dev")
+}
--- /dev/null
+++ b/commander/config.go
@@ -0,0 +1,328 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"damaskspread.example/damaskspread/client"
+	"damaskspread.example/damaskspread/parser"
+	"damaskspread.example/damaskspread/validator"
+)
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
+func (c *Commander) configCommand() *cobra.Command {
+	command := &cobra.Command{
+		Use:   "config",
+		Short: "Check, compare, publish and show the configuration document",
+		Example: `  damaskspread config show > document.ini
+  damaskspread config diff document.ini
+  damaskspread config publish document.ini --team platform`,
+	}
+	command.AddCommand(c.configCheck(), c.configDiff(), c.configPublish(), c.configShow(), c.configDefaults())
+	return command
+}
+
+func (c *Commander) configCheck() *cobra.Command {
+	var settings bool
+	command := &cobra.Command{
+		Use:     "check FILE",
+		Short:   "Check a document, or the settings of a process, without an entry process",
+		Example: "  damaskspread config check document.ini\n  damaskspread config check --settings entry.ini",
+		Args:    cobra.ExactArgs(1),
+		RunE: c.run(func(_ *cobra.Command, args []string) error {
+			text, err := c.readFile(args[0])
+			if err != nil {
+				return err
+			}
+			var diagnostics []validator.Diagnostic
+			if settings {
+				_, diagnostics = validator.LoadSettings(args[0], text)
+			} else {
+				_, diagnostics = validator.CheckText(args[0], text)
+			}
+			if len(diagnostics) > 0 {
+				return &validator.InvalidError{
+					Diagnostics: diagnostics,
+				}
+			}
+			return c.print(map[string]string{"status": "valid"}, func(t *table) { t.row(args[0] + " is valid") })
+		}),
+	}
+	command.Flags().BoolVar(&settings, "settings", false, "the file holds settings of a process")
+	return command
+}
+
+func (c *Commander) configDefaults() *cobra.Command {
+	var document bool
+	command := &cobra.Command{
+		Use:     "defaults",
+		Short:   "Print every key with its default and meaning",
+		Example: "  damaskspread config defaults\n  damaskspread config defaults --document",
+		Args:    cobra.NoArgs,
+		RunE: c.run(func(*cobra.Command, []string) error {
+			schema := validator.SettingsSchema()
+			if document {
+				schema = validator.DocumentSchema()
+			}
+			if c.output == "json" {
+				return c.print(defaults(schema), nil)
+			}
+			_, err := fmt.Fprint(c.Out, validator.FormatDefaults(schema))
+			return err
+		}),
+	}
+	command.Flags().BoolVar(&document, "document", false, "keys of the configuration document")
+	return command
+}
+
+func defaults(schema []validator.SectionSchema) map[string]map[string]string {
+	all := map[string]map[string]string{}
+	for _, section := range schema {
+		all[section.Name()] = map[string]string{}
+		for _, field := range section.Fields() {
+			all[section.Name()][field.Name()] = field.Default()
+		}
+	}
+	return all
+}
+
+func (c *Commander) configShow() *cobra.Command {
+	return &cobra.Command{
+		Use:   "show [SECTION]",
+		Short: "Print the published document, or one section",
+		Long: `Print the published document, or one section. Each header carries the position
+and hash of its version in a comment; publish takes them as the base.`,
+		Example: "  damaskspread config show > document.ini\n  damaskspread config show \"zone gaspe\"",
+		Args:    cobra.MaximumNArgs(1),
+		RunE: c.call(func(ctx context.Context, caller *client.Client, args []string) error {
+			config := &client.ConfigResponse{}
+			if len(args) == 1 {
+				section, err := caller.Section(ctx, args[0])
+				if err != nil {
+					return err
+				}
+				config.Sections = []client.Section{*section}
+			} else {
+				var err error
+				if config, err = caller.Config(ctx); err != nil {
+					return err
+				}
+			}
+			if c.output == "json" {
+				return c.print(config, nil)
+			}
+			return c.writeDocument(config.Sections)
+		}),
+	}
+}
+
+func (c *Commander) writeDocument(sections []client.Section) error {
+	for _, section := range sections {
+		_, err := fmt.Fprintf(c.Out, "[%s] # position %d.%d hash %s\n%s\n", section.Section,
+			section.Position.Offset, section.Position.Index, client.TextHash(section.Text), section.Text)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+var basePattern = regexp.MustCompile(`\bposition (\d{1,18})\.(\d{1,5}) hash ([0-9a-f]{16})\b`)
+
+// bases reads the versions that show wrote into the headers.
+func bases(text *parser.Text) map[string]client.Base {
+	found := map[string]client.Base{}
+	for _, section := range text.Sections() {
+		match := basePattern.FindStringSubmatch(section.Comment())
+		if match == nil {
+			continue
+		}
+		// The pattern leaves digits only, within both types.
+		offset, _ := strconv.ParseInt(match[1], 10, 64)
+		index, _ := strconv.ParseInt(match[2], 10, 32)
+		found[section.Name()] = client.Base{
+			Position: client.Position{
+				Offset: offset,
+				Index:  int32(index),
+			},
+			Hash: match[3],
+		}
+	}
+	return found
+}
+
+func (c *Commander) configDiff() *cobra.Command {
+	return &cobra.Command{
+		Use:     "diff FILE",
+		Short:   "Show how a document differs from the published one",
+		Example: "  damaskspread config diff document.ini",
+		Args:    cobra.ExactArgs(1),
+		RunE: c.call(func(ctx context.Context, caller *client.Client, args []string) error {
+			text, err := c.readFile(args[0])
+			if err != nil {
+				return err
+			}
+			config, err := caller.Config(ctx)
+			if err != nil {
+				return err
+			}
+			differences := compare(config.Sections, parser.Parse(args[0], text))
+			return c.print(differences, func(t *table) {
+				for _, d := range differences {
+					t.row(d.Sign + " [" + d.Section + "] " + d.Key + " = " + d.Value)
+				}
+			})
+		}),
+	}
+}
+
+// difference is one key on one side only.
+type difference struct {
+	Sign    string `json:"sign"`
+	Section string `json:"section"`
+	Key     string `json:"key"`
+	Value   string `json:"value"`
+}
+
+func compare(published []client.Section, text *parser.Text) []difference {
+	list := []difference{}
+	current := map[string]*parser.Section{}
+	for _, section := range published {
+		current[section.Section] = parser.ParseBody("published", section.Section, section.Text)
+	}
+	for _, section := range text.Sections() {
+		before := current[section.Name()]
+		if before == nil {
+			before = parser.ParseBody("published", section.Name(), "")
+		}
+		list = append(list, onlyIn("-", before, section)...)
+		list = append(list, onlyIn("+", section, before)...)
+	}
+	return list
+}
+
+func onlyIn(sign string, section, other *parser.Section) []difference {
+	var list []difference
+	for _, key := range section.Keys() {
+		if same, exists := other.Key(key.Name()); exists && same.Value() == key.Value() {
+			continue
+		}
+		list = append(list, difference{
+			Sign:    sign,
+			Section: section.Name(),
+			Key:     key.Name(),
+			Value:   key.Value(),
+		})
+	}
+	return list
+}
+
+func (c *Commander) configPublish() *cobra.Command {
+	var remove, only []string
+	var ontoCurrent bool
+	command := &cobra.Command{
+		Use:   "publish FILE",
+		Short: "Publish the sections of a document that differ",
+		Long: `Publish the sections of a document that differ from the published ones, each on
+its own. The base of a section is the version in its header, as show prints it.
+A section without version must not exist yet, unless --onto-current is given.`,
+		Example: `  damaskspread config publish document.ini --team platform
+  damaskspread config publish document.ini --team platform --section "zone gaspe"
+  damaskspread config publish document.ini --team platform --remove "kind watcher"`,
+		Args: cobra.ExactArgs(1),
+		RunE: c.call(func(ctx context.Context, caller *client.Client, args []string) error {
+			if err := c.needTeam(); err != nil {
+				return err
+			}
+			text, err := c.readFile(args[0])
+			if err != nil {
+				return err
+			}
+			request, err := publication(args[0], text, only)
+			if err != nil {
+				return err
+			}
+			request.Team, request.Remove = c.team, remove
+			if err := addCurrent(ctx, caller, request, ontoCurrent); err != nil {
+				return err
+			}
+			return c.publish(ctx, caller, request)
+		}),
+	}
+	command.Flags().StringArrayVar(&remove, "remove", nil, "section to remove; repeat it for more")
+	command.Flags().StringArrayVar(&only, "section", nil, "publish this section only; repeat it for more")
+	command.Flags().BoolVar(&ontoCurrent, "onto-current", false, "replace the current version of sections without version in the file")
+	return command
+}
+
+// publication takes the sections of a text, all of them without only.
+func publication(file, text string, only []string) (*client.PublishRequest, error) {
+	parsed := parser.Parse(file, text)
+	request := &client.PublishRequest{
+		Text: text,
+		Base: bases(parsed),
+	}
+	if len(only) == 0 {
+		return request, nil
+	}
+	var b strings.Builder
+	for _, name := range only {
+		section, exists := parsed.Section(name)
+		if !exists {
+			return nil, usage("%s has no section [%s]", file, name)
+		}
+		fmt.Fprintf(&b, "[%s]\n%s", name, section.Text())
+	}
+	request.Text = b.String()
+	return request, nil
+}
+
+// addCurrent sets the base of removals, and with all of the sections without
+// version, to the current version.
+func addCurrent(ctx context.Context, caller *client.Client, request *client.PublishRequest, all bool) error {
+	if len(request.Remove) == 0 && !all {
+		return nil
+	}
+	config, err := caller.Config(ctx)
+	if err != nil {
+		return err
+	}
+	for _, section := range config.Sections {
+		_, has := request.Base[section.Section]
+		if !has && (all || slices.Contains(request.Remove, section.Section)) {
+			request.Base[section.Section] = client.Base{
+				Position: section.Position,
+			}
+		}
+	}
+	return nil
+}
+
+func (c *Commander) publish(ctx context.Context, caller *client.Client, request *client.PublishRequest) error {
+	response, failure := caller.Publish(ctx, request)
+	err := c.print(response, func(t *table) {
+		if len(response.Results) == 0 {
+			return
+		}
+		t.row("SECTION", "RESULT", "OFFSET", "MESSAGE")
+		for _, result := range response.Results {
+			offset := ""
+			if result.Position != nil {
+				offset = strconv.FormatInt(result.Position.Offset, 10)
+			}
+			t.row(result.Section, result.Result, offset, result.Message)
+		}
+	})
+	if failure != nil {
+		return failure
+	}
+	return err
+}
--- /dev/null
+++ b/commander/views.go
@@ -0,0 +1,249 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"damaskspread.example/damaskspread/client"
+)
+
+func (c *Commander) zoneCommand() *cobra.Command {
+	command := &cobra.Command{
+		Use:     "zone",
+		Short:   "Take availability zones out of service and back in",
+		Example: "  damaskspread zone out gaspe --team platform\n  damaskspread zone list",
+	}
+	command.AddCommand(
+		c.zoneSet("out ZONE", "Take a zone out of service: nothing starts in it within 5 s", false),
+		c.zoneSet("in ZONE", "Return a zone to service", true),
+		&cobra.Command{
+			Use:     "list",
+			Short:   "List the zones",
+			Example: "  damaskspread zone list",
+			Args:    cobra.NoArgs,
+			RunE: c.call(func(ctx context.Context, caller *client.Client, _ []string) error {
+				zones, err := caller.Zones(ctx)
+				if err != nil {
+					return err
+				}
+				return c.printZones(zones, zones)
+			}),
+		},
+	)
+	return command
+}
+
+func (c *Commander) zoneSet(use, short string, inService bool) *cobra.Command {
+	return &cobra.Command{
+		Use:     use,
+		Short:   short,
+		Example: "  damaskspread zone " + strings.Replace(use, "ZONE", "gaspe", 1) + " --team platform",
+		Args:    cobra.ExactArgs(1),
+		RunE: c.call(func(ctx context.Context, caller *client.Client, args []string) error {
+			if err := c.needTeam(); err != nil {
+				return err
+			}
+			zone, err := caller.SetZone(ctx, args[0], inService)
+			if err != nil {
+				return err
+			}
+			return c.printZones(zone, []client.Zone{*zone})
+		}),
+	}
+}
+
+func (c *Commander) printZones(value any, zones []client.Zone) error {
+	return c.print(value, func(t *table) {
+		t.row("ZONE", "IN SERVICE", "DRAIN", "OWNER", "REGION", "HOSTS", "MEMBERS")
+		for _, z := range zones {
+			t.row(z.Zone, yesNo(z.InService), yesNo(z.Drain), z.Owner, z.Region, z.Hosts, z.Members)
+		}
+	})
+}
+
+func (c *Commander) hostCommand() *cobra.Command {
+	command := &cobra.Command{
+		Use:     "host",
+		Short:   "List hosts and declare one lost",
+		Example: "  damaskspread host list\n  damaskspread host lost host-03 --team platform",
+	}
+	command.AddCommand(&cobra.Command{
+		Use:     "list",
+		Short:   "List the hosts",
+		Example: "  damaskspread host list",
+		Args:    cobra.NoArgs,
+		RunE: c.call(func(ctx context.Context, caller *client.Client, _ []string) error {
+			hosts, err := caller.Hosts(ctx)
+			if err != nil {
+				return err
+			}
+			return c.printHosts(hosts, hosts)
+		}),
+	}, c.hostLost())
+	return command
+}
+
+func (c *Commander) hostLost() *cobra.Command {
+	var boot string
+	command := &cobra.Command{
+		Use:   "lost HOST",
+		Short: "Declare a host lost: its tasks return to the queue at once",
+		Long: `Declare a host lost: its tasks return to the queue at once. Be certain that the
+host no longer runs them; otherwise they run in two places.`,
+		Example: "  damaskspread host lost host-03 --team platform --boot 5d1c",
+		Args:    cobra.ExactArgs(1),
+		RunE: c.call(func(ctx context.Context, caller *client.Client, args []string) error {
+			if err := c.needTeam(); err != nil {
+				return err
+			}
+			host, err := caller.DeclareLost(ctx, args[0], boot)
+			if err != nil {
+				return err
+			}
+			return c.printHosts(host, []client.Host{*host})
+		}),
+	}
+	command.Flags().StringVar(&boot, "boot", "", "refuse if the host's worker boot is another one")
+	return command
+}
+
+func (c *Commander) printHosts(value any, hosts []client.Host) error {
+	return c.print(value, func(t *table) {
+		t.row("HOST", "STATE", "ZONE", "RACK", "SERVICE", "TASKS", "FREE CORES", "FREE MEMORY", "BOOT")
+		for _, h := range hosts {
+			t.row(h.Host, h.State, h.Zone, h.Rack, h.Service, h.Tasks,
+				cores(h.Free.Millicores)+"/"+cores(h.Capacity.Millicores),
+				gigabytes(h.Free.MemoryBytes)+"/"+gigabytes(h.Capacity.MemoryBytes), h.WorkerBoot)
+		}
+	})
+}
+
+func (c *Commander) endpointCommand() *cobra.Command {
+	command := &cobra.Command{
+		Use:     "endpoint",
+		Short:   "List endpoints",
+		Example: "  damaskspread endpoint list",
+	}
+	command.AddCommand(&cobra.Command{
+		Use:     "list",
+		Short:   "List the endpoints with the load that the entry process last saw",
+		Example: "  damaskspread endpoint list",
+		Args:    cobra.NoArgs,
+		RunE: c.call(func(ctx context.Context, caller *client.Client, _ []string) error {
+			endpoints, err := caller.Endpoints(ctx)
+			if err != nil {
+				return err
+			}
+			return c.print(endpoints, func(t *table) {
+				t.row("SERVICE", "HOST", "ZONE", "STATE", "IN SERVICE", "SLOTS", "RUNNING", "QUEUED", "LIMIT")
+				for _, e := range endpoints {
+					t.row(e.Service, e.Host, e.Zone, e.State, yesNo(e.InService), e.Slots,
+						known(e.LoadKnown, e.Running), known(e.LoadKnown, e.Queued), known(e.LoadKnown, e.Limit))
+				}
+			})
+		}),
+	})
+	return command
+}
+
+func known(is bool, value int32) string {
+	if !is {
+		return "?"
+	}
+	return fmt.Sprint(value)
+}
+
+func (c *Commander) serviceCommand() *cobra.Command {
+	command := &cobra.Command{
+		Use:     "service",
+		Short:   "List services",
+		Example: "  damaskspread service list",
+	}
+	command.AddCommand(&cobra.Command{
+		Use:     "list",
+		Short:   "List the services",
+		Example: "  damaskspread service list",
+		Args:    cobra.NoArgs,
+		RunE: c.call(func(ctx context.Context, caller *client.Client, _ []string) error {
+			services, err := caller.Services(ctx)
+			if err != nil {
+				return err
+			}
+			return c.print(services, func(t *table) {
+				t.row("SERVICE", "DECLARED", "OWNER", "ENDPOINTS", "MEMBERS", "SLOTS", "SHARDS READY")
+				for _, s := range services {
+					t.row(s.Service, yesNo(s.Declared), s.Owner, s.Endpoints, s.Members, s.Slots,
+						fmt.Sprintf("%d/%d", s.ShardsReady, s.Shards))
+				}
+			})
+		}),
+	})
+	return command
+}
+
+func (c *Commander) auditCommand() *cobra.Command {
+	var filter client.AuditFilter
+	command := &cobra.Command{
+		Use:   "audit",
+		Short: "List the latest changes, newest first",
+		Long: `List the latest changes, newest first: who changed which section, host or task,
+from what to what, and at which offset. The entry process keeps the list in
+memory and fills it from what it replayed since it started.`,
+		Example: "  damaskspread audit --kind section --limit 20\n  damaskspread audit --subject \"zone gaspe\"",
+		Args:    cobra.NoArgs,
+		RunE: c.call(func(ctx context.Context, caller *client.Client, _ []string) error {
+			audit, err := caller.Audit(ctx, filter)
+			if err != nil {
+				return err
+			}
+			return c.print(audit, func(t *table) {
+				t.row("OFFSET", "TIME", "ACTOR", "SUBJECT", "ACTION", "FROM", "TO", "EFFECT")
+				for _, e := range audit.Entries {
+					effect := "applied"
+					if !e.Applied {
+						effect = "none: " + string(e.Reason)
+					}
+					t.row(e.Position.Offset, at(e.UnixMs), e.Actor, e.Subject, e.Action, e.From, e.To, effect)
+				}
+				t.row(fmt.Sprintf("since offset %d, %d gaps", audit.Since, audit.Gaps))
+			})
+		}),
+	}
+	flags := command.Flags()
+	flags.StringVar(&filter.Kind, "kind", "", "section, host, entry or task")
+	flags.StringVar(&filter.Subject, "subject", "", "section, host, entry or task that changed")
+	flags.StringVar(&filter.Actor, "by", "", "actor who asked for the change")
+	flags.IntVar(&filter.Limit, "limit", 50, "number of changes, at most 1000")
+	return command
+}
+
+func (c *Commander) statusCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "status",
+		Short:   "Show the view of an entry process",
+		Example: "  damaskspread status --entry 10.20.0.1:7400 --output json",
+		Args:    cobra.NoArgs,
+		RunE: c.call(func(ctx context.Context, caller *client.Client, _ []string) error {
+			status, err := caller.Status(ctx)
+			if err != nil {
+				return err
+			}
+			return c.print(status, func(t *table) {
+				t.row("entry", status.Entry+" "+status.Version)
+				t.row("offset", status.Offset)
+				t.row("currency age", fmt.Sprintf("%d ms of %d ms", status.AgeMs, status.CurrencyLimitMs))
+				t.row("stale", yesNo(status.Stale))
+				t.row("entries", strings.Join(status.Entries, ", "))
+				t.row("hosts", counts(status.Hosts))
+				t.row("tasks", counts(status.Tasks))
+				t.row("zones out", strings.Join(status.ZonesOut, ", "))
+				for _, d := range status.Rejected {
+					t.row("rejected", d.Error())
+				}
+			})
+		}),
+	}
+}
