Restore the last change of each section in the audit trail

Cause: after a restart the audit trail did not name who changed a section last, although section states keep it. Two inputs without a check were found on the way: an announced address of 0.0.0.0 and an empty publication.

Ruled out: replaying the log from its start for the audit trail alone; the log retains records for a limited time.

Change: the first reload of the auditor lists the last change of each section. Settings that announce an unspecified address are rejected, and a publication without text and removals is a bad request.

Before/after: go test -race ./auditor ./operator ./validator passes; TestReload expects the restored entry.

--- a/auditor/auditor.go
+++ b/auditor/auditor.go
@@ -3,9 +3,9 @@
 // change took effect.
 //
 // The list lives in memory only. It starts empty when the process starts and
-// holds what the process replayed since, up to a bound; a snapshot brings back
-// the last change of each section, and the log holds the rest while it retains
-// it. A change that the subscription dropped is counted as a gap.
+// holds what the process replayed since, up to a bound; the first reload brings
+// back the last change of each section, and the log holds the rest while it
+// retains it. A change that the subscription dropped is counted as a gap.
 //
 // Run starts no further goroutine. An Auditor is safe for concurrent use.
 //
@@ -13,7 +13,9 @@
 package auditor
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 
 	"gopkg.in/tomb.v2"
@@ -131,18 +133,47 @@
 func (a *Auditor) Reload(state *replayer.State) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.sections != nil {
-		a.gaps++
-	} else {
+	first := a.sections == nil
+	if first {
 		a.since = state.Offset() + 1
+	} else {
+		a.gaps++
 	}
 	a.reloaded = state.Offset()
 	a.sections = map[string]string{}
+	var published []*wire.SectionState
 	for section := range state.Sections() {
+		published = append(published, section)
 		if !section.GetRemoved() {
 			a.sections[section.GetSection()] = section.GetText()
 		}
 	}
+	if first {
+		a.restore(published)
+	}
+}
+
+// restore lists the last change of each section, which snapshots keep.
+func (a *Auditor) restore(published []*wire.SectionState) {
+	slices.SortFunc(published, func(x, y *wire.SectionState) int {
+		return cmp.Compare(damaskspread.Token(x.GetPosition()), damaskspread.Token(y.GetPosition()))
+	})
+	for _, section := range published {
+		_, to := differences("", section.GetText())
+		if section.GetRemoved() {
+			to = "removed"
+		}
+		a.operator.add(Entry{
+			position: section.GetPosition(),
+			unixMs:   section.GetPublishedUnixMs(),
+			actor:    section.GetActor(),
+			kind:     "section",
+			subject:  section.GetSection(),
+			action:   "section_published",
+			to:       to,
+			applied:  true,
+		}, operatorChanges)
+	}
 }
 
 // Observe adds changes in the order of the log.
--- a/auditor/auditor_test.go
+++ b/auditor/auditor_test.go
@@ -102,8 +102,8 @@
 	}
 }
 
-// Guards against a dropped range that is not reported and against values from
-// before it.
+// Guards against a dropped range that is not reported, values from before it,
+// and a restart that forgets who changed each section last.
 func TestReload(t *testing.T) {
 	var mu sync.Mutex
 	state, started := replayer.New(), make(chan struct{}, 2)
@@ -139,6 +139,10 @@
 	assert.Equal(t, entry.From(), "drain = yes")
 	entry, ok = audit.Await(ctx, "r2")
 	assert.Assert(t, ok && entry.Applied())
+	list := audit.List(auditor.Filter{Kind: "section", Limit: 10})
+	assert.Equal(t, len(list), 4)
+	assert.Equal(t, list[3].Actor(), "ops/ana")
+	assert.Equal(t, list[3].To(), "owner = ops, drain = no")
 	since, gaps := audit.Coverage()
 	assert.Equal(t, since, int64(1))
 	assert.Equal(t, gaps, 1)
--- a/operator/config.go
+++ b/operator/config.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strings"
 
 	"github.com/uptrace/bunrouter"
 
@@ -117,6 +118,9 @@
 	if !validator.IsName(request.Team) {
 		return damaskspread.NotRun(damaskspread.ReasonBadRequest, "team is required")
 	}
+	if strings.TrimSpace(request.Text) == "" && len(request.Remove) == 0 {
+		return damaskspread.NotRun(damaskspread.ReasonBadRequest, "text or remove is required")
+	}
 	newest := int64(-1)
 	for _, base := range request.Base {
 		newest = max(newest, base.Offset)
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -172,6 +172,8 @@
 	assert.Equal(t, status, http.StatusOK)
 	assert.Equal(t, results(response), "zone a: unchanged, kind render: unchanged")
 	assert.Equal(t, b.next, appends)
+	status, _ = b.publish("ops", "\n", nil)
+	assert.Equal(t, status, http.StatusBadRequest)
 	status, response = b.publish("other", "[zone a]\nowner = other\n", b.bases())
 	assert.Equal(t, status, http.StatusForbidden)
 	assert.Equal(t, results(response), "zone a: not_owner")
--- a/validator/limits.go
+++ b/validator/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"time"
 
 	"damaskspread.example/damaskspread/parser"
@@ -137,7 +138,7 @@
 			found:    l.taskHold,
 		},
 	}
-	var diagnostics []Diagnostic
+	diagnostics := s.checkAnnounced(parsed)
 	for _, rule := range rules {
 		if rule.broken {
 			diagnostics = append(diagnostics, at(parsed, rule.section, rule.key, short(rule.found), rule.expected))
@@ -146,6 +147,22 @@
 	return diagnostics
 }
 
+// checkAnnounced rejects addresses that only a listener can use.
+func (s *Settings) checkAnnounced(parsed *parser.Text) []Diagnostic {
+	var diagnostics []Diagnostic
+	for _, announced := range []struct{ section, address string }{
+		{"entry", s.entry.address},
+		{"agent", s.agent.address},
+	} {
+		address, err := netip.ParseAddrPort(announced.address)
+		if err != nil || address.Addr().IsUnspecified() {
+			diagnostics = append(diagnostics, at(parsed, announced.section, "address", announced.address,
+				"an IP address that other processes can reach"))
+		}
+	}
+	return diagnostics
+}
+
 func at(parsed *parser.Text, name, key, found, expected string) Diagnostic {
 	section, ok := parsed.Section(name)
 	if !ok {
