--- a/feeder/attachments.go
+++ b/feeder/attachments.go
@@ -28,8 +28,9 @@
 		Actor: "agent " + spec.GetHost(),
 		Body: &wire.Record_HostJoined{
 			HostJoined: &wire.HostJoined{
-				Spec:  spec,
-				Entry: f.Entry.GetEntry(),
+				Spec:     spec,
+				Entry:    f.Entry.GetEntry(),
+				Replaces: call.GetReplaces(),
 			},
 		},
 	}})
--- a/feeder/sync.go
+++ b/feeder/sync.go
@@ -33,16 +33,21 @@
 	// The session exists only from here on: a call with a stale incarnation
 	// must not replace the session of the current one.
 	if rejoin, err := f.attach(ctx, call); err != nil || rejoin {
-		return rejoinResponse(), err
+		return f.rejoinResponse(call), err
 	}
 	return f.poll(ctx, call, expired)
 }
 
-func rejoinResponse() *connect.Response[wire.SyncResponse] {
-	return connect.NewResponse(&wire.SyncResponse{
+// rejoinResponse tells the agent which incarnation it replaces when it joins.
+func (f *Feeder) rejoinResponse(call *wire.SyncRequest) *connect.Response[wire.SyncResponse] {
+	response := &wire.SyncResponse{
 		Rejoin: true,
 		AgeUs:  damaskspread.AgeMicros(damaskspread.MaxAge),
+	}
+	f.Follower.View(func(state *replayer.State) {
+		response.Joined = state.JoinedPosition(call.GetHost().GetHost())
 	})
+	return connect.NewResponse(response)
 }
 
 func (f *Feeder) observe(call *wire.SyncRequest) {
@@ -82,7 +87,7 @@
 		changed := s.changed()
 		response, member := f.build(call)
 		if !member {
-			return rejoinResponse(), nil
+			return f.rejoinResponse(call), nil
 		}
 		content := contentOf(response)
 		unchanged := s.sameAs(call.GetAppliedOffset(), content)
@@ -167,15 +172,17 @@
 // the agent has to join again.
 func (f *Feeder) attach(ctx context.Context, call *wire.SyncRequest) (rejoin bool, err error) {
 	ref := call.GetHost()
-	current, expired, attached := false, false, false
+	current, expired, attached, replaces := false, false, false, false
 	f.Follower.View(func(state *replayer.State) {
 		host, ok := state.Host(ref.GetHost())
 		current = ok && host.GetSpec().GetIncarnation() == ref.GetIncarnation()
 		expired = current && host.GetExpired()
 		attached = current && host.GetEntry() == f.Entry.GetEntry()
+		replaces = call.GetReplaces() != nil &&
+			damaskspread.Token(call.GetReplaces()) == damaskspread.Token(state.JoinedPosition(ref.GetHost()))
 	})
 	switch {
-	case expired, !current && call.GetSpec() == nil:
+	case expired, !current && (call.GetSpec() == nil || !replaces):
 		return true, nil
 	case !current:
 		return false, f.join(ctx, call)
--- a/replayer/hosts.go
+++ b/replayer/hosts.go
@@ -18,11 +18,22 @@
 func (s *State) applyHostJoined(c Change, joined *wire.HostJoined) {
 	spec := joined.GetSpec()
 	id := spec.GetHost()
+	// An empty reference stands for a vacant shard role.
+	if id == "" || spec.GetIncarnation() == "" {
+		s.void(c, id, damaskspread.ReasonInvalid, "the host has no id or incarnation")
+		return
+	}
 	h := s.hosts[id]
 	if h != nil && h.state.GetSpec().GetIncarnation() == spec.GetIncarnation() {
 		s.void(c, id, damaskspread.ReasonConflict, "this incarnation already joined")
 		return
 	}
+	// A join that was delayed past that of a newer incarnation would release
+	// claims that the newer one is running.
+	if joined.GetReplaces() != nil && !samePosition(joined.GetReplaces(), s.JoinedPosition(id)) {
+		s.void(c, id, damaskspread.ReasonConflict, "another incarnation joined since")
+		return
+	}
 	state := &wire.HostState{
 		Spec:   proto.CloneOf(spec),
 		Entry:  joined.GetEntry(),
@@ -39,6 +50,17 @@
 	s.assignShards(c, spec.GetEndpoint().GetService())
 }
 
+// JoinedPosition returns where the latest incarnation of a host joined, offset
+// -1 if the host is unknown.
+func (s *State) JoinedPosition(id string) *wire.Position {
+	if h, ok := s.hosts[id]; ok {
+		return h.state.GetJoined()
+	}
+	return &wire.Position{
+		Offset: -1,
+	}
+}
+
 // replaceHost moves a host to a new incarnation. A new worker boot proves that
 // the tasks of the old one are gone.
 func (s *State) replaceHost(c Change, h *host, state *wire.HostState) {
--- a/replayer/tasks.go
+++ b/replayer/tasks.go
@@ -27,6 +27,11 @@
 func (s *State) applySubmitted(c Change, submitted *wire.TaskSubmitted) {
 	spec := submitted.GetSpec()
 	id := spec.GetTask()
+	// A negative need would free capacity that the host does not have.
+	if id == "" || !Fits(&wire.Resources{}, spec.GetResources()) {
+		s.void(c, id, damaskspread.ReasonInvalid, "the task has no id or negative resources")
+		return
+	}
 	if _, ok := s.tasks[id]; ok {
 		s.void(c, id, damaskspread.ReasonConflict, "the task is already known")
 		return
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -73,6 +73,7 @@
 	currentAsOf time.Time
 	entry       int
 	introduced  bool
+	replaces    *wire.Position
 	movedStale  time.Time
 	leaving     bool
 	interrupt   context.CancelFunc
@@ -161,19 +162,21 @@
 	s.spec = proto.CloneOf(s.spec)
 	s.spec.WorkerBoot = boot
 	s.spec.Capacity = proto.CloneOf(capacity)
-	s.rejoin()
+	s.rejoin(nil)
 	if s.interrupt != nil {
 		s.interrupt()
 	}
 }
 
-// rejoin starts a new incarnation. The view keeps its sections, but claims and
+// rejoin starts a new incarnation that replaces the one at a position; without
+// a position, the next Sync asks for it. The view keeps its sections, but claims and
 // shards of the old incarnation end with it. A host that is leaving stays out.
-func (s *Subscriber) rejoin() {
+func (s *Subscriber) rejoin(replaces *wire.Position) {
 	if !s.leaving {
 		s.spec = proto.CloneOf(s.spec)
 		s.spec.Incarnation = newID()
 		s.introduced = false
+		s.replaces = replaces
 	}
 	s.replaceView(s.view.withoutMembership())
 }
--- a/subscriber/syncer.go
+++ b/subscriber/syncer.go
@@ -34,6 +34,7 @@
 	}
 	if !s.introduced && !s.leaving {
 		request.Spec = s.spec
+		request.Replaces = s.replaces
 	}
 	return request, s.entry
 }
@@ -86,8 +87,8 @@
 	}
 	s.introduced = true
 	if response.GetRejoin() {
-		log.Warn().Str("host", s.spec.GetHost()).Msg("the host is not a member and joins again")
-		s.rejoin()
+		log.Info().Str("host", s.spec.GetHost()).Int64("replaces", response.GetJoined().GetOffset()).Msg("the host is not a member and joins")
+		s.rejoin(response.GetJoined())
 		return
 	}
 	// An entry process that is behind must not take the view back.
