--- a/replayer/apply.go
+++ b/replayer/apply.go
@@ -203,7 +203,9 @@
 		s.noteZone(section)
 	}
 	for _, state := range snapshot.GetHosts() {
-		s.hosts[state.GetSpec().GetHost()] = newHost(state)
+		h := newHost(state)
+		s.hosts[state.GetSpec().GetHost()] = h
+		s.index(h)
 	}
 	for _, entry := range snapshot.GetEntries() {
 		s.entries[entry.GetEntry().GetEntry()] = entry
--- a/replayer/hosts.go
+++ b/replayer/hosts.go
@@ -43,6 +43,7 @@
 	if h == nil {
 		h = newHost(state)
 		s.hosts[id] = h
+		s.index(h)
 	} else {
 		s.replaceHost(c, h, state)
 	}
@@ -70,10 +71,14 @@
 	} else {
 		state.ConsecutiveFailures = h.state.GetConsecutiveFailures()
 	}
-	h.state = state
-	if old.GetEndpoint().GetService() != state.GetSpec().GetEndpoint().GetService() {
-		s.assignShards(c, old.GetEndpoint().GetService())
+	if old.GetEndpoint().GetService() == state.GetSpec().GetEndpoint().GetService() {
+		h.state = state
+		return
 	}
+	s.unindex(h)
+	h.state = state
+	s.index(h)
+	s.assignShards(c, old.GetEndpoint().GetService())
 }
 
 func (s *State) applyHostsAlive(c Change, alive *wire.HostsAlive) {
--- a/replayer/property_test.go
+++ b/replayer/property_test.go
@@ -207,7 +207,11 @@
 		return expired(host, known.GetSpec().GetIncarnation(), known.GetAlive()), -1
 	}
 	zone := fmt.Sprintf("z%d", host[1]%2)
-	return joined(host, incarnation, "b1", zone), -1
+	record := joined(host, incarnation, "b1", zone)
+	if rapid.IntRange(0, 5).Draw(t, "other_service") == 0 {
+		record.GetHostJoined().GetSpec().Endpoint.Service = "counters"
+	}
+	return record, -1
 }
 
 func checkShard(t fataler, state *replayer.State, shard *wire.ShardState, whole map[int32]map[string]bool, transferred bool, record *wire.Record) {
@@ -223,7 +227,7 @@
 	whole[shard.GetShard()] = kept
 	members := 0
 	for host := range state.Hosts() {
-		if replayer.IsMember(host) {
+		if replayer.IsMember(host) && host.GetSpec().GetEndpoint().GetService() == "tags" {
 			members++
 		}
 	}
--- a/replayer/shards.go
+++ b/replayer/shards.go
@@ -36,7 +36,7 @@
 	}
 	moved := false
 	for i, shard := range shards {
-		if next := assign(shard, members, c.position); next != nil {
+		if next := s.assign(shard, members, c.position); next != nil {
 			shards[i] = next
 			moved = true
 		}
@@ -57,65 +57,87 @@
 	return shards
 }
 
-// members returns the hosts that can hold keys of a service, ordered by id.
-func (s *State) members(service string) []*wire.HostSpec {
-	var members []*wire.HostSpec
-	for _, h := range s.hosts {
-		spec := h.state.GetSpec()
-		if IsMember(h.state) && spec.GetEndpoint().GetService() == service {
-			members = append(members, spec)
+// members returns the hosts that can hold keys of a service, in no order.
+func (s *State) members(service string) []*host {
+	members := make([]*host, 0, len(s.byService[service]))
+	for _, h := range s.byService[service] {
+		if IsMember(h.state) {
+			members = append(members, h)
 		}
 	}
-	slices.SortFunc(members, func(a, b *wire.HostSpec) int {
-		if a.GetHost() < b.GetHost() {
-			return -1
-		}
-		return 1
-	})
 	return members
 }
 
+// index files a host under the service of its endpoint. The ranks are hashed
+// once: a change of membership compares those of every member for every shard.
+func (s *State) index(h *host) {
+	spec := h.state.GetSpec()
+	service := spec.GetEndpoint().GetService()
+	if service == "" {
+		return
+	}
+	for i := range h.ranks {
+		h.ranks[i] = rank(service, int32(i), spec.GetHost())
+	}
+	s.byService[service] = append(s.byService[service], h)
+}
+
+func (s *State) unindex(h *host) {
+	service := h.state.GetSpec().GetEndpoint().GetService()
+	s.byService[service] = slices.DeleteFunc(s.byService[service], func(other *host) bool { return other == h })
+}
+
 // assign returns the shard's next assignment, or nil if it stays. A role moves
 // to a better ranked member only while the other role holds the whole history:
 // first the member becomes secondary, then, once ready, primary.
-func assign(shard *wire.ShardState, members []*wire.HostSpec, epoch *wire.Position) *wire.ShardState {
-	next := proto.CloneOf(shard)
-	created := shard.GetEpoch() == nil
-	primary := find(members, shard.GetPrimary())
-	secondary := find(members, shard.GetSecondary())
+func (s *State) assign(shard *wire.ShardState, members []*host, epoch *wire.Position) *wire.ShardState {
+	i := shard.GetShard()
+	primary := s.holder(shard, shard.GetPrimary())
+	secondary := s.holder(shard, shard.GetSecondary())
+	founded := shard.GetFounded()
 	if primary == nil && secondary != nil {
 		primary, secondary = secondary, nil
-		next.Founded = false
+		founded = false
 	}
 	if primary == nil {
-		primary = best(shard, members, nil)
-		next.Founded = created
+		primary = best(i, members, nil)
+		founded = shard.GetEpoch() == nil
 	}
-	if secondary != nil && shard.GetReady() && rank(shard, secondary) > rank(shard, primary) {
+	if secondary != nil && shard.GetReady() && secondary.ranks[i] > primary.ranks[i] {
 		primary, secondary = secondary, primary
-		next.Founded = false
+		founded = false
 	}
-	if candidate := best(shard, members, primary); secondary == nil || (shard.GetReady() && candidate != secondary) {
-		secondary = candidate
+	if secondary == nil || shard.GetReady() {
+		secondary = best(i, members, primary)
 	}
-	if sameHost(primary, shard.GetPrimary()) && sameHost(secondary, shard.GetSecondary()) {
+	if sameHost(primary.spec(), shard.GetPrimary()) && sameHost(secondary.spec(), shard.GetSecondary()) {
 		return nil
 	}
+	next := proto.CloneOf(shard)
+	next.Founded = founded
 	// The former primary holds the whole history after a swap.
-	next.Ready = shard.GetReady() && sameHost(secondary, shard.GetPrimary()) && sameHost(primary, shard.GetSecondary())
-	next.Primary = refOf(primary)
-	next.Secondary = refOf(secondary)
+	next.Ready = shard.GetReady() && sameHost(secondary.spec(), shard.GetPrimary()) && sameHost(primary.spec(), shard.GetSecondary())
+	next.Primary = refOf(primary.spec())
+	next.Secondary = refOf(secondary.spec())
 	next.Epoch = epoch
 	return next
 }
 
-func find(members []*wire.HostSpec, ref *wire.HostRef) *wire.HostSpec {
-	for _, spec := range members {
-		if sameHost(spec, ref) {
-			return spec
-		}
+// holder returns the member that a role refers to, nil if it is none any more.
+func (s *State) holder(shard *wire.ShardState, ref *wire.HostRef) *host {
+	h := s.hosts[ref.GetHost()]
+	if ref == nil || h == nil || !IsMember(h.state) || !sameHost(h.spec(), ref) ||
+		h.spec().GetEndpoint().GetService() != shard.GetService() {
+		return nil
 	}
-	return nil
+	return h
+}
+
+func (h *host) spec() *wire.HostSpec {
+	if h == nil {
+		return nil
+	}
+	return h.state.GetSpec()
 }
 
 func sameHost(spec *wire.HostSpec, ref *wire.HostRef) bool {
@@ -134,29 +156,35 @@
 
 // rank is the rendezvous weight of a member for a shard. It depends on the
 // host's id only, so an agent that restarts gets the same shards back.
-func rank(shard *wire.ShardState, spec *wire.HostSpec) uint64 {
+func rank(service string, shard int32, host string) uint64 {
 	digest := xxhash.New()
-	_, _ = digest.WriteString(shard.GetService())
-	_, _ = digest.Write([]byte{0, byte(shard.GetShard())})
-	_, _ = digest.WriteString(spec.GetHost())
+	_, _ = digest.WriteString(service)
+	_, _ = digest.Write([]byte{0, byte(shard)})
+	_, _ = digest.WriteString(host)
 	return digest.Sum64()
 }
 
 // best returns the highest ranked member other than the primary, preferring
-// another zone than the primary's.
-func best(shard *wire.ShardState, members []*wire.HostSpec, primary *wire.HostSpec) *wire.HostSpec {
-	var chosen *wire.HostSpec
+// another zone than the primary's. Of equal ranks the lower id wins.
+func best(shard int32, members []*host, primary *host) *host {
+	var chosen *host
 	var chosenRank uint64
 	chosenElsewhere := false
-	for _, spec := range members {
-		if spec == primary {
+	zone := primary.spec().GetZone()
+	for _, h := range members {
+		r := h.ranks[shard]
+		if h == primary || (chosenElsewhere && r < chosenRank) {
 			continue
 		}
-		elsewhere := primary != nil && spec.GetZone() != primary.GetZone()
-		r := rank(shard, spec)
-		if chosen == nil || (elsewhere && !chosenElsewhere) || (elsewhere == chosenElsewhere && r > chosenRank) {
-			chosen, chosenRank, chosenElsewhere = spec, r, elsewhere
+		elsewhere := primary != nil && h.state.GetSpec().GetZone() != zone
+		switch {
+		case chosen == nil, elsewhere && !chosenElsewhere:
+		case elsewhere != chosenElsewhere, r < chosenRank:
+			continue
+		case r == chosenRank && h.state.GetSpec().GetHost() > chosen.state.GetSpec().GetHost():
+			continue
 		}
+		chosen, chosenRank, chosenElsewhere = h, r, elsewhere
 	}
 	return chosen
 }
--- a/replayer/state.go
+++ b/replayer/state.go
@@ -25,6 +25,7 @@
 	sections     map[string]*wire.SectionState
 	zonesOut     map[string]bool
 	hosts        map[string]*host
+	byService    map[string][]*host
 	entries      map[string]*wire.EntryState
 	tasks        map[string]*wire.TaskState
 	tasksByKey   map[teamKey]string
@@ -44,6 +45,8 @@
 	state  *wire.HostState
 	claims map[string]*wire.TaskState
 	used   *wire.Resources
+	// ranks are the weights of the host for the shards of its service.
+	ranks [ShardCount]uint64
 }
 
 // New returns the state before the first record.
@@ -53,6 +56,7 @@
 		sections:   map[string]*wire.SectionState{},
 		zonesOut:   map[string]bool{},
 		hosts:      map[string]*host{},
+		byService:  map[string][]*host{},
 		entries:    map[string]*wire.EntryState{},
 		tasks:      map[string]*wire.TaskState{},
 		tasksByKey: map[teamKey]string{},
