--- /dev/null
+++ b/feeder/feeder_test.go
@@ -0,0 +1,157 @@
+package feeder_test
+
+import (
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	"damaskspread.example/damaskspread/replayer"
+	"damaskspread.example/damaskspread/wire"
+)
+
+// Guards against an agent that misses configuration, claims or shards, or that
+// stays a member after it left and stopped.
+func TestAgentLife(t *testing.T) {
+	e := startEntry(t, newLog(), "e1", false)
+	agent, stop := startAgent(t, "h1", e)
+	eventually(t, "the join", func() bool { return agent.View().Joined() })
+	e.append(t, submitted("t1"), claimed("t1", "h1"), &wire.Record{
+		Body: &wire.Record_SectionPublished{
+			SectionPublished: &wire.SectionPublished{
+				Section: "zone z1",
+			},
+		},
+	})
+	eventually(t, "the claim", func() bool { return len(agent.View().Claims()) == 1 })
+	_, ok := agent.View().Section("zone z1")
+	assert.Assert(t, ok)
+	assert.Equal(t, len(agent.View().Shards()), replayer.ShardCount)
+	before := agent.View().Alive()
+	_, err := agent.AppendRecords(t.Context(), []*wire.Record{{
+		Body: &wire.Record_HostsAlive{
+			HostsAlive: &wire.HostsAlive{
+				Hosts: []*wire.HostRef{agent.Ref()},
+			},
+		},
+	}})
+	assert.NilError(t, err)
+	eventually(t, "the heartbeat", func() bool { return agent.View().Alive().GetOffset() > before.GetOffset() })
+	assert.Equal(t, len(agent.View().Claims()), 1)
+	assert.Assert(t, agent.Age() < 20*time.Second)
+
+	assert.NilError(t, agent.Leave(t.Context()))
+	assert.Assert(t, agent.View().Leaving())
+	stop()
+	eventually(t, "the expiry", func() bool {
+		expired := false
+		e.follower.View(func(state *replayer.State) {
+			host, _ := state.Host("h1")
+			expired = host.GetExpired()
+		})
+		return expired
+	})
+}
+
+// Guards against hosts that expire because their entry process failed, and
+// against a failed entry process that stays known.
+func TestEntryFails(t *testing.T) {
+	log := newLog()
+	e1 := startEntry(t, log, "e1", false)
+	e2 := startEntry(t, log, "e2", false)
+	agent, _ := startAgent(t, "h1", e1)
+	eventually(t, "the join", func() bool { return agent.View().Joined() })
+	moving, _ := startAgent(t, "h2", e1, e2)
+	eventually(t, "the join", func() bool { return moving.View().Joined() })
+	incarnation := moving.Ref().GetIncarnation()
+	e1.stop()
+	eventually(t, "the attachment", func() bool {
+		_, attached, _ := e2.host("h2")
+		return attached == "e2"
+	})
+	eventually(t, "the expiry of the entry process and of the host that can't move", func() bool {
+		known := true
+		e2.follower.View(func(state *replayer.State) { _, known = state.Entry("e1") })
+		_, _, member := e2.host("h1")
+		return !known && !member
+	})
+	current, _, member := e2.host("h2")
+	assert.Assert(t, member)
+	assert.Equal(t, current, incarnation)
+}
+
+// Guards against an agent that goes on under an incarnation that expired.
+func TestRejoin(t *testing.T) {
+	e := startEntry(t, newLog(), "e1", false)
+	agent, _ := startAgent(t, "h1", e)
+	eventually(t, "the join", func() bool { return agent.View().Joined() })
+	first := agent.Ref()
+	var alive *wire.Position
+	e.follower.View(func(state *replayer.State) {
+		host, _ := state.Host("h1")
+		alive = host.GetAlive()
+	})
+	e.append(t, &wire.Record{
+		Body: &wire.Record_HostExpired{
+			HostExpired: &wire.HostExpired{
+				Host:  first,
+				Alive: alive,
+			},
+		},
+	})
+	eventually(t, "the second join", func() bool {
+		incarnation, _, member := e.host("h1")
+		return member && incarnation != first.GetIncarnation() && agent.View().Joined()
+	})
+	// A Sync of the first incarnation that was delayed must not bring it back.
+	second := agent.Ref()
+	response, err := e.feeder.Sync(t.Context(), connect.NewRequest(&wire.SyncRequest{
+		Host:     first,
+		Replaces: &wire.Position{Offset: -1},
+		Spec: &wire.HostSpec{
+			Host:        "h1",
+			Incarnation: first.GetIncarnation(),
+		},
+	}))
+	assert.NilError(t, err)
+	assert.Assert(t, response.Msg.GetRejoin())
+	incarnation, _, member := e.host("h1")
+	assert.Assert(t, member)
+	assert.Equal(t, incarnation, second.GetIncarnation())
+	// A new worker boot joins again.
+	agent.SetWorker("b2", agent.Spec.GetCapacity())
+	eventually(t, "the third join", func() bool {
+		incarnation, _, member := e.host("h1")
+		return member && incarnation != second.GetIncarnation() && agent.View().Joined()
+	})
+}
+
+// Guards against an entry process that is stale although another one reaches
+// the log, at its start, in operation, and after missed records expired.
+func TestRelay(t *testing.T) {
+	log := newLog()
+	e1 := startEntry(t, log, "e1", false)
+	eventually(t, "the first entry process", e1.follower.Ready)
+	e1.append(t, submitted("t1"))
+	e2 := startEntry(t, log, "e2", true, e1)
+	eventually(t, "the start through the peer", e2.follower.Ready)
+	offset := e1.append(t, submitted("t2"))
+	assert.NilError(t, e2.follower.Wait(t.Context(), offset))
+	assert.Assert(t, e2.follower.Age() >= 0 && e2.follower.Age() < 20*time.Second)
+
+	e3 := startEntry(t, log, "e3", false)
+	eventually(t, "the third entry process", e3.follower.Ready)
+	e3.log.setCut(true)
+	e1.append(t, submitted("t3"))
+	offset = e1.append(t, submitted("t4"))
+	log.expire()
+	e3.log.setCut(false)
+	// The first entry process missed nothing and writes a snapshot at once.
+	assert.NilError(t, e3.follower.Wait(t.Context(), offset))
+	eventually(t, "a complete history", func() bool { return e3.follower.Err() == nil })
+
+	e4 := startEntry(t, log, "e4", true, e3, e1)
+	eventually(t, "the start without the log after records expired", e4.follower.Ready)
+	assert.NilError(t, e4.follower.Wait(t.Context(), offset))
+}
