Add the scheduler with a pure planning step

Cause: pending tasks have to become claims within quotas and bounds, urgent work has to start within 4.8 s on full hosts, zones leave and return, and some workers and jobs fail everything.

Ruled out: a sorted list of pending tasks (36,000 entries per decision); refusals remembered per shape only (each waiting team looked at every host again); a streak of failures alone as proof against a worker (a burst of bad jobs sets aside one good worker after the other); quota checks per task owner (two entries exceed the quota of a team together).

Change: scheduler.Planner turns changes into records without goroutines or clocks: queues by class, team share and end of max_wait, remembered refusals, preemption with reserved room, waves for leaving zones, releases, quarantine by comparison of results. scheduler.Scheduler runs it at an entry. placer.Index lists candidates for preemption.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -253,6 +253,13 @@
 			continue
 		}
 		estimate := e.estimate(r.spec)
+		// Without any sample the declaration is all that is known; adding the
+		// prior uncertainty would hold back a third of every new host.
+		if estimate.Samples == 0 {
+			estimate = Estimate{
+				Mean: r.spec.GetResources(),
+			}
+		}
 		use.Millicores += estimate.Mean.GetMillicores() + estimate.Deviation.GetMillicores()
 		use.MemoryBytes += estimate.Mean.GetMemoryBytes() + estimate.Deviation.GetMemoryBytes()
 		use.Accelerators += estimate.Mean.GetAccelerators()
--- a/placer/index.go
+++ b/placer/index.go
@@ -196,13 +196,19 @@
 		return
 	}
 	over := amountOf(measured).minus(h.used)
-	x.unlist(h)
-	h.excess = amount{
+	excess := amount{
 		millicores: max(0, over.millicores),
 		memory:     max(0, over.memory),
 	}
+	if excess == h.excess {
+		return
+	}
+	if !excess.holds(h.excess) {
+		x.freed++
+	}
+	x.unlist(h)
+	h.excess = excess
 	x.list(h)
-	x.freed++
 }
 
 // Commit counts a task against a host. An earlier commitment and reservation
--- /dev/null
+++ b/scheduler/plan.go
@@ -0,0 +1,311 @@
+package scheduler
+
+import (
+	"container/heap"
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/replayer"
+	"damaskspread.example/damaskspread/wire"
+)
+
+const (
+	// overdueEvery gives one of that many starts to the task that waited
+	// longest beyond its max_wait, whatever its team's share; the others keep
+	// the shares fair when everything is overdue.
+	overdueEvery = 4
+	// overduePerRound bounds the searches for the longest wait in a round; each
+	// looks at every team.
+	overduePerRound = 64
+	// retryEvery is the pause between tries of refused batch tasks. With 36,000
+	// tasks waiting for room on full hosts, a try in every round costs four
+	// times as much and starts as many tasks.
+	retryEvery = 400 * time.Millisecond
+	// measuredPerRound bounds how many hosts are compared with their samples.
+	measuredPerRound = 64
+	// finishedPerRound bounds the records that end tasks.
+	finishedPerRound = 64
+)
+
+// plan collects the records of one round.
+type plan struct {
+	now       time.Time
+	records   []*wire.Record
+	claims    int
+	attempts  int
+	preempted int
+}
+
+func (p *Planner) add(out *plan, record *wire.Record) {
+	out.records = append(out.records, p.sign(record, out.now))
+}
+
+// Plan returns the records to append now. It returns nothing while the age of
+// the state exceeds the currency limit.
+func (p *Planner) Plan(now time.Time, age time.Duration) []*wire.Record {
+	p.reset()
+	if age > p.limits.CurrencyLimit {
+		p.stable, p.current = now, time.Time{}
+		return nil
+	}
+	if p.current.IsZero() {
+		p.current = now
+	}
+	out := &plan{
+		now:      now,
+		claims:   p.limits.ClaimsPerRound,
+		attempts: p.limits.AttemptsPerRound,
+	}
+	for id := range p.quarantine.hosts {
+		p.Index.SetAdmission(id, p.quarantine.admission(id, now))
+	}
+	p.measure()
+	p.visitParked(out)
+	p.unblock(now)
+	p.placeClass(out, &p.urgent)
+	p.placeClass(out, &p.batch)
+	p.leave(out)
+	p.releaseHosts(out)
+	p.respond(out)
+	return out.records
+}
+
+// measure compares a few hosts per round with what their tasks really use.
+func (p *Planner) measure() {
+	if p.Estimates == nil {
+		return
+	}
+	for range min(measuredPerRound, len(p.hostList)) {
+		p.measured = (p.measured + 1) % len(p.hostList)
+		id := p.hostList[p.measured].spec.GetHost()
+		p.Index.SetMeasured(id, p.Estimates.HostUse(id))
+	}
+}
+
+// unblock lets refused tasks try again once room may have appeared. Urgent
+// tasks always try, as they can preempt.
+func (p *Planner) unblock(now time.Time) {
+	p.urgent.unblock()
+	if now.Sub(p.unblocked) < retryEvery || p.Index.Freed() == p.freed && !p.stale && !p.Index.Ramping(now) {
+		return
+	}
+	p.unblocked = now
+	p.freed, p.stale = p.Index.Freed(), false
+	clear(p.refused)
+	p.batch.unblock()
+}
+
+// visitParked handles the tasks that are outside the queues, in a fixed order.
+func (p *Planner) visitParked(out *plan) {
+	items := make([]*item, 0, len(p.parked))
+	for _, i := range p.parked {
+		items = append(items, i)
+	}
+	slices.SortFunc(items, func(a, b *item) int {
+		if c := a.deadline.Compare(b.deadline); c != 0 {
+			return c
+		}
+		return strings.Compare(a.spec.GetTask(), b.spec.GetTask())
+	})
+	finished := 0
+	for _, i := range items {
+		switch i.location {
+		case delayed:
+			if !out.now.Before(i.since) {
+				p.move(i, queued, out.now)
+			}
+		case claimed:
+			if out.now.Sub(i.since) > p.limits.ClaimTimeout {
+				p.dropClaim(i.spec.GetTask(), i.record, out.now)
+			}
+		case reserved:
+			p.useReservation(out, i)
+		case stuck:
+			if finished < finishedPerRound && p.endStuck(out, i) {
+				finished++
+			}
+		}
+	}
+}
+
+// endStuck finishes a task that can never run, or tries it again after the
+// hosts changed.
+func (p *Planner) endStuck(out *plan, i *item) bool {
+	id := i.spec.GetTask()
+	culprit := p.quarantine.culprit(id)
+	switch {
+	case culprit && out.now.Sub(i.since) < p.limits.ClaimTimeout && i.failures > 0:
+		return false
+	case culprit:
+	case p.stable.After(i.since):
+		p.move(i, queued, out.now)
+		return false
+	case out.now.Sub(p.stable) < p.limits.Settle || out.now.Sub(i.since) < p.limits.Settle:
+		return false
+	}
+	detail := ""
+	if culprit {
+		detail = "failed on " + strings.Join(p.quarantine.failed[id], ", ") + ", which run other tasks"
+	} else {
+		detail = i.refusal.Error()
+	}
+	// The replayer ends a pending task only as unplaceable.
+	p.add(out, &wire.Record{
+		Body: &wire.Record_TaskFinished{
+			TaskFinished: &wire.TaskFinished{
+				Task:    id,
+				Attempt: i.attempt,
+				Result:  wire.TaskResult_TASK_RESULT_UNPLACEABLE,
+				Detail:  detail,
+			},
+		},
+	})
+	i.failures++
+	i.since = out.now
+	return true
+}
+
+// placeClass starts tasks of one class by the shares of their teams.
+func (p *Planner) placeClass(out *plan, class *classQueue) {
+	total := p.Index.Total()
+	r := make(round, 0, len(class.teams))
+	for _, t := range class.teams {
+		if head := t.head(); head != nil {
+			r = append(r, ranked{
+				queue: t,
+				head:  head,
+				share: t.team.share(total),
+			})
+		}
+	}
+	heap.Init(&r)
+	for picks := 1; len(r) > 0 && out.claims > 0 && out.attempts > 0; picks++ {
+		at := 0
+		if picks%overdueEvery == 0 && picks <= overdueEvery*overduePerRound {
+			at = max(0, r.overdue(out.now))
+		}
+		p.try(out, r[at].head)
+		r[at].head = r[at].queue.head()
+		if r[at].head == nil {
+			heap.Remove(&r, at)
+			continue
+		}
+		r[at].share = r[at].queue.team.share(total)
+		heap.Fix(&r, at)
+	}
+}
+
+// try places one queued task or sets it aside with its refusal.
+func (p *Planner) try(out *plan, i *item) {
+	need := i.spec.GetResources()
+	if refusal := p.team(i.spec.GetTeam()).overQuota(need); refusal != nil {
+		p.refuse(out, i, refusal)
+		return
+	}
+	if known := p.knownRefusal(i); known != nil {
+		p.refuse(out, i, known)
+		return
+	}
+	out.attempts--
+	placement, err := p.Policy.Place(&damaskspread.PlacementTask{
+		Spec:  i.spec,
+		Avoid: i.avoid,
+	}, out.now)
+	var refusal *damaskspread.PlacementRefusedError
+	switch {
+	case err == nil:
+		p.claim(out, i, placement)
+		return
+	case !errors.As(err, &refusal):
+		refusal = &damaskspread.PlacementRefusedError{
+			Binding: damaskspread.BindingNoHost,
+			Detail:  err.Error(),
+		}
+	}
+	if !refusal.Never {
+		p.rememberRefusal(i, refusal)
+	}
+	p.refuse(out, i, refusal)
+}
+
+func refusalKeyOf(i *item) refusalKey {
+	return refusalKey{
+		accelerators: i.queue.shape.accelerators,
+		zones:        i.queue.shape.zones,
+		firm:         i.queue.shape.firm,
+		urgent:       i.urgent(),
+	}
+}
+
+// knownRefusal returns the refusal of a task that needs no more of anything,
+// if no room appeared since. A refusal by the policy looks at every host,
+// which is too slow to repeat for each waiting task.
+func (p *Planner) knownRefusal(i *item) *damaskspread.PlacementRefusedError {
+	for _, known := range p.refused[refusalKeyOf(i)] {
+		if replayer.Fits(known.need, i.spec.GetResources()) {
+			return known.refusal
+		}
+	}
+	return nil
+}
+
+// rememberRefusal keeps the smallest refused needs only.
+func (p *Planner) rememberRefusal(i *item, refusal *damaskspread.PlacementRefusedError) {
+	key, need := refusalKeyOf(i), i.spec.GetResources()
+	list := slices.DeleteFunc(p.refused[key], func(known refusedNeed) bool {
+		return replayer.Fits(need, known.need)
+	})
+	p.refused[key] = append(list, refusedNeed{
+		need:    need,
+		refusal: refusal,
+	})
+}
+
+func (p *Planner) claim(out *plan, i *item, placement damaskspread.Placement) {
+	out.claims--
+	p.add(out, &wire.Record{
+		Body: &wire.Record_TaskClaimed{
+			TaskClaimed: &wire.TaskClaimed{
+				Task:       i.spec.GetTask(),
+				Attempt:    i.attempt,
+				Host:       placement.Host,
+				WorkerBoot: placement.WorkerBoot,
+				Reason:     placement.Reason,
+			},
+		},
+	})
+	p.move(i, claimed, out.now)
+	i.host = placement.Host
+	i.chosen = placement.Reason
+	i.record = out.records[len(out.records)-1].GetId()
+	i.refusal = nil
+	p.commit(i.spec, i.host)
+}
+
+// refuse keeps a task that has no host now.
+func (p *Planner) refuse(out *plan, i *item, refusal *damaskspread.PlacementRefusedError) {
+	i.refusal = refusal
+	switch {
+	case refusal.Never:
+		p.move(i, stuck, out.now)
+		return
+	case !lacksRoom(refusal):
+	case i.urgent() && p.preempt(out, i):
+		return
+	case !i.urgent() && i.deadline.Before(out.now) && p.reserveRoom(out, i):
+		return
+	}
+	i.queue.blocked = true
+}
+
+func lacksRoom(refusal *damaskspread.PlacementRefusedError) bool {
+	switch refusal.Binding {
+	case damaskspread.BindingMillicores, damaskspread.BindingMemory,
+		damaskspread.BindingAccelerators, damaskspread.BindingShape:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/scheduler/queue.go
@@ -0,0 +1,253 @@
+package scheduler
+
+import (
+	"container/heap"
+	"math/bits"
+	"slices"
+	"strings"
+	"time"
+
+	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/wire"
+)
+
+// Waits of tasks that declare none.
+const (
+	defaultBatchWait  = time.Hour
+	defaultUrgentWait = 5 * time.Second
+)
+
+// location is where a pending task is kept.
+type location int
+
+const (
+	// foreign tasks belong to another entry.
+	foreign location = iota
+	queued
+	delayed
+	reserved
+	stuck
+	claimed
+)
+
+// item is a pending task.
+type item struct {
+	spec     *wire.TaskSpec
+	attempt  int32
+	avoid    []string
+	deadline time.Time
+	location location
+	queue    *shapeQueue
+	position int
+	// since is when the task came to its location; a delayed task is due
+	// at that time.
+	since    time.Time
+	failures int
+	refusal  *damaskspread.PlacementRefusedError
+	host     string
+	record   string
+	chosen   string
+}
+
+func (i *item) urgent() bool { return isUrgent(i.spec) }
+
+func isUrgent(spec *wire.TaskSpec) bool {
+	return spec.GetClass() == wire.TaskClass_TASK_CLASS_LATENCY_CRITICAL
+}
+
+func deadlineOf(spec *wire.TaskSpec) time.Time {
+	wait := time.Duration(spec.GetMaxWaitMs()) * time.Millisecond
+	if wait <= 0 {
+		wait = defaultBatchWait
+		if isUrgent(spec) {
+			wait = defaultUrgentWait
+		}
+	}
+	return time.UnixMilli(spec.GetSubmittedUnixMs()).Add(wait)
+}
+
+// shape groups tasks whose needs lie within a factor of two, so that one
+// refusal stands for all of them.
+type shape struct {
+	millicores, memory int
+	accelerators       int64
+	zones              string
+	firm               bool
+}
+
+func shapeOf(spec *wire.TaskSpec) shape {
+	need := spec.GetResources()
+	return shape{
+		millicores:   bits.Len64(uint64(need.GetMillicores())),
+		memory:       bits.Len64(uint64(need.GetMemoryBytes())),
+		accelerators: need.GetAccelerators(),
+		zones:        strings.Join(spec.GetZones(), ","),
+		firm:         !spec.GetCanCheckpoint(),
+	}
+}
+
+// shapeQueue orders the tasks of one team, class and shape by the end of
+// their wait.
+type shapeQueue struct {
+	shape shape
+	team  *teamQueue
+	items []*item
+	// blocked is set after a refusal until room appears.
+	blocked bool
+}
+
+func (q *shapeQueue) Len() int { return len(q.items) }
+
+func (q *shapeQueue) Less(a, b int) bool {
+	if !q.items[a].deadline.Equal(q.items[b].deadline) {
+		return q.items[a].deadline.Before(q.items[b].deadline)
+	}
+	return q.items[a].spec.GetTask() < q.items[b].spec.GetTask()
+}
+
+func (q *shapeQueue) Swap(a, b int) {
+	q.items[a], q.items[b] = q.items[b], q.items[a]
+	q.items[a].position, q.items[b].position = a, b
+}
+
+// Push implements heap.Interface.
+func (q *shapeQueue) Push(v any) {
+	i := v.(*item)
+	i.position = len(q.items)
+	q.items = append(q.items, i)
+}
+
+// Pop implements heap.Interface.
+func (q *shapeQueue) Pop() any {
+	last := len(q.items) - 1
+	i := q.items[last]
+	q.items[last] = nil
+	q.items = q.items[:last]
+	return i
+}
+
+// teamQueue holds the tasks of one team and class.
+type teamQueue struct {
+	team   *team
+	shapes map[shape]*shapeQueue
+	// list holds the same queues; head visits them often.
+	list []*shapeQueue
+}
+
+// head returns the task whose wait ends first among those not blocked.
+func (t *teamQueue) head() *item {
+	var first *item
+	for _, q := range t.list {
+		if q.blocked || len(q.items) == 0 {
+			continue
+		}
+		i := q.items[0]
+		if first == nil || i.deadline.Before(first.deadline) ||
+			i.deadline.Equal(first.deadline) && i.spec.GetTask() < first.spec.GetTask() {
+			first = i
+		}
+	}
+	return first
+}
+
+// classQueue holds the tasks of one class by team.
+type classQueue struct {
+	teams map[string]*teamQueue
+	size  int
+}
+
+func (c *classQueue) push(i *item, t *team) {
+	tq := c.teams[t.name]
+	if tq == nil {
+		tq = &teamQueue{
+			team:   t,
+			shapes: map[shape]*shapeQueue{},
+		}
+		c.teams[t.name] = tq
+	}
+	key := shapeOf(i.spec)
+	q := tq.shapes[key]
+	if q == nil {
+		q = &shapeQueue{
+			shape: key,
+			team:  tq,
+		}
+		tq.shapes[key] = q
+		tq.list = append(tq.list, q)
+	}
+	i.queue = q
+	heap.Push(q, i)
+	c.size++
+}
+
+func (c *classQueue) remove(i *item) {
+	q := i.queue
+	heap.Remove(q, i.position)
+	i.queue = nil
+	c.size--
+	if len(q.items) > 0 {
+		return
+	}
+	delete(q.team.shapes, q.shape)
+	at := slices.Index(q.team.list, q)
+	q.team.list = slices.Delete(q.team.list, at, at+1)
+	if len(q.team.shapes) == 0 {
+		delete(c.teams, q.team.team.name)
+	}
+}
+
+func (c *classQueue) unblock() {
+	for _, t := range c.teams {
+		for _, q := range t.list {
+			q.blocked = false
+		}
+	}
+}
+
+// ranked is a team's place in one round.
+type ranked struct {
+	queue *teamQueue
+	head  *item
+	share float64
+}
+
+// round orders teams by share, the smallest first. It is built once per round
+// from the teams, not from the tasks.
+type round []ranked
+
+func (r round) Len() int { return len(r) }
+
+func (r round) Less(a, b int) bool {
+	if r[a].share != r[b].share {
+		return r[a].share < r[b].share
+	}
+	if !r[a].head.deadline.Equal(r[b].head.deadline) {
+		return r[a].head.deadline.Before(r[b].head.deadline)
+	}
+	return r[a].queue.team.name < r[b].queue.team.name
+}
+
+func (r round) Swap(a, b int) { r[a], r[b] = r[b], r[a] }
+
+// Push implements heap.Interface.
+func (r *round) Push(v any) { *r = append(*r, v.(ranked)) }
+
+// Pop implements heap.Interface.
+func (r *round) Pop() any {
+	last := len(*r) - 1
+	v := (*r)[last]
+	*r = (*r)[:last]
+	return v
+}
+
+// overdue returns the position of the team whose head has waited longest
+// beyond its max_wait, or -1.
+func (r round) overdue(now time.Time) int {
+	best := -1
+	for i, v := range r {
+		if v.head.deadline.Before(now) && (best < 0 || v.head.deadline.Before(r[best].head.deadline)) {
+			best = i
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/scheduler/scheduler_test.go
@@ -0,0 +1,130 @@
+package scheduler_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gopkg.in/tomb.v2"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/replayer"
+	"damaskspread.example/damaskspread/scheduler"
+	"damaskspread.example/damaskspread/wire"
+)
+
+// stateLog stands in for the log and the follower of one entry.
+type stateLog struct {
+	mu      sync.Mutex
+	state   *replayer.State
+	offset  int64
+	fail    error
+	tries   int
+	changes chan []replayer.Change
+}
+
+func (l *stateLog) View(read func(*replayer.State)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	read(l.state)
+}
+
+func (l *stateLog) Age() time.Duration { return 0 }
+
+func (l *stateLog) Next(ctx context.Context) ([]replayer.Change, bool, error) {
+	select {
+	case changes := <-l.changes:
+		return changes, false, nil
+	case <-ctx.Done():
+		return nil, false, ctx.Err()
+	}
+}
+
+func (l *stateLog) AppendRecords(_ context.Context, records []*wire.Record) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.tries++; l.fail != nil {
+		return 0, l.fail
+	}
+	l.offset++
+	l.changes <- l.state.Apply(l.offset, &wire.RecordBatch{Records: records})
+	return l.offset, nil
+}
+
+// Guards against a scheduler that deadlocks or loses tasks while the log
+// refuses appends, and against a fenced host whose tasks are not returned.
+func TestRunSchedulesAgainstTheLog(t *testing.T) {
+	c := newCluster(1, nil)
+	for h := range 2 {
+		c.join(fmt.Sprint("h", h), "z", 16_000, 60)
+	}
+	for i := range 10 {
+		c.submit(spec(fmt.Sprint("b", i), false, 1_000, 1))
+	}
+	l := &stateLog{
+		state:   c.state,
+		offset:  c.offset,
+		fail:    &damaskspread.LogUnavailableError{Cause: context.DeadlineExceeded},
+		changes: make(chan []replayer.Change, 100),
+	}
+	clock := clockwork.NewFakeClockAt(start)
+	s := &scheduler.Scheduler{
+		Follower:     l,
+		Subscription: l,
+		Recorder:     l,
+		Clock:        clock,
+		Planner:      c.planners[0],
+		Fence:        func(context.Context, *wire.HostSpec, int64) error { return nil },
+	}
+	var group tomb.Tomb
+	group.Go(func() error { return s.Run(&group) })
+	wait := func(condition func() bool) {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			clock.Advance(100 * time.Millisecond)
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			if condition() {
+				return poll.Success()
+			}
+			return poll.Continue("waiting")
+		}, poll.WithDelay(time.Millisecond), poll.WithTimeout(time.Minute))
+	}
+	wait(func() bool { return l.tries >= 3 })
+	l.mu.Lock()
+	l.fail = nil
+	l.mu.Unlock()
+	wait(func() bool { return l.state.PendingCount() == 0 })
+	var alive *wire.Position
+	l.View(func(state *replayer.State) {
+		host, _ := state.Host("h0")
+		alive = host.GetAlive()
+	})
+	_, err := l.AppendRecords(context.Background(), []*wire.Record{{Body: &wire.Record_HostExpired{HostExpired: &wire.HostExpired{
+		Host:  &wire.HostRef{Host: "h0", Incarnation: incarnation(l, "h0")},
+		Alive: alive,
+	}}}})
+	assert.NilError(t, err)
+	wait(func() bool {
+		for range l.state.ClaimsOf("h0") {
+			return false
+		}
+		return l.state.PendingCount() == 0
+	})
+	e, ok := s.Explain("b0")
+	assert.Assert(t, ok && e.Phase == claimed && e.Host == "h1" && e.Reason != "", "%+v", e)
+	group.Kill(nil)
+	assert.NilError(t, group.Wait())
+}
+
+func incarnation(l *stateLog, id string) (incarnation string) {
+	l.View(func(state *replayer.State) {
+		host, _ := state.Host(id)
+		incarnation = host.GetSpec().GetIncarnation()
+	})
+	return incarnation
+}
