Bound the cost of polls and rejoins; count no silence during a pause

Cause: an idle poll scanned all sections; two agents started for one host would replace each other as fast as the log takes records; an entry process that was paused could count the pause as silence of its agents. Ruled out: caching responses per host; a poll is dominated by the copy of its claims, which changes rarely but is needed for the comparison. Change: SectionsSince skips the scan when no section changed; rejoins after a short membership are delayed up to 3.2 s; a gap between scans resets the observations; a leaving entry process refuses agents so that they attach elsewhere first.

--- a/feeder/feeder.go
+++ b/feeder/feeder.go
@@ -116,7 +116,8 @@
 	return f.runWakes(ctx)
 }
 
-// Leave announces that this process stops taking agents.
+// Leave announces that this process is leaving. Its agents are refused from
+// then on, so that they attach to others before it stops.
 func (f *Feeder) Leave(ctx context.Context) error {
 	f.prepare()
 	f.mu.Lock()
@@ -125,6 +126,12 @@
 	return f.announce(ctx)
 }
 
+func (f *Feeder) isLeaving() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leaving
+}
+
 func (f *Feeder) runAlive(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if f.Follower.Ready() {
@@ -142,9 +149,7 @@
 
 func (f *Feeder) announce(ctx context.Context) error {
 	alive := proto.CloneOf(f.Entry)
-	f.mu.Lock()
-	alive.Leaving = f.leaving
-	f.mu.Unlock()
+	alive.Leaving = f.isLeaving()
 	_, err := f.append(ctx, &wire.Record{
 		Body: &wire.Record_EntryAlive{
 			EntryAlive: alive,
--- a/feeder/sync.go
+++ b/feeder/sync.go
@@ -24,6 +24,9 @@
 	if !f.Follower.Ready() {
 		return nil, refused(connect.CodeUnavailable, damaskspread.NotRun(damaskspread.ReasonStaleConfiguration, "the first replay is not complete"))
 	}
+	if f.isLeaving() {
+		return nil, refused(connect.CodeUnavailable, damaskspread.NotRun(damaskspread.ReasonLeaving, "this entry process is leaving"))
+	}
 	f.observe(call)
 	wait := min(max(time.Duration(call.GetWaitMs())*time.Millisecond, 0), f.MaxSyncWait)
 	expired := f.Clock.After(wait)
@@ -125,11 +128,7 @@
 		response.Offset = state.Offset()
 		response.Leaving = host.GetLeaving()
 		response.Alive = host.GetAlive()
-		for section := range state.Sections() {
-			if section.GetPosition().GetOffset() > call.GetAppliedOffset() {
-				response.Sections = append(response.Sections, section)
-			}
-		}
+		response.Sections = slices.Collect(state.SectionsSince(call.GetAppliedOffset()))
 		for claim := range state.ClaimsOf(host.GetSpec().GetHost()) {
 			response.Claims = append(response.Claims, proto.CloneOf(claim))
 		}
--- a/feeder/watcher.go
+++ b/feeder/watcher.go
@@ -22,6 +22,9 @@
 	expiryRetry = 3 * time.Second
 	// maxExpiries bounds one append.
 	maxExpiries = 500
+	// pausedAfter is a gap between scans that means that this process, and
+	// with it the calls of its agents, stood still.
+	pausedAfter = 4 * scanEvery
 )
 
 // watcher expires hosts and entry processes by this process's own observation
@@ -31,6 +34,7 @@
 	hosts   map[string]observation
 	entries map[string]observation
 	stale   bool
+	scanned time.Time
 }
 
 // observation is how long a host or entry process has shown no sign of life.
@@ -74,12 +78,14 @@
 // show life may have been unread or impossible to write.
 func (w *watcher) scan() []*wire.Record {
 	f := w.feeder
+	now := f.Clock.Now()
+	paused := now.Sub(w.scanned) > pausedAfter
+	w.scanned = now
 	if f.Follower.Age() > f.CurrencyLimit {
 		w.stale = true
 		return nil
 	}
-	now := f.Clock.Now()
-	if w.stale {
+	if w.stale || paused {
 		w.hosts, w.entries = map[string]observation{}, map[string]observation{}
 		w.stale = false
 	}
--- a/replayer/apply.go
+++ b/replayer/apply.go
@@ -114,6 +114,7 @@
 		Actor:           c.record.GetActor(),
 		PublishedUnixMs: c.record.GetRecordedUnixMs(),
 	}
+	s.sectionsOffset = c.position.GetOffset()
 	s.noteZone(s.sections[name])
 	s.changed(c, SectionChanged, name)
 }
@@ -200,6 +201,7 @@
 	s.offset = snapshot.GetOffset()
 	for _, section := range snapshot.GetSections() {
 		s.sections[section.GetSection()] = section
+		s.sectionsOffset = max(s.sectionsOffset, section.GetPosition().GetOffset())
 		s.noteZone(section)
 	}
 	for _, state := range snapshot.GetHosts() {
--- a/replayer/property_test.go
+++ b/replayer/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -97,6 +98,15 @@
 		if !proto.Equal(state.Snapshot(), twin.Snapshot()) {
 			t.Fatalf("restored state differs:\n%v\n%v", state.Snapshot(), twin.Snapshot())
 		}
+		since := rapid.Int64Range(-1, state.Offset()).Draw(t, "since")
+		for _, s := range []*replayer.State{state, twin} {
+			for section := range s.Sections() {
+				found := slices.Contains(slices.Collect(s.SectionsSince(since)), section)
+				if found != (section.GetPosition().GetOffset() > since) {
+					t.Fatalf("section %v and offset %d: reported as changed: %v", section, since, found)
+				}
+			}
+		}
 		checkCanceled(t, state)
 	})
 }
--- a/replayer/state.go
+++ b/replayer/state.go
@@ -34,6 +34,8 @@
 	shards       map[string][]*wire.ShardState
 	changes      []Change
 	finishedHead int
+	// sectionsOffset is the offset of the last change of a section.
+	sectionsOffset int64
 }
 
 type teamKey struct {
@@ -52,16 +54,17 @@
 // New returns the state before the first record.
 func New() *State {
 	return &State{
-		offset:     -1,
-		sections:   map[string]*wire.SectionState{},
-		zonesOut:   map[string]bool{},
-		hosts:      map[string]*host{},
-		byService:  map[string][]*host{},
-		entries:    map[string]*wire.EntryState{},
-		tasks:      map[string]*wire.TaskState{},
-		tasksByKey: map[teamKey]string{},
-		pending:    map[string]*wire.TaskState{},
-		shards:     map[string][]*wire.ShardState{},
+		offset:         -1,
+		sectionsOffset: -1,
+		sections:       map[string]*wire.SectionState{},
+		zonesOut:       map[string]bool{},
+		hosts:          map[string]*host{},
+		byService:      map[string][]*host{},
+		entries:        map[string]*wire.EntryState{},
+		tasks:          map[string]*wire.TaskState{},
+		tasksByKey:     map[teamKey]string{},
+		pending:        map[string]*wire.TaskState{},
+		shards:         map[string][]*wire.ShardState{},
 	}
 }
 
@@ -78,6 +81,21 @@
 // Sections iterates over all sections, including removed ones, in no order.
 func (s *State) Sections() iter.Seq[*wire.SectionState] { return values(s.sections) }
 
+// SectionsSince iterates over the sections that changed after an offset. It
+// costs nothing if none did, which is the common case of a poll.
+func (s *State) SectionsSince(offset int64) iter.Seq[*wire.SectionState] {
+	return func(yield func(*wire.SectionState) bool) {
+		if offset >= s.sectionsOffset {
+			return
+		}
+		for _, section := range s.sections {
+			if section.GetPosition().GetOffset() > offset && !yield(section) {
+				return
+			}
+		}
+	}
+}
+
 // ZoneInService reports whether operators let work start in the zone. A zone
 // without a section is in service.
 func (s *State) ZoneInService(zone string) bool { return !s.zonesOut[zone] }
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -40,8 +40,14 @@
 	// staleMoveEvery limits moves while all entry processes are stale, since
 	// each move makes the new one record the attachment.
 	staleMoveEvery = 5 * time.Second
-	retryMin       = 50 * time.Millisecond
-	retryMax       = 2 * time.Second
+	// stableAfter is how long a membership lasts before the next rejoin is
+	// immediate again. Two agents started for one host would otherwise replace
+	// each other as fast as the log takes records.
+	stableAfter = 30 * time.Second
+	retryMin    = 50 * time.Millisecond
+	retryMax    = 2 * time.Second
+	// maxRejoins makes the longest delay before a rejoin 3.2 s.
+	maxRejoins = 6
 )
 
 // Subscriber keeps the agent's view. Set the exported fields before Run.
@@ -74,6 +80,9 @@
 	entry       int
 	introduced  bool
 	replaces    *wire.Position
+	joinedAt    time.Time
+	rejoinDelay time.Duration
+	rejoins     int
 	movedStale  time.Time
 	leaving     bool
 	interrupt   context.CancelFunc
@@ -197,6 +206,7 @@
 			<-ctx.Done()
 			return nil
 		}
+		s.awaitRejoin(ctx)
 		if err := s.syncOnce(ctx); err != nil && ctx.Err() == nil {
 			log.Debug().Err(err).Msg("sync failed")
 			delay = s.pause(ctx, delay)
--- a/subscriber/syncer.go
+++ b/subscriber/syncer.go
@@ -88,6 +88,7 @@
 	s.introduced = true
 	if response.GetRejoin() {
 		log.Info().Str("host", s.spec.GetHost()).Int64("replaces", response.GetJoined().GetOffset()).Msg("the host is not a member and joins")
+		s.delayRejoin()
 		s.rejoin(response.GetJoined())
 		return
 	}
@@ -102,6 +103,9 @@
 		}
 		s.proven = true
 	}
+	if !s.view.joined {
+		s.joinedAt = s.Clock.Now()
+	}
 	if next, differs := s.view.apply(response); differs {
 		s.replaceView(next)
 	} else {
@@ -110,6 +114,30 @@
 	s.moveFromStale(entry, age)
 }
 
+// delayRejoin lets each rejoin after a short membership wait longer. The first
+// join is not preceded by a membership and doesn't wait.
+func (s *Subscriber) delayRejoin() {
+	switch {
+	case !s.view.joined:
+		s.rejoinDelay = 0
+	case s.Clock.Since(s.joinedAt) > stableAfter:
+		s.rejoinDelay, s.rejoins = 0, 0
+	default:
+		s.rejoins = min(s.rejoins+1, maxRejoins)
+		s.rejoinDelay = retryMin << s.rejoins
+	}
+}
+
+func (s *Subscriber) awaitRejoin(ctx context.Context) {
+	s.mu.Lock()
+	delay := s.rejoinDelay
+	s.rejoinDelay = 0
+	s.mu.Unlock()
+	if delay > 0 {
+		s.pause(ctx, delay)
+	}
+}
+
 func (s *Subscriber) moveFromStale(entry int, age time.Duration) {
 	now := s.Clock.Now()
 	if age <= s.StaleAfter || len(s.Entries) < 2 || now.Sub(s.movedStale) < staleMoveEvery {
