Add the agent's side of tasks

Cause: claims in the log had nobody to start, renew, stop and report them.

Ruled out: rejecting a claim by a record alone. A ClaimRejected that takes effect late would return an attempt that a successor of the agent has started; the worker therefore refuses the attempt first, and the record follows from the worker's status. Remembering orders in the agent was ruled out as well, since a restart loses them; each pass derives everything from the feed and the worker.

Change: package executor with the pure functions Decide and Confirm, the duties Reconcile, Beat and Report, and Drain. A latest start time counts the whole time since before the currency age was read.

--- /dev/null
+++ b/executor/executor_test.go
@@ -0,0 +1,363 @@
+package executor_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gopkg.in/tomb.v2"
+	"gotest.tools/v3/assert"
+
+	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/connector"
+	"damaskspread.example/damaskspread/emulator"
+	"damaskspread.example/damaskspread/executor"
+	"damaskspread.example/damaskspread/wire"
+)
+
+const (
+	pending  = wire.TaskPhase_TASK_PHASE_PENDING
+	claimed  = wire.TaskPhase_TASK_PHASE_CLAIMED
+	finished = wire.TaskPhase_TASK_PHASE_FINISHED
+)
+
+var endless = map[string]string{}
+
+// Guards against a second start after a lost answer and after a restart of
+// the agent, which has to adopt the task and renew its lease.
+func TestStartsOnceAndAdopts(t *testing.T) {
+	w := newWorld(t)
+	w.submit("x", endless)
+	w.claim("x", hostA)
+	w.fault(emulator.Fault{Host: hostA, LoseAnswers: 1})
+	w.step(3)
+	w.startAgent(hostA)
+	w.step(100)
+	assert.DeepEqual(t, w.events(), []string{"start a"})
+	assert.Equal(t, w.task("x").GetPhase(), claimed)
+}
+
+// pausedWorker stands for an agent that is paused just before a call.
+type pausedWorker struct {
+	damaskspread.WorkerClient
+	beforeStart  func()
+	beforeStatus func()
+	afterStatus  func()
+}
+
+func runOnce(hook *func()) {
+	if *hook != nil {
+		(*hook)()
+		*hook = nil
+	}
+}
+
+func (p *pausedWorker) Start(ctx context.Context, order *wire.StartRequest) (*wire.WorkerTask, error) {
+	runOnce(&p.beforeStart)
+	return p.WorkerClient.Start(ctx, order)
+}
+
+func (p *pausedWorker) Status(ctx context.Context) (*wire.StatusResponse, error) {
+	runOnce(&p.beforeStatus)
+	status, err := p.WorkerClient.Status(ctx)
+	runOnce(&p.afterStatus)
+	return status, err
+}
+
+// Guards against an agent that resumes after a pause and starts a task in a
+// zone that was taken out of service meanwhile.
+func TestPausedAgentStartsNothing(t *testing.T) {
+	for _, place := range []string{"before the status", "after the status", "before the start"} {
+		t.Run(place, func(t *testing.T) {
+			w := newWorld(t)
+			pause := func() {
+				w.setZone(false)
+				w.clock.Advance(limit + time.Second)
+			}
+			paused := &pausedWorker{WorkerClient: w.agents[hostA].Worker}
+			switch place {
+			case "before the status":
+				paused.beforeStatus = pause
+			case "after the status":
+				paused.afterStatus = pause
+			default:
+				paused.beforeStart = pause
+			}
+			w.agents[hostA].Worker = paused
+			w.submit("x", endless)
+			w.claim("x", hostA)
+			w.agents[hostA].Reconcile(t.Context())
+			assert.Equal(t, len(w.events()), 0)
+			w.step(3)
+			assert.Equal(t, len(w.events()), 0)
+			assert.Equal(t, w.task("x").GetPhase(), pending)
+			assert.Equal(t, w.task("x").GetReason(), string(damaskspread.ReasonZoneOut))
+		})
+	}
+}
+
+// Guards against a paused agent whose task outlives its lease and runs beside
+// its successor on another host.
+func TestLeaseLapsesBeforeSuccessor(t *testing.T) {
+	w := newWorld(t)
+	w.submit("x", endless)
+	w.claim("x", hostA)
+	w.step(1)
+	for range int(hold.Seconds() * 1.1) {
+		w.clock.Advance(time.Second)
+		w.stepAgent(hostB)
+	}
+	w.release(hostA, wire.ReleaseReason_RELEASE_REASON_HOLD_PASSED)
+	assert.Equal(t, w.task("x").GetPhase(), pending)
+	w.claim("x", hostB)
+	w.stepAgent(hostB)
+	w.step(3)
+	assert.DeepEqual(t, w.events(), []string{"start a", "lapse a", "start b"})
+	assert.Equal(t, len(w.platform.Records().Violations), 0)
+}
+
+// Guards against an eviction that is forgotten, or resumed twice, when the
+// agent dies between the stop and its record.
+func TestAgentDiesBeforeTaskEvicted(t *testing.T) {
+	w := newWorld(t)
+	w.submit("x", map[string]string{"run_ms": "10000"})
+	w.claim("x", hostA)
+	w.step(5)
+	w.evict("x")
+	w.agents[hostA].Reconcile(t.Context())
+	assert.DeepEqual(t, w.events(), []string{"start a", "stop a"})
+	w.startAgent(hostA)
+	w.feeds[hostA].losesAnswers = true
+	w.step(6)
+	assert.Equal(t, w.task("x").GetPhase(), pending)
+	assert.Equal(t, w.task("x").GetEvictions(), int32(1))
+	w.claim("x", hostB)
+	w.step(8)
+	assert.DeepEqual(t, w.events(), []string{"start a", "stop a", "start b", "finish b"})
+	events := w.platform.Records().Events
+	assert.Equal(t, events[2].ProgressMs, events[1].ProgressMs)
+	assert.Equal(t, w.task("x").GetResult(), wire.TaskResult_TASK_RESULT_SUCCEEDED)
+}
+
+// Guards against claims that stay on a worker that forgot their tasks, also
+// if the host does not join again.
+func TestWorkerRestart(t *testing.T) {
+	for _, joins := range []bool{true, false} {
+		t.Run(fmt.Sprintf("joins=%v", joins), func(t *testing.T) {
+			w := newWorld(t)
+			if !joins {
+				w.agents[hostA].OnRestart = nil
+			}
+			w.submit("x", endless)
+			w.claim("x", hostA)
+			w.step(1)
+			w.fault(emulator.Fault{Host: hostA, Restart: true})
+			w.step(1)
+			assert.Equal(t, w.task("x").GetPhase(), pending)
+			assert.Equal(t, w.task("x").GetAttempt(), int32(2))
+			w.step(12)
+			w.claim("x", hostB)
+			w.step(1)
+			assert.DeepEqual(t, w.events(), []string{"start a", "lost a", "start b"})
+		})
+	}
+}
+
+// Guards against lost progress when the log is down for longer than the hold:
+// the task is checkpointed and stopped before its lease ends.
+func TestLogOutageStopsBeforeLeaseEnd(t *testing.T) {
+	w := newWorld(t)
+	w.submit("x", endless)
+	w.claim("x", hostA)
+	w.step(1)
+	w.feeds[hostA].down = true
+	w.step(int(hold.Seconds() * 0.8))
+	assert.DeepEqual(t, w.events(), []string{"start a"})
+	w.step(int(hold.Seconds() * 0.2))
+	assert.DeepEqual(t, w.events(), []string{"start a", "stop a"})
+	w.feeds[hostA].down = false
+	w.step(3)
+	assert.Equal(t, w.task("x").GetPhase(), pending)
+	assert.Assert(t, w.task("x").GetCheckpoint() != "")
+}
+
+// Guards against an extension that rests on a record without effect: the host
+// was released before its HostsAlive, and its view does not show that yet.
+func TestVoidBeatExtendsNothing(t *testing.T) {
+	w := newWorld(t)
+	w.submit("x", endless)
+	w.claim("x", hostA)
+	w.step(1)
+	w.feeds[hostA].lags = true
+	w.release(hostA, wire.ReleaseReason_RELEASE_REASON_HOLD_PASSED)
+	w.step(int(hold.Seconds()))
+	assert.DeepEqual(t, w.events(), []string{"start a", "stop a"})
+	w.claim("x", hostB)
+	w.feeds[hostA].lags = false
+	w.feeds[hostA].join()
+	w.step(2)
+	assert.DeepEqual(t, w.events(), []string{"start a", "stop a", "start b"})
+}
+
+// Guards against a lease that counts a beat before the feed confirmed it.
+func TestConfirm(t *testing.T) {
+	beat := executor.Beat{Offset: 5, Boot: "b1", ReadUs: 100}
+	tests := []struct {
+		name   string
+		view   *view
+		leased bool
+		open   int
+	}{
+		{name: "batch not seen", view: &view{offset: 4, joined: true, host: aliveAt(3)}, open: 1},
+		{name: "no effect", view: &view{offset: 6, joined: true, host: aliveAt(3)}},
+		{name: "not a member", view: &view{offset: 6, host: aliveAt(5)}},
+		{name: "confirmed", view: &view{offset: 5, joined: true, host: aliveAt(5)}, leased: true},
+		{name: "confirmed by a later one", view: &view{offset: 9, joined: true, host: aliveAt(8)}, leased: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			lease, open := executor.Confirm(executor.Lease{}, []executor.Beat{beat}, test.view, time.Millisecond)
+			assert.Equal(t, lease == executor.Lease{Boot: "b1", UntilUs: 1000}, test.leased, "%+v", lease)
+			assert.Equal(t, len(open), test.open)
+		})
+	}
+}
+
+func aliveAt(offset int64) *wire.HostState {
+	return &wire.HostState{Alive: &wire.Position{Offset: offset}}
+}
+
+// Guards against a task that runs on without a valid claim.
+func TestStopsUncoveredTask(t *testing.T) {
+	w := newWorld(t)
+	w.submit("x", endless)
+	w.claim("x", hostA)
+	w.step(1)
+	w.release(hostA, wire.ReleaseReason_RELEASE_REASON_DECLARED_LOST)
+	w.feeds[hostA].join()
+	w.step(1)
+	assert.DeepEqual(t, w.events(), []string{"start a", "stop a"})
+}
+
+// Guards against a rejected claim that starts after all, and against claims
+// that wait forever on a worker that refuses them.
+func TestRejectsClaimThatCannotStart(t *testing.T) {
+	w := newWorld(t)
+	worker := &connector.Worker{Address: w.platform.WorkerURL(hostA)}
+	_, err := worker.Start(t.Context(), &wire.StartRequest{
+		Boot:         hostA + "-boot-1",
+		Spec:         &wire.TaskSpec{Task: "foreign", Resources: &wire.Resources{Millicores: 900}},
+		Token:        1 << 40,
+		LeaseUntilUs: time.Hour.Microseconds(),
+		NotAfterUs:   time.Hour.Microseconds(),
+	})
+	assert.NilError(t, err)
+	w.submit("x", endless)
+	w.claim("x", hostA)
+	token := damaskspread.Token(w.task("x").GetToken())
+	w.step(8)
+	assert.Equal(t, w.task("x").GetPhase(), claimed)
+	w.step(6)
+	assert.Equal(t, w.task("x").GetPhase(), pending)
+	assert.Equal(t, w.task("x").GetAttempt(), int32(2))
+	assert.Assert(t, w.task("x").GetReason() != "")
+	_, err = worker.Stop(t.Context(), hostA+"-boot-1", "foreign", 1<<40)
+	assert.NilError(t, err)
+	task, err := worker.Start(t.Context(), &wire.StartRequest{
+		Boot:  hostA + "-boot-1",
+		Spec:  w.task("x").GetSpec(),
+		Token: token,
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, task.GetPhase(), wire.WorkerTaskPhase_WORKER_TASK_PHASE_STOPPED)
+	// Both events are of the foreign task.
+	assert.DeepEqual(t, w.events(), []string{"start a", "stop a"})
+}
+
+// Guards against a failure of the job that is retried, one of the worker that
+// is not, and a cancellation that does not stop the task.
+func TestReportsResults(t *testing.T) {
+	tests := []struct {
+		name       string
+		parameters map[string]string
+		fault      emulator.Fault
+		cancel     bool
+		phase      wire.TaskPhase
+		result     wire.TaskResult
+	}{
+		{name: "success", parameters: map[string]string{"run_ms": "1000"}, phase: finished, result: wire.TaskResult_TASK_RESULT_SUCCEEDED},
+		{name: "job fails", parameters: map[string]string{"run_ms": "1000", "fail": "exit 1"}, phase: finished, result: wire.TaskResult_TASK_RESULT_FAILED},
+		{name: "worker fails", fault: emulator.Fault{FailStarts: true}, phase: pending},
+		{name: "canceled", cancel: true, phase: finished, result: wire.TaskResult_TASK_RESULT_CANCELED},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(t)
+			test.fault.Host = hostA
+			w.fault(test.fault)
+			w.submit("x", test.parameters)
+			w.claim("x", hostA)
+			w.step(1)
+			if test.cancel {
+				w.apply(&wire.Record{Body: &wire.Record_CancelRequested{CancelRequested: &wire.CancelRequested{Task: "x"}}})
+			}
+			w.step(4)
+			assert.Equal(t, w.task("x").GetPhase(), test.phase)
+			assert.Equal(t, w.task("x").GetResult(), test.result)
+			assert.Equal(t, len(w.events()), 2)
+		})
+	}
+}
+
+// Guards against a planned stop of the agent that interrupts tasks, and a
+// drain of the host that leaves some behind or loses their progress.
+func TestStopLeavesTasksAndDrainEvictsThem(t *testing.T) {
+	w := newWorld(t)
+	w.submit("x", endless)
+	w.claim("x", hostA)
+	run := func() *tomb.Tomb {
+		var tb tomb.Tomb
+		tb.Go(func() error { return w.agents[hostA].Run(&tb) })
+		return &tb
+	}
+	until := func(condition func() bool) {
+		deadline := time.Now().Add(20 * time.Second)
+		for !condition() {
+			assert.Assert(t, time.Now().Before(deadline), "the condition did not come true")
+			w.clock.Advance(50 * time.Millisecond)
+			time.Sleep(2 * time.Millisecond)
+		}
+	}
+	first := run()
+	until(func() bool { return len(w.events()) == 1 })
+	first.Kill(nil)
+	assert.NilError(t, first.Wait())
+	assert.DeepEqual(t, w.events(), []string{"start a"})
+
+	w.startAgent(hostA)
+	second := run()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	drained := make(chan error, 1)
+	go func() { drained <- w.agents[hostA].Drain(ctx) }()
+	until(func() bool { return len(drained) == 1 })
+	assert.NilError(t, <-drained)
+	second.Kill(nil)
+	assert.NilError(t, second.Wait())
+	assert.DeepEqual(t, w.events(), []string{"start a", "stop a"})
+	assert.Equal(t, w.task("x").GetPhase(), pending)
+	assert.Assert(t, w.task("x").GetCheckpoint() != "")
+}
+
+// Guards against batch tasks that keep the processors a service needs.
+func TestThrottlesBatchTasks(t *testing.T) {
+	w := newWorld(t)
+	w.agents[hostA].BatchShare = func() int { return 250 }
+	w.submit("x", endless)
+	w.claim("x", hostA)
+	w.step(3)
+	samples := w.agents[hostA].Usage()
+	assert.Equal(t, len(samples), 1)
+	assert.Equal(t, samples[0].GetMillicores(), int64(100))
+}
--- /dev/null
+++ b/executor/property_test.go
@@ -0,0 +1,290 @@
+package executor_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/emulator"
+	"damaskspread.example/damaskspread/executor"
+	"damaskspread.example/damaskspread/wire"
+)
+
+// simulation drives a world with random faults and checks the invariants.
+type simulation struct {
+	*world
+	t       *rapid.T
+	paused  map[string]bool
+	alive   map[string]int64
+	aliveAt map[string]time.Time
+	zoneOut time.Time
+	outages [][2]time.Time
+}
+
+func (s *simulation) host() string {
+	return rapid.SampledFrom([]string{hostA, hostB}).Draw(s.t, "host")
+}
+
+func (s *simulation) pick() string {
+	return rapid.SampledFrom([]string{"t0", "t1", "t2", "t3"}).Draw(s.t, "task")
+}
+
+func (s *simulation) act() {
+	host := s.host()
+	switch rapid.IntRange(0, 14).Draw(s.t, "action") {
+	case 0, 1, 2:
+		s.claim(s.pick(), host)
+	case 3:
+		s.evict(s.pick())
+	case 4:
+		s.paused[host] = !s.paused[host]
+	case 5:
+		s.feeds[host].down = !s.feeds[host].down
+	case 6:
+		s.feeds[host].losesAnswers = !s.feeds[host].losesAnswers
+	case 7:
+		s.fault(emulator.Fault{Host: host, LoseAnswers: 2})
+	case 8:
+		s.fault(emulator.Fault{Host: host, Restart: true})
+	case 9:
+		s.startAgent(host)
+	case 10:
+		s.switchZone()
+	case 11:
+		s.clock.Advance(time.Duration(rapid.IntRange(1, 20).Draw(s.t, "seconds")) * time.Second)
+	case 12:
+		s.pauseInCall(host)
+	case 13:
+		s.fault(emulator.Fault{Host: host, FailStarts: true})
+	case 14:
+		s.feeds[host].lags = !s.feeds[host].lags
+	}
+}
+
+func (s *simulation) switchZone() {
+	now := s.clock.Now()
+	if s.zoneOut.IsZero() {
+		s.zoneOut = now
+		s.setZone(false)
+		return
+	}
+	s.outages = append(s.outages, [2]time.Time{s.zoneOut, now})
+	s.zoneOut = time.Time{}
+	s.setZone(true)
+}
+
+// pauseInCall pauses the agent in its next status or start call, long enough
+// to take the zone out of service meanwhile.
+func (s *simulation) pauseInCall(host string) {
+	pause := time.Duration(rapid.IntRange(1, 60).Draw(s.t, "pause")) * time.Second
+	stop := func() {
+		if s.zoneOut.IsZero() {
+			s.switchZone()
+		}
+		s.clock.Advance(pause)
+	}
+	worker := &pausedWorker{WorkerClient: s.agents[host].Worker}
+	hooks := []*func(){&worker.beforeStart, &worker.beforeStatus, &worker.afterStatus}
+	*rapid.SampledFrom(hooks).Draw(s.t, "place") = stop
+	s.agents[host].Worker = worker
+}
+
+// releaseSilent does what an entry does with a host whose heartbeat stopped.
+func (s *simulation) releaseSilent() {
+	for _, host := range []string{hostA, hostB} {
+		state, _ := s.state.Host(host)
+		token := damaskspread.Token(state.GetAlive())
+		if s.alive[host] != token {
+			s.alive[host] = token
+			s.aliveAt[host] = s.clock.Now()
+		}
+		if s.clock.Since(s.aliveAt[host]) > hold*11/10 && !state.GetExpired() {
+			s.release(host, wire.ReleaseReason_RELEASE_REASON_HOLD_PASSED)
+		}
+	}
+}
+
+// rejoin does what the subscriber does when its incarnation is no member.
+func (s *simulation) rejoin(host string) {
+	if f := s.feeds[host]; !f.down && !f.View().Joined() {
+		f.join()
+	}
+}
+
+func (s *simulation) round() {
+	s.clock.Advance(500 * time.Millisecond)
+	s.releaseSilent()
+	for _, host := range []string{hostA, hostB} {
+		if !s.paused[host] {
+			s.rejoin(host)
+			s.stepAgent(host)
+		}
+	}
+}
+
+func (s *simulation) check() {
+	history := s.platform.Records()
+	assert.Equal(s.t, len(history.Violations), 0, "%v", history.Violations)
+	outages := s.outages
+	if !s.zoneOut.IsZero() {
+		outages = append(slices.Clone(outages), [2]time.Time{s.zoneOut, s.clock.Now().Add(time.Hour)})
+	}
+	for _, event := range history.Events {
+		for _, outage := range outages {
+			at := time.UnixMicro(event.WallUnixUs)
+			late := event.Kind == "start" && at.After(outage[0].Add(limit)) && at.Before(outage[1])
+			assert.Assert(s.t, !late, "%+v started in a zone out of service since %v", event, outage[0])
+		}
+	}
+}
+
+// heal ends all faults; then every claim must soon run or be settled.
+func (s *simulation) heal() {
+	for _, host := range []string{hostA, hostB} {
+		s.paused[host] = false
+		s.feeds[host].down = false
+		s.feeds[host].lags = false
+		s.feeds[host].losesAnswers = false
+		s.fault(emulator.Fault{Host: host})
+	}
+	if !s.zoneOut.IsZero() {
+		s.switchZone()
+	}
+	for range 30 {
+		s.round()
+	}
+	for _, host := range []string{hostA, hostB} {
+		status, err := s.agents[host].Worker.Status(context.Background())
+		assert.NilError(s.t, err)
+		running := map[int64]bool{}
+		for _, task := range status.GetTasks() {
+			running[task.GetToken()] = task.GetPhase() == wire.WorkerTaskPhase_WORKER_TASK_PHASE_RUNNING
+		}
+		for claim := range s.state.ClaimsOf(host) {
+			assert.Assert(s.t, running[damaskspread.Token(claim.GetToken())], "%v does not run", claim)
+			delete(running, damaskspread.Token(claim.GetToken()))
+		}
+		for token, runs := range running {
+			assert.Assert(s.t, !runs, "token %d runs without a claim", token)
+		}
+	}
+}
+
+// Guards against any combination of faults that runs a task twice at once,
+// overcommits a host, starts in a zone out of service, or strands a claim.
+func TestInvariantsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &simulation{
+			world:   newWorld(t),
+			t:       t,
+			paused:  map[string]bool{},
+			alive:   map[string]int64{},
+			aliveAt: map[string]time.Time{},
+		}
+		for i := range 4 {
+			parameters := map[string]string{}
+			if i%2 == 0 {
+				parameters["run_ms"] = "15000"
+			}
+			s.submit(fmt.Sprintf("t%d", i), parameters)
+		}
+		for range rapid.IntRange(8, 30).Draw(t, "rounds") {
+			s.act()
+			s.round()
+		}
+		s.heal()
+		s.check()
+	})
+}
+
+// Guards against a decision that one of the start conditions forbids, and
+// against contradictory orders for one attempt.
+func TestDecideProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSituation(t)
+		plan := executor.Decide(s)
+		v := s.View.(*view)
+		covered := map[int64]bool{}
+		for _, claim := range v.claims {
+			covered[damaskspread.Token(claim.GetToken())] = v.joined
+		}
+		ordered := map[int64]int{}
+		for _, start := range plan.Starts {
+			ordered[start.GetToken()]++
+			assert.Assert(t, covered[start.GetToken()] && !s.Known[start.GetToken()])
+			assert.Assert(t, !s.Draining && !v.Leaving() && v.ZoneInService(s.Zone))
+			assert.Assert(t, s.NotAfterUs > s.Status.GetNowUs() && s.Lease.Boot == s.Status.GetBoot())
+			assert.Equal(t, start.GetLeaseUntilUs(), s.Lease.UntilUs)
+		}
+		for _, renewal := range plan.Renewals {
+			ordered[renewal.GetToken()]++
+			assert.Assert(t, covered[renewal.GetToken()] && renewal.GetLeaseUntilUs() == s.Lease.UntilUs)
+		}
+		for _, stop := range plan.Stops {
+			ordered[stop.Token]++
+		}
+		for _, task := range s.Status.GetTasks() {
+			if covered[task.GetToken()] || task.GetPhase() != wire.WorkerTaskPhase_WORKER_TASK_PHASE_RUNNING {
+				continue
+			}
+			void := v.joined && task.GetToken() < damaskspread.Token(&wire.Position{Offset: v.offset + 1})
+			left := time.Duration(task.GetLeaseUntilUs()-s.Status.GetNowUs()) * time.Microsecond
+			assert.Equal(t, ordered[task.GetToken()] == 1, void || left < s.Margin)
+		}
+		for token, orders := range ordered {
+			assert.Equal(t, orders, 1, "token %d", token)
+		}
+	})
+}
+
+func drawSituation(t *rapid.T) executor.Situation {
+	boot := rapid.SampledFrom([]string{"b1", "b2"})
+	us := rapid.Int64Range(0, 100)
+	v := &view{
+		offset:   rapid.Int64Range(0, 8).Draw(t, "offset"),
+		joined:   rapid.Bool().Draw(t, "joined"),
+		host:     &wire.HostState{Leaving: rapid.Bool().Draw(t, "leaving")},
+		zonesOut: map[string]bool{zone: rapid.Bool().Draw(t, "zone out")},
+	}
+	s := executor.Situation{
+		View:       v,
+		Status:     &wire.StatusResponse{Boot: boot.Draw(t, "boot"), NowUs: us.Draw(t, "now")},
+		Zone:       zone,
+		Lease:      executor.Lease{Boot: boot.Draw(t, "lease boot"), UntilUs: us.Draw(t, "lease")},
+		Margin:     time.Duration(us.Draw(t, "margin")) * time.Microsecond,
+		NotAfterUs: us.Draw(t, "not after"),
+		Draining:   rapid.Bool().Draw(t, "draining"),
+		Known:      map[int64]bool{},
+		Overdue:    map[int64]bool{},
+	}
+	for offset := range int64(10) {
+		name := fmt.Sprintf("t%d", offset)
+		at := &wire.Position{Offset: offset}
+		if offset <= v.offset && rapid.Bool().Draw(t, "claimed") {
+			v.claims = append(v.claims, &wire.TaskState{
+				Spec:              &wire.TaskSpec{Task: name},
+				Token:             at,
+				WorkerBoot:        boot.Draw(t, "claim boot"),
+				CancelRequested:   rapid.Bool().Draw(t, "cancel"),
+				EvictionRequested: rapid.Bool().Draw(t, "evict"),
+			})
+		}
+		s.Overdue[damaskspread.Token(at)] = rapid.Bool().Draw(t, "overdue")
+		if rapid.Bool().Draw(t, "at worker") {
+			s.Known[damaskspread.Token(at)] = true
+			s.Status.Tasks = append(s.Status.Tasks, &wire.WorkerTask{
+				Task:         name,
+				Token:        damaskspread.Token(at),
+				Phase:        wire.WorkerTaskPhase(rapid.IntRange(1, 5).Draw(t, "phase")),
+				LeaseUntilUs: us.Draw(t, "task lease"),
+			})
+		}
+	}
+	return s
+}
