Send histories to all peers at once and test incomplete transfers and expiry

Cause: a peer that does not answer delayed the transfers to the others by a second for each shard; two rules were covered only by rare histories of the model. Change: one transfer sequence per peer; directed tests for late messages, transfers of incomplete primaries, and key lifetime.

--- a/deduplicator/deduplicator_test.go
+++ b/deduplicator/deduplicator_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"gopkg.in/tomb.v2"
 	"gotest.tools/v3/assert"
 
 	"damaskspread.example/damaskspread"
@@ -209,7 +210,7 @@
 }
 
 // Guards against a result for another body, a result that is too large, memory
-// without bound, a key forgotten early, and one that is never forgotten.
+// without bound, and a key that is forgotten when the memory is full.
 func TestResultsAndMemory(t *testing.T) {
 	p := newPair("a", "b")
 	p.assign(0, 1, "a", "b", true, "a", "b")
@@ -279,3 +280,49 @@
 		}
 	})
 }
+
+// Guards against a late message of an earlier epoch, and against a transfer by
+// a primary without the whole history, that make a secondary believe it knows
+// every key.
+func TestIncompleteTransfers(t *testing.T) {
+	p := newPair("a", "b")
+	p.assign(0, 1, "a", "b", true, "a", "b")
+	p.assign(2, 3, "a", "b", false, "a", "b") // epoch 2 was skipped
+	answer := p.agents["b"].Accept(&wire.ReplicateRequest{
+		Service: service, Epoch: at(1), From: ref("a"), CompletesTransfer: true,
+	})
+	assert.Equal(t, answer.GetReason(), string(damaskspread.ReasonStaleEpoch))
+	_, refusal := p.run("b", call(3, "k"), 0)
+	mustOutcome(t, refusal, unknown, damaskspread.ReasonHistoryLost)
+	p.synchronize(t, "a", "b")
+	_, refusal = p.run("b", call(3, "k"), 0)
+	mustOutcome(t, refusal, unknown, damaskspread.ReasonHistoryLost)
+	assert.Equal(t, p.ready, 0)
+}
+
+// Guards against a key that is forgotten before its lifetime passed, or never.
+func TestKeyLifetime(t *testing.T) {
+	p := newPair("a", "b")
+	p.assign(0, 1, "a", "b", true, "a", "b")
+	ran, _ := p.run("a", call(1, "k"), 10)
+	assert.Assert(t, ran)
+	end := p.clock.Now().Add(time.Minute)
+	var running tomb.Tomb
+	running.Go(func() error { return p.agents["a"].Run(&running) })
+	defer func() {
+		running.Kill(nil)
+		assert.NilError(t, running.Wait())
+	}()
+	for limit := time.Now().Add(30 * time.Second); ; {
+		assert.NilError(t, p.clock.BlockUntilContext(context.Background(), 1))
+		now := p.clock.Now()
+		ticket, known, _ := p.agents["a"].Begin(expired(), call(1, "k"))
+		if ticket != nil {
+			assert.Assert(t, p.clock.Now().After(end))
+			return
+		}
+		assert.Assert(t, known != nil)
+		assert.Assert(t, time.Now().Before(limit), "still known at %v", now)
+		p.clock.Advance(200 * time.Millisecond)
+	}
+}
--- a/deduplicator/replicate.go
+++ b/deduplicator/replicate.go
@@ -67,12 +67,12 @@
 func (d *Deduplicator) Synchronize(ctx context.Context) error {
 	d.mu.Lock()
 	d.start()
-	var moved []*shard
+	moved := map[string][]*shard{}
 	ready := map[string][]*wire.ShardEpoch{}
 	for _, sh := range d.shards {
 		switch {
 		case sh.role == rolePrimary && !sh.transferred && sh.state.GetSecondary() != nil:
-			moved = append(moved, sh)
+			moved[sh.peer] = append(moved[sh.peer], sh)
 		case sh.role == roleSecondary && sh.announce && !sh.state.GetReady():
 			ready[sh.id.service] = append(ready[sh.id.service], &wire.ShardEpoch{
 				Shard: sh.id.shard,
@@ -88,8 +88,35 @@
 			failed = err
 		}
 	}
-	for _, sh := range moved {
-		if err := d.transfer(ctx, sh); err != nil {
+	if err := d.transferAll(ctx, moved); err != nil {
+		failed = err
+	}
+	return failed
+}
+
+// transferAll sends to all peers at once, so that one that does not answer
+// doesn't delay the others.
+func (d *Deduplicator) transferAll(ctx context.Context, moved map[string][]*shard) error {
+	failures := make(chan error, len(moved))
+	send := func(shards []*shard) {
+		for _, sh := range shards {
+			if err := d.transfer(ctx, sh); err != nil {
+				failures <- err
+				return
+			}
+		}
+		failures <- nil
+	}
+	for _, shards := range moved {
+		if len(moved) == 1 {
+			send(shards)
+			break
+		}
+		go send(shards)
+	}
+	var failed error
+	for range moved {
+		if err := <-failures; err != nil {
 			failed = err
 		}
 	}
