--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -132,11 +132,11 @@
 	clock := clockwork.NewFakeClock()
 	e := newEstimator(clock, damaskspread.Objective{})
 	observe(e, clock, 200, map[string]float64{"noisy": 0.6})
-	noisy, quiet := e.Cost("h0", "tags", "noisy"), e.Cost("h0", "tags", "quiet")
+	noisy, quiet := e.Slowdown("h0", "tags", "noisy"), e.Slowdown("h0", "tags", "quiet")
 	assert.Assert(t, noisy > 0.4 && noisy < 0.8, "noisy %.2f", noisy)
 	assert.Assert(t, quiet < 0.1, "quiet %.2f", quiet)
 	clock.Advance(24 * time.Hour)
-	assert.Assert(t, e.Cost("h0", "tags", "noisy") < 0.1, "an old measurement is never forgotten")
+	assert.Assert(t, e.Slowdown("h0", "tags", "noisy") < 0.1, "an old measurement is never forgotten")
 }
 
 // Guards against objective weights without effect, and against responses
--- a/estimator/interference.go
+++ b/estimator/interference.go
@@ -22,7 +22,9 @@
 	// of publishShare and an absolute one of publishStep; otherwise the noise
 	// of measurements would move tasks back and forth.
 	publishShare = 0.2
-	publishStep  = 0.05
+	publishStep  = 0.03
+	// smallestBase keeps a model with one very slow first sample usable.
+	smallestBase = 0.01
 	// smoothing of a host's measured slowdown.
 	smoothing = 0.3
 )
@@ -32,11 +34,13 @@
 	level   int
 }
 
-// model predicts the logarithm of a service time as a base plus a share per
-// running task of each kind.
+// model predicts a service time as a base plus a part per running task of
+// each kind. Several slow tasks add up; the logarithm of the service time
+// would make each of them look smaller the more of them run.
 type model struct {
+	// unit is the first service time; other values are multiples of it.
+	unit  float64
 	base  float64
-	known bool
 	kinds map[string]*influence
 }
 
@@ -48,8 +52,9 @@
 
 // present is what ran on a host from a time on.
 type present struct {
-	from  time.Time
-	kinds map[string]int
+	from time.Time
+	// kinds counts tasks by kind; a throttled one counts in part.
+	kinds map[string]float64
 }
 
 type hostView struct {
@@ -61,6 +66,10 @@
 	slowdown float64
 	hot      bool
 	acted    time.Time
+	// expected is the predicted slowdown by the host's tasks. It is computed
+	// again after a change of the tasks and after each measurement.
+	expected      float64
+	expectedValid bool
 }
 
 func (e *Estimator) host(id string) *hostView {
@@ -75,9 +84,10 @@
 }
 
 func (h *hostView) note(now time.Time) {
-	kinds := map[string]int{}
+	h.expectedValid = false
+	kinds := map[string]float64{}
 	for _, r := range h.tasks {
-		kinds[r.spec.GetKind()]++
+		kinds[r.spec.GetKind()] += float64(r.permille) / 1000
 	}
 	// The entry before the window still describes its beginning.
 	for len(h.history) > 1 && now.Sub(h.history[1].from) > historyKept {
@@ -89,7 +99,7 @@
 	})
 }
 
-func (h *hostView) kindsAt(t time.Time) map[string]int {
+func (h *hostView) kindsAt(t time.Time) map[string]float64 {
 	for i := len(h.history) - 1; i >= 0; i-- {
 		if !h.history[i].from.After(t) {
 			return h.history[i].kinds
@@ -108,15 +118,15 @@
 	e.init()
 	h := e.host(host)
 	h.level = loadLevel(load)
+	h.expectedValid = false
 	if h.service == "" {
 		return
 	}
 	now := e.Clock.Now()
 	kinds := h.kindsAt(now.Add(-e.LoadLag))
 	m := e.model(h.service, h.level)
-	measured := math.Log(float64(load.GetServiceTimeUs()))
-	m.learn(measured, kinds, now)
-	h.slowdown += smoothing * (measured - m.base - h.slowdown)
+	measured := m.learn(float64(load.GetServiceTimeUs()), kinds, now)
+	h.slowdown += smoothing * (measured/m.base - 1 - h.slowdown)
 }
 
 func loadLevel(load *wire.EndpointLoad) int {
@@ -142,25 +152,29 @@
 }
 
 // learn splits the error of the prediction among the base and the kinds that
-// were present, in proportion to their number.
-func (m *model) learn(measured float64, kinds map[string]int, now time.Time) {
-	if !m.known {
-		m.base, m.known = measured, true
+// were present, in proportion to their number. It returns the service time in
+// units of the model.
+func (m *model) learn(micros float64, kinds map[string]float64, now time.Time) float64 {
+	if m.unit == 0 {
+		m.unit, m.base = micros, 1
 	}
+	measured := micros / m.unit
 	predicted, norm := m.base, 1.0
-	for kind, n := range kinds {
-		x := float64(n)
-		predicted += m.influence(kind, now).learned * x
-		norm += x * x
+	present := sortedKeys(kinds)
+	for _, kind := range present {
+		n := kinds[kind]
+		predicted += m.influence(kind, now).learned * n
+		norm += n * n
 	}
 	step := learningRate * (measured - predicted) / norm
-	m.base += step
-	for kind, n := range kinds {
-		i := m.kinds[kind]
-		i.learned = max(0, i.learned+step*float64(n))
+	m.base = max(m.base+step, smallestBase)
+	for _, kind := range present {
+		i, n := m.kinds[kind], kinds[kind]
+		i.learned = max(0, i.learned+step*n)
 		i.observed = now
-		i.publish()
+		i.publish(m.base)
 	}
+	return measured
 }
 
 // influence returns a kind's values after forgetting since the last look.
@@ -175,28 +189,65 @@
 	if idle := now.Sub(i.observed); idle > 0 {
 		i.learned *= math.Exp(-float64(idle) / float64(forgetting))
 		i.observed = now
-		i.publish()
+		i.publish(m.base)
 	}
 	return i
 }
 
-func (i *influence) publish() {
-	if change := math.Abs(i.learned - i.published); change > max(publishStep, publishShare*i.published) {
-		i.published = i.learned
+// publish updates the relative slowdown that decisions use.
+func (i *influence) publish(base float64) {
+	relative := i.learned / base
+	if change := math.Abs(relative - i.published); change > max(publishStep, publishShare*i.published) {
+		i.published = relative
 	}
 }
 
-// Cost is the expected relative slowdown of the service of a host, at its
-// present load, by one more task of a kind.
+// Cost is the cost of one more task of a kind for the service of a host. It
+// grows with the square of the expected slowdown, so that noisy kinds spread
+// over hosts instead of meeting on one, and is 1 for a slowdown from nothing
+// to the point where the host counts as hot.
 func (e *Estimator) Cost(host, service, kind string) float64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.init()
-	level := 0
-	if h := e.hosts[host]; h != nil {
-		level = h.level
+	present, more := e.expect(host, service, kind)
+	return ((present+more)*(present+more) - present*present) / (hotSlowdown * hotSlowdown)
+}
+
+// Slowdown is the expected relative slowdown of the service of a host by one
+// task of a kind alone.
+func (e *Estimator) Slowdown(host, service, kind string) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.init()
+	_, more := e.expect(host, service, kind)
+	return more
+}
+
+// Crowded reports whether one more task of a kind would make a host hot. The
+// first noisy task of a host is never refused: it could run nowhere.
+func (e *Estimator) Crowded(host, service, kind string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.init()
+	present, more := e.expect(host, service, kind)
+	return present > publishStep && more > publishStep && present+more > hotSlowdown
+}
+
+// expect returns the slowdown by the tasks of a host and by one more of a kind.
+func (e *Estimator) expect(host, service, kind string) (present, more float64) {
+	h := e.hosts[host]
+	if h == nil {
+		return 0, e.published(service, kind, 0)
+	}
+	if !h.expectedValid {
+		h.expected, h.expectedValid = 0, true
+		kinds := h.kindsAt(e.Clock.Now())
+		for _, kind := range sortedKeys(kinds) {
+			h.expected += e.published(service, kind, h.level) * kinds[kind]
+		}
 	}
-	return math.Expm1(e.published(service, kind, level))
+	return h.expected, e.published(service, kind, h.level)
 }
 
 // published returns the value at the nearest load level with one.
--- a/estimator/response.go
+++ b/estimator/response.go
@@ -83,6 +83,7 @@
 		}
 		h.acted = now
 		h.tasks[response.Task].permille = response.Permille
+		h.note(now)
 		responses = append(responses, response)
 	}
 	slices.SortFunc(responses, func(a, b Response) int { return strings.Compare(a.Host, b.Host) })
@@ -92,7 +93,7 @@
 func (e *Estimator) respond(id string, h *hostView) (Response, bool) {
 	var best Response
 	gain := 0.0
-	for _, task := range sortedTasks(h.tasks) {
+	for _, task := range sortedKeys(h.tasks) {
 		r := h.tasks[task]
 		if r.spec.GetClass() == wire.TaskClass_TASK_CLASS_LATENCY_CRITICAL || r.permille == 0 {
 			continue
@@ -125,13 +126,15 @@
 	return best, gain > 0
 }
 
-func sortedTasks(tasks map[string]*running) []string {
-	ids := make([]string, 0, len(tasks))
-	for id := range tasks {
-		ids = append(ids, id)
+// sortedKeys fixes the order of sums and choices, so that equal inputs lead to
+// equal results.
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
 	}
-	slices.Sort(ids)
-	return ids
+	slices.Sort(keys)
+	return keys
 }
 
 // weigh returns the better of throttling and evicting a task and its gain, by
--- a/placement.go
+++ b/placement.go
@@ -47,6 +47,9 @@
 	BindingQuota      Binding = "quota"
 	BindingQuarantine Binding = "quarantine"
 	BindingNoHost     Binding = "no_host"
+	// BindingInterference means that the task would slow the services of all
+	// hosts with room more than the objective allows.
+	BindingInterference Binding = "interference"
 )
 
 // PlacementRefusedError names the constraint that keeps a task waiting.
--- a/placer/capable.go
+++ b/placer/capable.go
@@ -9,8 +9,9 @@
 // Room is a host that could hold a task if other tasks left it.
 type Room struct {
 	Host string
-	// Free is what is left now; values are negative if reserved room is
-	// still in use.
+	// Free is what commitments and reservations for urgent tasks leave; values
+	// are negative if reserved room is still in use. Measured use beyond the commitments is
+	// not subtracted: it lags behind, so evicting for it evicts too much.
 	Free *wire.Resources
 }
 
@@ -30,7 +31,7 @@
 		}
 		rooms = append(rooms, Room{
 			Host: h.id,
-			Free: h.free().wire(),
+			Free: h.capacity.minus(h.used).minus(h.held).wire(),
 		})
 		if len(rooms) == limit {
 			break
--- a/placer/index.go
+++ b/placer/index.go
@@ -63,10 +63,12 @@
 type host struct {
 	id, boot, rack, service string
 
-	zone         *zone
-	capacity     amount
-	used         amount
-	reserved     amount
+	zone     *zone
+	capacity amount
+	used     amount
+	reserved amount
+	// held is the part of reserved that is kept for urgent tasks.
+	held         amount
 	excess       amount
 	member       bool
 	admission    Admission
@@ -266,6 +268,9 @@
 	x.reservations[spec.GetTask()] = c
 	x.unlist(h)
 	h.reserved = h.reserved.plus(c.need)
+	if isUrgent(spec) {
+		h.held = h.held.plus(c.need)
+	}
 	x.list(h)
 }
 
@@ -278,20 +283,29 @@
 	delete(x.reservations, task)
 	x.unlist(c.host)
 	c.host.reserved = c.host.reserved.minus(c.need)
+	if isUrgent(c.spec) {
+		c.host.held = c.host.held.minus(c.need)
+	}
 	x.list(c.host)
 	x.freed++
 }
 
-// Reserved returns the host that holds room for a task, and whether the room
-// is free now.
-func (x *Index) Reserved(task string) (id, boot string, ready bool) {
+// Reserved returns the host that holds room for a task, whether the host still
+// takes tasks, and whether the room is free now.
+func (x *Index) Reserved(task string) (id, boot string, usable, ready bool) {
 	c, ok := x.reservations[task]
 	if !ok {
-		return "", "", false
+		return "", "", false, false
 	}
 	h := c.host
-	ready = h.available() && h.zone.inService && h.capacity.minus(h.used).holds(c.need)
-	return h.id, h.boot, ready
+	usable = h.available() && h.zone.inService
+	room := h.capacity.minus(h.used)
+	// The victims of an urgent task must not make room for a batch task that
+	// gathers room on the same host.
+	if !isUrgent(c.spec) {
+		room = room.minus(h.held)
+	}
+	return h.id, h.boot, usable, usable && room.holds(c.need)
 }
 
 func (x *Index) countKind(c commitment, n int) {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -8,10 +8,12 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/estimator"
 	"damaskspread.example/damaskspread/placer"
 	"damaskspread.example/damaskspread/wire"
 )
@@ -269,17 +271,26 @@
 }
 
 // BenchmarkPlace places and releases one task on hosts that hold the running
-// tasks of the target size, and reports the median decision.
+// tasks of the target size, with interference estimates, and reports the median
+// decision.
 func BenchmarkPlace(b *testing.B) {
 	for _, hosts := range []int{775, 1550, 3100} {
 		b.Run(fmt.Sprint("hosts=", hosts), func(b *testing.B) {
 			x := placer.NewIndex()
+			e := &estimator.Estimator{
+				Clock: clockwork.NewFakeClockAt(start),
+			}
 			for i := range hosts {
 				state := hostIn(fmt.Sprint("h", i), fmt.Sprint("z", i%10), 32_000, 120, int64(i%2*3))
 				state.Spec.Rack = fmt.Sprint("rack", i/3)
+				state.Spec.Endpoint = &wire.EndpointSpec{
+					Service: "service",
+				}
 				x.SetHost(state)
+				e.SetHost(state.GetSpec())
 			}
 			p := spread(x, 1)
+			p.Interference = e
 			random := rand.New(rand.NewPCG(2, 0))
 			for i := range hosts * 35_400 / 3_100 {
 				spec := batch(fmt.Sprint("r", i), resources(500+random.Int64N(3_000), 1+random.Int64N(10), 0))
@@ -287,6 +298,12 @@
 				placed, err := place(p, spec)
 				assert.NilError(b, err)
 				x.Commit(spec, placed.Host)
+				e.Started(spec, placed.Host, int64(i))
+				e.ObserveLoad(placed.Host, &wire.EndpointLoad{
+					Running:       int32(i % 8),
+					Limit:         8,
+					ServiceTimeUs: 1_000 + int64(i%1_000),
+				})
 			}
 			durations := make([]time.Duration, 0, 1<<20)
 			b.ReportAllocs()
@@ -327,3 +344,24 @@
 	slices.Sort(durations)
 	return durations[len(durations)/2]
 }
+
+// Guards against a batch task that gathers room on a host and takes the room
+// of victims that were evicted there for an urgent task.
+func TestReservedRoomGoesToTheUrgentTask(t *testing.T) {
+	x := placer.NewIndex()
+	x.SetHost(hostIn("a", "z1", 16_000, 60, 0))
+	x.Commit(batch("stays", resources(8_000, 1, 0)), "a")
+	x.Commit(batch("victim", resources(8_000, 1, 0)), "a")
+	urgent := batch("urgent", resources(4_000, 1, 0))
+	urgent.Class = wire.TaskClass_TASK_CLASS_LATENCY_CRITICAL
+	x.Reserve(batch("waits", resources(6_000, 1, 0)), "a")
+	x.Reserve(urgent, "a")
+	x.Release("victim")
+	_, _, _, ready := x.Reserved("waits")
+	assert.Assert(t, !ready)
+	_, _, _, ready = x.Reserved("urgent")
+	assert.Assert(t, ready)
+	x.SetZone("z1", false, start)
+	_, _, usable, ready := x.Reserved("urgent")
+	assert.Assert(t, !usable && !ready)
+}
--- a/placer/refusal.go
+++ b/placer/refusal.go
@@ -34,6 +34,8 @@
 		return refuse(damaskspread.BindingQuarantine, false, "the %d hosts that could hold it are set aside", s.inService)
 	case blocked == damaskspread.BindingHeadroom:
 		return refuse(blocked, false, "the room is kept for urgent tasks after the loss of a zone")
+	case blocked == damaskspread.BindingInterference:
+		return refuse(blocked, false, "kind %s would slow the services of the hosts with room", spec.GetKind())
 	case blocked == damaskspread.BindingZone:
 		return refuse(blocked, false, "a returned zone takes batch tasks gradually")
 	}
--- a/placer/spread.go
+++ b/placer/spread.go
@@ -13,10 +13,16 @@
 
 // Interference predicts how much a task kind slows the service of a host.
 type Interference interface {
-	// Cost is the expected relative slowdown at the host's present load.
+	// Cost is the cost at the host's present load and with its present tasks.
 	Cost(host, service, kind string) float64
+	// Crowded reports whether the service would be slowed beyond its limit.
+	Crowded(host, service, kind string) bool
 }
 
+// protectWeight is the weight of tail latency from which on a batch task
+// waits instead of slowing a service beyond its limit.
+const protectWeight = 1.5
+
 // scoredPerDecision bounds the work of a decision independently of the number
 // of hosts; more than about 40 samples no longer changed the score noticeably.
 const scoredPerDecision = 40
@@ -43,6 +49,10 @@
 	if len(p.sample) == 0 && len(task.Avoid) > 0 {
 		p.collect(task, need, now, nil)
 	}
+	if p.protect(task.Spec) {
+		p.blocked = damaskspread.BindingInterference
+		return damaskspread.Placement{}, p.Index.refusal(task.Spec, p.blocked)
+	}
 	if len(p.sample) == 0 {
 		return damaskspread.Placement{}, p.Index.refusal(task.Spec, p.blocked)
 	}
@@ -66,6 +76,18 @@
 	}, nil
 }
 
+// protect removes hosts whose service a batch task would slow too much and
+// reports whether none is left.
+func (p *Spread) protect(spec *wire.TaskSpec) bool {
+	if p.Interference == nil || isUrgent(spec) || p.latencyWeight() < protectWeight || len(p.sample) == 0 {
+		return false
+	}
+	p.sample = slices.DeleteFunc(p.sample, func(h *host) bool {
+		return h.service != "" && p.Interference.Crowded(h.id, h.service, spec.GetKind())
+	})
+	return len(p.sample) == 0
+}
+
 type score struct {
 	total, load, spread, interference, accelerators float64
 }
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -23,7 +23,8 @@
 	// retryEvery is the pause between tries of refused batch tasks. With 36,000
 	// tasks waiting for room on full hosts, a try in every round costs four
 	// times as much and starts as many tasks.
-	retryEvery = 400 * time.Millisecond
+	retryEvery     = 400 * time.Millisecond
+	retryUnchanged = 5 * time.Second
 	// measuredPerRound bounds how many hosts are compared with their samples.
 	measuredPerRound = 64
 	// finishedPerRound bounds the records that end tasks.
@@ -89,7 +90,10 @@
 // tasks always try, as they can preempt.
 func (p *Planner) unblock(now time.Time) {
 	p.urgent.unblock()
-	if now.Sub(p.unblocked) < retryEvery || p.Index.Freed() == p.freed && !p.stale && !p.Index.Ramping(now) {
+	waited := now.Sub(p.unblocked)
+	unchanged := p.Index.Freed() == p.freed && !p.stale && !p.Index.Ramping(now)
+	// The load of services changes without room appearing.
+	if waited < retryEvery || unchanged && waited < retryUnchanged {
 		return
 	}
 	p.unblocked = now
@@ -225,7 +229,7 @@
 			Detail:  err.Error(),
 		}
 	}
-	if !refusal.Never {
+	if !refusal.Never && lacksRoom(refusal) {
 		p.rememberRefusal(i, refusal)
 	}
 	p.refuse(out, i, refusal)
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -162,7 +162,7 @@
 	case i.urgent():
 		hold = urgentHold
 	}
-	host, boot, ready := p.Index.Reserved(i.spec.GetTask())
+	host, boot, usable, ready := p.Index.Reserved(i.spec.GetTask())
 	if owned && ready && out.claims > 0 && p.team(i.spec.GetTeam()).overQuota(i.spec.GetResources()) == nil {
 		p.claim(out, i, damaskspread.Placement{
 			Host:       host,
@@ -171,7 +171,7 @@
 		})
 		return
 	}
-	if out.now.Sub(i.since) < hold {
+	if usable && out.now.Sub(i.since) < hold {
 		return
 	}
 	to := queued
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -51,6 +51,14 @@
 
 func (i *item) urgent() bool { return isUrgent(i.spec) }
 
+// before orders tasks by the end of their wait.
+func (i *item) before(other *item) bool {
+	if !i.deadline.Equal(other.deadline) {
+		return i.deadline.Before(other.deadline)
+	}
+	return i.spec.GetTask() < other.spec.GetTask()
+}
+
 func isUrgent(spec *wire.TaskSpec) bool {
 	return spec.GetClass() == wire.TaskClass_TASK_CLASS_LATENCY_CRITICAL
 }
@@ -66,12 +74,13 @@
 	return time.UnixMilli(spec.GetSubmittedUnixMs()).Add(wait)
 }
 
-// shape groups tasks whose needs lie within a factor of two, so that one
-// refusal stands for all of them.
+// shape groups tasks of one kind whose needs lie within a factor of two, so
+// that one refusal stands for all of them.
 type shape struct {
 	millicores, memory int
 	accelerators       int64
 	zones              string
+	kind               string
 	firm               bool
 }
 
@@ -82,6 +91,7 @@
 		memory:       bits.Len64(uint64(need.GetMemoryBytes())),
 		accelerators: need.GetAccelerators(),
 		zones:        strings.Join(spec.GetZones(), ","),
+		kind:         spec.GetKind(),
 		firm:         !spec.GetCanCheckpoint(),
 	}
 }
@@ -98,12 +108,7 @@
 
 func (q *shapeQueue) Len() int { return len(q.items) }
 
-func (q *shapeQueue) Less(a, b int) bool {
-	if !q.items[a].deadline.Equal(q.items[b].deadline) {
-		return q.items[a].deadline.Before(q.items[b].deadline)
-	}
-	return q.items[a].spec.GetTask() < q.items[b].spec.GetTask()
-}
+func (q *shapeQueue) Less(a, b int) bool { return q.items[a].before(q.items[b]) }
 
 func (q *shapeQueue) Swap(a, b int) {
 	q.items[a], q.items[b] = q.items[b], q.items[a]
@@ -142,8 +147,7 @@
 			continue
 		}
 		i := q.items[0]
-		if first == nil || i.deadline.Before(first.deadline) ||
-			i.deadline.Equal(first.deadline) && i.spec.GetTask() < first.spec.GetTask() {
+		if first == nil || i.before(first) {
 			first = i
 		}
 	}
@@ -241,11 +245,12 @@
 }
 
 // overdue returns the position of the team whose head has waited longest
-// beyond its max_wait, or -1.
+// beyond its max_wait, or -1. Ties go by task, as the order of r depends on
+// the iteration over a map.
 func (r round) overdue(now time.Time) int {
 	best := -1
 	for i, v := range r {
-		if v.head.deadline.Before(now) && (best < 0 || v.head.deadline.Before(r[best].head.deadline)) {
+		if v.head.deadline.Before(now) && (best < 0 || v.head.before(r[best].head)) {
 			best = i
 		}
 	}
