Keep the quarantine over restarts and visit stuck tasks less often

Cause: a restarted entry trusted a worker that fails everything, a restarted worker stayed set aside, and a burst of tasks that can never run was sorted in every round.

Change: workers with three consecutive failures in the state are set aside on the first sight, a new worker boot is open again, and tasks that no host can hold are visited once per second, with at most 128 ended each time.

Conclusion: quarantine does not depend on which entry is running.

--- a/scheduler/observe.go
+++ b/scheduler/observe.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/placer"
 	"damaskspread.example/damaskspread/replayer"
 	"damaskspread.example/damaskspread/wire"
 )
@@ -161,6 +162,11 @@
 		}
 		p.hosts[id] = h
 		p.hostList = append(p.hostList, h)
+		p.quarantine.restore(id, state.GetConsecutiveFailures(), now)
+	}
+	if h.spec != nil && h.spec.GetWorkerBoot() != state.GetSpec().GetWorkerBoot() {
+		p.quarantine.restarted(id)
+		p.Index.SetAdmission(id, placer.Open)
 	}
 	changed := h.spec != state.GetSpec() || h.leaving != state.GetLeaving() || h.expired != state.GetExpired()
 	if h.alive == nil || damaskspread.Token(h.alive) != damaskspread.Token(state.GetAlive()) {
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"container/heap"
 	"errors"
 	"slices"
@@ -27,8 +28,9 @@
 	retryUnchanged = 5 * time.Second
 	// measuredPerRound bounds how many hosts are compared with their samples.
 	measuredPerRound = 64
-	// finishedPerRound bounds the records that end tasks.
-	finishedPerRound = 64
+	visitStuckEvery  = time.Second
+	// finishedPerVisit bounds the records that end tasks.
+	finishedPerVisit = 128
 )
 
 // plan collects the records of one round.
@@ -65,6 +67,7 @@
 	}
 	p.measure()
 	p.visitParked(out)
+	p.visitStuck(out)
 	p.unblock(now)
 	p.placeClass(out, &p.urgent)
 	p.placeClass(out, &p.batch)
@@ -104,18 +107,7 @@
 
 // visitParked handles the tasks that are outside the queues, in a fixed order.
 func (p *Planner) visitParked(out *plan) {
-	items := make([]*item, 0, len(p.parked))
-	for _, i := range p.parked {
-		items = append(items, i)
-	}
-	slices.SortFunc(items, func(a, b *item) int {
-		if c := a.deadline.Compare(b.deadline); c != 0 {
-			return c
-		}
-		return strings.Compare(a.spec.GetTask(), b.spec.GetTask())
-	})
-	finished := 0
-	for _, i := range items {
+	for _, i := range sortedItems(p.parked) {
 		switch i.location {
 		case delayed:
 			if !out.now.Before(i.since) {
@@ -127,14 +119,36 @@
 			}
 		case reserved:
 			p.useReservation(out, i)
-		case stuck:
-			if finished < finishedPerRound && p.endStuck(out, i) {
-				finished++
-			}
 		}
 	}
 }
 
+// visitStuck handles the tasks that no host can hold. A burst of them can be
+// large, so they are not visited in every round.
+func (p *Planner) visitStuck(out *plan) {
+	if out.now.Sub(p.visited) < visitStuckEvery {
+		return
+	}
+	p.visited = out.now
+	finished := 0
+	for _, i := range sortedItems(p.stuck) {
+		if finished < finishedPerVisit && p.endStuck(out, i) {
+			finished++
+		}
+	}
+}
+
+func sortedItems(m map[string]*item) []*item {
+	items := make([]*item, 0, len(m))
+	for _, i := range m {
+		items = append(items, i)
+	}
+	slices.SortFunc(items, func(a, b *item) int {
+		return cmp.Or(a.deadline.Compare(b.deadline), strings.Compare(a.spec.GetTask(), b.spec.GetTask()))
+	})
+	return items
+}
+
 // endStuck finishes a task that can never run, or tries it again after the
 // hosts changed.
 func (p *Planner) endStuck(out *plan, i *item) bool {
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -97,7 +97,8 @@
 	Policy damaskspread.PlacementPolicy
 	// Estimates may be nil.
 	Estimates *estimator.Estimator
-	// Teams returns the configuration of a team; nil means no quotas.
+	// Teams returns the configuration of a team; nil means no quotas. It is
+	// called while the state is locked for reading and must not lock it again.
 	Teams  func(team string) Team
 	Limits Limits
 	Random *rand.Rand
@@ -116,6 +117,8 @@
 	urgent     classQueue
 	batch      classQueue
 	parked     map[string]*item
+	stuck      map[string]*item
+	visited    time.Time
 	refused    map[refusalKey][]refusedNeed
 	freed      uint64
 	unblocked  time.Time
@@ -150,6 +153,7 @@
 		p.running = map[string]*running{}
 		p.pending = map[string]*item{}
 		p.parked = map[string]*item{}
+		p.stuck = map[string]*item{}
 		p.zonesOut = map[string]bool{}
 		p.waveSizes = map[string]int{}
 		p.refused = map[refusalKey][]refusedNeed{}
@@ -207,8 +211,10 @@
 	switch i.location {
 	case queued:
 		p.class(i.spec).remove(i)
-	case delayed, reserved, stuck:
+	case delayed, reserved:
 		delete(p.parked, i.spec.GetTask())
+	case stuck:
+		delete(p.stuck, i.spec.GetTask())
 	case claimed:
 		delete(p.parked, i.spec.GetTask())
 		p.release(i.spec)
@@ -222,8 +228,10 @@
 	switch to {
 	case queued:
 		p.class(i.spec).push(i, p.team(i.spec.GetTeam()))
-	case delayed, reserved, stuck, claimed:
+	case delayed, reserved, claimed:
 		p.parked[i.spec.GetTask()] = i
+	case stuck:
+		p.stuck[i.spec.GetTask()] = i
 	}
 }
 
--- a/scheduler/planner_test.go
+++ b/scheduler/planner_test.go
@@ -136,6 +136,38 @@
 	}
 }
 
+// Guards against a restarted entry that trusts a bad worker again, and against
+// a worker that stays set aside after its own restart.
+func TestRestartsAndQuarantine(t *testing.T) {
+	c := newCluster(1, nil)
+	c.join("h0", "z", 16_000, 60)
+	for i := range 3 {
+		c.submit(spec(fmt.Sprint("t", i), false, 1_000, 1))
+	}
+	c.step(tick)
+	for i := range 3 {
+		c.finish(fmt.Sprint("t", i), wire.TaskResult_TASK_RESULT_FAILED)
+	}
+	fresh := newCluster(1, nil)
+	fresh.state, fresh.now, fresh.offset = c.state, c.now, c.offset
+	fresh.planners[0].Reload(c.state, c.now)
+	fresh.step(tick)
+	assert.Equal(t, len(fresh.claims()), 0)
+	e, _ := fresh.planners[0].Explain(fresh.state, "t0")
+	assert.Equal(t, string(e.Binding), "quarantine")
+	fresh.apply(&wire.Record{Body: &wire.Record_HostJoined{HostJoined: &wire.HostJoined{Spec: &wire.HostSpec{
+		Host:        "h0",
+		Incarnation: "next",
+		WorkerBoot:  "next",
+		Zone:        "z",
+		Capacity:    &wire.Resources{Millicores: 16_000, MemoryBytes: 60 << 30},
+	}}}})
+	for range 5 {
+		fresh.step(tick)
+	}
+	assert.Equal(t, len(fresh.claims()), 3)
+}
+
 // Guards against a zone that is emptied or filled all at once.
 func TestZoneLeavesInWavesAndReturnsGradually(t *testing.T) {
 	c := newCluster(2, nil)
--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -59,6 +59,17 @@
 	return c
 }
 
+// restore sets a worker aside that had failed before this entry started. The
+// tasks are not known any more, so the first pause has to be enough.
+func (q *quarantine) restore(host string, failures int32, now time.Time) {
+	if failures >= condemnAfter {
+		q.setAside(q.host(host), now)
+	}
+}
+
+// restarted forgets what a worker did before its restart.
+func (q *quarantine) restarted(host string) { delete(q.hosts, host) }
+
 // succeeded clears a worker. It also proves that the workers on which the
 // task failed before, and not the task, were to blame.
 func (q *quarantine) succeeded(host, task string) {
