Assemble the daemons and run them as separate processes

Cause: the packages existed, but nothing joined them into an entry, an agent or the development system.

Change: package server with the entry, agent, emulator and dev daemons; shards prefer agents in zones that are in service; the previous epoch in the shard state, without which each promotion forgot the history; the worker's address in the host spec for fencing; throttling decisions reach agents; a task that failed on healthy workers ends as failed. An end-to-end test with two entries and three agents behind the proxy.

Before/after: before, no process served anything.

Conclusion: the thin path holds; the promises are proved next.

--- a/cmd/damaskspread/main.go
+++ b/cmd/damaskspread/main.go
@@ -7,7 +7,10 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/jonboulle/clockwork"
+
 	"damaskspread.example/damaskspread/commander"
+	"damaskspread.example/damaskspread/server"
 )
 
 func main() {
@@ -17,6 +20,15 @@
 		Err: os.Stderr,
 		In:  os.Stdin,
 	}
+	daemons := server.Daemons{
+		Clock:   clockwork.NewRealClock(),
+		Version: commands.VersionText(),
+		Out:     os.Stdout,
+	}
+	commands.Entry = daemons.Entry
+	commands.Agent = daemons.Agent
+	commands.Emulator = daemons.Emulator
+	commands.Dev = daemons.Dev
 	code := commands.Execute(ctx, os.Args[1:])
 	stop()
 	os.Exit(code)
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -243,12 +243,13 @@
 		Example: "  damaskspread version",
 		Args:    cobra.NoArgs,
 		RunE: c.run(func(*cobra.Command, []string) error {
-			return c.print(map[string]string{"version": c.version()}, func(t *table) { t.row(c.version()) })
+			return c.print(map[string]string{"version": c.VersionText()}, func(t *table) { t.row(c.VersionText()) })
 		}),
 	}
 }
 
-func (c *Commander) version() string {
+// VersionText is what the version command prints.
+func (c *Commander) VersionText() string {
 	if c.Version != "" {
 		return c.Version
 	}
--- /dev/null
+++ b/e2e/path_test.go
@@ -0,0 +1,34 @@
+package e2e_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestWholePath guards the thin path through separate processes: an urgent
+// request is answered and a batch task runs once.
+func TestWholePath(t *testing.T) {
+	c := startCluster(t, options{
+		hosts: 3,
+	})
+	for i, e := range c.entries {
+		key := fmt.Sprintf("coat-%d", i)
+		a := e.send(t, call{
+			key:  key,
+			body: "coat",
+		})
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.status, http.StatusOK, "%s", a.body)
+		assert.Equal(t, string(a.body), "coat")
+		assert.Equal(t, c.executions(key), 1)
+	}
+	task := c.submit("ledger-1", map[string]string{
+		"run_ms": "200",
+	})
+	waitFor(t, readyWithin, "the task succeeds", func() bool { return c.task(task.Task).Result == "succeeded" })
+	assert.Equal(t, len(c.events(task.Task, "start")), 1)
+	c.assertNoViolation()
+}
--- /dev/null
+++ b/e2e/process_test.go
@@ -0,0 +1,174 @@
+// Package e2e_test runs the real binary as separate processes behind a
+// fault-injecting proxy and judges it by what outside observers recorded: the
+// emulated platform and the sample endpoints.
+package e2e_test
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// binary is the product under test, built once with the race detector.
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "damaskspread-e2e")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binary = filepath.Join(dir, "damaskspread")
+	build := exec.Command("go", "build", "-race", "-o", binary, "../cmd/damaskspread")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// nextPort walks a range below the ephemeral ports, so that an outgoing
+// connection of another test cannot take a port between its choice and use.
+var nextPort atomic.Int64
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	nextPort.CompareAndSwap(0, 20_000+int64(os.Getpid()%100)*100)
+	for range 5_000 {
+		port := 20_000 + int(nextPort.Add(1)-20_000)%12_000
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		assert.NilError(t, listener.Close())
+		return port
+	}
+	t.Fatal("no free port")
+	return 0
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	return fmt.Sprintf("127.0.0.1:%d", freePort(t))
+}
+
+// process is one process of the product.
+type process struct {
+	t        *testing.T
+	name     string
+	role     string
+	settings string
+	monitor  string
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	done   chan struct{}
+	err    error
+	output bytes.Buffer
+}
+
+func (p *process) Write(data []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.output.Write(data)
+}
+
+func (p *process) log() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.output.String()
+}
+
+func (p *process) start() {
+	p.t.Helper()
+	p.cmd = exec.Command(binary, p.role, "--settings", p.settings)
+	p.cmd.Stdout = p
+	p.cmd.Stderr = p
+	// A race report ends the process, so that the test sees it.
+	p.cmd.Env = append(os.Environ(), "GORACE=halt_on_error=1")
+	assert.NilError(p.t, p.cmd.Start())
+	done := make(chan struct{})
+	p.done = done
+	cmd := p.cmd
+	go func() {
+		err := cmd.Wait()
+		p.mu.Lock()
+		p.err = err
+		p.mu.Unlock()
+		close(done)
+	}()
+}
+
+func (p *process) running() bool {
+	if p.done == nil {
+		return false
+	}
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+func (p *process) signal(signal syscall.Signal) {
+	p.t.Helper()
+	if p.running() {
+		_ = p.cmd.Process.Signal(signal)
+	}
+}
+
+// kill ends the process without notice.
+func (p *process) kill() {
+	p.t.Helper()
+	if !p.running() {
+		return
+	}
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+func (p *process) pause() { p.signal(syscall.SIGSTOP) }
+
+func (p *process) resume() { p.signal(syscall.SIGCONT) }
+
+// stop asks for a planned stop and returns the exit error.
+func (p *process) stop(within time.Duration) error {
+	p.t.Helper()
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+	case <-time.After(within):
+		p.t.Fatalf("%s did not stop within %s", p.name, within)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.err
+}
+
+// waitFor polls a condition until it holds or the bound passes.
+func waitFor(t *testing.T, within time.Duration, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(within)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %s: %s", within, what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/e2e/proxy_test.go
@@ -0,0 +1,97 @@
+package e2e_test
+
+import (
+	"strings"
+	"sync"
+	"testing"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/Shopify/toxiproxy/v2/toxics"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+)
+
+// proxies stand between each pair of parties. A link is named after the
+// called party and, where each caller has its own, the caller.
+type proxies struct {
+	t      *testing.T
+	server *toxiproxy.ApiServer
+
+	mu    sync.Mutex
+	links map[string]*toxiproxy.Proxy
+}
+
+func newProxies(t *testing.T) *proxies {
+	return &proxies{
+		t:      t,
+		server: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop()),
+		links:  map[string]*toxiproxy.Proxy{},
+	}
+}
+
+// link opens a proxy to an upstream and returns its address.
+func (p *proxies) link(name, upstream string) string {
+	p.t.Helper()
+	proxy := toxiproxy.NewProxy(p.server, name, freeAddress(p.t), upstream)
+	assert.NilError(p.t, proxy.Start())
+	p.t.Cleanup(proxy.Stop)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.links[name] = proxy
+	return proxy.Listen
+}
+
+func (p *proxies) get(name string) *toxiproxy.Proxy {
+	p.t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	proxy, ok := p.links[name]
+	assert.Assert(p.t, ok, "no link %s", name)
+	return proxy
+}
+
+func (p *proxies) address(name string) string {
+	p.t.Helper()
+	return p.get(name).Listen
+}
+
+// refuse closes a link: connections break and new ones are refused.
+func (p *proxies) refuse(name string) {
+	p.t.Helper()
+	p.get(name).Stop()
+}
+
+// restore opens a refused link again.
+func (p *proxies) restore(name string) {
+	p.t.Helper()
+	assert.NilError(p.t, p.get(name).Start())
+}
+
+// direction of a one-way cut.
+type direction string
+
+const (
+	// towards drops what the caller sends.
+	towards direction = "upstream"
+	// back drops what the called party answers.
+	back direction = "downstream"
+)
+
+// drop silently discards one direction of a link; connections stay open.
+func (p *proxies) drop(name string, way direction) {
+	p.t.Helper()
+	p.toxic(name, way, "drop_"+string(way), `{"name":"drop_`+string(way)+`","type":"timeout","stream":"`+string(way)+`","attributes":{"timeout":0}}`)
+}
+
+// heal removes a one-way cut.
+func (p *proxies) heal(name string, way direction) {
+	p.t.Helper()
+	_ = p.get(name).Toxics.RemoveToxic(p.t.Context(), "drop_"+string(way))
+}
+
+func (p *proxies) toxic(name string, _ direction, id, json string) *toxics.ToxicWrapper {
+	p.t.Helper()
+	wrapper, err := p.get(name).Toxics.AddToxicJson(strings.NewReader(json))
+	assert.NilError(p.t, err, "toxic %s on %s", id, name)
+	return wrapper
+}
--- a/feeder/feeder.go
+++ b/feeder/feeder.go
@@ -62,6 +62,9 @@
 	Entry *wire.EntryAlive
 	Loads damaskspread.LoadObserver
 	Usage damaskspread.UsageObserver
+	// BatchShare is the share of their processors that a host's batch tasks may
+	// use, in thousandths, 0 for no limit; it may be nil.
+	BatchShare func(host string) int
 
 	MemberHold    time.Duration
 	AliveEvery    time.Duration
--- a/feeder/session.go
+++ b/feeder/session.go
@@ -115,6 +115,7 @@
 		flags = 1
 	}
 	_, _ = digest.Write([]byte{flags})
+	_, _ = digest.Write(binary.LittleEndian.AppendUint32(nil, uint32(response.GetBatchSharePermille())))
 	return digest.Sum64()
 }
 
--- a/feeder/sync.go
+++ b/feeder/sync.go
@@ -118,6 +118,9 @@
 	response := &wire.SyncResponse{
 		AgeUs: damaskspread.AgeMicros(f.Follower.Age()),
 	}
+	if f.BatchShare != nil {
+		response.BatchSharePermille = int32(f.BatchShare(call.GetHost().GetHost()))
+	}
 	member := false
 	f.Follower.View(func(state *replayer.State) {
 		host, ok := state.Host(call.GetHost().GetHost())
--- a/replayer/apply.go
+++ b/replayer/apply.go
@@ -115,23 +115,32 @@
 		PublishedUnixMs: c.record.GetRecordedUnixMs(),
 	}
 	s.sectionsOffset = c.position.GetOffset()
-	s.noteZone(s.sections[name])
+	if s.noteZone(s.sections[name]) {
+		for _, service := range sortedKeys(s.shards) {
+			s.assignShards(c, service)
+		}
+	}
 	s.changed(c, SectionChanged, name)
 }
 
 // noteZone keeps the one configuration value that decides whether a claim is
-// valid.
-func (s *State) noteZone(section *wire.SectionState) {
+// valid, and reports whether it changed.
+func (s *State) noteZone(section *wire.SectionState) bool {
 	name := section.GetSection()
 	if len(name) <= len(zonePrefix) || name[:len(zonePrefix)] != zonePrefix {
-		return
+		return false
 	}
 	zone := name[len(zonePrefix):]
-	if !section.GetRemoved() && !inService(section.GetText()) {
+	out := !section.GetRemoved() && !inService(section.GetText())
+	if out == s.zonesOut[zone] {
+		return false
+	}
+	if out {
 		s.zonesOut[zone] = true
-		return
+	} else {
+		delete(s.zonesOut, zone)
 	}
-	delete(s.zonesOut, zone)
+	return true
 }
 
 func inService(text string) bool {
--- a/replayer/hosts.go
+++ b/replayer/hosts.go
@@ -126,7 +126,9 @@
 		s.void(c, id, damaskspread.ReasonConflict, "the worker restarted since")
 		return
 	}
-	if released.GetReason() == wire.ReleaseReason_RELEASE_REASON_HOLD_PASSED &&
+	// An operator's word that the host is lost needs no alive position. A fence
+	// does: the host may have joined again and taken claims since.
+	if released.GetReason() != wire.ReleaseReason_RELEASE_REASON_DECLARED_LOST &&
 		!samePosition(h.state.GetAlive(), released.GetAlive()) {
 		s.void(c, id, damaskspread.ReasonConflict, "the host was alive later")
 		return
--- a/replayer/property_test.go
+++ b/replayer/property_test.go
@@ -164,7 +164,7 @@
 // checkCanceled ends every claim and expects that no canceled task is left.
 func checkCanceled(t fataler, state *replayer.State) {
 	for _, host := range state.Snapshot().GetHosts() {
-		replay(state, released(host.GetSpec().GetHost(), host.GetSpec().GetWorkerBoot(), nil, wire.ReleaseReason_RELEASE_REASON_FENCED))
+		replay(state, released(host.GetSpec().GetHost(), host.GetSpec().GetWorkerBoot(), host.GetAlive(), wire.ReleaseReason_RELEASE_REASON_FENCED))
 	}
 	for task := range state.Tasks() {
 		if task.GetCancelRequested() && task.GetPhase() != wire.TaskPhase_TASK_PHASE_FINISHED {
--- a/replayer/shards.go
+++ b/replayer/shards.go
@@ -100,15 +100,15 @@
 		founded = false
 	}
 	if primary == nil {
-		primary = best(i, members, nil)
+		primary = s.best(i, members, nil)
 		founded = shard.GetEpoch() == nil
 	}
-	if secondary != nil && shard.GetReady() && secondary.ranks[i] > primary.ranks[i] {
+	if secondary != nil && shard.GetReady() && s.outranks(i, secondary, primary) {
 		primary, secondary = secondary, primary
 		founded = false
 	}
 	if secondary == nil || shard.GetReady() {
-		secondary = best(i, members, primary)
+		secondary = s.best(i, members, primary)
 	}
 	if sameHost(primary.spec(), shard.GetPrimary()) && sameHost(secondary.spec(), shard.GetSecondary()) {
 		return nil
@@ -119,6 +119,7 @@
 	next.Ready = shard.GetReady() && sameHost(secondary.spec(), shard.GetPrimary()) && sameHost(primary.spec(), shard.GetSecondary())
 	next.Primary = refOf(primary.spec())
 	next.Secondary = refOf(secondary.spec())
+	next.PreviousEpoch = shard.GetEpoch()
 	next.Epoch = epoch
 	return next
 }
@@ -164,31 +165,52 @@
 	return digest.Sum64()
 }
 
+// outranks reports whether a member should be primary in place of another. A
+// member in a zone out of service comes last, because it refuses new keys. It
+// keeps its role until a better one holds the history, so that a zone that
+// leaves loses no history.
+func (s *State) outranks(shard int32, h, other *host) bool {
+	if serves := s.serves(h); serves != s.serves(other) {
+		return serves
+	}
+	return h.ranks[shard] > other.ranks[shard]
+}
+
+func (s *State) serves(h *host) bool { return !s.zonesOut[h.spec().GetZone()] }
+
 // best returns the highest ranked member other than the primary, preferring
 // another zone than the primary's. Of equal ranks the lower id wins.
-func best(shard int32, members []*host, primary *host) *host {
+func (s *State) best(shard int32, members []*host, primary *host) *host {
 	var chosen *host
-	var chosenRank uint64
-	chosenElsewhere := false
 	zone := primary.spec().GetZone()
 	for _, h := range members {
-		r := h.ranks[shard]
-		if h == primary || (chosenElsewhere && r < chosenRank) {
+		if h == primary {
 			continue
 		}
-		elsewhere := primary != nil && h.state.GetSpec().GetZone() != zone
-		switch {
-		case chosen == nil, elsewhere && !chosenElsewhere:
-		case elsewhere != chosenElsewhere, r < chosenRank:
-			continue
-		case r == chosenRank && h.state.GetSpec().GetHost() > chosen.state.GetSpec().GetHost():
-			continue
+		if chosen == nil || s.better(shard, zone, h, chosen) {
+			chosen = h
 		}
-		chosen, chosenRank, chosenElsewhere = h, r, elsewhere
 	}
 	return chosen
 }
 
+// better compares two candidates for the role beside a primary in a zone.
+func (s *State) better(shard int32, zone string, h, chosen *host) bool {
+	if len(s.zonesOut) > 0 {
+		if serves := s.serves(h); serves != s.serves(chosen) {
+			return serves
+		}
+	}
+	elsewhere := h.state.GetSpec().GetZone() != zone
+	if zone != "" && elsewhere != (chosen.state.GetSpec().GetZone() != zone) {
+		return elsewhere
+	}
+	if h.ranks[shard] != chosen.ranks[shard] {
+		return h.ranks[shard] > chosen.ranks[shard]
+	}
+	return h.state.GetSpec().GetHost() < chosen.state.GetSpec().GetHost()
+}
+
 func (s *State) applyShardsReady(c Change, ready *wire.ShardsReady) {
 	service := ready.GetService()
 	shards := s.shards[service]
--- a/replayer/tasks.go
+++ b/replayer/tasks.go
@@ -225,12 +225,21 @@
 	s.finish(c, task, finished.GetResult(), finished.GetDetail())
 }
 
-// finishPending ends a task that waits for a claim: it can never be placed.
+// finishPending ends a task that waits for a claim: no host can hold it, or it
+// failed on too many hosts.
 func (s *State) finishPending(c Change, finished *wire.TaskFinished) bool {
 	task := s.tasks[finished.GetTask()]
 	if task == nil || task.GetPhase() != wire.TaskPhase_TASK_PHASE_PENDING ||
-		task.GetAttempt() != finished.GetAttempt() ||
-		finished.GetResult() != wire.TaskResult_TASK_RESULT_UNPLACEABLE {
+		task.GetAttempt() != finished.GetAttempt() {
+		return false
+	}
+	switch finished.GetResult() {
+	case wire.TaskResult_TASK_RESULT_UNPLACEABLE:
+	case wire.TaskResult_TASK_RESULT_FAILED:
+		if finished.GetHost() != "" {
+			return false
+		}
+	default:
 		return false
 	}
 	s.finish(c, task, finished.GetResult(), finished.GetDetail())
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -164,19 +164,19 @@
 	case out.now.Sub(p.stable) < p.limits.Settle || out.now.Sub(i.since) < p.limits.Settle:
 		return false
 	}
-	detail := ""
+	result, detail := wire.TaskResult_TASK_RESULT_UNPLACEABLE, ""
 	if culprit {
+		result = wire.TaskResult_TASK_RESULT_FAILED
 		detail = "failed on " + strings.Join(p.quarantine.failed[id], ", ") + ", which run other tasks"
 	} else {
 		detail = i.refusal.Error()
 	}
-	// The replayer ends a pending task only as unplaceable.
 	p.add(out, &wire.Record{
 		Body: &wire.Record_TaskFinished{
 			TaskFinished: &wire.TaskFinished{
 				Task:    id,
 				Attempt: i.attempt,
-				Result:  wire.TaskResult_TASK_RESULT_UNPLACEABLE,
+				Result:  result,
 				Detail:  detail,
 			},
 		},
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -8,8 +8,8 @@
 // append is in progress at a time, so an outage of the log leaves no backlog
 // of claims behind.
 //
-// Open questions: the replayer ends a pending task only as unplaceable, so a
-// task that failed on healthy workers ends with that result too.
+// Open questions: the replayer checks no quotas, so a team's quota may be
+// exceeded briefly while its ownership moves between entries.
 package scheduler
 
 import (
--- /dev/null
+++ b/server/agent.go
@@ -0,0 +1,373 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/samber/oops"
+	"gopkg.in/tomb.v2"
+
+	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/admitter"
+	"damaskspread.example/damaskspread/connector"
+	"damaskspread.example/damaskspread/deduplicator"
+	"damaskspread.example/damaskspread/executor"
+	"damaskspread.example/damaskspread/forwarder"
+	"damaskspread.example/damaskspread/limiter"
+	"damaskspread.example/damaskspread/monitor"
+	"damaskspread.example/damaskspread/subscriber"
+	"damaskspread.example/damaskspread/validator"
+	"damaskspread.example/damaskspread/wire"
+	"damaskspread.example/damaskspread/wire/wireconnect"
+)
+
+const (
+	// queuePerSlot bounds waiting requests; more of them than this would wait
+	// longer than an urgent deadline.
+	queuePerSlot = 8
+	// workerProbe is how long a start waits for the worker. An agent without
+	// one joins for its endpoint and again when the worker answers.
+	workerProbe = 2 * time.Second
+	workerRetry = time.Second
+	workerTries = 10
+)
+
+// Agent is the agent daemon.
+type Agent struct {
+	Settings *validator.Settings
+	Clock    damaskspread.Clock
+
+	// embedded processes share the logger of dev.
+	embedded   bool
+	http       *http.Client
+	worker     *connector.Worker
+	subscriber *subscriber.Subscriber
+	executor   *executor.Executor
+	admitter   *admitter.Admitter
+	keys       *deduplicator.Deduplicator
+	policies   agentPolicies
+	stopping   atomic.Bool
+	listeners  []*listener
+}
+
+// Run serves until the context ends, then stops gracefully.
+func (a *Agent) Run(ctx context.Context) error {
+	seed := processSeed(a.Settings)
+	if !a.embedded {
+		setLogger(a.Settings)
+	}
+	a.http = peerClient()
+	a.assembleFeed(ctx, seed)
+	a.assembleRequests()
+	a.assembleTasks()
+	if err := a.listen(); err != nil {
+		closeAll(a.listeners)
+		return err
+	}
+	t := &tomb.Tomb{}
+	a.start(t)
+	log.Info().Str("listen", a.Settings.Agent().Listen()).Uint64("seed", seed).Msg("agent started")
+	select {
+	case <-ctx.Done():
+		a.stop()
+	case <-t.Dying():
+	}
+	t.Kill(nil)
+	closeAll(a.listeners)
+	return oops.In("agent").Wrap(t.Wait())
+}
+
+func (a *Agent) assembleFeed(ctx context.Context, seed uint64) {
+	s := a.Settings
+	spec := &wire.HostSpec{
+		Host:     s.Process().Host(),
+		Region:   s.Process().Region(),
+		Zone:     s.Process().Zone(),
+		Rack:     s.Process().Rack(),
+		Address:  s.Agent().Address(),
+		Endpoint: s.Endpoint().Spec(),
+	}
+	if address := s.Worker().Address(); address != "" {
+		a.worker = &connector.Worker{
+			Address: "http://" + address,
+			HTTP:    a.http,
+			Timeout: s.Worker().Timeout(),
+		}
+		spec.WorkerAddress = address
+		probe, cancel := context.WithTimeout(ctx, workerProbe)
+		defer cancel()
+		if status, err := a.worker.Status(probe); err == nil {
+			spec.WorkerBoot = status.GetBoot()
+			spec.Capacity = status.GetCapacity()
+		} else {
+			log.Warn().Err(err).Msg("the worker does not answer; joining without it")
+		}
+	}
+	a.subscriber = &subscriber.Subscriber{
+		Spec:     spec,
+		Entries:  s.Agent().Entries(),
+		HTTP:     a.http,
+		Clock:    a.Clock,
+		Load:     a.load,
+		Usage:    a.usage,
+		Random:   newRandom(seed),
+		SyncWait: s.Limits().SyncWait(),
+	}
+}
+
+func (a *Agent) load() *wire.EndpointLoad {
+	if a.admitter == nil {
+		return nil
+	}
+	return a.admitter.Load()
+}
+
+func (a *Agent) usage() []*wire.UsageSample {
+	if a.executor == nil {
+		return nil
+	}
+	return a.executor.Usage()
+}
+
+// requestFeed is the admitter's view of the agent's feed.
+type requestFeed struct {
+	*Agent
+}
+
+// Age implements damaskspread.Currency.
+func (f requestFeed) Age() time.Duration { return f.subscriber.Age() }
+
+// ZoneInService implements admitter.Feed.
+func (f requestFeed) ZoneInService(zone string) bool {
+	return f.policies.of(f.subscriber.View()).zoneInService(zone)
+}
+
+// Leaving implements admitter.Feed.
+func (f requestFeed) Leaving() bool { return f.subscriber.View().Leaving() }
+
+// Policy implements admitter.Feed.
+func (f requestFeed) Policy() admitter.Policy {
+	return f.policies.of(f.subscriber.View()).admit(f.Settings.Endpoint().Service())
+}
+
+// taskFeed is the executor's view of the agent's feed.
+type taskFeed struct {
+	*subscriber.Subscriber
+	agent *Agent
+}
+
+type taskView struct {
+	*subscriber.View
+	policies *policies
+}
+
+// ZoneInService implements executor.View.
+func (v taskView) ZoneInService(zone string) bool { return v.policies.zoneInService(zone) }
+
+// View implements executor.Feed.
+func (f taskFeed) View() executor.View {
+	view := f.Subscriber.View()
+	return taskView{
+		View:     view,
+		policies: f.agent.policies.of(view),
+	}
+}
+
+func (a *Agent) assembleRequests() {
+	s := a.Settings
+	if s.Endpoint().Service() == "" {
+		return
+	}
+	a.keys = &deduplicator.Deduplicator{
+		Clock:       a.Clock,
+		Currency:    a.subscriber,
+		Peers:       &admitter.Peers{HTTP: a.http},
+		Appender:    a.subscriber,
+		KeyLifetime: s.Limits().KeyLifetime(),
+	}
+	a.admitter = &admitter.Admitter{
+		Limiter: &limiter.Limiter{
+			Clock: a.Clock,
+			Slots: s.Endpoint().Slots(),
+			Queue: s.Endpoint().Slots() * queuePerSlot,
+		},
+		Keys: a.keys,
+		Forwarder: &forwarder.Forwarder{
+			Clock:       a.Clock,
+			Address:     s.Endpoint().Address(),
+			Connections: s.Endpoint().Connections(),
+		},
+		Feed:          requestFeed{Agent: a},
+		Clock:         a.Clock,
+		Service:       s.Endpoint().Service(),
+		Zone:          s.Process().Zone(),
+		CurrencyLimit: s.Limits().CurrencyLimit(),
+		OnLeave:       a.subscriber.Leave,
+	}
+}
+
+func (a *Agent) assembleTasks() {
+	if a.worker == nil {
+		return
+	}
+	s := a.Settings
+	a.executor = &executor.Executor{
+		Worker: a.worker,
+		Feed: taskFeed{
+			Subscriber: a.subscriber,
+			agent:      a,
+		},
+		Clock: a.Clock,
+		Host:  s.Process().Host(),
+		Zone:  s.Process().Zone(),
+		Heartbeat: func() *wire.HostsAlive {
+			return &wire.HostsAlive{
+				Hosts: []*wire.HostRef{a.subscriber.Ref()},
+			}
+		},
+		BatchShare:    func() int { return a.subscriber.View().BatchShare() },
+		OnRestart:     a.rejoinWorker,
+		TaskHold:      s.Limits().TaskHold(),
+		CurrencyLimit: s.Limits().CurrencyLimit(),
+	}
+}
+
+// rejoinWorker makes the new worker boot known, which returns the tasks of the
+// old one to the queue.
+func (a *Agent) rejoinWorker(boot string) {
+	for range workerTries {
+		ctx, cancel := context.WithTimeout(context.Background(), workerProbe)
+		status, err := a.worker.Status(ctx)
+		cancel()
+		if err == nil {
+			// A boot that changed again is reported by the executor's next pass.
+			if status.GetBoot() == boot {
+				a.subscriber.SetWorker(boot, status.GetCapacity())
+			}
+			return
+		}
+		a.Clock.Sleep(workerRetry)
+	}
+}
+
+func (a *Agent) listen() error {
+	s := a.Settings
+	peers := http.NewServeMux()
+	if a.admitter != nil {
+		peers.Handle(wireconnect.NewAgentServiceHandler(a.admitter))
+	}
+	m := &monitor.Monitor{
+		Checks:  a.checks(),
+		Metrics: a.metrics(),
+	}
+	health := http.NewServeMux()
+	health.Handle("/", m.Handler())
+	if a.admitter != nil {
+		health.Handle("POST /leave", a.admitter.LocalHandler())
+	}
+	return listenAll(&a.listeners, s, []endpointListener{
+		{name: "entries and agents", address: s.Agent().Listen(), handler: peers},
+		{name: "monitoring", address: s.Process().MonitorListen(), handler: health},
+	})
+}
+
+func (a *Agent) checks() []monitor.Check {
+	return []monitor.Check{
+		{
+			Name:    "configuration_current",
+			Failing: staleReason(a.subscriber, a.Settings.Limits().CurrencyLimit()),
+		},
+		{
+			Name: "joined",
+			Failing: func() string {
+				if a.subscriber.View().Joined() {
+					return ""
+				}
+				return "the host is not a member yet"
+			},
+		},
+		{
+			Name: "accepting",
+			Failing: func() string {
+				if a.stopping.Load() || a.subscriber.View().Leaving() {
+					return "the host is leaving"
+				}
+				return ""
+			},
+		},
+	}
+}
+
+func (a *Agent) start(t *tomb.Tomb) {
+	for _, l := range a.listeners {
+		l.run(t)
+	}
+	runs := []func(*tomb.Tomb) error{a.subscriber.Run}
+	if a.executor != nil {
+		runs = append(runs, a.executor.Run)
+	}
+	if a.admitter != nil {
+		runs = append(runs, a.keys.Run, a.admitter.Run, a.assignShards)
+	}
+	for _, run := range runs {
+		t.Go(func() error { return run(t) })
+	}
+}
+
+// assignShards passes the shards of each view to the deduplicator.
+func (a *Agent) assignShards(t *tomb.Tomb) error {
+	for {
+		changed := a.subscriber.Changed()
+		a.assignFrom(a.subscriber.View())
+		select {
+		case <-changed:
+		case <-t.Dying():
+			return nil
+		}
+	}
+}
+
+func (a *Agent) assignFrom(view *subscriber.View) {
+	assignments := make([]deduplicator.Assignment, 0, len(view.Shards()))
+	for _, shard := range view.Shards() {
+		assignments = append(assignments, deduplicator.Assignment{
+			State:            shard.GetState(),
+			Previous:         shard.GetState().GetPreviousEpoch(),
+			PrimaryAddress:   shard.GetPrimaryAddress(),
+			SecondaryAddress: shard.GetSecondaryAddress(),
+		})
+	}
+	a.keys.Assign(a.subscriber.Ref(), assignments)
+}
+
+// stop refuses new requests, lets running ones finish, and keeps serving its
+// keys until the departure moved its shards. Tasks run on for the successor.
+func (a *Agent) stop() {
+	log.Info().Msg("agent stopping")
+	a.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), a.Settings.Limits().DrainTimeout())
+	defer cancel()
+	left := make(chan error, 1)
+	go func() { left <- a.leave(ctx) }()
+	if a.admitter != nil {
+		if err := a.admitter.Drain(ctx); err != nil {
+			log.Warn().Err(err).Msg("requests were still running at the end of drain_timeout")
+		}
+	}
+	if err := <-left; err != nil {
+		log.Warn().Err(err).Msg("the departure was not recorded")
+	}
+	if err := a.listeners[0].drain(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		log.Warn().Err(err).Msg("connections were still busy at the end of drain_timeout")
+	}
+}
+
+func (a *Agent) leave(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	return a.subscriber.Leave(ctx)
+}
--- /dev/null
+++ b/server/documents.go
@@ -0,0 +1,171 @@
+package server
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync/atomic"
+
+	"gopkg.in/tomb.v2"
+
+	"damaskspread.example/damaskspread/admitter"
+	"damaskspread.example/damaskspread/dispatcher"
+	"damaskspread.example/damaskspread/follower"
+	"damaskspread.example/damaskspread/replayer"
+	"damaskspread.example/damaskspread/scheduler"
+	"damaskspread.example/damaskspread/subscriber"
+	"damaskspread.example/damaskspread/validator"
+	"damaskspread.example/damaskspread/wire"
+)
+
+// policies are the parts of the configuration document that daemons consult
+// on each request or round. They are built once per change, because checking
+// a document of the target size takes milliseconds.
+type policies struct {
+	document *validator.Document
+	services map[string]dispatcher.Policy
+}
+
+func newPolicies(document *validator.Document) *policies {
+	p := &policies{
+		document: document,
+		services: map[string]dispatcher.Policy{},
+	}
+	for service := range document.Services() {
+		p.services[service.Name()] = servicePolicy(service)
+	}
+	return p
+}
+
+func servicePolicy(service *validator.Service) dispatcher.Policy {
+	policy := dispatcher.Policy{
+		StaleLimit:     service.StaleLimit(),
+		Priorities:     map[string]int32{},
+		LowestPriority: service.Priority(""),
+	}
+	for _, class := range service.Classes() {
+		policy.Priorities[class] = service.Priority(class)
+	}
+	return policy
+}
+
+func (p *policies) dispatch(service string) dispatcher.Policy { return p.services[service] }
+
+func (p *policies) admit(service string) admitter.Policy {
+	return admitter.Policy{
+		StaleLimit: p.services[service].StaleLimit,
+	}
+}
+
+func (p *policies) team(name string) scheduler.Team {
+	team, ok := p.document.Team(name)
+	if !ok {
+		return scheduler.Team{}
+	}
+	return scheduler.Team{
+		Quota:  limited(team.Quota()),
+		Weight: team.Share(),
+	}
+}
+
+// limited turns the document's mark for an unlimited resource into the
+// scheduler's zero.
+func limited(quota *wire.Resources) *wire.Resources {
+	zeroIfUnlimited := func(amount int64) int64 {
+		if amount == validator.Unlimited {
+			return 0
+		}
+		return amount
+	}
+	return &wire.Resources{
+		Millicores:   zeroIfUnlimited(quota.GetMillicores()),
+		MemoryBytes:  zeroIfUnlimited(quota.GetMemoryBytes()),
+		Accelerators: zeroIfUnlimited(quota.GetAccelerators()),
+	}
+}
+
+// entryPolicies follows the document at an entry.
+type entryPolicies struct {
+	source  *follower.Follower
+	current atomic.Pointer[policies]
+	// changed is called after each change; it may be nil.
+	changed func(*policies)
+}
+
+func (e *entryPolicies) load() *policies {
+	if p := e.current.Load(); p != nil {
+		return p
+	}
+	empty, _ := validator.FromSections(slices.Values([]*wire.SectionState(nil)))
+	return newPolicies(empty)
+}
+
+// run rebuilds the policies after each change of a section.
+func (e *entryPolicies) run(t *tomb.Tomb) error {
+	subscription := e.source.Subscribe()
+	defer subscription.Close()
+	ctx := t.Context(context.Background())
+	for {
+		changes, reload, err := subscription.Next(ctx)
+		if err != nil {
+			return nil
+		}
+		if reload || slices.ContainsFunc(changes, isSectionChange) {
+			e.rebuild()
+		}
+	}
+}
+
+func isSectionChange(change replayer.Change) bool { return change.Kind() == replayer.SectionChanged }
+
+func (e *entryPolicies) rebuild() {
+	var sections []*wire.SectionState
+	e.source.View(func(state *replayer.State) { sections = slices.Collect(state.Sections()) })
+	document, _ := validator.FromSections(slices.Values(sections))
+	p := newPolicies(document)
+	e.current.Store(p)
+	if e.changed != nil {
+		e.changed(p)
+	}
+}
+
+// agentPolicies derives the policies from the agent's view, once per set of
+// sections.
+type agentPolicies struct {
+	current atomic.Pointer[agentDocument]
+}
+
+type agentDocument struct {
+	*policies
+	view     *subscriber.View
+	sections map[string]*wire.SectionState
+}
+
+func (a *agentPolicies) of(view *subscriber.View) *policies {
+	cached := a.current.Load()
+	if cached != nil && cached.view == view {
+		return cached.policies
+	}
+	states := view.Sections()
+	sections := make(map[string]*wire.SectionState, len(states))
+	for _, state := range states {
+		sections[state.GetSection()] = state
+	}
+	next := &agentDocument{
+		view:     view,
+		sections: sections,
+	}
+	if cached != nil && maps.Equal(cached.sections, sections) {
+		next.policies = cached.policies
+	} else {
+		document, _ := validator.FromSections(slices.Values(states))
+		next.policies = newPolicies(document)
+	}
+	a.current.Store(next)
+	return next.policies
+}
+
+func (p *policies) zoneInService(zone string) bool {
+	z, ok := p.document.Zone(zone)
+	return !ok || z.InService()
+}
--- a/subscriber/view.go
+++ b/subscriber/view.go
@@ -20,6 +20,7 @@
 	alive    *wire.Position
 	leaving  bool
 	joined   bool
+	share    int
 }
 
 func newView() *View {
@@ -63,6 +64,10 @@
 // Joined reports whether the incarnation is a member.
 func (v *View) Joined() bool { return v.joined }
 
+// BatchShare is the share of their processors that batch tasks on this host may
+// use, in thousandths; 0 means no limit.
+func (v *View) BatchShare() int { return v.share }
+
 // withoutMembership asks for everything again.
 func (v *View) withoutMembership() *View {
 	return &View{
@@ -82,6 +87,7 @@
 		alive:    response.GetAlive(),
 		leaving:  response.GetLeaving(),
 		joined:   true,
+		share:    int(response.GetBatchSharePermille()),
 	}
 	if response.GetUnchanged() {
 		next.claims, next.shards = v.claims, v.shards
@@ -97,6 +103,6 @@
 		}
 	}
 	differs := !v.joined || len(response.GetSections()) > 0 || !response.GetUnchanged() ||
-		v.leaving != next.leaving || !proto.Equal(v.alive, next.alive)
+		v.leaving != next.leaving || v.share != next.share || !proto.Equal(v.alive, next.alive)
 	return next, differs
 }
--- a/validator/settings.go
+++ b/validator/settings.go
@@ -129,6 +129,8 @@
 // Entry is the section of an entry process.
 type Entry struct {
 	listen, peerListen, address string
+	peers                       []string
+	drainDelay                  time.Duration
 }
 
 // Listen is the address for callers and operators.
@@ -141,11 +143,21 @@
 // PeerListen.
 func (e *Entry) Address() string { return e.address }
 
+// Peers are the addresses of other entry processes, from which a process that
+// starts while the log is down gets the state.
+func (e *Entry) Peers() []string { return e.peers }
+
+// DrainDelay is how long a stopping process accepts requests after readiness
+// turned false.
+func (e *Entry) DrainDelay() time.Duration { return e.drainDelay }
+
 func (e *Entry) fields() []Field {
 	return []Field{
 		optional("listen", "127.0.0.1:7400", "address for callers and operators (HTTP)", address(&e.listen, false)),
 		optional("peer_listen", "127.0.0.1:7401", "address for agents and other entries", address(&e.peerListen, false)),
 		optional("address", "", "address that agents and other entries use; peer_listen if absent", address(&e.address, false)),
+		optional("peers", "", "addresses of other entries, for a start while the log is down", addresses(&e.peers)),
+		optional("drain_delay", "2s", "how long a stopping process accepts requests after /readyz turned false", duration(&e.drainDelay, 0, time.Minute)),
 	}
 }
 
