State the log's retention and a lost history in settings and readiness

Ruled out: learning the retention from the log: it is not in the protocol.

Change: key retention in [log] (24h), readiness check history_complete.

Conclusion: operators set the retention that their log has.

--- a/server/entry.go
+++ b/server/entry.go
@@ -127,6 +127,7 @@
 		ReadWait:      s.Log().ReadWait(),
 		CallTimeout:   s.Log().ReadTimeout(),
 		SnapshotEvery: int64(s.Limits().SnapshotEvery()),
+		Retention:     s.Log().Retention(),
 	}
 	e.recorder = &recorder.Recorder{
 		Log:              logClient,
@@ -325,6 +326,15 @@
 			Name:    "configuration_current",
 			Failing: staleReason(e.follower, e.Settings.Limits().CurrencyLimit()),
 		},
+		{
+			Name: "history_complete",
+			Failing: func() string {
+				if err := e.follower.Err(); err != nil {
+					return err.Error()
+				}
+				return ""
+			},
+		},
 		{
 			Name: "accepting",
 			Failing: func() string {
--- a/validator/settings.go
+++ b/validator/settings.go
@@ -103,6 +103,7 @@
 type Log struct {
 	address                              string
 	appendTimeout, readTimeout, readWait time.Duration
+	retention                            time.Duration
 }
 
 // Address is the log's address.
@@ -117,12 +118,17 @@
 // ReadWait is how long a read at the head waits for the next entry.
 func (l *Log) ReadWait() time.Duration { return l.readWait }
 
+// Retention is how long the log keeps records. A snapshot is written at least
+// four times in that period.
+func (l *Log) Retention() time.Duration { return l.retention }
+
 func (l *Log) fields() []Field {
 	return []Field{
 		optional("address", "127.0.0.1:7100", "address of the platform's log", address(&l.address, false)),
 		optional("append_timeout", "2s", "deadline of an append", duration(&l.appendTimeout, 10*time.Millisecond, time.Minute)),
 		optional("read_timeout", "2s", "deadline of a read on top of its wait", duration(&l.readTimeout, 10*time.Millisecond, time.Minute)),
 		optional("read_wait", "500ms", "how long a read at the head waits for the next entry", duration(&l.readWait, time.Millisecond, time.Minute)),
+		optional("retention", "24h", "how long the log keeps records; snapshots are written four times as often", duration(&l.retention, time.Second, 365*24*time.Hour)),
 	}
 }
 
