--- a/server/entry.go
+++ b/server/entry.go
@@ -335,6 +335,15 @@
 				return ""
 			},
 		},
+		{
+			Name: "routing",
+			Failing: func() string {
+				if e.dispatcher.Routed() {
+					return ""
+				}
+				return "the endpoints are not known yet"
+			},
+		},
 		{
 			Name: "accepting",
 			Failing: func() string {
@@ -365,6 +374,7 @@
 func (e *Entry) stop() {
 	log.Info().Msg("entry stopping")
 	e.stopping.Store(true)
+	e.listeners[0].draining.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), e.Settings.Limits().DrainTimeout())
 	defer cancel()
 	if err := e.dispatcher.Drain(ctx); err != nil {
