Let a request with a key end although its caller's connection broke

Cause: the agent canceled a running request when the entry's connection broke, and kept unknown as the key's result. After an entry died, or a partition between entry and primary, a retry through another entry got unknown for key_lifetime although the endpoint had run the request.

Ruled out: keeping the key open for another run. The endpoint may have run the request, so another run could repeat it.

Change: once a request with a key starts at the endpoint, only its own deadline ends it. Requests without a key still end with their caller.

Before/after: go test -race ./e2e -run TestKeyRunsOnce. Before: primary_unreachable_for_entries_while_both_agents_talk: assertion failed: unknown != ran: deadline_exceeded. After: the retries get the first answer.

Conclusion: a broken connection between entry and agent does not lose a result.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -152,6 +152,14 @@
 		}
 		return nil, refusal
 	}
+	if ticket != nil && ctx.Err() == nil {
+		// The caller may ask for the result through another entry after its
+		// connection broke, so a request that starts goes on without it.
+		deadline, _ := ctx.Deadline()
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), deadline)
+		defer cancel()
+	}
 	answer, refusal := a.Forwarder.Forward(ctx, forwarder.Request{
 		Method:  request.GetMethod(),
 		Path:    request.GetPath(),
