Send a result that came after the shard moved to the new primary

Cause: an agent that leaves gives its shards away before its running requests end. Their results were dropped because the agent had no role any more, so the new primary answered in_progress for key_lifetime.

Ruled out: delaying the departure until the requests end, which would keep new requests from the successor for as long.

Change: the result goes without an epoch to the former other agent of the shard, which learns results of the keys it knows in any epoch.

Before/after: go test -race ./e2e -run TestKeyRunsOnce. Before: endpoint_leaves: assertion failed: unknown != ran: in_progress. After: the retry gets the first answer.

--- a/deduplicator/replicate.go
+++ b/deduplicator/replicate.go
@@ -279,12 +279,12 @@
 	for _, item := range batch {
 		sh := d.shards[item.id]
 		e := sh.entries[item.key]
-		if sh.role == roleNone || e == nil || sh.peer == "" {
+		if e == nil || sh.peer == "" {
 			continue
 		}
 		message := byShard[item.id]
 		if message == nil {
-			if message = d.message(sh); message == nil {
+			if message = d.resultMessage(sh); message == nil {
 				continue
 			}
 			byShard[item.id] = message
@@ -294,3 +294,17 @@
 	}
 	return byAddress
 }
+
+// resultMessage is a message without epoch if the shard moved away while the
+// request ran: the agent that replaced this one learns results of the keys it
+// knows in any epoch.
+func (d *Deduplicator) resultMessage(sh *shard) *wire.ReplicateRequest {
+	if sh.role != roleNone {
+		return d.message(sh)
+	}
+	return &wire.ReplicateRequest{
+		Service: sh.id.service,
+		Shard:   sh.id.shard,
+		From:    proto.CloneOf(d.self),
+	}
+}
