Add the capacity command and the package measurer

Cause: the target size has no figures; the design page promises them in CAPACITY.md. Ruled out: benchmarks of the packages alone. They leave out HTTP, connections and the processes' idle work, which turned out to be most of the cost.

--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,11 @@
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 
+# Measures what each role costs and writes the measured part of the page; takes
+# about three minutes. CAPACITY_FLAGS = -divisor 10 -runs 1 is a short trial.
+capacity: build
+	$(GO) run ./cmd/capacity -binary bin/damaskspread -page docs/CAPACITY.md -json bin/capacity.json $(CAPACITY_FLAGS)
+
 # Regenerates the wire package; only needed after a change in proto/.
 generate:
 	$(GO) tool -modfile=tools/proto/go.mod buf generate
--- /dev/null
+++ b/measurer/report.go
@@ -0,0 +1,89 @@
+package measurer
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+)
+
+// Begin and End enclose the part of a page that a report replaces.
+const (
+	Begin = "<!-- measured: begin; regenerate with make capacity -->"
+	End   = "<!-- measured: end -->"
+)
+
+// MarkerError means that a page lacks the markers.
+type MarkerError struct {
+	Marker string
+}
+
+func (e *MarkerError) Error() string { return fmt.Sprintf("the page lacks the line %q", e.Marker) }
+
+// Markdown returns the tables of the report, one per role.
+func (r *Report) Markdown() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "Measured on one machine: %s. Each value is min/**median**/max.\n", r.Machine)
+	var roles []string
+	for _, s := range r.Series {
+		if !slices.Contains(roles, s.Role) {
+			roles = append(roles, s.Role)
+		}
+	}
+	slices.Sort(roles)
+	for _, role := range roles {
+		fmt.Fprintf(&b, "\n### Measured: %s\n\n", role)
+		b.WriteString("| quantity | over | at sizes | n | base + slope | at target |\n|---|---|---|---|---|---|\n")
+		for _, s := range r.Series {
+			if s.Role == role {
+				b.WriteString(s.row())
+			}
+		}
+	}
+	return b.String()
+}
+
+func (s Series) row() string {
+	var sizes []string
+	runs := 0
+	for _, p := range s.Points {
+		sizes = append(sizes, fmt.Sprintf("%.0f: %s/**%s**/%s", p.Size, round(p.Min), round(p.Median), round(p.Max)))
+		runs = p.Runs
+	}
+	return fmt.Sprintf("| %s, %s | %s | %s | %d | %s + %s each | %.0f: %s |\n", s.Quantity, s.Unit, s.Axis,
+		strings.Join(sizes, "; "), runs, round(s.Base), round(s.Slope), s.Target, round(s.AtTarget))
+}
+
+// round writes three significant digits without an exponent where possible.
+func round(value float64) string {
+	magnitude := math.Abs(value)
+	switch {
+	case magnitude == 0:
+		return "0"
+	case magnitude >= 100:
+		return fmt.Sprintf("%.0f", value)
+	case magnitude >= 10:
+		return fmt.Sprintf("%.1f", value)
+	case magnitude >= 0.01:
+		return fmt.Sprintf("%.3g", value)
+	default:
+		return fmt.Sprintf("%.2g", value)
+	}
+}
+
+// ReplaceBlock returns the page with the text between the markers replaced.
+func ReplaceBlock(page, block string) (string, error) {
+	before, rest, ok := strings.Cut(page, Begin)
+	if !ok {
+		return "", &MarkerError{
+			Marker: Begin,
+		}
+	}
+	_, after, ok := strings.Cut(rest, End)
+	if !ok {
+		return "", &MarkerError{
+			Marker: End,
+		}
+	}
+	return before + Begin + "\n" + block + End + after, nil
+}
