--- a/follower/applier.go
+++ b/follower/applier.go
@@ -4,7 +4,6 @@
 	"fmt"
 
 	"github.com/phuslu/log"
-	"google.golang.org/protobuf/proto"
 
 	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/replayer"
@@ -34,8 +33,8 @@
 
 // DecodeBatch decodes a log entry. With an error it returns an empty batch.
 func DecodeBatch(data []byte) (*wire.RecordBatch, error) {
-	batch := &wire.RecordBatch{}
-	if err := proto.Unmarshal(data, batch); err != nil {
+	batch, err := unmarshalBatch(data)
+	if err != nil {
 		return &wire.RecordBatch{}, &DecodeError{
 			Cause: err,
 		}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -7,9 +7,6 @@
 // the log does not prove currency, and one watches and writes snapshots. Each
 // subscription holds up to subscriptionCapacity batches of changes; a full one
 // is emptied and tells its reader to reload the whole state.
-//
-// Open question: whether snapshots should be compressed; at full size they
-// are tens of megabytes.
 package follower
 
 import (
--- a/follower/snapshots.go
+++ b/follower/snapshots.go
@@ -28,12 +28,13 @@
 
 func (f *Follower) snapshotStream() string { return "snapshot." + f.Region }
 
-// Chunks splits a snapshot into log records.
+// Chunks compresses a snapshot and splits it into log records.
 func Chunks(id string, snapshot *wire.Snapshot) ([]*wire.SnapshotChunk, error) {
 	data, err := proto.Marshal(snapshot)
 	if err != nil {
 		return nil, err
 	}
+	data = deflate(data)
 	checksum := sha256.Sum256(data)
 	count := max(1, (len(data)+chunkBytes-1)/chunkBytes)
 	chunks := make([]*wire.SnapshotChunk, 0, count)
@@ -45,6 +46,7 @@
 			Count:    int32(count),
 			Data:     data[i*chunkBytes : min(len(data), (i+1)*chunkBytes)],
 			Checksum: checksum[:],
+			Deflated: true,
 		})
 	}
 	return chunks, nil
@@ -102,7 +104,7 @@
 	}
 	checksum := sha256.Sum256(data)
 	snapshot := &wire.Snapshot{}
-	if !bytes.Equal(checksum[:], last.GetChecksum()) || proto.Unmarshal(data, snapshot) != nil {
+	if !bytes.Equal(checksum[:], last.GetChecksum()) || unmarshalSnapshot(data, last.GetDeflated(), snapshot) != nil {
 		log.Error().Str("snapshot", p.id).Msg("snapshot is damaged and ignored")
 		return nil
 	}
@@ -111,6 +113,16 @@
 	return snapshot
 }
 
+func unmarshalSnapshot(data []byte, deflated bool, snapshot *wire.Snapshot) error {
+	if deflated {
+		var err error
+		if data, err = inflate(data, maxSnapshotBytes); err != nil {
+			return err
+		}
+	}
+	return proto.Unmarshal(data, snapshot)
+}
+
 // seenSnapshot is the newest complete snapshot of the stream.
 type seenSnapshot struct {
 	known  bool
--- a/recorder/committer.go
+++ b/recorder/committer.go
@@ -5,9 +5,8 @@
 	"errors"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/follower"
 	"damaskspread.example/damaskspread/wire"
 )
 
@@ -21,7 +20,7 @@
 	for _, waiting := range batch {
 		records.Records = append(records.Records, waiting.records...)
 	}
-	data, err := proto.Marshal(records)
+	data, err := follower.EncodeBatch(records)
 	if err != nil {
 		answer(batch, 0, damaskspread.NotRun(damaskspread.ReasonInvalid, "the records can't be encoded: %v", err))
 		return
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"google.golang.org/protobuf/proto"
 	"gopkg.in/tomb.v2"
 	"gotest.tools/v3/assert"
 
@@ -129,8 +128,8 @@
 			assert.Check(t, err)
 			log.mu.Lock()
 			defer log.mu.Unlock()
-			batch := &wire.RecordBatch{}
-			assert.Check(t, proto.Unmarshal(log.entries[offset].GetData(), batch))
+			batch, err := follower.DecodeBatch(log.entries[offset].GetData())
+			assert.Check(t, err)
 			found := 0
 			for _, got := range batch.GetRecords() {
 				if got.GetId() == records[0].GetId() || got.GetId() == records[1].GetId() {
