Forget hosts that expired long ago

Ruled out: dropping expired hosts by their age in the replayer, which has no clock; forgetting hosts with claims, whose release depends on the host. Change: an entry that has seen a host expired for an hour appends HostForgotten. It takes effect only for an expired host without claims whose alive record is still the one named. Any entry may write it; a rank delay keeps several from writing it at once. Conclusion: the planner keeps its own view of a forgotten host until it reloads; that is left to the planner.

--- a/auditor/describe.go
+++ b/auditor/describe.go
@@ -40,6 +40,8 @@
 		e.detail = strings.TrimSpace(e.detail + " " + body.HostLeaving.GetReason())
 	case *wire.Record_HostExpired:
 		e.kind, e.action, e.to = "host", "host_expired", "expired"
+	case *wire.Record_HostForgotten:
+		e.kind, e.action, e.to = "host", "host_forgotten", "forgotten"
 	case *wire.Record_HostReleased:
 		e.kind, e.action, e.to = "host", "host_released", releaseName(body.HostReleased.GetReason())
 	case *wire.Record_EntryExpired:
--- a/feeder/cluster_test.go
+++ b/feeder/cluster_test.go
@@ -160,6 +160,8 @@
 		MemberHold: time.Second,
 		EntryHold:  time.Second,
 		AliveEvery: 100 * time.Millisecond,
+		// Long enough for tests to observe the expiry before.
+		ForgetAfter: 3 * time.Second,
 		Entry: &wire.EntryAlive{
 			Entry: name,
 		},
--- a/feeder/feeder.go
+++ b/feeder/feeder.go
@@ -7,9 +7,6 @@
 // one writes EntryAlive, one
 // records which agents attached, and one expires hosts and entry processes that this
 // process has observed to be silent. A long poll holds no lock while it waits.
-//
-// Open question: hosts that never return stay in the state as expired; no
-// record removes them.
 package feeder
 
 import (
@@ -41,6 +38,10 @@
 	// DefaultMaxSyncWait bounds a long poll, since an agent counts the whole
 	// poll towards its currency age.
 	DefaultMaxSyncWait = time.Second
+	// DefaultForgetAfter is how long an expired host without claims stays in
+	// the state. It is much longer than any record or call can be delayed, so
+	// that none of an old incarnation arrives after its host was forgotten.
+	DefaultForgetAfter = time.Hour
 	// DefaultAppendTimeout bounds appends that this package starts itself.
 	DefaultAppendTimeout = 5 * time.Second
 
@@ -71,6 +72,7 @@
 	EntryHold     time.Duration
 	CurrencyLimit time.Duration
 	MaxSyncWait   time.Duration
+	ForgetAfter   time.Duration
 	AppendTimeout time.Duration
 
 	setup       sync.Once
@@ -90,6 +92,7 @@
 		setDefault(&f.EntryHold, DefaultEntryHold)
 		setDefault(&f.CurrencyLimit, DefaultCurrencyLimit)
 		setDefault(&f.MaxSyncWait, DefaultMaxSyncWait)
+		setDefault(&f.ForgetAfter, DefaultForgetAfter)
 		setDefault(&f.AppendTimeout, DefaultAppendTimeout)
 		f.Entry = proto.CloneOf(f.Entry)
 		if f.Entry.GetIncarnation() == "" {
--- a/feeder/feeder_test.go
+++ b/feeder/feeder_test.go
@@ -42,6 +42,16 @@
 		})
 		return expired
 	})
+	// A claim keeps the host in the state until it is released.
+	e.append(t, record(`host_released {host: "h1" worker_boot: "b1" reason: RELEASE_REASON_DECLARED_LOST}`))
+	eventually(t, "the end of the host's record", func() bool {
+		known := true
+		e.follower.View(func(state *replayer.State) { _, known = state.Host("h1") })
+		return !known
+	})
+	// The host can join again as if it were new.
+	again, _ := startAgent(t, "h1", e)
+	eventually(t, "the join after that", func() bool { return again.View().Joined() })
 }
 
 // Guards against hosts that expire because their entry process failed, and
--- a/feeder/watcher.go
+++ b/feeder/watcher.go
@@ -27,7 +27,7 @@
 	pausedAfter = 4 * scanEvery
 )
 
-// watcher expires hosts and entry processes by this process's own observation
+// watcher expires hosts and entry processes, and forgets expired hosts, by this process's own observation
 // time. It is used by one goroutine only.
 type watcher struct {
 	feeder  *Feeder
@@ -42,6 +42,7 @@
 	incarnation string
 	alive       int64
 	orphan      bool
+	expired     bool
 	since       time.Time
 	retry       time.Time
 }
@@ -107,9 +108,12 @@
 func (w *watcher) scanHost(records []*wire.Record, seen map[string]observation, state *replayer.State, host *wire.HostState, now time.Time) []*wire.Record {
 	f := w.feeder
 	id := host.GetSpec().GetHost()
+	if host.GetExpired() {
+		return w.scanExpired(records, seen, state, host, now)
+	}
 	_, entryKnown := state.Entry(host.GetEntry())
 	own := host.GetEntry() == f.Entry.GetEntry()
-	if host.GetExpired() || (entryKnown && !own) {
+	if entryKnown && !own {
 		return records
 	}
 	o := renew(w.hosts[id], observation{
@@ -144,6 +148,34 @@
 	return records
 }
 
+// scanExpired forgets a host that has been expired for long.
+func (w *watcher) scanExpired(records []*wire.Record, seen map[string]observation, state *replayer.State, host *wire.HostState, now time.Time) []*wire.Record {
+	id := host.GetSpec().GetHost()
+	o := renew(w.hosts[id], observation{
+		incarnation: host.GetSpec().GetIncarnation(),
+		alive:       damaskspread.Token(host.GetAlive()),
+		expired:     true,
+		since:       now,
+	})
+	silent, hold := now.Sub(o.since), w.feeder.ForgetAfter
+	if silent >= hold && silent >= hold+w.delay(state, id) && !now.Before(o.retry) && state.ClaimCount(id) == 0 {
+		o.retry = now.Add(expiryRetry)
+		records = append(records, &wire.Record{
+			Body: &wire.Record_HostForgotten{
+				HostForgotten: &wire.HostForgotten{
+					Host: &wire.HostRef{
+						Host:        id,
+						Incarnation: o.incarnation,
+					},
+					Alive: host.GetAlive(),
+				},
+			},
+		})
+	}
+	seen[id] = o
+	return records
+}
+
 func (w *watcher) scanEntry(records []*wire.Record, seen map[string]observation, state *replayer.State, entry *wire.EntryState, now time.Time) []*wire.Record {
 	f := w.feeder
 	id := entry.GetEntry().GetEntry()
@@ -174,7 +206,7 @@
 // renew keeps the earlier observation unless there was a sign of life.
 func renew(earlier, now observation) observation {
 	if earlier.incarnation == now.incarnation && earlier.alive == now.alive &&
-		earlier.orphan == now.orphan && !earlier.since.IsZero() {
+		earlier.orphan == now.orphan && earlier.expired == now.expired && !earlier.since.IsZero() {
 		return earlier
 	}
 	return now
--- a/replayer/apply.go
+++ b/replayer/apply.go
@@ -47,6 +47,8 @@
 		s.applyHostLeaving(c, body.HostLeaving)
 	case *wire.Record_HostExpired:
 		s.applyHostExpired(c, body.HostExpired)
+	case *wire.Record_HostForgotten:
+		s.applyHostForgotten(c, body.HostForgotten)
 	case *wire.Record_HostReleased:
 		s.applyHostReleased(c, body.HostReleased)
 	case *wire.Record_EntryAlive:
--- a/replayer/hosts.go
+++ b/replayer/hosts.go
@@ -119,6 +119,21 @@
 	s.assignShards(c, h.state.GetSpec().GetEndpoint().GetService())
 }
 
+// applyHostForgotten keeps hosts that never return from filling the state. A
+// host with claims stays: they are released by the rules for its worker.
+func (s *State) applyHostForgotten(c Change, forgotten *wire.HostForgotten) {
+	ref := forgotten.GetHost()
+	h := s.hosts[ref.GetHost()]
+	if h == nil || h.state.GetSpec().GetIncarnation() != ref.GetIncarnation() || !h.state.GetExpired() ||
+		len(h.claims) > 0 || !samePosition(h.state.GetAlive(), forgotten.GetAlive()) {
+		s.void(c, ref.GetHost(), damaskspread.ReasonConflict, "the host is a member, holds claims or was alive later")
+		return
+	}
+	s.unindex(h)
+	delete(s.hosts, ref.GetHost())
+	s.changed(c, HostChanged, ref.GetHost())
+}
+
 func (s *State) applyHostReleased(c Change, released *wire.HostReleased) {
 	id := released.GetHost()
 	h := s.hosts[id]
--- a/replayer/property_test.go
+++ b/replayer/property_test.go
@@ -35,7 +35,7 @@
 }
 
 func drawBody(t *rapid.T, host, incarnation, boot, task string, attempt int32, position *wire.Position) *wire.Record {
-	switch rapid.IntRange(0, 12).Draw(t, "kind") {
+	switch rapid.IntRange(0, 13).Draw(t, "kind") {
 	case 0:
 		return joined(host, incarnation, boot, "z"+host[1:])
 	case 1:
@@ -58,6 +58,8 @@
 		return released(host, boot, position, wire.ReleaseReason(reason))
 	case 11:
 		return alive(host, incarnation)
+	case 12:
+		return forgotten(host, incarnation, position)
 	default:
 		return record(`host_leaving {host {host: %q incarnation: %q}}`, host, incarnation)
 	}
@@ -153,6 +155,17 @@
 			t.Fatalf("canceled task is pending: %v", task)
 		}
 	}
+	for _, old := range before.GetHosts() {
+		id := old.GetSpec().GetHost()
+		if _, ok := state.Host(id); ok {
+			continue
+		}
+		for _, task := range before.GetTasks() {
+			if !old.GetExpired() || (task.GetPhase() == wire.TaskPhase_TASK_PHASE_CLAIMED && task.GetHost() == id) {
+				t.Fatalf("host %v with task %v is forgotten", old, task)
+			}
+		}
+	}
 	for _, old := range before.GetSections() {
 		section, ok := state.Section(old.GetSection())
 		if !ok || damaskspread.Token(section.GetPosition()) < damaskspread.Token(old.GetPosition()) {
@@ -207,6 +220,9 @@
 	host := rapid.SampledFrom([]string{"h1", "h2", "h3", "h4", "h5"}).Draw(t, "host")
 	incarnation := rapid.SampledFrom([]string{"i1", "i2", "i3"}).Draw(t, "incarnation")
 	known, ok := state.Host(host)
+	if ok && known.GetExpired() && rapid.Bool().Draw(t, "forget") {
+		return forgotten(host, known.GetSpec().GetIncarnation(), known.GetAlive()), -1
+	}
 	if ok && replayer.IsMember(known) && rapid.Bool().Draw(t, "leave") {
 		return expired(host, known.GetSpec().GetIncarnation(), known.GetAlive()), -1
 	}
--- a/replayer/state.go
+++ b/replayer/state.go
@@ -136,6 +136,15 @@
 	return free
 }
 
+// ClaimCount is the number of tasks that are claimed on a host.
+func (s *State) ClaimCount(id string) int {
+	h, ok := s.hosts[id]
+	if !ok {
+		return 0
+	}
+	return len(h.claims)
+}
+
 // ClaimsOf iterates over the tasks that are claimed on a host.
 func (s *State) ClaimsOf(id string) iter.Seq[*wire.TaskState] {
 	h, ok := s.hosts[id]
--- a/replayer/state_test.go
+++ b/replayer/state_test.go
@@ -68,6 +68,12 @@
 	return parsed
 }
 
+func forgotten(host, incarnation string, alive *wire.Position) *wire.Record {
+	parsed := record(`host_forgotten {host {host: %q incarnation: %q}}`, host, incarnation)
+	parsed.GetHostForgotten().Alive = alive
+	return parsed
+}
+
 func released(host, boot string, alive *wire.Position, reason wire.ReleaseReason) *wire.Record {
 	parsed := record(`host_released {host: %q worker_boot: %q reason: %d}`, host, boot, reason)
 	parsed.GetHostReleased().Alive = alive
@@ -130,6 +136,14 @@
 		"fenced release":                     {[]*wire.Record{released("h1", "b1", at(0), fenced)}, none},
 		"host declared lost":                 {[]*wire.Record{alive("h1", "i1"), released("h1", "b1", nil, wire.ReleaseReason_RELEASE_REASON_DECLARED_LOST)}, none},
 		"heartbeat after expiry":             {[]*wire.Record{expired("h1", "i1", at(0)), alive("h1", "i1")}, damaskspread.ReasonConflict},
+		"forgetting a member":                {[]*wire.Record{evicted("t1", 1, "h1"), forgotten("h1", "i1", at(0))}, damaskspread.ReasonConflict},
+		"forgetting a host with claims":      {[]*wire.Record{expired("h1", "i1", at(0)), forgotten("h1", "i1", at(0))}, damaskspread.ReasonConflict},
+		"forgetting after a join":            {[]*wire.Record{expired("h1", "i1", at(0)), joined("h1", "i2", "b2", "z1"), forgotten("h1", "i1", at(0))}, damaskspread.ReasonConflict},
+		"forgetting after a heartbeat":       {[]*wire.Record{evicted("t1", 1, "h1"), alive("h1", "i1"), expired("h1", "i1", at(5)), forgotten("h1", "i1", at(0))}, damaskspread.ReasonConflict},
+		"forgetting an expired host":         {[]*wire.Record{evicted("t1", 1, "h1"), expired("h1", "i1", at(0)), forgotten("h1", "i1", at(0))}, none},
+		"forgetting twice":                   {[]*wire.Record{evicted("t1", 1, "h1"), expired("h1", "i1", at(0)), forgotten("h1", "i1", at(0)), forgotten("h1", "i1", at(0))}, damaskspread.ReasonConflict},
+		"join of a forgotten host":           {[]*wire.Record{evicted("t1", 1, "h1"), expired("h1", "i1", at(0)), forgotten("h1", "i1", at(0)), replacing(joined("h1", "i2", "b1", "z1"), at(-1))}, none},
+		"end on a forgotten host":            {[]*wire.Record{evicted("t1", 1, "h1"), expired("h1", "i1", at(0)), forgotten("h1", "i1", at(0)), finished("t1", 1, "h1", succeeded, false)}, damaskspread.ReasonConflict},
 		"eviction repeated":                  {[]*wire.Record{evicted("t1", 1, "h1"), evicted("t1", 1, "h1")}, damaskspread.ReasonConflict},
 		"end of an earlier attempt":          {[]*wire.Record{evicted("t1", 1, "h1"), finished("t1", 1, "h1", succeeded, false)}, damaskspread.ReasonConflict},
 		"key submitted again":                {[]*wire.Record{submitted("t1", "k1", 6)}, damaskspread.ReasonConflict},
