Make idle Sync cheaper and keep idle agents below currency_limit

Cause: an idle agent aged up to twice sync_wait plus the age of its entry, 3 s with the defaults and so as high as currency_limit; and each idle response of about 50 bytes was compressed. Change: a Sync response says how long the entry held the call before it took its age, and the agent counts nine tenths of that as known. sync_wait is 1250ms by default. Responses below 1 KiB are not compressed.

--- a/feeder/sync.go
+++ b/feeder/sync.go
@@ -17,6 +17,7 @@
 // Sync is the long poll of an agent.
 func (f *Feeder) Sync(ctx context.Context, request *connect.Request[wire.SyncRequest]) (*connect.Response[wire.SyncResponse], error) {
 	f.prepare()
+	arrived := f.Clock.Now()
 	call := request.Msg
 	if call.GetHost().GetHost() == "" || call.GetHost().GetIncarnation() == "" {
 		return nil, refused(connect.CodeInvalidArgument, damaskspread.NotRun(damaskspread.ReasonBadRequest, "host and incarnation are required"))
@@ -38,7 +39,7 @@
 	if rejoin, err := f.attach(ctx, call); err != nil || rejoin {
 		return f.rejoinResponse(call), err
 	}
-	return f.poll(ctx, call, expired)
+	return f.poll(ctx, call, arrived, expired)
 }
 
 // rejoinResponse tells the agent which incarnation it replaces when it joins.
@@ -82,13 +83,13 @@
 }
 
 // poll answers as soon as there is something new, or when the wait is over.
-func (f *Feeder) poll(ctx context.Context, call *wire.SyncRequest, expired <-chan time.Time) (*connect.Response[wire.SyncResponse], error) {
+func (f *Feeder) poll(ctx context.Context, call *wire.SyncRequest, arrived time.Time, expired <-chan time.Time) (*connect.Response[wire.SyncResponse], error) {
 	s := f.session(call.GetHost())
 	over := false
 	for {
 		s.touch(f.Clock.Now())
 		changed := s.changed()
-		response, member := f.build(call)
+		response, member := f.build(call, arrived)
 		if !member {
 			return f.rejoinResponse(call), nil
 		}
@@ -112,12 +113,14 @@
 	}
 }
 
-// build reads one consistent response. The age is taken first: the state that
-// is read afterwards covers at least what that age refers to.
-func (f *Feeder) build(call *wire.SyncRequest) (*wire.SyncResponse, bool) {
+// build reads one consistent response. The age is taken before the state, which
+// then covers at least what that age refers to, and after the time of holding,
+// so that a pause between the two makes the agent's age too high, not too low.
+func (f *Feeder) build(call *wire.SyncRequest, arrived time.Time) (*wire.SyncResponse, bool) {
 	response := &wire.SyncResponse{
-		AgeUs: damaskspread.AgeMicros(f.Follower.Age()),
+		HeldUs: max(f.Clock.Since(arrived), 0).Microseconds(),
 	}
+	response.AgeUs = damaskspread.AgeMicros(f.Follower.Age())
 	if f.BatchShare != nil {
 		response.BatchSharePermille = int32(f.BatchShare(call.GetHost().GetHost()))
 	}
--- a/server/agent.go
+++ b/server/agent.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/phuslu/log"
 	"github.com/samber/oops"
 	"gopkg.in/tomb.v2"
@@ -258,7 +259,7 @@
 	s := a.Settings
 	peers := http.NewServeMux()
 	if a.admitter != nil {
-		peers.Handle(wireconnect.NewAgentServiceHandler(a.admitter))
+		peers.Handle(wireconnect.NewAgentServiceHandler(a.admitter, connect.WithCompressMinBytes(compressMin)))
 	}
 	m := &monitor.Monitor{
 		Checks:  a.checks(),
--- a/server/entry.go
+++ b/server/entry.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 	"github.com/samber/oops"
@@ -288,7 +289,7 @@
 	requests := countOutcomes(e.set, e.Clock, e.dispatcher)
 	router.POST("/v1/services/:service/requests/*path", bunrouter.HTTPHandler(requests))
 	peers := http.NewServeMux()
-	peers.Handle(wireconnect.NewEntryServiceHandler(e.feeder))
+	peers.Handle(wireconnect.NewEntryServiceHandler(e.feeder, connect.WithCompressMinBytes(compressMin)))
 	m := &monitor.Monitor{
 		Checks:  e.checks(),
 		Metrics: e.metrics(),
--- a/server/listener.go
+++ b/server/listener.go
@@ -20,6 +20,9 @@
 	peerIdle = 2 * time.Minute
 	// idlePerPeer covers the slots and the queue of an endpoint.
 	idlePerPeer = 64
+	// compressMin is the size from which a response is compressed. An idle
+	// Sync response has about 50 bytes, which compression makes larger.
+	compressMin = 1 << 10
 	// dialTimeout leaves time for another try within currency_limit.
 	dialTimeout = time.Second
 )
--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -103,6 +103,15 @@
 	})
 	assert.Assert(t, s.Age() >= 3*time.Second && s.Age() < damaskspread.MaxAge, "%v", s.Age())
 	assert.Equal(t, len(view.Claims()), 1)
+	// The entry process took its age when it had held the call for a second, so
+	// the agent is older than that by what passed since, and by the margin for
+	// clock rates.
+	next(&wire.SyncResponse{
+		Offset:    5,
+		Unchanged: true,
+		HeldUs:    1_000_000,
+	})
+	assert.Assert(t, s.Age() >= 100*time.Millisecond && s.Age() < 2*time.Second, "%v", s.Age())
 	view = next(&wire.SyncResponse{
 		Offset:   4,
 		Sections: []*wire.SectionState{section("from behind", 9)},
--- a/subscriber/syncer.go
+++ b/subscriber/syncer.go
@@ -98,7 +98,7 @@
 	}
 	age := damaskspread.AgeFromMicros(response.GetAgeUs())
 	if age < damaskspread.MaxAge {
-		if asOf := sent.Add(-age); !s.proven || asOf.After(s.currentAsOf) {
+		if asOf := sent.Add(heldFor(response) - age); !s.proven || asOf.After(s.currentAsOf) {
 			s.currentAsOf = asOf
 		}
 		s.proven = true
@@ -114,6 +114,14 @@
 	s.moveFromStale(entry, age)
 }
 
+// heldFor is how long after it was sent a call was certainly still unanswered.
+// The entry process took its age no earlier than that. A tenth is left out for
+// clocks that run at different rates.
+func heldFor(response *wire.SyncResponse) time.Duration {
+	held := time.Duration(max(response.GetHeldUs(), 0)) * time.Microsecond
+	return held - held/10
+}
+
 // delayRejoin lets each rejoin after a short membership wait longer. The first
 // join is not preceded by a membership and doesn't wait.
 func (s *Subscriber) delayRejoin() {
--- a/validator/limits.go
+++ b/validator/limits.go
@@ -88,7 +88,7 @@
 		optional("member_hold", "6s", "how long a silent host stays an endpoint", duration(&l.memberHold, 200*time.Millisecond, time.Hour)),
 		optional("task_hold", "15m", "how long tasks stay with a silent host", duration(&l.taskHold, time.Second, 24*time.Hour)),
 		optional("key_lifetime", "10m", "how long an idempotency key is remembered", duration(&l.keyLifetime, time.Second, 24*time.Hour)),
-		optional("sync_wait", "1s", "how long a Sync call waits for a change", duration(&l.syncWait, 10*time.Millisecond, time.Minute)),
+		optional("sync_wait", "1250ms", "how long a Sync call waits for a change", duration(&l.syncWait, 10*time.Millisecond, time.Minute)),
 		optional("request_timeout", "2s", "deadline of a request that names none", duration(&l.requestTimeout, time.Millisecond, time.Hour)),
 		optional("drain_timeout", "30s", "how long a planned stop waits for running work", duration(&l.drainTimeout, 0, time.Hour)),
 		optional("appends_per_second", "50", "append budget of an entry process", integer(&l.appendsPerSecond, 1, 10_000)),
--- a/validator/validator_test.go
+++ b/validator/validator_test.go
@@ -100,7 +100,7 @@
 		{"host name as address", process + "[log]\naddress = log:7100\n", "expected ip:port"},
 		{"pprof off loopback", process + "pprof_listen = 0.0.0.0:7403\n", "expected ip:port of a loopback address"},
 		{"long read wait", process + "[log]\nread_wait = 2s\n", `[log] read_wait: found "2s", expected at most half of currency_limit (3s)`},
-		{"short member hold", process + "[limits]\nmember_hold = 1s\n", "expected at least twice sync_wait (1s)"},
+		{"short member hold", process + "[limits]\nmember_hold = 1s\n", "expected at least twice sync_wait (1.25s)"},
 		{"short task hold", process + "[limits]\ntask_hold = 2s\n", "expected at least member_hold (6s)"},
 		{"unreachable address", process + "[agent]\nlisten = 0.0.0.0:7410\n", "an IP address that other processes can reach"},
 		{"slow zone bound", process + "[limits]\ncurrency_limit = 5s\n", "a duration from 100ms to 4s"},
