--- a/server/listener.go
+++ b/server/listener.go
@@ -19,15 +19,16 @@
 	// peerIdle keeps connections between own processes open across the pauses
 	// of an idle service.
 	peerIdle = 2 * time.Minute
-	// compressAbove spares the many small messages the cost of compression.
-	compressAbove = 4096
 	// idlePerPeer covers the slots and the queue of an endpoint.
 	idlePerPeer = 64
+	// compressMin is the size from which a response is compressed. An idle
+	// Sync response has about 50 bytes, which compression makes larger.
+	compressMin = 1 << 10
 	// dialTimeout leaves time for another try within currency_limit.
 	dialTimeout = time.Second
 )
 
-var compressLarge = connect.WithCompressMinBytes(compressAbove)
+var compressLarge = connect.WithCompressMinBytes(compressMin)
 
 // ListenError means that a process cannot use one of its addresses.
 type ListenError struct {
