Bound the cost of a planning round and of refusals

Cause: with 36,000 pending tasks on full hosts, a round took 2.5 to 3.2 ms of 100 ms (2.5% to 3.2% of a core). Two thirds were tries of tasks whose refusal was known: each counted all parked tasks to bound the reservations and hashed the strings of its shape and team. The rest was the search for the longest wait over all teams, 64 times a round, a look at every host's quarantine and lease, and refusals that scanned every host. With three entries, each repeated most of this for a third of the starts.

Queues now share the refusals of their shape, a known refusal blocks a queue without a try, blocked teams are passed at once, the search for the longest wait follows starts instead of tries, and hosts are visited only when they are set aside or once a second. Refusals look at classes of equal hosts and at a sample of at most about 128 of them. A heartbeat of an entry no longer assigns all pending tasks anew.

--- a/placer/index.go
+++ b/placer/index.go
@@ -75,6 +75,8 @@
 	tasks        int
 	accelerators bool
 	slot         slot
+	class        *class
+	classAt      int
 }
 
 func (h *host) free() amount {
@@ -117,6 +119,7 @@
 	ordered      []*host
 	zones        map[string]*zone
 	zoneList     []*zone
+	classes      map[classKey]*class
 	commitments  map[string]commitment
 	reservations map[string]commitment
 	kinds        map[kindKey]*spreadCount
@@ -129,6 +132,7 @@
 	return &Index{
 		hosts:        map[string]*host{},
 		zones:        map[string]*zone{},
+		classes:      map[classKey]*class{},
 		commitments:  map[string]commitment{},
 		reservations: map[string]commitment{},
 		kinds:        map[kindKey]*spreadCount{},
@@ -163,6 +167,7 @@
 		h.zone = x.zone(spec.GetZone())
 	}
 	x.unlist(h)
+	x.declassify(h)
 	x.total = x.total.minus(h.capacity)
 	h.zone.addCapacity(h, -1)
 	h.zone = x.zone(spec.GetZone())
@@ -174,6 +179,7 @@
 	h.member = replayer.IsMember(state)
 	h.zone.addCapacity(h, 1)
 	x.total = x.total.plus(h.capacity)
+	x.classify(h)
 	x.list(h)
 	x.freed++
 }
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -323,10 +323,16 @@
 	}
 }
 
-// BenchmarkRefusal is the cost of a decision that has to look at every host.
+// BenchmarkRefusal is the cost of a decision on full hosts.
 func BenchmarkRefusal(b *testing.B) {
+	for _, hosts := range []int{775, 1550, 3100} {
+		b.Run(fmt.Sprint("hosts=", hosts), func(b *testing.B) { benchmarkRefusal(b, hosts) })
+	}
+}
+
+func benchmarkRefusal(b *testing.B, hosts int) {
 	x := placer.NewIndex()
-	for i := range 3_100 {
+	for i := range hosts {
 		x.SetHost(hostIn(fmt.Sprint("h", i), fmt.Sprint("z", i%10), 32_000, 120, 0))
 		x.Commit(batch(fmt.Sprint("r", i), resources(31_000, 100, 0)), fmt.Sprint("h", i))
 	}
@@ -365,3 +371,32 @@
 	_, _, usable, ready := x.Reserved("urgent")
 	assert.Assert(t, !usable && !ready)
 }
+
+// Guards against a sampled refusal of a large cluster that blames the
+// quarantine while a host outside the sample takes tasks, or that forgets
+// hosts whose capacity changed.
+func TestRefusalOfALargeCluster(t *testing.T) {
+	x := placer.NewIndex()
+	for i := range 1_000 {
+		id := fmt.Sprint("h", i)
+		x.SetHost(hostIn(id, fmt.Sprint("z", i%10), 8_000, 30, 0))
+		x.SetHost(hostIn(id, fmt.Sprint("z", i%10), 16_000, 60, 0))
+		if i != 11 {
+			x.SetAdmission(id, placer.Quarantined)
+		}
+	}
+	x.Commit(batch("full", resources(16_000, 1, 0)), "h11")
+	for cores, want := range map[int64]damaskspread.Binding{
+		1_000:  damaskspread.BindingMillicores,
+		16_001: damaskspread.BindingMillicores,
+	} {
+		_, err := place(spread(x, 1), batch("new", resources(cores, 1, 0)))
+		var refused *damaskspread.PlacementRefusedError
+		assert.Assert(t, errors.As(err, &refused))
+		assert.Equal(t, refused.Binding, want, "%v", err)
+		assert.Equal(t, refused.Never, cores > 16_000, "%v", err)
+	}
+	x.SetAdmission("h11", placer.Quarantined)
+	_, err := place(spread(x, 1), batch("new", resources(1_000, 1, 0)))
+	assert.ErrorContains(t, err, "the 1000 hosts that could hold it are set aside")
+}
--- a/placer/refusal.go
+++ b/placer/refusal.go
@@ -7,7 +7,11 @@
 	"damaskspread.example/damaskspread/wire"
 )
 
-// shortage counts why hosts do not take a task.
+// sampledHosts bounds the hosts whose free room a refusal looks at.
+const sampledHosts = 128
+
+// shortage counts why hosts do not take a task. From healthy on, the counts
+// cover a sample of large clusters.
 type shortage struct {
 	inZone, known, capable, inService, healthy int
 
@@ -15,8 +19,8 @@
 	largest                          amount
 }
 
-// refusal finds the constraint that prevents a placement. It looks at every
-// host; callers remember the refusal until Freed changes.
+// refusal finds the constraint that prevents a placement. Callers remember the
+// refusal until Freed changes.
 func (x *Index) refusal(spec *wire.TaskSpec, blocked damaskspread.Binding) *damaskspread.PlacementRefusedError {
 	need := amountOf(spec.GetResources())
 	s := x.shortage(spec, need)
@@ -61,40 +65,113 @@
 	}
 }
 
+// classKey identifies the hosts of a zone that are equal when empty.
+type classKey struct {
+	zone     *zone
+	capacity amount
+}
+
+// class lists such hosts. A cluster has a few host models, so that a refusal
+// looks at classes instead of hosts.
+type class struct {
+	classKey
+	hosts   []*host
+	members int
+}
+
+func (x *Index) classify(h *host) {
+	key := classKey{
+		zone:     h.zone,
+		capacity: h.capacity,
+	}
+	c := x.classes[key]
+	if c == nil {
+		c = &class{
+			classKey: key,
+		}
+		x.classes[key] = c
+	}
+	h.class, h.classAt = c, len(c.hosts)
+	c.hosts = append(c.hosts, h)
+	if h.member {
+		c.members++
+	}
+}
+
+func (x *Index) declassify(h *host) {
+	c := h.class
+	if c == nil {
+		return
+	}
+	last := c.hosts[len(c.hosts)-1]
+	c.hosts[h.classAt], last.classAt = last, h.classAt
+	c.hosts = c.hosts[:len(c.hosts)-1]
+	h.class = nil
+	if h.member {
+		c.members--
+	}
+	if len(c.hosts) == 0 {
+		delete(x.classes, c.classKey)
+	}
+}
+
 func (x *Index) shortage(spec *wire.TaskSpec, need amount) shortage {
 	s := shortage{
 		known: len(x.ordered),
 	}
-	for _, h := range x.ordered {
-		if !allows(spec, h.zone.name) {
+	for _, c := range x.classes {
+		if !allows(spec, c.zone.name) {
 			continue
 		}
-		s.inZone++
+		s.inZone += len(c.hosts)
 		s.largest = amount{
-			millicores:   max(s.largest.millicores, h.capacity.millicores),
-			memory:       max(s.largest.memory, h.capacity.memory),
-			accelerators: max(s.largest.accelerators, h.capacity.accelerators),
+			millicores:   max(s.largest.millicores, c.capacity.millicores),
+			memory:       max(s.largest.memory, c.capacity.memory),
+			accelerators: max(s.largest.accelerators, c.capacity.accelerators),
 		}
-		if !h.capacity.holds(need) {
+		if !c.capacity.holds(need) {
 			continue
 		}
-		s.capable++
-		if !h.member || !h.zone.inService {
-			continue
+		s.capable += len(c.hosts)
+		if c.zone.inService {
+			s.inService += c.members
 		}
-		s.inService++
-		if !h.available() {
-			continue
-		}
-		s.healthy++
-		free := h.free()
-		s.millicores += short(need.millicores, free.millicores)
-		s.memory += short(need.memory, free.memory)
-		s.accelerators += short(need.accelerators, free.accelerators)
 	}
+	x.sampleFree(spec, need, &s)
 	return s
 }
 
+// sampleFree counts what lacks on the hosts that could hold a task. Beyond
+// sampledHosts it looks at evenly spaced ones, and at all if none of them
+// takes tasks, as the refusal then names the quarantine.
+func (x *Index) sampleFree(spec *wire.TaskSpec, need amount, s *shortage) {
+	stride := 1 + s.inService/sampledHosts
+	for ; ; stride = 1 {
+		for _, c := range x.classes {
+			if !c.zone.inService || !allows(spec, c.zone.name) || !c.capacity.holds(need) {
+				continue
+			}
+			for i := 0; i < len(c.hosts); i += stride {
+				s.look(c.hosts[i], need)
+			}
+		}
+		if s.healthy > 0 || stride == 1 {
+			return
+		}
+	}
+}
+
+func (s *shortage) look(h *host, need amount) {
+	if !h.available() {
+		return
+	}
+	free := h.free()
+	s.healthy++
+	s.millicores += short(need.millicores, free.millicores)
+	s.memory += short(need.memory, free.memory)
+	s.accelerators += short(need.accelerators, free.accelerators)
+}
+
 func short(need, free int64) int {
 	if need > free {
 		return 1
--- a/scheduler/cluster_test.go
+++ b/scheduler/cluster_test.go
@@ -22,6 +22,8 @@
 	planners []*scheduler.Planner
 	plans    [][]*wire.Record
 	kinds    map[string]int
+	// observing is the time that the planners took to follow the state.
+	observing time.Duration
 }
 
 func newCluster(entries int, teams func(string) scheduler.Team) *cluster {
@@ -58,9 +60,11 @@
 		record.RecordedUnixMs = c.now.UnixMilli()
 	}
 	changes := c.state.Apply(c.offset, &wire.RecordBatch{Records: records})
+	began := time.Now()
 	for _, p := range c.planners {
 		p.Observe(c.state, changes, c.now)
 	}
+	c.observing += time.Since(began)
 	return changes
 }
 
--- a/scheduler/leave.go
+++ b/scheduler/leave.go
@@ -28,6 +28,9 @@
 // leave evicts the tasks of zones that are out of service and of hosts that
 // are leaving, a bounded number at a time.
 func (p *Planner) leave(out *plan) {
+	if len(p.zonesOut) == 0 && p.departing == 0 && len(p.waveSizes) == 0 {
+		return
+	}
 	groups := map[string][]*running{}
 	for _, h := range p.hostList {
 		if h.expired || len(h.tasks) == 0 {
--- a/scheduler/observe.go
+++ b/scheduler/observe.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -60,8 +61,11 @@
 		case replayer.HostChanged:
 			p.refreshHost(s, c.Subject(), now)
 		case replayer.EntryChanged:
-			p.refreshEntries(s)
-			p.refreshOwners(now)
+			// Every heartbeat of an entry arrives here; only another set of
+			// entries moves tasks.
+			if p.refreshEntries(s) {
+				p.refreshOwners(now)
+			}
 		case replayer.TaskChanged:
 			p.observeResult(c, now)
 			p.refreshTask(s, c.Subject(), now)
@@ -101,13 +105,20 @@
 	p.Index.Reserve(i.spec, c.PreviousHost())
 }
 
-func (p *Planner) refreshEntries(s *replayer.State) {
-	p.entries = p.entries[:0]
+// refreshEntries reports whether the set of live entries changed.
+func (p *Planner) refreshEntries(s *replayer.State) bool {
+	var entries []string
 	for entry := range s.Entries() {
 		if !entry.GetEntry().GetLeaving() {
-			p.entries = append(p.entries, entry.GetEntry().GetEntry())
+			entries = append(entries, entry.GetEntry().GetEntry())
 		}
 	}
+	slices.Sort(entries)
+	if slices.Equal(entries, p.entries) {
+		return false
+	}
+	p.entries = entries
+	return true
 }
 
 // refreshOwners gives pending tasks to this entry or takes them from it.
@@ -176,6 +187,12 @@
 	if !changed {
 		return
 	}
+	switch {
+	case !h.leaving && state.GetLeaving():
+		p.departing++
+	case h.leaving && !state.GetLeaving():
+		p.departing--
+	}
 	h.spec, h.leaving, h.expired = state.GetSpec(), state.GetLeaving(), state.GetExpired()
 	p.stable = now
 	p.Index.SetHost(state)
@@ -221,6 +238,9 @@
 	if i == nil {
 		i = &item{
 			spec:     task.GetSpec(),
+			team:     p.team(task.GetSpec().GetTeam()),
+			need:     task.GetSpec().GetResources(),
+			urgent:   isUrgent(task.GetSpec()),
 			deadline: deadlineOf(task.GetSpec()),
 		}
 		p.pending[id] = i
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -9,18 +9,16 @@
 	"time"
 
 	"damaskspread.example/damaskspread"
-	"damaskspread.example/damaskspread/replayer"
+	"damaskspread.example/damaskspread/placer"
 	"damaskspread.example/damaskspread/wire"
 )
 
 const (
 	// overdueEvery gives one of that many starts to the task that waited
 	// longest beyond its max_wait, whatever its team's share; the others keep
-	// the shares fair when everything is overdue.
+	// the shares fair when everything is overdue. The search looks at every
+	// team, so refusals don't count.
 	overdueEvery = 4
-	// overduePerRound bounds the searches for the longest wait in a round; each
-	// looks at every team.
-	overduePerRound = 64
 	// retryEvery is the pause between tries of refused batch tasks. With 36,000
 	// tasks waiting for room on full hosts, a try in every round costs four
 	// times as much and starts as many tasks.
@@ -28,7 +26,10 @@
 	retryUnchanged = 5 * time.Second
 	// measuredPerRound bounds how many hosts are compared with their samples.
 	measuredPerRound = 64
-	visitStuckEvery  = time.Second
+	// sweepEvery is short against TaskHold and spares most rounds a look at
+	// every host.
+	sweepEvery      = time.Second
+	visitStuckEvery = time.Second
 	// finishedPerVisit bounds the records that end tasks.
 	finishedPerVisit = 128
 )
@@ -62,8 +63,12 @@
 		claims:   p.limits.ClaimsPerRound,
 		attempts: p.limits.AttemptsPerRound,
 	}
-	for id := range p.quarantine.hosts {
-		p.Index.SetAdmission(id, p.quarantine.admission(id, now))
+	for id := range p.quarantine.watched {
+		admission := p.quarantine.admission(id, now)
+		p.Index.SetAdmission(id, admission)
+		if admission == placer.Open {
+			delete(p.quarantine.watched, id)
+		}
 	}
 	p.measure()
 	p.visitParked(out)
@@ -72,7 +77,10 @@
 	p.placeClass(out, &p.urgent)
 	p.placeClass(out, &p.batch)
 	p.leave(out)
-	p.releaseHosts(out)
+	if now.Sub(p.swept) >= sweepEvery {
+		p.swept = now
+		p.releaseHosts(out)
+	}
 	p.respond(out)
 	return out.records
 }
@@ -101,7 +109,8 @@
 	}
 	p.unblocked = now
 	p.freed, p.stale = p.Index.Freed(), false
-	clear(p.refused)
+	p.urgent.forget()
+	p.batch.forget()
 	p.batch.unblock()
 }
 
@@ -189,9 +198,10 @@
 // placeClass starts tasks of one class by the shares of their teams.
 func (p *Planner) placeClass(out *plan, class *classQueue) {
 	total := p.Index.Total()
+	settled := func(i *item) bool { return p.settled(out, i) }
 	r := make(round, 0, len(class.teams))
 	for _, t := range class.teams {
-		if head := t.head(); head != nil {
+		if head := t.head(settled); head != nil {
 			r = append(r, ranked{
 				queue: t,
 				head:  head,
@@ -200,13 +210,14 @@
 		}
 	}
 	heap.Init(&r)
-	for picks := 1; len(r) > 0 && out.claims > 0 && out.attempts > 0; picks++ {
+	for due := out.claims - overdueEvery; len(r) > 0 && out.claims > 0 && out.attempts > 0; {
 		at := 0
-		if picks%overdueEvery == 0 && picks <= overdueEvery*overduePerRound {
+		if out.claims <= due {
 			at = max(0, r.overdue(out.now))
+			due = out.claims - overdueEvery
 		}
 		p.try(out, r[at].head)
-		r[at].head = r[at].queue.head()
+		r[at].head = r[at].queue.head(settled)
 		if r[at].head == nil {
 			heap.Remove(&r, at)
 			continue
@@ -218,12 +229,11 @@
 
 // try places one queued task or sets it aside with its refusal.
 func (p *Planner) try(out *plan, i *item) {
-	need := i.spec.GetResources()
-	if refusal := p.team(i.spec.GetTeam()).overQuota(need); refusal != nil {
+	if refusal := i.team.overQuota(i.need); refusal != nil {
 		p.refuse(out, i, refusal)
 		return
 	}
-	if known := p.knownRefusal(i); known != nil {
+	if known := i.queue.refused.known(i.need); known != nil {
 		p.refuse(out, i, known)
 		return
 	}
@@ -244,42 +254,25 @@
 		}
 	}
 	if !refusal.Never && lacksRoom(refusal) {
-		p.rememberRefusal(i, refusal)
+		i.queue.refused.remember(i.need, refusal)
 	}
 	p.refuse(out, i, refusal)
 }
 
-func refusalKeyOf(i *item) refusalKey {
-	return refusalKey{
-		accelerators: i.queue.shape.accelerators,
-		zones:        i.queue.shape.zones,
-		firm:         i.queue.shape.firm,
-		urgent:       i.urgent(),
+// settled reports whether trying a task would only repeat a known refusal. Most
+// queues of a full cluster end here after room appeared elsewhere, so it has to
+// be cheap. Urgent tasks may preempt and overdue ones may reserve room; both
+// are tried in the order of their teams.
+func (p *Planner) settled(out *plan, i *item) bool {
+	if i.urgent || i.deadline.Before(out.now) && p.gathering < batchReservations {
+		return false
 	}
-}
-
-// knownRefusal returns the refusal of a task that needs no more of anything,
-// if no room appeared since. A refusal by the policy looks at every host,
-// which is too slow to repeat for each waiting task.
-func (p *Planner) knownRefusal(i *item) *damaskspread.PlacementRefusedError {
-	for _, known := range p.refused[refusalKeyOf(i)] {
-		if replayer.Fits(known.need, i.spec.GetResources()) {
-			return known.refusal
-		}
+	known := i.queue.refused.known(i.need)
+	if known == nil {
+		return false
 	}
-	return nil
-}
-
-// rememberRefusal keeps the smallest refused needs only.
-func (p *Planner) rememberRefusal(i *item, refusal *damaskspread.PlacementRefusedError) {
-	key, need := refusalKeyOf(i), i.spec.GetResources()
-	list := slices.DeleteFunc(p.refused[key], func(known refusedNeed) bool {
-		return replayer.Fits(need, known.need)
-	})
-	p.refused[key] = append(list, refusedNeed{
-		need:    need,
-		refusal: refusal,
-	})
+	i.refusal = known
+	return true
 }
 
 func (p *Planner) claim(out *plan, i *item, placement damaskspread.Placement) {
@@ -311,9 +304,9 @@
 		p.move(i, stuck, out.now)
 		return
 	case !lacksRoom(refusal):
-	case i.urgent() && p.preempt(out, i):
+	case i.urgent && p.preempt(out, i):
 		return
-	case !i.urgent() && i.deadline.Before(out.now) && p.reserveRoom(out, i):
+	case !i.urgent && i.deadline.Before(out.now) && p.reserveRoom(out, i):
 		return
 	}
 	i.queue.blocked = true
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -103,25 +103,28 @@
 	Limits Limits
 	Random *rand.Rand
 
-	limits     Limits
-	offset     int64
-	stable     time.Time
-	hosts      map[string]*hostView
-	hostList   []*hostView
-	zonesOut   map[string]bool
-	waveSizes  map[string]int
-	entries    []string
-	teams      map[string]*team
-	pending    map[string]*item
-	running    map[string]*running
-	urgent     classQueue
-	batch      classQueue
-	parked     map[string]*item
-	stuck      map[string]*item
-	visited    time.Time
-	refused    map[refusalKey][]refusedNeed
-	freed      uint64
-	unblocked  time.Time
+	limits    Limits
+	offset    int64
+	stable    time.Time
+	hosts     map[string]*hostView
+	hostList  []*hostView
+	zonesOut  map[string]bool
+	waveSizes map[string]int
+	entries   []string
+	teams     map[string]*team
+	pending   map[string]*item
+	running   map[string]*running
+	urgent    classQueue
+	batch     classQueue
+	parked    map[string]*item
+	stuck     map[string]*item
+	visited   time.Time
+	freed     uint64
+	unblocked time.Time
+	// gathering counts the reservations of overdue batch tasks.
+	gathering  int
+	swept      time.Time
+	departing  int
 	quarantine *quarantine
 	throttles  map[string]estimator.Response
 	responded  time.Time
@@ -132,19 +135,6 @@
 	stale bool
 }
 
-// refusalKey groups tasks that differ only in their processors and memory.
-type refusalKey struct {
-	accelerators int64
-	zones        string
-	firm         bool
-	urgent       bool
-}
-
-type refusedNeed struct {
-	need    *wire.Resources
-	refusal *damaskspread.PlacementRefusedError
-}
-
 func (p *Planner) reset() {
 	p.limits = p.Limits.withDefaults()
 	if p.hosts == nil {
@@ -156,10 +146,11 @@
 		p.stuck = map[string]*item{}
 		p.zonesOut = map[string]bool{}
 		p.waveSizes = map[string]int{}
-		p.refused = map[refusalKey][]refusedNeed{}
 		p.throttles = map[string]estimator.Response{}
 		p.urgent.teams = map[string]*teamQueue{}
+		p.urgent.refused = map[refusalKey]*refusals{}
 		p.batch.teams = map[string]*teamQueue{}
+		p.batch.refused = map[refusalKey]*refusals{}
 		p.quarantine = newQuarantine()
 	}
 }
@@ -222,14 +213,20 @@
 	}
 	if i.location == reserved {
 		p.Index.Unreserve(i.spec.GetTask())
+		if !i.urgent {
+			p.gathering--
+		}
 	}
 	i.location = to
 	i.since = since
 	switch to {
 	case queued:
-		p.class(i.spec).push(i, p.team(i.spec.GetTeam()))
+		p.class(i.spec).push(i, i.team)
 	case delayed, reserved, claimed:
 		p.parked[i.spec.GetTask()] = i
+		if to == reserved && !i.urgent {
+			p.gathering++
+		}
 	case stuck:
 		p.stuck[i.spec.GetTask()] = i
 	}
--- a/scheduler/planner_test.go
+++ b/scheduler/planner_test.go
@@ -411,12 +411,21 @@
 	}
 }
 
-// BenchmarkBacklog is one round of 100 ms at the target size: 37 tasks end, 37
-// are submitted and 37 start, with 36,000 pending. The time covers the
-// replayer and the planner; plan-ns covers Plan alone.
+// BenchmarkBacklog is one round of 100 ms at parts of the target size, where 37
+// tasks end, 37 are submitted and 37 start, with 36,000 pending. The time
+// covers the replayer and all planners; plan-ns and observe-ns are the parts
+// of one planner.
 func BenchmarkBacklog(b *testing.B) {
-	c := newCluster(1, nil)
-	for h := range 3_100 {
+	for _, c := range []struct{ part, entries int }{{4, 1}, {2, 1}, {1, 1}, {1, 3}} {
+		b.Run(fmt.Sprintf("hosts=%d/entries=%d", 3_100/c.part, c.entries), func(b *testing.B) {
+			benchmarkBacklog(b, c.part, c.entries)
+		})
+	}
+}
+
+func benchmarkBacklog(b *testing.B, part, entries int) {
+	c := newCluster(entries, nil)
+	for h := range 3_100 / part {
 		c.join(fmt.Sprint("h", h), fmt.Sprint("z", h%10), 32_000, 120)
 	}
 	random := rand.New(rand.NewPCG(1, 1))
@@ -424,24 +433,23 @@
 	submit := func() {
 		next++
 		s := spec(fmt.Sprint("t", next), false, 2_000+random.Int64N(1_600), 1+random.Int64N(10))
-		s.Team = fmt.Sprint("team", random.IntN(680))
+		s.Team = fmt.Sprint("team", random.IntN(680/part))
 		c.submit(s)
 	}
-	for range 35_400 + 36_000 {
+	for range (35_400 + 36_000) / part {
 		submit()
 	}
 	for range 400 {
 		c.step(tick)
 	}
 	running := c.claims()
-	starts := c.kinds["*wire.Record_TaskClaimed"]
 	b.Logf("%d running, %d pending", len(running), c.state.PendingCount())
-	planning := time.Duration(0)
+	starts, planning, rounds := 0, time.Duration(0), 0
+	c.observing = 0
 	b.ReportAllocs()
-	rounds := 0
 	for b.Loop() {
 		rounds++
-		for range 37 {
+		for range 37 / part {
 			n := random.IntN(len(running))
 			c.finish(running[n].GetSpec().GetTask(), wire.TaskResult_TASK_RESULT_SUCCEEDED)
 			running[n] = running[len(running)-1]
@@ -449,17 +457,21 @@
 			submit()
 		}
 		c.now = c.now.Add(tick)
-		began := time.Now()
-		records := c.planners[0].Plan(c.now, 0)
-		planning += time.Since(began)
-		c.apply(records...)
-		for _, record := range records {
-			if body := record.GetTaskClaimed(); body != nil {
-				running = append(running, c.task(body.GetTask()))
-				starts++
+		for _, p := range c.planners {
+			began := time.Now()
+			records := p.Plan(c.now, 0)
+			planning += time.Since(began)
+			c.apply(records...)
+			for _, record := range records {
+				if body := record.GetTaskClaimed(); body != nil {
+					running = append(running, c.task(body.GetTask()))
+					starts++
+				}
 			}
 		}
 	}
-	b.ReportMetric(float64(planning.Nanoseconds())/float64(rounds), "plan-ns/round")
-	b.ReportMetric(float64(starts-c.kinds["*wire.Record_TaskClaimed"])/float64(rounds), "starts/round")
+	each := float64(rounds * entries)
+	b.ReportMetric(float64(planning.Nanoseconds())/each, "plan-ns/round")
+	b.ReportMetric(float64(c.observing.Nanoseconds())/each, "observe-ns/round")
+	b.ReportMetric(float64(starts)/float64(rounds), "starts/round")
 }
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -124,13 +124,7 @@
 // reserveRoom gathers room for an overdue batch task as others end. Without
 // it, small tasks would take every freed part before a large one fits.
 func (p *Planner) reserveRoom(out *plan, i *item) bool {
-	count := 0
-	for _, other := range p.parked {
-		if other.location == reserved && !other.urgent() {
-			count++
-		}
-	}
-	if count >= batchReservations {
+	if p.gathering >= batchReservations {
 		return false
 	}
 	need, best, least := i.spec.GetResources(), "", 0.0
@@ -159,7 +153,7 @@
 	switch {
 	case !owned:
 		hold = foreignHold
-	case i.urgent():
+	case i.urgent:
 		hold = urgentHold
 	}
 	host, boot, usable, ready := p.Index.Reserved(i.spec.GetTask())
--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -37,14 +37,17 @@
 // comparing results.
 type quarantine struct {
 	hosts map[string]*conduct
+	// watched holds the hosts whose admission may have to change.
+	watched map[string]bool
 	// failed holds the hosts on which each unfinished task failed.
 	failed map[string][]string
 }
 
 func newQuarantine() *quarantine {
 	return &quarantine{
-		hosts:  map[string]*conduct{},
-		failed: map[string][]string{},
+		hosts:   map[string]*conduct{},
+		watched: map[string]bool{},
+		failed:  map[string][]string{},
 	}
 }
 
@@ -63,7 +66,7 @@
 // tasks are not known any more, so the first pause has to be enough.
 func (q *quarantine) restore(host string, failures int32, now time.Time) {
 	if failures >= condemnAfter {
-		q.setAside(q.host(host), now)
+		q.setAside(host, now)
 	}
 }
 
@@ -98,11 +101,13 @@
 	c := q.host(host)
 	c.streak[task] = true
 	if c.aside || len(c.streak) >= condemnAfter {
-		q.setAside(c, now)
+		q.setAside(host, now)
 	}
 }
 
-func (q *quarantine) setAside(c *conduct, now time.Time) {
+func (q *quarantine) setAside(host string, now time.Time) {
+	c := q.host(host)
+	q.watched[host] = true
 	c.aside = true
 	c.pause = min(max(2*c.pause, firstPause), longestPause)
 	c.until = now.Add(c.pause)
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/replayer"
 	"damaskspread.example/damaskspread/wire"
 )
 
@@ -37,6 +38,9 @@
 	avoid    []string
 	deadline time.Time
 	location location
+	team     *team
+	need     *wire.Resources
+	urgent   bool
 	queue    *shapeQueue
 	position int
 	// since is when the task came to its location; a delayed task is due
@@ -49,8 +53,6 @@
 	chosen   string
 }
 
-func (i *item) urgent() bool { return isUrgent(i.spec) }
-
 // before orders tasks by the end of their wait.
 func (i *item) before(other *item) bool {
 	if !i.deadline.Equal(other.deadline) {
@@ -102,6 +104,9 @@
 	shape shape
 	team  *teamQueue
 	items []*item
+	// refused is shared by the queues whose tasks differ only in their
+	// processors and memory.
+	refused *refusals
 	// blocked is set after a refusal until room appears.
 	blocked bool
 }
@@ -137,27 +142,41 @@
 	shapes map[shape]*shapeQueue
 	// list holds the same queues; head visits them often.
 	list []*shapeQueue
+	// blocked is set while every queue is blocked, so that a round passes the
+	// team without a look at its queues.
+	blocked bool
 }
 
-// head returns the task whose wait ends first among those not blocked.
-func (t *teamQueue) head() *item {
+// head returns the task whose wait ends first among those not blocked. A
+// queue whose first task meets a settled refusal is blocked on the way.
+func (t *teamQueue) head(settled func(*item) bool) *item {
+	if t.blocked {
+		return nil
+	}
 	var first *item
 	for _, q := range t.list {
 		if q.blocked || len(q.items) == 0 {
 			continue
 		}
 		i := q.items[0]
+		if settled(i) {
+			q.blocked = true
+			continue
+		}
 		if first == nil || i.before(first) {
 			first = i
 		}
 	}
+	t.blocked = first == nil
 	return first
 }
 
 // classQueue holds the tasks of one class by team.
 type classQueue struct {
 	teams map[string]*teamQueue
-	size  int
+	// refused holds the refusals that stay true until room appears.
+	refused map[refusalKey]*refusals
+	size    int
 }
 
 func (c *classQueue) push(i *item, t *team) {
@@ -173,14 +192,18 @@
 	q := tq.shapes[key]
 	if q == nil {
 		q = &shapeQueue{
-			shape: key,
-			team:  tq,
+			shape:   key,
+			team:    tq,
+			refused: c.refusalsOf(key),
 		}
 		tq.shapes[key] = q
 		tq.list = append(tq.list, q)
 	}
 	i.queue = q
 	heap.Push(q, i)
+	if !q.blocked {
+		tq.blocked = false
+	}
 	c.size++
 }
 
@@ -202,12 +225,72 @@
 
 func (c *classQueue) unblock() {
 	for _, t := range c.teams {
+		t.blocked = false
 		for _, q := range t.list {
 			q.blocked = false
 		}
 	}
 }
 
+// refusalKey groups tasks that differ only in their processors and memory.
+type refusalKey struct {
+	accelerators int64
+	zones        string
+	firm         bool
+}
+
+// refusals holds the smallest refused needs of a group of tasks.
+type refusals struct {
+	list []refusedNeed
+}
+
+type refusedNeed struct {
+	need    *wire.Resources
+	refusal *damaskspread.PlacementRefusedError
+}
+
+func (c *classQueue) refusalsOf(s shape) *refusals {
+	key := refusalKey{
+		accelerators: s.accelerators,
+		zones:        s.zones,
+		firm:         s.firm,
+	}
+	r := c.refused[key]
+	if r == nil {
+		r = &refusals{}
+		c.refused[key] = r
+	}
+	return r
+}
+
+// forget drops all refusals. Queues keep their pointers to the groups.
+func (c *classQueue) forget() {
+	for _, r := range c.refused {
+		r.list = r.list[:0]
+	}
+}
+
+// known returns the refusal of a task that needs no more of anything. A
+// refusal by the policy is too slow to repeat for each waiting task.
+func (r *refusals) known(need *wire.Resources) *damaskspread.PlacementRefusedError {
+	for _, known := range r.list {
+		if replayer.Fits(known.need, need) {
+			return known.refusal
+		}
+	}
+	return nil
+}
+
+func (r *refusals) remember(need *wire.Resources, refusal *damaskspread.PlacementRefusedError) {
+	r.list = slices.DeleteFunc(r.list, func(known refusedNeed) bool {
+		return replayer.Fits(need, known.need)
+	})
+	r.list = append(r.list, refusedNeed{
+		need:    need,
+		refusal: refusal,
+	})
+}
+
 // ranked is a team's place in one round.
 type ranked struct {
 	queue *teamQueue
