Follow a falling service time gradually in the adaptive limit

Cause: the usual service time jumped to the minimum of the noisy recent mean. With log-normal times (sigma 0.6) the minimum lies near half of the mean, so that normal times counted as a slowdown and the limit fell below the slots at full load.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -30,6 +30,9 @@
 	// request a lasting change is accepted after some hundred requests.
 	usualWeight  = 0.01
 	recentWeight = 0.2
+	// Downward the usual time follows faster, but not at once: the minimum of a
+	// noisy mean lies far below it, and normal times would then look slow.
+	fasterWeight = 0.05
 )
 
 // Limiter admits requests. The exported fields are set before the first use.
@@ -277,7 +280,7 @@
 	}
 	l.recent += recentWeight * (took - l.recent)
 	if l.recent < l.usual {
-		l.usual = l.recent
+		l.usual += fasterWeight * (l.recent - l.usual)
 	} else {
 		l.usual += usualWeight * (l.recent - l.usual)
 	}
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -132,6 +134,23 @@
 	assert.Equal(t, l.Load().GetLimit(), int32(8))
 }
 
+// Guards against a limit that falls because service times vary as usual.
+func TestNoiseKeepsTheLimit(t *testing.T) {
+	l, clock := newLimiter(100)
+	random := rand.New(rand.NewPCG(1, 1))
+	below := 0
+	for range 5_000 {
+		w, refusal := l.Enqueue(0, clock.Now().Add(time.Hour))
+		assert.Assert(t, refusal == nil)
+		clock.Advance(time.Duration(float64(20*time.Millisecond) * math.Exp(0.6*random.NormFloat64())))
+		w.Release(true)
+		if l.Load().GetLimit() < 8 {
+			below++
+		}
+	}
+	assert.Assert(t, below < 250, "%d of 5000 requests met a lowered limit", below)
+}
+
 // Guards against work that is wasted on requests that then miss their
 // deadline, and against a class that gets nothing at all under overload.
 func TestGoodputAtTwiceTheLoad(t *testing.T) {
