Let the document's objective and quotas reach a running scheduler

The objective section had no effect at the entry: neither the estimator nor the placement policy was told. Quotas were read when the planner saw the changed section, which may be before the entry rebuilt its policies; a change could stay unread until the next one. The entry now reconfigures the scheduler after each rebuild, under the scheduler's lock, with the objective, teams and zones.

The age of reported service times is an explicit constant of the entry instead of 0.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -81,9 +81,11 @@
 
 // Estimator learns from late measurements.
 type Estimator struct {
-	Clock     damaskspread.Clock
+	Clock damaskspread.Clock
+	// Objective is set before the first use; SetObjective changes it later.
 	Objective damaskspread.Objective
-	// LoadLag is the age of the service times in endpoint loads.
+	// LoadLag is the age of the service times in endpoint loads; 0 takes them
+	// for present ones.
 	LoadLag time.Duration
 
 	mu     sync.Mutex
@@ -102,6 +104,13 @@
 	}
 }
 
+// SetObjective changes the weights of the responses from the next one on.
+func (e *Estimator) SetObjective(objective damaskspread.Objective) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.Objective = objective
+}
+
 // SetHost tells the capacity and service of a host.
 func (e *Estimator) SetHost(spec *wire.HostSpec) {
 	e.mu.Lock()
--- a/placement.go
+++ b/placement.go
@@ -32,6 +32,13 @@
 	Place(task *PlacementTask, now time.Time) (Placement, error)
 }
 
+// WeighedPolicy is a placement policy that follows the operators' objective.
+type WeighedPolicy interface {
+	PlacementPolicy
+	// SetObjective changes the weights from the next Place on.
+	SetObjective(objective Objective)
+}
+
 // Binding is the constraint that prevents a placement.
 type Binding string
 
--- a/placer/spread.go
+++ b/placer/spread.go
@@ -30,7 +30,8 @@
 // Spread is the default policy. It samples hosts that fit in every zone and
 // takes the one with the lowest score.
 type Spread struct {
-	Index        *Index
+	Index *Index
+	// Interference may be nil.
 	Interference Interference
 	Objective    damaskspread.Objective
 	Random       *rand.Rand
@@ -42,6 +43,9 @@
 // Name is the policy's name in settings and tables.
 func (p *Spread) Name() string { return "spread" }
 
+// SetObjective implements damaskspread.WeighedPolicy.
+func (p *Spread) SetObjective(objective damaskspread.Objective) { p.Objective = objective }
+
 // Place chooses a host.
 func (p *Spread) Place(task *damaskspread.PlacementTask, now time.Time) (damaskspread.Placement, error) {
 	need := amountOf(task.Spec.GetResources())
--- a/scheduler/cluster_test.go
+++ b/scheduler/cluster_test.go
@@ -100,6 +100,17 @@
 	}}}})
 }
 
+func (c *cluster) joinWithService(id, zone string) {
+	c.apply(&wire.Record{Body: &wire.Record_HostJoined{HostJoined: &wire.HostJoined{Spec: &wire.HostSpec{
+		Host:        id,
+		Incarnation: "i",
+		WorkerBoot:  "b" + id,
+		Zone:        zone,
+		Capacity:    &wire.Resources{Millicores: 16_000, MemoryBytes: 60 << 30},
+		Endpoint:    &wire.EndpointSpec{Service: "service", Slots: 8},
+	}}}})
+}
+
 func (c *cluster) submit(spec *wire.TaskSpec) {
 	if spec.Team == "" {
 		spec.Team = "team"
--- a/scheduler/observe.go
+++ b/scheduler/observe.go
@@ -136,6 +136,18 @@
 	}
 }
 
+// Reconfigure takes a new objective and reads the teams and zones again.
+func (p *Planner) Reconfigure(s *replayer.State, objective damaskspread.Objective, now time.Time) {
+	p.reset()
+	if policy, ok := p.Policy.(damaskspread.WeighedPolicy); ok {
+		policy.SetObjective(objective)
+	}
+	if p.Estimates != nil {
+		p.Estimates.SetObjective(objective)
+	}
+	p.refreshConfiguration(s, now)
+}
+
 func (p *Planner) refreshConfiguration(s *replayer.State, now time.Time) {
 	for _, h := range p.hostList {
 		zone := h.spec.GetZone()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -170,6 +170,15 @@
 	return s.Fence(ctx, f.Spec, f.MinToken)
 }
 
+// Reconfigure makes the planner follow a new objective and read the teams and
+// zones again. The daemon calls it once a change of the document is in force:
+// the planner's own look at the changed section may come before that.
+func (s *Scheduler) Reconfigure(objective damaskspread.Objective) {
+	s.locked(func() {
+		s.Follower.View(func(state *replayer.State) { s.Planner.Reconfigure(state, objective, s.Clock.Now()) })
+	})
+}
+
 // Explain says where a task is and why. The second result is false for an
 // unknown task.
 func (s *Scheduler) Explain(task string) (e Explanation, ok bool) {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -13,6 +13,8 @@
 	"gotest.tools/v3/poll"
 
 	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/estimator"
+	"damaskspread.example/damaskspread/placer"
 	"damaskspread.example/damaskspread/replayer"
 	"damaskspread.example/damaskspread/scheduler"
 	"damaskspread.example/damaskspread/wire"
@@ -128,3 +130,72 @@
 	})
 	return incarnation
 }
+
+// Guards against weights, quotas and zones of the document that do not reach a
+// running scheduler. The race detector guards the exchange.
+func TestReconfigureChangesDecisionsAtRunTime(t *testing.T) {
+	quota := int64(1_000)
+	c := newCluster(1, func(string) scheduler.Team {
+		return scheduler.Team{Quota: &wire.Resources{Millicores: quota}}
+	})
+	clock := clockwork.NewFakeClockAt(start)
+	estimates := &estimator.Estimator{Clock: clock}
+	crowd := &crowded{}
+	p := c.planners[0]
+	p.Estimates = estimates
+	p.Policy = &placer.Spread{
+		Index:        p.Index,
+		Interference: crowd,
+		Random:       p.Random,
+	}
+	c.joinWithService("h0", "z")
+	l := &stateLog{state: c.state}
+	s := &scheduler.Scheduler{
+		Follower: l,
+		Clock:    clock,
+		Planner:  p,
+	}
+	measure := func(rounds int, micros int64) {
+		for range rounds {
+			clock.Advance(time.Second)
+			estimates.ObserveLoad("h0", &wire.EndpointLoad{Running: 4, Limit: 8, ServiceTimeUs: micros})
+		}
+	}
+	step := func() {
+		c.now = clock.Now()
+		c.step(tick)
+		clock.Advance(tick)
+	}
+	measure(30, 2_000)
+	c.submit(spec("noisy", false, 2_000, 1))
+	step()
+	assert.Equal(t, c.task("noisy").GetPhase(), pending, "the quota allows 1,000")
+	quota = 0
+	crowd.all = true
+	s.Reconfigure(damaskspread.Objective{TailLatency: 5, BatchThroughput: 1, Evictions: 1})
+	step()
+	assert.Equal(t, c.task("noisy").GetPhase(), pending, "the service is protected")
+	s.Reconfigure(damaskspread.Objective{TailLatency: 1, BatchThroughput: 5, Evictions: 5})
+	clock.Advance(time.Second)
+	step()
+	assert.Equal(t, c.task("noisy").GetPhase(), claimed)
+	measure(30, 3_600)
+	step()
+	assert.Equal(t, len(s.Throttles()), 0)
+	s.Reconfigure(damaskspread.Objective{TailLatency: 1, BatchThroughput: 1, Evictions: 1})
+	measure(11, 3_600)
+	step()
+	assert.Equal(t, len(s.Throttles()), 1)
+	assert.Assert(t, !c.task("noisy").GetEvictionRequested())
+	s.Reconfigure(damaskspread.Objective{TailLatency: 20, BatchThroughput: 1, Evictions: 1})
+	measure(30, 3_600)
+	step()
+	assert.Assert(t, c.task("noisy").GetEvictionRequested())
+}
+
+// crowded is a stand-in for the interference estimates of the placement.
+type crowded struct{ all bool }
+
+func (c *crowded) Cost(string, string, string) float64 { return 0 }
+
+func (c *crowded) Crowded(string, string, string) bool { return c.all }
--- a/server/documents.go
+++ b/server/documents.go
@@ -8,6 +8,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/admitter"
 	"damaskspread.example/damaskspread/dispatcher"
 	"damaskspread.example/damaskspread/follower"
@@ -68,6 +69,15 @@
 	}
 }
 
+func (p *policies) objective() damaskspread.Objective {
+	o := p.document.Objective()
+	return damaskspread.Objective{
+		TailLatency:     o.TailLatency(),
+		BatchThroughput: o.BatchThroughput(),
+		Evictions:       o.Evictions(),
+	}
+}
+
 func (p *policies) team(name string) scheduler.Team {
 	team, ok := p.document.Team(name)
 	if !ok {
--- a/server/entry.go
+++ b/server/entry.go
@@ -53,6 +53,9 @@
 	retryBurst  = 20
 	// zoneRamp lets a returned zone fill gradually.
 	zoneRamp = 30 * time.Second
+	// loadLag is the age of a reported service time: agents report with each
+	// Sync, about once a second, a mean over the last few requests.
+	loadLag = time.Second
 	// leaveTimeout bounds the record of a departure; without it the others
 	// notice the silence after member_hold.
 	leaveTimeout = 3 * time.Second
@@ -138,10 +141,14 @@
 		AppendTimeout:    s.Log().AppendTimeout(),
 	}
 	e.estimates = &estimator.Estimator{
-		Clock: e.Clock,
+		Clock:   e.Clock,
+		LoadLag: loadLag,
 	}
 	e.policies = &entryPolicies{
 		source: e.follower,
+		changed: func(p *policies) {
+			e.scheduler.Reconfigure(p.objective())
+		},
 	}
 	e.auditor = &auditor.Auditor{
 		Source: e.follower.Subscribe(),
