--- a/Makefile
+++ b/Makefile
@@ -19,9 +19,12 @@
 fmt:
 	$(LINT) fmt ./...
 
-# Benchmarks of the decisions, with allocations.
+# Compares the decisions with baselines (raw figures in bench/), then runs the
+# benchmarks with allocations. make test doesn't depend on either.
 bench:
-	$(GO) test -run '^$$' -bench . -benchmem ./...
+	mkdir -p bench
+	COMPARISON_DIR=$(CURDIR)/bench $(GO) test -p 1 -count=1 -run '^$$' -bench '^BenchmarkComparison$$' -benchtime 1x ./scheduler ./router
+	$(GO) test -p 1 -count=1 -run '^$$' -bench . -skip '^BenchmarkComparison$$' -benchmem ./...
 
 # Regenerates the wire package; only needed after a change in proto/.
 generate:
--- a/router/comparison_test.go
+++ b/router/comparison_test.go
@@ -13,11 +13,12 @@
 
 var comparisonSeeds = []uint64{1, 2, 3}
 
-// result averages the seeds of one case.
+// result is one run; the table shows the means over the seeds.
 type result struct {
 	Deployment string             `json:"deployment"`
 	Scenario   string             `json:"scenario"`
 	Picker     string             `json:"picker"`
+	Seed       uint64             `json:"seed"`
 	P50        float64            `json:"p50_ms"`
 	P99        float64            `json:"p99_ms"`
 	P999       float64            `json:"p999_ms"`
@@ -31,33 +32,62 @@
 	Recovered  float64            `json:"good_in_2s_after_the_fault"`
 }
 
-func compare(d deployment, s scenario, picker int, seeds []uint64) result {
-	r := result{
+func compare(d deployment, s scenario, picker int, seed uint64) result {
+	calls := draw(d, s, seed)
+	f := newModel(d, s, pickers[picker].make, seed).run(calls)
+	r := resultOf(d, s, pickers[picker].name, seed, f)
+	total := float64(len(calls))
+	for i, class := range d.classes {
+		r.Classes[class.name] = float64(f.good[i]) / float64(f.offered[i])
+	}
+	r.Refused = float64(f.refused) / total
+	r.Failed = float64(f.failed) / total
+	r.Empty = float64(f.empty) / total
+	r.Retries = float64(f.retries) / total
+	return r
+}
+
+func resultOf(d deployment, s scenario, picker string, seed uint64, f *figures) result {
+	return result{
 		Deployment: d.name,
 		Scenario:   s.name,
-		Picker:     pickers[picker].name,
+		Picker:     picker,
+		Seed:       seed,
 		Classes:    map[string]float64{},
+		P50:        quantile(f.latencies, 0.5),
+		P99:        quantile(f.latencies, 0.99),
+		P999:       quantile(f.latencies, 0.999),
+		FirstP99:   quantile(f.first, 0.99),
+		Goodput:    float64(len(f.latencies)) / modelTime.Seconds(),
+		Recovered:  float64(f.recovered),
 	}
-	n := float64(len(seeds))
-	for _, seed := range seeds {
-		calls := draw(d, s, seed)
-		f := newModel(d, s, pickers[picker].make, seed).run(calls)
-		total := float64(len(calls))
-		r.P50 += quantile(f.latencies, 0.5) / n
-		r.P99 += quantile(f.latencies, 0.99) / n
-		r.P999 += quantile(f.latencies, 0.999) / n
-		r.FirstP99 += quantile(f.first, 0.99) / n
-		r.Goodput += float64(len(f.latencies)) / modelTime.Seconds() / n
-		for i, class := range d.classes {
-			r.Classes[class.name] += float64(f.good[i]) / float64(f.offered[i]) / n
+}
+
+func mean(runs []result) result {
+	m, n := runs[0], float64(len(runs))
+	m.Classes = map[string]float64{}
+	average := func(of func(*result) *float64) {
+		sum := 0.0
+		for i := range runs {
+			sum += *of(&runs[i])
 		}
-		r.Refused += float64(f.refused) / total / n
-		r.Failed += float64(f.failed) / total / n
-		r.Empty += float64(f.empty) / total / n
-		r.Retries += float64(f.retries) / total / n
-		r.Recovered += float64(f.recovered) / n
+		*of(&m) = sum / n
 	}
-	return r
+	for _, of := range []func(*result) *float64{
+		func(r *result) *float64 { return &r.P50 }, func(r *result) *float64 { return &r.P99 },
+		func(r *result) *float64 { return &r.P999 }, func(r *result) *float64 { return &r.FirstP99 },
+		func(r *result) *float64 { return &r.Goodput }, func(r *result) *float64 { return &r.Recovered },
+		func(r *result) *float64 { return &r.Refused }, func(r *result) *float64 { return &r.Failed },
+		func(r *result) *float64 { return &r.Empty }, func(r *result) *float64 { return &r.Retries },
+	} {
+		average(of)
+	}
+	for _, r := range runs {
+		for name, share := range r.Classes {
+			m.Classes[name] += share / n
+		}
+	}
+	return m
 }
 
 func quantile(sorted []time.Duration, q float64) float64 {
@@ -67,27 +97,6 @@
 	return float64(sorted[int(q*float64(len(sorted)-1))]) / float64(time.Millisecond)
 }
 
-// bound is what perfect knowledge allows: no queue, the nearest endpoint, and
-// no more work than the healthy endpoints can do in each second.
-func bound(d deployment, s scenario, seeds []uint64) result {
-	r := result{
-		Deployment: d.name,
-		Scenario:   s.name,
-		Picker:     "bound",
-	}
-	n := float64(len(seeds))
-	for _, seed := range seeds {
-		f := boundOf(d, s, draw(d, s, seed))
-		r.P50 += quantile(f.latencies, 0.5) / n
-		r.P99 += quantile(f.latencies, 0.99) / n
-		r.P999 += quantile(f.latencies, 0.999) / n
-		r.FirstP99 += quantile(f.first, 0.99) / n
-		r.Goodput += float64(f.good[0]) / modelTime.Seconds() / n
-		r.Recovered += float64(f.recovered) / n
-	}
-	return r
-}
-
 func printTable(results []result) {
 	fmt.Printf("\n%-12s %-27s %-13s %7s %7s %8s %8s %8s %8s %7s %7s %7s %8s  %s\n", "deployment", "scenario", "picker",
 		"p50 ms", "p99", "p99.9", "1st p99", "good/s", "refused", "failed", "empty", "retries", "recov.", "good by class")
@@ -102,16 +111,24 @@
 // -benchtime 1x.
 func BenchmarkComparison(b *testing.B) {
 	for b.Loop() {
-		var all []result
+		var all, means []result
 		for _, d := range deployments {
 			for _, s := range scenarios {
-				for picker := range pickers {
-					all = append(all, compare(d, s, picker, comparisonSeeds))
+				for picker := range len(pickers) + 1 {
+					var runs []result
+					for _, seed := range comparisonSeeds {
+						if picker < len(pickers) {
+							runs = append(runs, compare(d, s, picker, seed))
+						} else {
+							runs = append(runs, resultOf(d, s, "bound", seed, boundOf(d, s, draw(d, s, seed))))
+						}
+					}
+					all = append(all, runs...)
+					means = append(means, mean(runs))
 				}
-				all = append(all, bound(d, s, comparisonSeeds))
 			}
 		}
-		printTable(all)
+		printTable(means)
 		if dir := os.Getenv("COMPARISON_DIR"); dir != "" {
 			data, err := json.MarshalIndent(map[string]any{
 				"command": "make bench",
--- a/router/model_test.go
+++ b/router/model_test.go
@@ -164,12 +164,13 @@
 	deployment deployment
 	scenario   scenario
 	clock      *clockwork.FakeClock
-	now        time.Duration
-	events     events
-	seq        int
-	backends   []*backend
-	entries    []*entry
-	out        *figures
+	// now is the time on the clock since the start of the run.
+	now      time.Duration
+	events   events
+	seq      int
+	backends []*backend
+	entries  []*entry
+	out      *figures
 }
 
 type figures struct {
@@ -477,8 +478,8 @@
 	}
 }
 
-// boundOf serves every request at once while the healthy endpoints have work
-// left to give in the second of its arrival or the next.
+// boundOf is what perfect knowledge allows: no queue, the nearest endpoint, and
+// no more work than the healthy endpoints can do in each second and the next.
 func boundOf(d deployment, s scenario, calls []call) *figures {
 	f := &figures{
 		good: []int{0},
--- a/scheduler/comparison_test.go
+++ b/scheduler/comparison_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -50,7 +51,7 @@
 type outcome struct {
 	Deployment   string  `json:"deployment"`
 	Variant      string  `json:"variant"`
-	Seeds        int     `json:"seeds"`
+	Seed         uint64  `json:"seed"`
 	Throughput   float64 `json:"batch_core_seconds_per_second"`
 	Evictions    float64 `json:"evictions"`
 	Lost         float64 `json:"lost_core_seconds"`
@@ -391,15 +392,24 @@
 	{name: "association", zones: 3, cores: 32, memoryGB: 120},
 }
 
-func average(d deployment, v variant, seeds int) outcome {
+// runs returns the outcomes of the seeds from 1 on.
+func runs(d deployment, v variant, seeds int) []outcome {
+	var list []outcome
+	for seed := uint64(1); seed <= uint64(seeds); seed++ {
+		o := newModel(d, v, seed).run(seed)
+		o.Deployment, o.Variant, o.Seed = d.name, v.name, seed
+		list = append(list, o)
+	}
+	return list
+}
+
+func average(runs []outcome) outcome {
 	sum := outcome{
-		Deployment: d.name,
-		Variant:    v.name,
-		Seeds:      seeds,
+		Deployment: runs[0].Deployment,
+		Variant:    runs[0].Variant,
 	}
-	n := float64(seeds)
-	for seed := range seeds {
-		o := newModel(d, v, uint64(seed+1)).run(uint64(seed + 1))
+	n := float64(len(runs))
+	for _, o := range runs {
 		sum.Throughput += o.Throughput / n
 		sum.Evictions += o.Evictions / n
 		sum.Lost += o.Lost / n
@@ -413,27 +423,33 @@
 	return sum
 }
 
-// BenchmarkComparison compares the policies on identical inputs of 5 seeds and
-// logs a table. COMPARISON_JSON names a file for the raw figures. Run it with
+const comparisonSeeds = 5
+
+// BenchmarkComparison compares the policies on identical inputs and prints a
+// table. COMPARISON_DIR names a directory for the raw figures. Run it with
 // -benchtime 1x.
 func BenchmarkComparison(b *testing.B) {
 	for b.Loop() {
 		var all []outcome
-		table := fmt.Sprintf("\n%-12s %-31s %8s %7s %8s %7s %7s %7s %7s %8s %7s\n", "deployment", "variant",
+		fmt.Printf("\n%-12s %-31s %8s %7s %8s %7s %7s %7s %7s %8s %7s\n", "deployment", "variant",
 			"batch/s", "evicted", "lost", "interf.", "p99", "urg.med", "urg.max", "zone/s", "zone.ur")
 		for _, d := range deployments {
 			for _, v := range variants() {
-				o := average(d, v, 5)
-				all = append(all, o)
-				table += fmt.Sprintf("%-12s %-31s %8.2f %7.1f %8.1f %6.1f%% %7.2f %6.2fs %6.2fs %8.2f %6.2fs\n", o.Deployment, o.Variant,
+				list := runs(d, v, comparisonSeeds)
+				all = append(all, list...)
+				o := average(list)
+				fmt.Printf("%-12s %-31s %8.2f %7.1f %8.1f %6.1f%% %7.2f %6.2fs %6.2fs %8.2f %6.2fs\n", o.Deployment, o.Variant,
 					o.Throughput, o.Evictions, o.Lost, 100*o.Interference, o.Slowdown, o.UrgentMedian, o.UrgentWorst, o.ZoneWork, o.ZoneUrgent)
 			}
 		}
-		b.Log(table)
-		if file := os.Getenv("COMPARISON_JSON"); file != "" {
-			data, err := json.MarshalIndent(all, "", "  ")
+		if dir := os.Getenv("COMPARISON_DIR"); dir != "" {
+			data, err := json.MarshalIndent(map[string]any{
+				"command": "make bench",
+				"seeds":   comparisonSeeds,
+				"results": all,
+			}, "", "  ")
 			assert.NilError(b, err)
-			assert.NilError(b, os.WriteFile(file, data, 0o600))
+			assert.NilError(b, os.WriteFile(filepath.Join(dir, "placement.json"), data, 0o600))
 		}
 	}
 }
@@ -443,7 +459,7 @@
 func TestObjectiveChangesTheOutcome(t *testing.T) {
 	all := variants()
 	d := deployments[0]
-	balanced, tail, batch, none := average(d, all[0], 2), average(d, all[1], 2), average(d, all[2], 2), average(d, all[4], 2)
+	balanced, tail, batch, none := average(runs(d, all[0], 2)), average(runs(d, all[1], 2)), average(runs(d, all[2], 2)), average(runs(d, all[4], 2))
 	t.Logf("interference: balanced %.3f, tail %.3f, batch %.3f, none %.3f", balanced.Interference, tail.Interference, batch.Interference, none.Interference)
 	t.Logf("99th percentile of the slowdown: balanced %.2f, tail %.2f, batch %.2f, none %.2f", balanced.Slowdown, tail.Slowdown, batch.Slowdown, none.Slowdown)
 	t.Logf("evictions: balanced %.0f, tail %.0f, batch %.0f", balanced.Evictions, tail.Evictions, batch.Evictions)
