Let tasks that would lose their work finish in a leaving zone

Such a task now stays for up to a minute if its estimated rest is shorter than what is left of that minute. Nothing new starts in the zone, as before.

Tasks that run longer than estimated are still evicted.

--- a/scheduler/leave.go
+++ b/scheduler/leave.go
@@ -13,6 +13,10 @@
 const (
 	// smallestWave keeps small zones moving.
 	smallestWave = 4
+	// finishGrace is how long a zone that is out of service keeps tasks that
+	// would lose their work and are about to end. All work lost while a zone
+	// left came from such tasks.
+	finishGrace = time.Minute
 	// releasedPerRound bounds the host releases of a round, as each returns
 	// all tasks of a host to the queue.
 	releasedPerRound = 8
@@ -28,7 +32,7 @@
 // leave evicts the tasks of zones that are out of service and of hosts that
 // are leaving, a bounded number at a time.
 func (p *Planner) leave(out *plan) {
-	if len(p.zonesOut) == 0 && p.departing == 0 && len(p.waveSizes) == 0 {
+	if len(p.zonesOut) == 0 && p.departing == 0 && len(p.waves) == 0 {
 		return
 	}
 	groups := map[string][]*running{}
@@ -49,9 +53,9 @@
 			groups[group] = append(groups[group], r)
 		}
 	}
-	for group := range p.waveSizes {
+	for group := range p.waves {
 		if groups[group] == nil {
-			delete(p.waveSizes, group)
+			delete(p.waves, group)
 		}
 	}
 	for _, group := range sortedKeys(groups) {
@@ -60,15 +64,20 @@
 }
 
 func (p *Planner) leaveGroup(out *plan, group string, tasks []*running) {
-	if p.waveSizes[group] == 0 {
-		p.waveSizes[group] = max(smallestWave, len(tasks)*p.limits.WavePermille/1000)
+	w := p.waves[group]
+	if w == nil {
+		w = &wave{
+			size:  max(smallestWave, len(tasks)*p.limits.WavePermille/1000),
+			since: out.now,
+		}
+		p.waves[group] = w
 	}
-	left := p.waveSizes[group]
+	left := w.size
 	var staying []*running
 	for _, r := range tasks {
 		if r.leaving(out.now) {
 			left--
-		} else if p.Owned(r.spec) {
+		} else if p.Owned(r.spec) && !p.mayFinish(r, w, out.now) {
 			staying = append(staying, r)
 		}
 	}
@@ -86,6 +95,29 @@
 	}
 }
 
+// wave is the pace at which the tasks of a zone or host leave.
+type wave struct {
+	size  int
+	since time.Time
+}
+
+// mayFinish reports whether a task that would lose its work is left alone
+// because it is expected to end soon after its zone went out of service.
+func (p *Planner) mayFinish(r *running, w *wave, now time.Time) bool {
+	if isUrgent(r.spec) || r.spec.GetCanCheckpoint() || !p.zonesOut[p.hosts[r.host].spec.GetZone()] {
+		return false
+	}
+	left := finishGrace - now.Sub(w.since)
+	return left > 0 && p.duration(r.spec)-now.Sub(r.since) <= left
+}
+
+func (p *Planner) duration(spec *wire.TaskSpec) time.Duration {
+	if p.Estimates != nil {
+		return p.Estimates.Estimate(spec).Duration
+	}
+	return time.Duration(spec.GetExpectedDurationMs()) * time.Millisecond
+}
+
 // leaveRank moves urgent tasks first and tasks that lose their work last, as
 // they may still finish.
 func leaveRank(r *running) int {
--- a/scheduler/observe.go
+++ b/scheduler/observe.go
@@ -157,7 +157,7 @@
 		}
 		p.Index.SetZone(zone, !out, now)
 		delete(p.zonesOut, zone)
-		delete(p.waveSizes, zone)
+		delete(p.waves, zone)
 		if out {
 			p.zonesOut[zone] = true
 		}
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -109,7 +109,7 @@
 	hosts     map[string]*hostView
 	hostList  []*hostView
 	zonesOut  map[string]bool
-	waveSizes map[string]int
+	waves     map[string]*wave
 	entries   []string
 	teams     map[string]*team
 	pending   map[string]*item
@@ -145,7 +145,7 @@
 		p.parked = map[string]*item{}
 		p.stuck = map[string]*item{}
 		p.zonesOut = map[string]bool{}
-		p.waveSizes = map[string]int{}
+		p.waves = map[string]*wave{}
 		p.throttles = map[string]estimator.Response{}
 		p.urgent.teams = map[string]*teamQueue{}
 		p.urgent.refused = map[refusalKey]*refusals{}
--- a/scheduler/planner_test.go
+++ b/scheduler/planner_test.go
@@ -294,6 +294,31 @@
 	assert.Assert(t, claims >= 4 && claims <= 12, "%d claims in a minute", claims)
 }
 
+// Guards against evicting a task that would lose its work just before its end,
+// and against a zone that such tasks never leave.
+func TestFirmTasksMayFinishInALeavingZone(t *testing.T) {
+	c := newCluster(1, nil)
+	c.join("h", "z", 16_000, 60)
+	for id, expected := range map[string]time.Duration{"soon": 30 * time.Second, "late": time.Hour} {
+		s := spec(id, false, 1_000, 1)
+		s.CanCheckpoint = false
+		s.ExpectedDurationMs = expected.Milliseconds()
+		c.submit(s)
+	}
+	c.submit(spec("kept", false, 1_000, 1))
+	c.step(tick)
+	c.zone("z", false)
+	for range 10 {
+		c.step(time.Second)
+	}
+	assert.Assert(t, c.task("late").GetEvictionRequested() && c.task("kept").GetEvictionRequested())
+	assert.Assert(t, !c.task("soon").GetEvictionRequested())
+	for range 55 {
+		c.step(time.Second)
+	}
+	assert.Assert(t, c.task("soon").GetEvictionRequested())
+}
+
 // Guards against small tasks that take every freed part before a large one.
 func TestLargeTaskDoesNotStarve(t *testing.T) {
 	c := newCluster(1, nil)
