Show operators a host's throttle and each endpoint's load

GET /v1/endpoints now carries the load that the entry's router last saw, and GET /v1/hosts the share that the entry leaves to throttled batch tasks.

--- a/client/types.go
+++ b/client/types.go
@@ -186,6 +186,9 @@
 	Free                Resources `json:"free"`
 	Tasks               int       `json:"tasks"`
 	ConsecutiveFailures int32     `json:"consecutive_failures"`
+	// BatchSharePermille is the processor share of throttled batch tasks in
+	// thousandths; 0 means that none is throttled.
+	BatchSharePermille int `json:"batch_share_permille,omitempty"`
 }
 
 // Endpoint is a back end with the load that this entry last saw.
--- a/commander/views.go
+++ b/commander/views.go
@@ -110,11 +110,18 @@
 	return command
 }
 
+func throttle(permille int) string {
+	if permille == 0 {
+		return "none"
+	}
+	return fmt.Sprintf("%d%%", permille/10)
+}
+
 func (c *Commander) printHosts(value any, hosts []client.Host) error {
 	return c.print(value, func(t *table) {
-		t.row("HOST", "STATE", "ZONE", "RACK", "SERVICE", "TASKS", "FREE CORES", "FREE MEMORY", "BOOT")
+		t.row("HOST", "STATE", "ZONE", "RACK", "SERVICE", "TASKS", "THROTTLE", "FREE CORES", "FREE MEMORY", "BOOT")
 		for _, h := range hosts {
-			t.row(h.Host, h.State, h.Zone, h.Rack, h.Service, h.Tasks,
+			t.row(h.Host, h.State, h.Zone, h.Rack, h.Service, h.Tasks, throttle(h.BatchSharePermille),
 				cores(h.Free.Millicores)+"/"+cores(h.Capacity.Millicores),
 				gigabytes(h.Free.MemoryBytes)+"/"+gigabytes(h.Capacity.MemoryBytes), h.WorkerBoot)
 		}
--- a/operator/hosts.go
+++ b/operator/hosts.go
@@ -40,6 +40,12 @@
 			list = append(list, describeHost(state, host))
 		}
 	})
+	// The scheduler locks the state itself.
+	for i := range list {
+		if h.BatchShare != nil {
+			list[i].BatchSharePermille = h.BatchShare(list[i].Host)
+		}
+	}
 	slices.SortFunc(list, func(a, b client.Host) int { return cmp.Compare(a.Host, b.Host) })
 	return ok(w, list)
 }
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -68,6 +68,9 @@
 	Explain func(task string) any
 	// Load is the load that this entry last saw of a host; may be nil.
 	Load func(host string) (*wire.EndpointLoad, bool)
+	// BatchShare is the share of its processors, in thousandths, that this entry
+	// leaves a throttled task of a host, and 0 without a throttle; may be nil.
+	BatchShare func(host string) int
 	// NewID returns a unique id; crypto/rand by default.
 	NewID func() string
 }
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -31,6 +31,8 @@
 	audit  *auditor.Auditor
 	next   int64
 	server *httptest.Server
+	// handler is changed between calls only.
+	handler *operator.Handler
 	// before runs once ahead of the next append, as a racing operator does.
 	before func()
 	// answer replaces the append: apply the records or not, and an error.
@@ -46,7 +48,7 @@
 		state: replayer.New(),
 		audit: &auditor.Auditor{},
 	}
-	handler := &operator.Handler{
+	b.handler = &operator.Handler{
 		State:          b,
 		Appender:       b,
 		Audit:          b.audit,
@@ -57,7 +59,7 @@
 		Explain:        func(task string) any { return map[string]string{"reason": "no host holds " + task} },
 	}
 	router := bunrouter.New()
-	handler.Register(router)
+	b.handler.Register(router)
 	b.server = httptest.NewServer(router)
 	t.Cleanup(b.server.Close)
 	return b
--- a/operator/tasks_test.go
+++ b/operator/tasks_test.go
@@ -170,6 +170,12 @@
 	var endpoints []client.Endpoint
 	assert.Equal(t, b.call(http.MethodGet, "/v1/endpoints", nil, &endpoints), http.StatusOK)
 	assert.Assert(t, endpoints[0].InService && !endpoints[0].LoadKnown)
+	b.handler.Load = func(string) (*wire.EndpointLoad, bool) { return &wire.EndpointLoad{Running: 3}, true }
+	b.handler.BatchShare = func(string) int { return 500 }
+	assert.Equal(t, b.call(http.MethodGet, "/v1/endpoints", nil, &endpoints), http.StatusOK)
+	assert.Assert(t, endpoints[0].LoadKnown && endpoints[0].Running == 3)
+	assert.Equal(t, b.call(http.MethodGet, "/v1/hosts", nil, &hosts), http.StatusOK)
+	assert.Equal(t, hosts[0].BatchSharePermille, 500)
 	var services []client.Service
 	assert.Equal(t, b.call(http.MethodGet, "/v1/services", nil, &services), http.StatusOK)
 	assert.Equal(t, services[0].Slots, int64(8))
--- a/router/endpoint.go
+++ b/router/endpoint.go
@@ -69,6 +69,7 @@
 	queued     atomic.Int32
 	limit      atomic.Int32
 	reportedAt atomic.Int64
+	reported   atomic.Pointer[wire.EndpointLoad]
 
 	rampFrom     atomic.Int64
 	ejectedUntil atomic.Int64
@@ -104,6 +105,7 @@
 // observe keeps what others have at the endpoint. The own requests are
 // subtracted, so that load counts them by their present number.
 func (e *endpoint) observe(load *wire.EndpointLoad, now int64) {
+	e.reported.Store(load)
 	e.queued.Store(load.GetQueued())
 	e.others.Store(max(0, load.GetRunning()+load.GetQueued()-e.inflight.Load()))
 	if load.GetLimit() > 0 {
--- a/router/router.go
+++ b/router/router.go
@@ -276,6 +276,17 @@
 	}
 }
 
+// Load is the latest load that a host reported.
+func (r *Router) Load(host string) (*wire.EndpointLoad, bool) {
+	r.start()
+	e := r.view.Load().hosts[host]
+	if e == nil {
+		return nil, false
+	}
+	load := e.reported.Load()
+	return load, load != nil
+}
+
 // Ejected is the number of endpoints of a service that get no requests.
 func (r *Router) Ejected(service string) int {
 	r.start()
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -242,3 +242,13 @@
 		}
 	}
 }
+
+// Guards against an operator's view without the load that routing uses.
+func TestLoadIsTheLatestReport(t *testing.T) {
+	r, _ := newRouter(2, 1)
+	_, known := r.Load("h0")
+	assert.Assert(t, !known)
+	r.ObserveLoad("h0", &wire.EndpointLoad{Running: 3})
+	load, known := r.Load("h0")
+	assert.Assert(t, known && load.GetRunning() == 3)
+}
--- a/server/entry.go
+++ b/server/entry.go
@@ -316,6 +316,8 @@
 		Entry:         e.Settings.Process().ID(),
 		Version:       e.Version,
 		CurrencyLimit: e.Settings.Limits().CurrencyLimit(),
+		Load:          e.router.Load,
+		BatchShare:    e.batchShare,
 		Explain: func(task string) any {
 			explanation, ok := e.scheduler.Explain(task)
 			if !ok {
