--- a/scheduler/observe.go
+++ b/scheduler/observe.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -60,8 +61,11 @@
 		case replayer.HostChanged:
 			p.refreshHost(s, c.Subject(), now)
 		case replayer.EntryChanged:
-			p.refreshEntries(s)
-			p.refreshOwners(now)
+			// Every heartbeat of an entry arrives here; only another set of
+			// entries moves tasks.
+			if p.refreshEntries(s) {
+				p.refreshOwners(now)
+			}
 		case replayer.TaskChanged:
 			p.observeResult(c, now)
 			p.refreshTask(s, c.Subject(), now)
@@ -101,13 +105,20 @@
 	p.Index.Reserve(i.spec, c.PreviousHost())
 }
 
-func (p *Planner) refreshEntries(s *replayer.State) {
-	p.entries = p.entries[:0]
+// refreshEntries reports whether the set of live entries changed.
+func (p *Planner) refreshEntries(s *replayer.State) bool {
+	var entries []string
 	for entry := range s.Entries() {
 		if !entry.GetEntry().GetLeaving() {
-			p.entries = append(p.entries, entry.GetEntry().GetEntry())
+			entries = append(entries, entry.GetEntry().GetEntry())
 		}
 	}
+	slices.Sort(entries)
+	if slices.Equal(entries, p.entries) {
+		return false
+	}
+	p.entries = entries
+	return true
 }
 
 // refreshOwners gives pending tasks to this entry or takes them from it.
@@ -125,6 +136,18 @@
 	}
 }
 
+// Reconfigure takes a new objective and reads the teams and zones again.
+func (p *Planner) Reconfigure(s *replayer.State, objective damaskspread.Objective, now time.Time) {
+	p.reset()
+	if policy, ok := p.Policy.(damaskspread.WeighedPolicy); ok {
+		policy.SetObjective(objective)
+	}
+	if p.Estimates != nil {
+		p.Estimates.SetObjective(objective)
+	}
+	p.refreshConfiguration(s, now)
+}
+
 func (p *Planner) refreshConfiguration(s *replayer.State, now time.Time) {
 	for _, h := range p.hostList {
 		zone := h.spec.GetZone()
@@ -134,7 +157,7 @@
 		}
 		p.Index.SetZone(zone, !out, now)
 		delete(p.zonesOut, zone)
-		delete(p.waveSizes, zone)
+		delete(p.waves, zone)
 		if out {
 			p.zonesOut[zone] = true
 		}
@@ -176,8 +199,12 @@
 	if !changed {
 		return
 	}
-	if state.GetLeaving() && !h.leaving {
+	switch {
+	case !h.leaving && state.GetLeaving():
+		p.departing++
 		h.left = now
+	case h.leaving && !state.GetLeaving():
+		p.departing--
 	}
 	h.spec, h.leaving, h.expired = state.GetSpec(), state.GetLeaving(), state.GetExpired()
 	p.stable = now
@@ -224,6 +251,9 @@
 	if i == nil {
 		i = &item{
 			spec:     task.GetSpec(),
+			team:     p.team(task.GetSpec().GetTeam()),
+			need:     task.GetSpec().GetResources(),
+			urgent:   isUrgent(task.GetSpec()),
 			deadline: deadlineOf(task.GetSpec()),
 		}
 		p.pending[id] = i
