Remove the setting request_timeout, which had no effect

Cause: the deadline of a request that names none comes from its service's section, with 2 s for a service without one; the setting was read by nobody.

Ruled out: a third place for the same default.

Before/after: not measured; go test ./validator ./commander passes.

--- a/validator/limits.go
+++ b/validator/limits.go
@@ -36,7 +36,7 @@
 type Limits struct {
 	currencyLimit, memberHold, taskHold, keyLifetime time.Duration
 	checkpointEvery                                  time.Duration
-	syncWait, requestTimeout, drainTimeout           time.Duration
+	syncWait, drainTimeout                           time.Duration
 	appendsPerSecond, batchRecords, snapshotEvery    int
 	retryPercent                                     float64
 }
@@ -59,9 +59,6 @@
 // SyncWait is how long a Sync call waits for a change.
 func (l *Limits) SyncWait() time.Duration { return l.syncWait }
 
-// RequestTimeout is the deadline of a request that names none.
-func (l *Limits) RequestTimeout() time.Duration { return l.requestTimeout }
-
 // DrainTimeout bounds how long a planned stop waits for running work.
 func (l *Limits) DrainTimeout() time.Duration { return l.drainTimeout }
 
@@ -85,7 +82,6 @@
 		optional("checkpoint_every", "5m", "how often a running task that can is checkpointed; 0s for never", duration(&l.checkpointEvery, 0, 24*time.Hour)),
 		optional("key_lifetime", "10m", "how long an idempotency key is remembered", duration(&l.keyLifetime, time.Second, 24*time.Hour)),
 		optional("sync_wait", "1250ms", "how long a Sync call waits for a change", duration(&l.syncWait, 10*time.Millisecond, time.Minute)),
-		optional("request_timeout", "2s", "deadline of a request that names none", duration(&l.requestTimeout, time.Millisecond, time.Hour)),
 		optional("drain_timeout", "30s", "how long a planned stop waits for running work", duration(&l.drainTimeout, 0, time.Hour)),
 		optional("appends_per_second", "50", "append budget of an entry process", integer(&l.appendsPerSecond, 1, 10_000)),
 		optional("batch_records", "1024", "records in one batch", integer(&l.batchRecords, 1, 65_536)),
