Say that the currency age is unknown before the first replay

Cause: status and refusals printed the largest duration, 2562047h47m, of a process that had not replayed the log.

Ruled out: hiding the age, which operators need.

Conclusion: only the wording changed.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -246,7 +246,7 @@
 	case !a.Feed.ZoneInService(a.Zone):
 		return damaskspread.NotRun(damaskspread.ReasonZoneOut, "zone %s is out of service", a.Zone)
 	case age > a.CurrencyLimit && age-a.CurrencyLimit > a.Feed.Policy().StaleLimit:
-		return damaskspread.NotRun(damaskspread.ReasonStaleConfiguration, "the agent's configuration may be %v old", age)
+		return damaskspread.NotRun(damaskspread.ReasonStaleConfiguration, "the agent's configuration is %s", damaskspread.AgeText(age))
 	case a.failing.Load():
 		return damaskspread.NotRun(damaskspread.ReasonEndpointFailed, "the endpoint fails its health probes")
 	}
--- a/commander/views.go
+++ b/commander/views.go
@@ -241,7 +241,7 @@
 			return c.print(status, func(t *table) {
 				t.row("entry", status.Entry+" "+status.Version)
 				t.row("offset", status.Offset)
-				t.row("currency age", fmt.Sprintf("%d ms of %d ms", status.AgeMs, status.CurrencyLimitMs))
+				t.row("currency age", currencyAge(status))
 				t.row("stale", yesNo(status.Stale))
 				t.row("entries", strings.Join(status.Entries, ", "))
 				t.row("hosts", counts(status.Hosts))
@@ -254,3 +254,10 @@
 		}),
 	}
 }
+
+func currencyAge(status *client.Status) string {
+	if status.AgeMs < 0 {
+		return "unknown, the log has not been replayed yet"
+	}
+	return fmt.Sprintf("%d ms of %d ms", status.AgeMs, status.CurrencyLimitMs)
+}
--- a/currency.go
+++ b/currency.go
@@ -52,3 +52,11 @@
 	return fmt.Sprintf("records %d to %d expired before they were read and no snapshot covers them (%s)",
 		e.From, e.First-1, ReasonHistoryLost)
 }
+
+// AgeText describes a currency age for people.
+func AgeText(age time.Duration) string {
+	if age >= MaxAge {
+		return "of unknown age: the log has not been replayed yet"
+	}
+	return fmt.Sprintf("up to %s old", age.Round(time.Millisecond))
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -207,7 +207,7 @@
 func (d *Dispatcher) dispatch(ctx context.Context, in *incoming) (*wire.ExecuteResponse, *damaskspread.RefusalError) {
 	age := d.Follower.Age()
 	if age > d.CurrencyLimit && age-d.CurrencyLimit > in.policy.StaleLimit {
-		return nil, in.doubtful(damaskspread.NotRun(damaskspread.ReasonStaleConfiguration, "the entry's configuration may be %v old", age))
+		return nil, in.doubtful(damaskspread.NotRun(damaskspread.ReasonStaleConfiguration, "the entry's configuration is %s", damaskspread.AgeText(age)))
 	}
 	if !d.knows(in.service) {
 		return nil, in.doubtful(damaskspread.NotRun(damaskspread.ReasonUnknownService, "no service %q", in.service))
--- a/server/assemble.go
+++ b/server/assemble.go
@@ -43,10 +43,7 @@
 		if age <= limit {
 			return ""
 		}
-		if age == damaskspread.MaxAge {
-			return "the log has not been replayed yet"
-		}
-		return fmt.Sprintf("the configuration may be %s old; the limit is %s", age.Round(time.Millisecond), limit)
+		return fmt.Sprintf("the configuration is %s; the limit is %s", damaskspread.AgeText(age), limit)
 	}
 }
 
