Give the drain key of a zone its effect

Cause: the planner evicted the tasks of a zone out of service whatever its drain key said, and the documented default was no.

Ruled out: dropping the key: operators who take a zone out for a moment want its tasks to run on. Keeping the default no: the tasks of a zone that leaves have to move before it is gone.

Before/after: TestZoneWithoutDrainKeepsItsTasks fails without the check (eviction requested), passes with it.

--- a/client/types.go
+++ b/client/types.go
@@ -308,9 +308,9 @@
 
 // Status is the view of an entry process.
 type Status struct {
-	Entry           string         `json:"entry"`
-	Version         string         `json:"version"`
-	Offset          int64          `json:"offset"`
+	Entry   string `json:"entry"`
+	Version string `json:"version"`
+	Offset  int64  `json:"offset"`
 	// AgeMs is -1 before the first replay.
 	AgeMs           int64          `json:"age_ms"`
 	CurrencyLimitMs int64          `json:"currency_limit_ms"`
--- a/scheduler/leave.go
+++ b/scheduler/leave.go
@@ -46,7 +46,7 @@
 		}
 		group := ""
 		switch {
-		case p.zonesOut[h.spec.GetZone()]:
+		case p.zonesOut[h.spec.GetZone()] && p.drains(h.spec.GetZone()):
 			group = h.spec.GetZone()
 		case h.leaving && out.now.Sub(h.left) >= leaveGrace:
 			group = "host " + h.spec.GetHost()
@@ -67,6 +67,8 @@
 	}
 }
 
+func (p *Planner) drains(zone string) bool { return p.Drains == nil || p.Drains(zone) }
+
 func (p *Planner) leaveGroup(out *plan, group string, tasks []*running) {
 	w := p.waves[group]
 	if w == nil {
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -101,7 +101,10 @@
 	Estimates *estimator.Estimator
 	// Teams returns the configuration of a team; nil means no quotas. It is
 	// called while the state is locked for reading and must not lock it again.
-	Teams  func(team string) Team
+	Teams func(team string) Team
+	// Drains reports whether the tasks of a zone out of service are evicted;
+	// nil means that they always are.
+	Drains func(zone string) bool
 	Limits Limits
 	Random *rand.Rand
 
--- a/scheduler/planner_test.go
+++ b/scheduler/planner_test.go
@@ -529,3 +529,24 @@
 	b.ReportMetric(float64(c.observing.Nanoseconds())/each, "observe-ns/round")
 	b.ReportMetric(float64(starts)/float64(rounds), "starts/round")
 }
+
+// Guards against a drain key without effect: operators who take a zone out
+// with drain = no keep its running tasks.
+func TestZoneWithoutDrainKeepsItsTasks(t *testing.T) {
+	c := newCluster(1, nil)
+	drains := false
+	c.planners[0].Drains = func(string) bool { return drains }
+	c.join("h0", "z", 16_000, 60)
+	c.submit(spec("kept", false, 1_000, 1))
+	c.step(tick)
+	c.zone("z", false)
+	for range 50 {
+		c.step(tick)
+	}
+	assert.Assert(t, !c.task("kept").GetEvictionRequested())
+	drains = true
+	for range 2 * 60 * 10 {
+		c.step(tick)
+	}
+	assert.Assert(t, c.task("kept").GetEvictionRequested())
+}
--- a/server/documents.go
+++ b/server/documents.go
@@ -89,6 +89,11 @@
 	}
 }
 
+func (p *policies) drains(name string) bool {
+	zone, ok := p.document.Zone(name)
+	return !ok || zone.Drain()
+}
+
 // limited turns the document's mark for an unlimited resource into the
 // scheduler's zero.
 func limited(quota *wire.Resources) *wire.Resources {
--- a/server/entry.go
+++ b/server/entry.go
@@ -258,6 +258,7 @@
 			Policy:    policy,
 			Estimates: e.estimates,
 			Teams:     func(name string) scheduler.Team { return e.policies.load().team(name) },
+			Drains:    func(zone string) bool { return e.policies.load().drains(zone) },
 			Limits: scheduler.Limits{
 				CurrencyLimit: s.Limits().CurrencyLimit(),
 				TaskHold:      s.Limits().TaskHold(),
--- a/validator/schema.go
+++ b/validator/schema.go
@@ -30,7 +30,7 @@
 		required("owner", ownerAbout, name(&z.owner)),
 		optional("region", "", "region of the zone, for display", name(&z.region)),
 		optional("in_service", "yes", "whether tasks and requests may start in the zone", flag(&z.inService)),
-		optional("drain", "no", "whether running tasks are evicted while the zone is out of service", flag(&z.drain)),
+		optional("drain", "yes", "whether running tasks are evicted while the zone is out of service", flag(&z.drain)),
 	}
 }
 
