--- a/server/dev.go
+++ b/server/dev.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"strings"
@@ -83,11 +84,15 @@
 		}
 	}
 	t.Go(func() error { return d.publish(ctx) })
-	err = t.Wait()
-	if ctx.Err() != nil {
+	return oops.In("dev").Wrap(ignoreCanceled(t.Wait()))
+}
+
+// ignoreCanceled drops the error of a run that was asked to stop.
+func ignoreCanceled(err error) error {
+	if errors.Is(err, context.Canceled) {
 		return nil
 	}
-	return oops.In("dev").Wrap(err)
+	return err
 }
 
 // part derives the settings of one process of the whole.
