Record checkpoints in the emulated platform's history

Cause: tests could not see from outside which checkpoint a task may resume from.

Ruled out: deriving it from the stop event, since time passes between the checkpoint and the stop.

Change: the emulated worker notes an event when it takes a checkpoint. The lists of expected events in the tests of emulator and executor name it.

Conclusion: the history shows the progress that each checkpoint holds.

--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -124,9 +124,9 @@
 	for _, event := range history.Events {
 		kinds = append(kinds, event.Kind+" "+event.Host)
 	}
-	assert.DeepEqual(t, kinds, []string{"start a", "start b", "stop b", "lapse a", "start b", "finish b"})
-	assert.Equal(t, history.Events[3].WorkerUs, (10 * time.Second).Microseconds())
-	assert.Equal(t, history.Events[4].ProgressMs, int64(4000))
+	assert.DeepEqual(t, kinds, []string{"start a", "checkpoint a", "start b", "stop b", "lapse a", "start b", "finish b"})
+	assert.Equal(t, history.Events[4].WorkerUs, (10 * time.Second).Microseconds())
+	assert.Equal(t, history.Events[5].ProgressMs, int64(4000))
 	assert.Equal(t, len(history.Violations), 2)
 	assert.Equal(t, history.Violations[0].Kind, "over_commitment_attempt")
 	assert.Equal(t, history.Violations[1].Kind, "two_hosts")
--- a/emulator/service.go
+++ b/emulator/service.go
@@ -150,6 +150,7 @@
 	}
 	t.checkpoint = fmt.Sprintf("%s/%d/%d", r.Msg.GetTask(), t.token, t.progress.Milliseconds())
 	w.platform.checkpoints[t.checkpoint] = t.progress
+	w.note("checkpoint", t, w.platform.Clock.Now())
 	return connect.NewResponse(&wire.CheckpointResponse{
 		Checkpoint: t.checkpoint,
 	}), nil
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -126,7 +126,7 @@
 	w.step(5)
 	w.evict("x")
 	w.agents[hostA].Reconcile(t.Context())
-	assert.DeepEqual(t, w.events(), []string{"start a", "stop a"})
+	assert.DeepEqual(t, w.events(), []string{"start a", "checkpoint a", "stop a"})
 	w.startAgent(hostA)
 	w.feeds[hostA].losesAnswers = true
 	w.step(6)
@@ -134,9 +134,9 @@
 	assert.Equal(t, w.task("x").GetEvictions(), int32(1))
 	w.claim("x", hostB)
 	w.step(8)
-	assert.DeepEqual(t, w.events(), []string{"start a", "stop a", "start b", "finish b"})
+	assert.DeepEqual(t, w.events(), []string{"start a", "checkpoint a", "stop a", "start b", "finish b"})
 	events := w.platform.Records().Events
-	assert.Equal(t, events[2].ProgressMs, events[1].ProgressMs)
+	assert.Equal(t, events[3].ProgressMs, events[1].ProgressMs)
 	assert.Equal(t, w.task("x").GetResult(), wire.TaskResult_TASK_RESULT_SUCCEEDED)
 }
 
@@ -175,7 +175,7 @@
 	w.step(int(hold.Seconds() * 0.8))
 	assert.DeepEqual(t, w.events(), []string{"start a"})
 	w.step(int(hold.Seconds() * 0.2))
-	assert.DeepEqual(t, w.events(), []string{"start a", "stop a"})
+	assert.DeepEqual(t, w.events(), []string{"start a", "checkpoint a", "stop a"})
 	w.feeds[hostA].down = false
 	w.step(3)
 	assert.Equal(t, w.task("x").GetPhase(), pending)
@@ -192,12 +192,12 @@
 	w.feeds[hostA].lags = true
 	w.release(hostA, wire.ReleaseReason_RELEASE_REASON_HOLD_PASSED)
 	w.step(int(hold.Seconds()))
-	assert.DeepEqual(t, w.events(), []string{"start a", "stop a"})
+	assert.DeepEqual(t, w.events(), []string{"start a", "checkpoint a", "stop a"})
 	w.claim("x", hostB)
 	w.feeds[hostA].lags = false
 	w.feeds[hostA].join()
 	w.step(2)
-	assert.DeepEqual(t, w.events(), []string{"start a", "stop a", "start b"})
+	assert.DeepEqual(t, w.events(), []string{"start a", "checkpoint a", "stop a", "start b"})
 }
 
 // Guards against a lease that counts a beat before the feed confirmed it.
@@ -345,7 +345,7 @@
 	assert.NilError(t, <-drained)
 	second.Kill(nil)
 	assert.NilError(t, second.Wait())
-	assert.DeepEqual(t, w.events(), []string{"start a", "stop a"})
+	assert.DeepEqual(t, w.events(), []string{"start a", "checkpoint a", "stop a"})
 	assert.Equal(t, w.task("x").GetPhase(), pending)
 	assert.Assert(t, w.task("x").GetCheckpoint() != "")
 }
