Keep a fenced host's checkpoints

Cause: an agent that died between a checkpoint and its TaskEvicted record took the checkpoint with it. An entry fenced the worker and released the host, and the task started again from its previous checkpoint or from the beginning: tasks_evict_test.go:143: after-stop-dead resumes at 0 ms, its last checkpoint is at 431 ms: start host-3 token= progress=0ms; checkpoint host-3 progress=431ms; stop host-3 progress=437ms; start host-0 token= progress=0ms.

Ruled out: a new CheckpointTaken record of the agent before each stop, which costs one append more for each eviction and does not help if the agent dies before it.

Change: after a fence the entry reads the worker's tasks and writes CheckpointTaken for each current claim in the same append, before HostReleased.

TestRunSchedulesAgainstTheLog covers it without processes.

Conclusion: a fence loses no checkpoint that its worker still has. A host that is released without a reachable worker still loses the unrecorded ones.

--- a/scheduler/leave.go
+++ b/scheduler/leave.go
@@ -168,14 +168,34 @@
 	return fences
 }
 
-// Fenced returns the record that releases a host after its worker confirmed
-// the fence. It returns nil if the host joined again in the meantime.
-func (p *Planner) Fenced(f Fence, now time.Time) *wire.Record {
+// Fenced returns the records that release a host after its worker confirmed
+// the fence. It returns none if the host joined again in the meantime. The
+// worker's checkpoints go first: an agent may have died between a checkpoint
+// and its record, and the release makes the worker's copy unreachable.
+func (p *Planner) Fenced(f Fence, tasks []*wire.WorkerTask, now time.Time) []*wire.Record {
 	h := p.hosts[f.Spec.GetHost()]
 	if h == nil || !h.expired || h.spec.GetWorkerBoot() != f.Spec.GetWorkerBoot() {
 		return nil
 	}
-	return p.sign(releaseRecord(f.Spec, f.alive, wire.ReleaseReason_RELEASE_REASON_FENCED), now)
+	var records []*wire.Record
+	for _, task := range tasks {
+		r := h.tasks[task.GetTask()]
+		if r == nil || r.token != task.GetToken() || task.GetCheckpoint() == "" {
+			continue
+		}
+		records = append(records, p.sign(&wire.Record{
+			Body: &wire.Record_CheckpointTaken{
+				CheckpointTaken: &wire.CheckpointTaken{
+					Task:       task.GetTask(),
+					Attempt:    r.attempt,
+					Host:       r.host,
+					Checkpoint: task.GetCheckpoint(),
+				},
+			},
+		}, now))
+	}
+	release := releaseRecord(f.Spec, f.alive, wire.ReleaseReason_RELEASE_REASON_FENCED)
+	return append(records, p.sign(release, now))
 }
 
 // respond turns the estimator's responses into evictions and throttles.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -53,9 +53,9 @@
 	Recorder     damaskspread.Appender
 	Clock        damaskspread.Clock
 	Planner      *Planner
-	// Fence stops all tasks of a worker with a token below minToken; nil if
-	// workers can't be reached from here.
-	Fence func(ctx context.Context, host *wire.HostSpec, minToken int64) error
+	// Fence stops all tasks of a worker with a token below minToken and returns
+	// the worker's tasks; nil if workers can't be reached from here.
+	Fence func(ctx context.Context, host *wire.HostSpec, minToken int64) ([]*wire.WorkerTask, error)
 
 	mu sync.Mutex
 }
@@ -152,19 +152,20 @@
 	var fences []Fence
 	s.locked(func() { fences = s.Planner.Fences(s.Clock.Now(), s.Follower.Age()) })
 	for _, f := range fences {
-		if err := s.fenceHost(ctx, f); err != nil {
+		tasks, err := s.fenceHost(ctx, f)
+		if err != nil {
 			log.Info().Err(err).Str("host", f.Spec.GetHost()).Msg("expired host could not be fenced")
 			continue
 		}
-		var record *wire.Record
-		s.locked(func() { record = s.Planner.Fenced(f, s.Clock.Now()) })
-		if record != nil {
-			s.append(ctx, []*wire.Record{record})
+		var records []*wire.Record
+		s.locked(func() { records = s.Planner.Fenced(f, tasks, s.Clock.Now()) })
+		if len(records) > 0 {
+			s.append(ctx, records)
 		}
 	}
 }
 
-func (s *Scheduler) fenceHost(ctx context.Context, f Fence) error {
+func (s *Scheduler) fenceHost(ctx context.Context, f Fence) ([]*wire.WorkerTask, error) {
 	ctx, cancel := context.WithTimeout(ctx, fenceTimeout)
 	defer cancel()
 	return s.Fence(ctx, f.Spec, f.MinToken)
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -57,7 +57,8 @@
 }
 
 // Guards against a scheduler that deadlocks or loses tasks while the log
-// refuses appends, and against a fenced host whose tasks are not returned.
+// refuses appends, and against a fenced host whose tasks are not
+// returned with their last checkpoint.
 func TestRunSchedulesAgainstTheLog(t *testing.T) {
 	c := newCluster(1, nil)
 	for h := range 2 {
@@ -79,7 +80,9 @@
 		Recorder:     l,
 		Clock:        clock,
 		Planner:      c.planners[0],
-		Fence:        func(context.Context, *wire.HostSpec, int64) error { return nil },
+		Fence: func(context.Context, *wire.HostSpec, int64) ([]*wire.WorkerTask, error) {
+			return checkpointed(l, "h0"), nil
+		},
 	}
 	var group tomb.Tomb
 	group.Go(func() error { return s.Run(&group) })
@@ -104,6 +107,8 @@
 		host, _ := state.Host("h0")
 		alive = host.GetAlive()
 	})
+	stopped := checkpointed(l, "h0")
+	assert.Assert(t, len(stopped) > 0)
 	_, err := l.AppendRecords(context.Background(), []*wire.Record{{Body: &wire.Record_HostExpired{HostExpired: &wire.HostExpired{
 		Host:  &wire.HostRef{Host: "h0", Incarnation: incarnation(l, "h0")},
 		Alive: alive,
@@ -115,12 +120,33 @@
 		}
 		return l.state.PendingCount() == 0
 	})
+	for _, task := range stopped {
+		l.View(func(state *replayer.State) {
+			moved, _ := state.Task(task.GetTask())
+			assert.Equal(t, moved.GetCheckpoint(), task.GetCheckpoint())
+		})
+	}
 	e, ok := s.Explain("b0")
 	assert.Assert(t, ok && e.Phase == claimed && e.Host == "h1" && e.Reason != "", "%+v", e)
 	group.Kill(nil)
 	assert.NilError(t, group.Wait())
 }
 
+// checkpointed is what the worker of a host shows after its tasks were stopped
+// with a checkpoint that no record holds.
+func checkpointed(l *stateLog, host string) (tasks []*wire.WorkerTask) {
+	l.View(func(state *replayer.State) {
+		for task := range state.ClaimsOf(host) {
+			tasks = append(tasks, &wire.WorkerTask{
+				Task:       task.GetSpec().GetTask(),
+				Token:      damaskspread.Token(task.GetToken()),
+				Checkpoint: "checkpoint of " + task.GetSpec().GetTask(),
+			})
+		}
+	})
+	return tasks
+}
+
 func incarnation(l *stateLog, id string) (incarnation string) {
 	l.View(func(state *replayer.State) {
 		host, _ := state.Host(id)
--- a/server/entry.go
+++ b/server/entry.go
@@ -261,12 +261,16 @@
 
 // fence makes a worker whose agent is gone stop its tasks, so that they need
 // not wait for the end of their leases.
-func (e *Entry) fence(ctx context.Context, host *wire.HostSpec, minToken int64) error {
+func (e *Entry) fence(ctx context.Context, host *wire.HostSpec, minToken int64) ([]*wire.WorkerTask, error) {
 	worker := &connector.Worker{
 		Address: "http://" + host.GetWorkerAddress(),
 		HTTP:    e.http,
 	}
-	return worker.Fence(ctx, host.GetWorkerBoot(), minToken)
+	if err := worker.Fence(ctx, host.GetWorkerBoot(), minToken); err != nil {
+		return nil, err
+	}
+	status, err := worker.Status(ctx)
+	return status.GetTasks(), err
 }
 
 // batchShare is the smallest share that the estimates ask of a batch task on
