Add the operator command host drain

Cause: operators could evict the work of a zone but not of one host.

Ruled out: a section of the configuration document, as a drain concerns one incarnation of a host and ends when its agent starts again.

Change: POST /v1/hosts/{host}/drain and `host drain` append HostLeaving for the host's present incarnation; the scheduler evicts its tasks as for an agent that leaves.

--- a/client/operations.go
+++ b/client/operations.go
@@ -85,10 +85,20 @@
 // DeclareLost returns the tasks of a host to the queue. A set boot must be the
 // host's current worker boot.
 func (c *Client) DeclareLost(ctx context.Context, host, boot string) (*Host, error) {
+	return c.changeHost(ctx, host, "lost", boot)
+}
+
+// Drain evicts the tasks of a host and keeps new ones away until its agent
+// starts again. A set boot must be the host's current worker boot.
+func (c *Client) Drain(ctx context.Context, host, boot string) (*Host, error) {
+	return c.changeHost(ctx, host, "drain", boot)
+}
+
+func (c *Client) changeHost(ctx context.Context, host, change, boot string) (*Host, error) {
 	var response Host
 	return &response, c.do(ctx, call{
 		method: http.MethodPost,
-		path:   "/v1/hosts/" + url.PathEscape(host) + "/lost",
+		path:   "/v1/hosts/" + url.PathEscape(host) + "/" + change,
 		body: TeamRequest{
 			Team:       c.Team,
 			WorkerBoot: boot,
--- a/client/types.go
+++ b/client/types.go
@@ -145,7 +145,7 @@
 // TeamRequest names the team that asks for a change.
 type TeamRequest struct {
 	Team string `json:"team"`
-	// WorkerBoot, if set, must be the boot of the host to declare lost.
+	// WorkerBoot, if set, must be the boot of the host to change.
 	WorkerBoot string `json:"worker_boot,omitempty"`
 	Reason     string `json:"reason,omitempty"`
 }
--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -172,6 +172,7 @@
 		{"task show t9", commander.ExitFailure, "no task t9"},
 		{"host list", commander.ExitOK, "HOST"},
 		{"host lost host-01 --team ops", commander.ExitFailure, "no host host-01"},
+		{"host drain host-01 --team ops", commander.ExitFailure, "no host host-01"},
 		{"endpoint list", commander.ExitOK, "SERVICE"},
 		{"service list", commander.ExitOK, "SERVICE"},
 		{"audit --subject \"zone gaspe\"", commander.ExitOK, "in_service = no"},
--- a/commander/views.go
+++ b/commander/views.go
@@ -67,7 +67,7 @@
 func (c *Commander) hostCommand() *cobra.Command {
 	command := &cobra.Command{
 		Use:     "host",
-		Short:   "List hosts and declare one lost",
+		Short:   "List hosts, drain one and declare one lost",
 		Example: "  damaskspread host list\n  damaskspread host lost host-03 --team platform",
 	}
 	command.AddCommand(&cobra.Command{
@@ -82,30 +82,38 @@
 			}
 			return c.printHosts(hosts, hosts)
 		}),
-	}, c.hostLost())
-	return command
-}
-
-func (c *Commander) hostLost() *cobra.Command {
-	var boot string
-	command := &cobra.Command{
+	}, c.hostChange(&cobra.Command{
 		Use:   "lost HOST",
 		Short: "Declare a host lost: its tasks return to the queue at once",
 		Long: `Declare a host lost: its tasks return to the queue at once. Be certain that the
 host no longer runs them; otherwise they run in two places.`,
 		Example: "  damaskspread host lost host-03 --team platform --boot 5d1c",
-		Args:    cobra.ExactArgs(1),
-		RunE: c.call(func(ctx context.Context, caller *client.Client, args []string) error {
-			if err := c.needTeam(); err != nil {
-				return err
-			}
-			host, err := caller.DeclareLost(ctx, args[0], boot)
-			if err != nil {
-				return err
-			}
-			return c.printHosts(host, []client.Host{*host})
-		}),
-	}
+	}, (*client.Client).DeclareLost), c.hostChange(&cobra.Command{
+		Use:   "drain HOST",
+		Short: "Evict a host's tasks and keep new work away",
+		Long: `Evict a host's tasks with their checkpoints and keep new tasks and requests away
+from it until its agent starts again.`,
+		Example: "  damaskspread host drain host-03 --team platform",
+	}, (*client.Client).Drain))
+	return command
+}
+
+// hostChange completes a command that changes one host.
+func (c *Commander) hostChange(
+	command *cobra.Command, change func(caller *client.Client, ctx context.Context, host, boot string) (*client.Host, error),
+) *cobra.Command {
+	var boot string
+	command.Args = cobra.ExactArgs(1)
+	command.RunE = c.call(func(ctx context.Context, caller *client.Client, args []string) error {
+		if err := c.needTeam(); err != nil {
+			return err
+		}
+		host, err := change(caller, ctx, args[0], boot)
+		if err != nil {
+			return err
+		}
+		return c.printHosts(host, []client.Host{*host})
+	})
 	command.Flags().StringVar(&boot, "boot", "", "refuse if the host's worker boot is another one")
 	return command
 }
--- a/operator/hosts.go
+++ b/operator/hosts.go
@@ -71,6 +71,36 @@
 // declareLost returns a host's tasks to the queue at once. The operator states
 // that the host no longer runs them.
 func (h *Handler) declareLost(w http.ResponseWriter, r bunrouter.Request) error {
+	return h.changeHost(w, r, func(host *wire.HostState, record *wire.Record) {
+		record.Body = &wire.Record_HostReleased{
+			HostReleased: &wire.HostReleased{
+				Host:       host.GetSpec().GetHost(),
+				WorkerBoot: host.GetSpec().GetWorkerBoot(),
+				Reason:     wire.ReleaseReason_RELEASE_REASON_DECLARED_LOST,
+			},
+		}
+	})
+}
+
+// drain makes the host's present incarnation leave: nothing new starts there,
+// and its tasks are evicted with their checkpoints.
+func (h *Handler) drain(w http.ResponseWriter, r bunrouter.Request) error {
+	return h.changeHost(w, r, func(host *wire.HostState, record *wire.Record) {
+		record.Body = &wire.Record_HostLeaving{
+			HostLeaving: &wire.HostLeaving{
+				Host: &wire.HostRef{
+					Host:        host.GetSpec().GetHost(),
+					Incarnation: host.GetSpec().GetIncarnation(),
+				},
+				Reason: "drained by " + record.GetActor(),
+			},
+		}
+	})
+}
+
+// changeHost appends one record about a host and answers with the host's new
+// state.
+func (h *Handler) changeHost(w http.ResponseWriter, r bunrouter.Request, fill func(*wire.HostState, *wire.Record)) error {
 	var request client.TeamRequest
 	if err := decode(r, &request); err != nil {
 		return err
@@ -78,7 +108,7 @@
 	if !validator.IsName(request.Team) {
 		return damaskspread.NotRun(damaskspread.ReasonBadRequest, "team is required")
 	}
-	name := param(r, "host")
+	name, record := param(r, "host"), h.newRecord(actor(r, request.Team))
 	var boot string
 	var exists bool
 	var names []string
@@ -86,6 +116,7 @@
 		var host *wire.HostState
 		host, exists = state.Host(name)
 		boot = host.GetSpec().GetWorkerBoot()
+		fill(host, record)
 		for other := range state.Hosts() {
 			names = append(names, other.GetSpec().GetHost())
 		}
@@ -96,14 +127,6 @@
 	if request.WorkerBoot != "" && request.WorkerBoot != boot {
 		return damaskspread.NotRun(damaskspread.ReasonConflict, "the worker of host %s restarted since: its boot is %s", name, boot)
 	}
-	record := h.newRecord(actor(r, request.Team))
-	record.Body = &wire.Record_HostReleased{
-		HostReleased: &wire.HostReleased{
-			Host:       name,
-			WorkerBoot: boot,
-			Reason:     wire.ReleaseReason_RELEASE_REASON_DECLARED_LOST,
-		},
-	}
 	effects, err := h.appendAndConfirm(r.Context(), []*wire.Record{record})
 	if err != nil {
 		return err
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -87,6 +87,7 @@
 		{http.MethodPost, "/v1/zones/:zone/in", h.zoneIn},
 		{http.MethodGet, "/v1/hosts", h.getHosts},
 		{http.MethodPost, "/v1/hosts/:host/lost", h.declareLost},
+		{http.MethodPost, "/v1/hosts/:host/drain", h.drain},
 		{http.MethodGet, "/v1/endpoints", h.getEndpoints},
 		{http.MethodGet, "/v1/services", h.getServices},
 		{http.MethodGet, "/v1/audit", h.getAudit},
--- a/operator/tasks_test.go
+++ b/operator/tasks_test.go
@@ -133,8 +133,8 @@
 	assert.Equal(t, string(explanation.Explain), `{"reason":"no host holds t1"}`)
 }
 
-// Guards against a host that is declared lost under another worker boot, and
-// against views that leave hosts out.
+// Guards against a host that is drained or declared lost under another worker
+// boot, and against views that leave hosts out.
 func TestHosts(t *testing.T) {
 	b := newBench(t)
 	b.publish("ops", renderKind, nil)
@@ -176,8 +176,11 @@
 	var refused client.ErrorResponse
 	lost := client.TeamRequest{Team: "ops", WorkerBoot: "b0"}
 	assert.Equal(t, b.call(http.MethodPost, "/v1/hosts/host-01/lost", lost, &refused), http.StatusConflict)
+	assert.Equal(t, b.call(http.MethodPost, "/v1/hosts/host-01/drain", lost, &refused), http.StatusConflict)
 	lost.WorkerBoot = "b1"
 	var host client.Host
+	assert.Equal(t, b.call(http.MethodPost, "/v1/hosts/host-01/drain", lost, &host), http.StatusOK)
+	assert.Equal(t, host.State, "leaving")
 	assert.Equal(t, b.call(http.MethodPost, "/v1/hosts/host-01/lost", lost, &host), http.StatusOK)
 	assert.Equal(t, host.State, "expired")
 	assert.Equal(t, b.call(http.MethodGet, "/v1/tasks/"+task.Task, nil, &task), http.StatusOK)
