Do not run a task again that ended while its agent was dead

Cause: an entry that fenced an expired host returned all its claims to the queue, also of tasks that had ended at the worker after their agent died: tasks_evict_test.go:160: before-checkpoint-dead starts again under token: start host-1 token= progress=0ms; finish host-1 token= progress=4000ms; start host-0 token= progress=0ms.

Ruled out: leaving ended tasks claimed until their agent returns, since it may never do so.

Change: the records of a fence include TaskFinished for each claim whose attempt succeeded or failed at the worker.

TestRunSchedulesAgainstTheLog covers it without processes.

Conclusion: work runs again after a fence only if its worker did not finish it. A host that is released without a reachable worker still runs it again.

--- a/scheduler/leave.go
+++ b/scheduler/leave.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"damaskspread.example/damaskspread"
@@ -23,6 +24,8 @@
 	releaseGrace = 10 * time.Second
 	fenceRetry   = 5 * time.Second
 	respondEvery = time.Second
+	// workerFault begins the detail of a failure that the worker itself caused.
+	workerFault = "worker"
 )
 
 // leave evicts the tasks of zones that are out of service and of hosts that
@@ -169,9 +172,10 @@
 }
 
 // Fenced returns the records that release a host after its worker confirmed
-// the fence. It returns none if the host joined again in the meantime. The
-// worker's checkpoints go first: an agent may have died between a checkpoint
-// and its record, and the release makes the worker's copy unreachable.
+// the fence. It returns none if the host joined again in the meantime. What
+// only the worker knows goes first, as the agent may have died before its
+// records: a task that ended must not run again, and a stopped one resumes
+// from its checkpoint.
 func (p *Planner) Fenced(f Fence, tasks []*wire.WorkerTask, now time.Time) []*wire.Record {
 	h := p.hosts[f.Spec.GetHost()]
 	if h == nil || !h.expired || h.spec.GetWorkerBoot() != f.Spec.GetWorkerBoot() {
@@ -180,10 +184,34 @@
 	var records []*wire.Record
 	for _, task := range tasks {
 		r := h.tasks[task.GetTask()]
-		if r == nil || r.token != task.GetToken() || task.GetCheckpoint() == "" {
+		if r == nil || r.token != task.GetToken() {
 			continue
 		}
-		records = append(records, p.sign(&wire.Record{
+		if record := fencedRecord(r, task); record != nil {
+			records = append(records, p.sign(record, now))
+		}
+	}
+	release := releaseRecord(f.Spec, f.alive, wire.ReleaseReason_RELEASE_REASON_FENCED)
+	return append(records, p.sign(release, now))
+}
+
+// fencedRecord tells how an attempt ended at a fenced worker, or its last
+// checkpoint. It returns nil if there is neither.
+func fencedRecord(r *running, task *wire.WorkerTask) *wire.Record {
+	finished := &wire.TaskFinished{
+		Task:    task.GetTask(),
+		Attempt: r.attempt,
+		Host:    r.host,
+		Detail:  task.GetDetail(),
+	}
+	switch {
+	case task.GetPhase() == wire.WorkerTaskPhase_WORKER_TASK_PHASE_SUCCEEDED:
+		finished.Result = wire.TaskResult_TASK_RESULT_SUCCEEDED
+	case task.GetPhase() == wire.WorkerTaskPhase_WORKER_TASK_PHASE_FAILED:
+		finished.Result = wire.TaskResult_TASK_RESULT_FAILED
+		finished.Retry = strings.HasPrefix(task.GetDetail(), workerFault)
+	case task.GetCheckpoint() != "":
+		return &wire.Record{
 			Body: &wire.Record_CheckpointTaken{
 				CheckpointTaken: &wire.CheckpointTaken{
 					Task:       task.GetTask(),
@@ -192,10 +220,15 @@
 					Checkpoint: task.GetCheckpoint(),
 				},
 			},
-		}, now))
+		}
+	default:
+		return nil
+	}
+	return &wire.Record{
+		Body: &wire.Record_TaskFinished{
+			TaskFinished: finished,
+		},
 	}
-	release := releaseRecord(f.Spec, f.alive, wire.ReleaseReason_RELEASE_REASON_FENCED)
-	return append(records, p.sign(release, now))
 }
 
 // respond turns the estimator's responses into evictions and throttles.
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -1,8 +1,10 @@
 package scheduler_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -120,9 +122,14 @@
 		}
 		return l.state.PendingCount() == 0
 	})
+	assert.Equal(t, stopped[0].GetPhase(), wire.WorkerTaskPhase_WORKER_TASK_PHASE_SUCCEEDED)
 	for _, task := range stopped {
 		l.View(func(state *replayer.State) {
 			moved, _ := state.Task(task.GetTask())
+			if task.GetPhase() == wire.WorkerTaskPhase_WORKER_TASK_PHASE_SUCCEEDED {
+				assert.Equal(t, moved.GetResult(), wire.TaskResult_TASK_RESULT_SUCCEEDED)
+				return
+			}
 			assert.Equal(t, moved.GetCheckpoint(), task.GetCheckpoint())
 		})
 	}
@@ -132,8 +139,8 @@
 	assert.NilError(t, group.Wait())
 }
 
-// checkpointed is what the worker of a host shows after its tasks were stopped
-// with a checkpoint that no record holds.
+// checkpointed is what the worker of a host shows after its last task
+// succeeded and the others were stopped with a checkpoint, without a record.
 func checkpointed(l *stateLog, host string) (tasks []*wire.WorkerTask) {
 	l.View(func(state *replayer.State) {
 		for task := range state.ClaimsOf(host) {
@@ -141,8 +148,13 @@
 				Task:       task.GetSpec().GetTask(),
 				Token:      damaskspread.Token(task.GetToken()),
 				Checkpoint: "checkpoint of " + task.GetSpec().GetTask(),
+				Phase:      wire.WorkerTaskPhase_WORKER_TASK_PHASE_STOPPED,
 			})
 		}
+		slices.SortFunc(tasks, func(a, b *wire.WorkerTask) int { return cmp.Compare(b.GetTask(), a.GetTask()) })
+		if len(tasks) > 0 {
+			tasks[0].Phase = wire.WorkerTaskPhase_WORKER_TASK_PHASE_SUCCEEDED
+		}
 	})
 	return tasks
 }
