--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -1,8 +1,10 @@
 package scheduler_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -59,7 +61,8 @@
 }
 
 // Guards against a scheduler that deadlocks or loses tasks while the log
-// refuses appends, and against a fenced host whose tasks are not returned.
+// refuses appends, and against a fenced host whose tasks are not
+// returned with their last checkpoint.
 func TestRunSchedulesAgainstTheLog(t *testing.T) {
 	c := newCluster(1, nil)
 	for h := range 2 {
@@ -81,7 +84,9 @@
 		Recorder:     l,
 		Clock:        clock,
 		Planner:      c.planners[0],
-		Fence:        func(context.Context, *wire.HostSpec, int64) error { return nil },
+		Fence: func(context.Context, *wire.HostSpec, int64) ([]*wire.WorkerTask, error) {
+			return checkpointed(l, "h0"), nil
+		},
 	}
 	var group tomb.Tomb
 	group.Go(func() error { return s.Run(&group) })
@@ -106,6 +111,8 @@
 		host, _ := state.Host("h0")
 		alive = host.GetAlive()
 	})
+	stopped := checkpointed(l, "h0")
+	assert.Assert(t, len(stopped) > 0)
 	_, err := l.AppendRecords(context.Background(), []*wire.Record{{Body: &wire.Record_HostExpired{HostExpired: &wire.HostExpired{
 		Host:  &wire.HostRef{Host: "h0", Incarnation: incarnation(l, "h0")},
 		Alive: alive,
@@ -117,12 +124,43 @@
 		}
 		return l.state.PendingCount() == 0
 	})
+	assert.Equal(t, stopped[0].GetPhase(), wire.WorkerTaskPhase_WORKER_TASK_PHASE_SUCCEEDED)
+	for _, task := range stopped {
+		l.View(func(state *replayer.State) {
+			moved, _ := state.Task(task.GetTask())
+			if task.GetPhase() == wire.WorkerTaskPhase_WORKER_TASK_PHASE_SUCCEEDED {
+				assert.Equal(t, moved.GetResult(), wire.TaskResult_TASK_RESULT_SUCCEEDED)
+				return
+			}
+			assert.Equal(t, moved.GetCheckpoint(), task.GetCheckpoint())
+		})
+	}
 	e, ok := s.Explain("b0")
 	assert.Assert(t, ok && e.Phase == claimed && e.Host == "h1" && e.Reason != "", "%+v", e)
 	group.Kill(nil)
 	assert.NilError(t, group.Wait())
 }
 
+// checkpointed is what the worker of a host shows after its last task
+// succeeded and the others were stopped with a checkpoint, without a record.
+func checkpointed(l *stateLog, host string) (tasks []*wire.WorkerTask) {
+	l.View(func(state *replayer.State) {
+		for task := range state.ClaimsOf(host) {
+			tasks = append(tasks, &wire.WorkerTask{
+				Task:       task.GetSpec().GetTask(),
+				Token:      damaskspread.Token(task.GetToken()),
+				Checkpoint: "checkpoint of " + task.GetSpec().GetTask(),
+				Phase:      wire.WorkerTaskPhase_WORKER_TASK_PHASE_STOPPED,
+			})
+		}
+		slices.SortFunc(tasks, func(a, b *wire.WorkerTask) int { return cmp.Compare(b.GetTask(), a.GetTask()) })
+		if len(tasks) > 0 {
+			tasks[0].Phase = wire.WorkerTaskPhase_WORKER_TASK_PHASE_SUCCEEDED
+		}
+	})
+	return tasks
+}
+
 func incarnation(l *stateLog, id string) (incarnation string) {
 	l.View(func(state *replayer.State) {
 		host, _ := state.Host(id)
