--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -16,8 +16,10 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"runtime"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -50,8 +52,11 @@
 
 // Report is what a run measured.
 type Report struct {
-	Machine string   `json:"machine"`
-	Series  []Series `json:"series"`
+	Machine string `json:"machine"`
+	// Load is the machine's load average before and after; work of others on
+	// the machine lengthens times and inflates processor time.
+	Load   [2]string `json:"load"`
+	Series []Series  `json:"series"`
 }
 
 // Measurer measures. Set the exported fields before Run.
@@ -95,6 +100,7 @@
 	if m.Binary != "" {
 		steps = append(steps, step{name: "daemons", run: m.measureDaemons})
 	}
+	load := loadAverage()
 	for _, s := range steps {
 		if len(m.Only) > 0 && !slices.Contains(m.Only, s.name) {
 			continue
@@ -109,6 +115,7 @@
 	}
 	report := &Report{
 		Machine: fmt.Sprintf("%d processors, %s, %s/%s", runtime.NumCPU(), runtime.Version(), runtime.GOOS, runtime.GOARCH),
+		Load:    [2]string{load, loadAverage()},
 	}
 	for _, s := range m.series {
 		report.Series = append(report.Series, *s.fit())
@@ -184,6 +191,13 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
+// loadAverage is the load of the last minute, empty if it is unknown.
+func loadAverage() string {
+	data, _ := os.ReadFile("/proc/loadavg")
+	load, _, _ := strings.Cut(string(data), " ")
+	return load
+}
+
 // heapBytes is the memory in use after a collection, with stacks.
 func heapBytes() float64 {
 	runtime.GC()
--- a/measurer/report.go
+++ b/measurer/report.go
@@ -23,7 +23,7 @@
 // Markdown returns the tables of the report, one per role.
 func (r *Report) Markdown() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "Measured on one machine: %s. Each value is min/**median**/max.\n", r.Machine)
+	fmt.Fprintf(&b, "Measured on one machine: %s. The load average was %s before and %s after, work of others included. Each value is min/**median**/max of n runs.\n", r.Machine, r.Load[0], r.Load[1])
 	var roles []string
 	for _, s := range r.Series {
 		if !slices.Contains(roles, s.Role) {
