Let a request shape its own answer at the sample endpoint

Cause: all requests to an endpoint got answers of one size, time and ending, and nothing in an answer told which execution gave it.

Ruled out: a second sample endpoint in the end-to-end tests, which would keep a record of its own.

Change: request headers set the service time, the size of an answer that repeats the request's body, and an early end; the answer and the record name the execution.

Before/after: go test -race ./emulator passes before and after (1.1 s).

Conclusion: tests can tell whose answer a caller got and from which execution.

--- a/emulator/endpoint.go
+++ b/emulator/endpoint.go
@@ -17,6 +17,25 @@
 	"damaskspread.example/damaskspread"
 )
 
+// Headers of a request that shape its own answer, whatever the Behavior.
+const (
+	HeaderServiceMs = "Sample-Service-Ms"
+	// HeaderAnswerBytes sets the size of an answer that repeats the request's
+	// body, so that a caller can tell whose answer it got.
+	HeaderAnswerBytes = "Sample-Answer-Bytes"
+	// HeaderEnding is EndTruncated or EndChunked.
+	HeaderEnding = "Sample-Ending"
+	// HeaderExecution in an answer names the execution that gave it.
+	HeaderExecution = "Sample-Execution"
+)
+
+// Endings of answers that are not complete: half of the announced length, or
+// chunks without the final one.
+const (
+	EndTruncated = "truncated"
+	EndChunked   = "chunked"
+)
+
 // Behavior is how an Endpoint serves; POST /faults replaces it.
 type Behavior struct {
 	ServiceMs     int64 `json:"service_ms"`
@@ -30,6 +49,7 @@
 
 // Execution is one request that the endpoint began to run.
 type Execution struct {
+	ID          string `json:"id"`
 	Key         string `json:"key"`
 	RequestID   string `json:"request_id"`
 	Path        string `json:"path"`
@@ -115,6 +135,8 @@
 		return
 	}
 	execution, behavior, failed := e.begin(r)
+	ms, _ := strconv.ParseInt(r.Header.Get(HeaderServiceMs), 10, 64)
+	behavior.ServiceMs = max(behavior.ServiceMs, ms)
 	if behavior.ServiceMs > 0 {
 		e.Clock.Sleep(time.Duration(behavior.ServiceMs) * time.Millisecond)
 	}
@@ -133,10 +155,17 @@
 	if behavior.AnswerBytes > 0 {
 		answer = bytes.Repeat([]byte("x"), behavior.AnswerBytes)
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	if size, _ := strconv.Atoi(r.Header.Get(HeaderAnswerBytes)); size > 0 && len(body) > 0 {
+		answer = bytes.Repeat(body, size/len(body)+1)[:size]
+	}
+	ending := r.Header.Get(HeaderEnding)
+	if ending != EndChunked {
+		w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	}
 	w.Header().Set("Damaskspread-Request-Id", execution.RequestID)
+	w.Header().Set(HeaderExecution, execution.ID)
 	w.WriteHeader(status)
-	if behavior.Truncate {
+	if behavior.Truncate || ending != "" {
 		_, _ = w.Write(answer[:len(answer)/2])
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
@@ -148,6 +177,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	execution := &Execution{
+		ID:          e.Address + "/" + strconv.Itoa(len(e.executions)),
 		Key:         r.Header.Get("Idempotency-Key"),
 		RequestID:   r.Header.Get("Damaskspread-Request-Id"),
 		Path:        r.URL.Path,
