Share one harness between the proofs

Cause: three groups of tests had each written the start of a cluster, the change of a zone and fault switches.

Ruled out: three packages; they would build the binary three times.

Change: one startAll with the strictest waits of the three (entries announced, hosts counted as members by each entry), startServing, setZone and setZoneAt.

Before/after: no figures; the tests keep their assertions.

Conclusion: the three groups run together.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -68,6 +68,21 @@
 func startCluster(t *testing.T, o options) *cluster {
 	t.Helper()
 	c := newCluster(t, o)
+	c.startServing()
+	return c
+}
+
+// startServing starts every process and waits until the service's shards are
+// ready.
+func (c *cluster) startServing() {
+	c.t.Helper()
+	c.startAll()
+	c.waitEndpoints(len(c.hosts))
+}
+
+// startAll starts every process and waits until all hosts are members.
+func (c *cluster) startAll() {
+	c.t.Helper()
 	for _, e := range c.entries {
 		e.start()
 	}
@@ -75,14 +90,18 @@
 		c.waitReady(e.process)
 	}
 	c.publish(c.options.document)
+	// The hosts of an entry that is not announced yet expire after member_hold.
+	waitFor(c.t, readyWithin, "the entries are announced", func() bool {
+		status, err := c.operator("board").Status(context.Background())
+		return err == nil && len(status.Entries) == len(c.entries)
+	})
 	for _, h := range c.hosts {
 		h.start()
 	}
 	for _, h := range c.hosts {
 		c.waitReady(h.process)
 	}
-	c.waitEndpoints(len(c.hosts))
-	return c
+	c.waitMembers(len(c.hosts))
 }
 
 func (o *options) complete() {
--- a/e2e/configuration_test.go
+++ b/e2e/configuration_test.go
@@ -214,7 +214,7 @@
 	sent := time.Now()
 	c.publishVersion(e)
 	accepted := time.Now()
-	c.setZone(e, "b", in)
+	c.setZoneAt(e, "b", in)
 	c.observer.flips = append(c.observer.flips, flip{
 		sent:     sent,
 		accepted: time.Now(),
@@ -300,7 +300,7 @@
 	})
 	cluster.platform.RetainEntries = 40
 	cluster.linkPeers()
-	cluster.startAll()
+	cluster.startServing()
 	c := &configuration{
 		cluster:  cluster,
 		observer: cluster.observe(),
--- a/e2e/faults_requests_test.go
+++ b/e2e/faults_requests_test.go
@@ -80,8 +80,8 @@
 	return fault{
 		name: "zone " + zone + " out",
 		begin: func(c *cluster) func() {
-			c.setZoneInService(zone, false)
-			return func() { c.setZoneInService(zone, true) }
+			c.setZone(zone, false)
+			return func() { c.setZone(zone, true) }
 		},
 	}
 }
--- a/e2e/graceful_test.go
+++ b/e2e/graceful_test.go
@@ -29,7 +29,7 @@
 	// host does; requests would then be cut instead of not sent.
 	h := c.hosts[0]
 	h.edit("address = "+c.proxies.address("agent/"+h.id)+"\n", "address = "+h.listen(t)+"\n")
-	c.startAll()
+	c.startServing()
 	return c
 }
 
--- a/e2e/harness_requests_test.go
+++ b/e2e/harness_requests_test.go
@@ -15,8 +15,6 @@
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"damaskspread.example/damaskspread/client"
 	"damaskspread.example/damaskspread/emulator"
 	"damaskspread.example/damaskspread/replayer"
@@ -331,10 +329,3 @@
 	c.proxies.toxic(link, way, name, fmt.Sprintf(`{"name":%q,"type":%q,"stream":%q,"attributes":{%s}}`, name, kind, way, attributes))
 	return func() { _ = c.proxies.get(link).Toxics.RemoveToxic(context.Background(), name) }
 }
-
-// setZoneInService changes a zone and waits until the change is acknowledged.
-func (c *cluster) setZoneInService(zone string, inService bool) {
-	c.t.Helper()
-	_, err := c.operator("operations").SetZone(context.Background(), zone, inService)
-	assert.NilError(c.t, err)
-}
--- a/e2e/harness_tasks_test.go
+++ b/e2e/harness_tasks_test.go
@@ -157,29 +157,6 @@
 	return newCluster(t, o)
 }
 
-func (c *cluster) startAll() {
-	c.t.Helper()
-	for _, e := range c.entries {
-		e.start()
-	}
-	for _, e := range c.entries {
-		c.waitReady(e.process)
-	}
-	c.publish(c.options.document)
-	// The hosts of an entry that is not announced yet expire after member_hold.
-	waitFor(c.t, readyWithin, "the entries are announced", func() bool {
-		status, err := c.operator("board").Status(context.Background())
-		return err == nil && len(status.Entries) == len(c.entries)
-	})
-	for _, h := range c.hosts {
-		h.start()
-	}
-	for _, h := range c.hosts {
-		c.waitReady(h.process)
-	}
-	c.waitMembers(len(c.hosts))
-}
-
 // waitMembers waits until every running entry counts that many member hosts.
 func (c *cluster) waitMembers(count int) {
 	c.t.Helper()
@@ -214,7 +191,7 @@
 }
 
 // request is a checkpointable batch task that runs for a while.
-func request(id string, run time.Duration) *client.TaskRequest {
+func taskRequest(id string, run time.Duration) *client.TaskRequest {
 	return &client.TaskRequest{
 		Task:  id,
 		Team:  "board",
--- a/e2e/harness_zones_test.go
+++ b/e2e/harness_zones_test.go
@@ -63,24 +63,6 @@
 	assert.NilError(p.t, os.WriteFile(p.settings, []byte(strings.Replace(string(text), old, replacement, 1)), 0o600))
 }
 
-func (c *cluster) startAll() {
-	c.t.Helper()
-	for _, e := range c.entries {
-		e.start()
-	}
-	for _, e := range c.entries {
-		c.waitReady(e.process)
-	}
-	c.publish(c.options.document)
-	for _, h := range c.hosts {
-		h.start()
-	}
-	for _, h := range c.hosts {
-		c.waitReady(h.process)
-	}
-	c.waitEndpoints(len(c.hosts))
-}
-
 // cut silently drops both directions of links.
 func (c *cluster) cut(links ...string) {
 	c.cutOneWay(towards, links...)
@@ -113,11 +95,6 @@
 	return links
 }
 
-func (c *cluster) fault(f emulator.Fault) {
-	c.t.Helper()
-	assert.Assert(c.t, c.platform.SetFault(f))
-}
-
 func (c *cluster) logDown(down bool) {
 	c.t.Helper()
 	c.fault(emulator.Fault{
@@ -140,9 +117,9 @@
 	}
 }
 
-// setZone changes a zone through one entry and returns when the operator had
+// setZoneAt changes a zone through one entry and returns when the operator had
 // the answer.
-func (c *cluster) setZone(e *entry, zone string, inService bool) time.Time {
+func (c *cluster) setZoneAt(e *entry, zone string, inService bool) time.Time {
 	c.t.Helper()
 	operator := &client.Client{
 		Entries: []string{address(e.url)},
--- a/e2e/once_test.go
+++ b/e2e/once_test.go
@@ -111,9 +111,9 @@
 		{
 			name: "zone removed, entry killed",
 			during: func() func() {
-				c.setZoneInService("a", false)
+				c.setZone("a", false)
 				restart := c.signalWhile("entry-0", syscall.SIGKILL)
-				return func() { restart(); c.setZoneInService("a", true) }
+				return func() { restart(); c.setZone("a", true) }
 			},
 		},
 		// The last case: the shards' history is lost from here on.
--- a/e2e/tasks_capacity_test.go
+++ b/e2e/tasks_capacity_test.go
@@ -25,7 +25,7 @@
 	var tasks []string
 	submit := func(count int, entries ...*entry) {
 		for range count {
-			r := request(fmt.Sprintf("ledger-%d", len(tasks)), time.Duration(100+random.IntN(500))*time.Millisecond)
+			r := taskRequest(fmt.Sprintf("ledger-%d", len(tasks)), time.Duration(100+random.IntN(500))*time.Millisecond)
 			r.Resources = client.Resources{
 				Millicores:   int64(500 + random.IntN(2_500)),
 				MemoryBytes:  int64(1+random.IntN(5)) << 30,
--- a/e2e/tasks_evict_test.go
+++ b/e2e/tasks_evict_test.go
@@ -118,7 +118,7 @@
 		c.setZone("spare", false)
 		var tasks []string
 		for _, s := range evictionSteps {
-			r := request(s.name+"-"+variant.name, variant.run)
+			r := taskRequest(s.name+"-"+variant.name, variant.run)
 			r.Zones = []string{s.name, "spare"}
 			tasks = append(tasks, c.submitTo(nil, r))
 		}
@@ -185,7 +185,7 @@
 	c.startAll()
 	var tasks []string
 	for i := range 12 {
-		tasks = append(tasks, c.submitTo(nil, request(fmt.Sprintf("ledger-%d", i), time.Minute)))
+		tasks = append(tasks, c.submitTo(nil, taskRequest(fmt.Sprintf("ledger-%d", i), time.Minute)))
 	}
 	hosts := map[string]bool{}
 	for _, task := range tasks {
@@ -254,7 +254,7 @@
 	c.startAll()
 	var tasks []string
 	for i := range 4 {
-		tasks = append(tasks, c.submitTo(nil, request(fmt.Sprintf("ledger-%d", i), 7*time.Second)))
+		tasks = append(tasks, c.submitTo(nil, taskRequest(fmt.Sprintf("ledger-%d", i), 7*time.Second)))
 	}
 	for _, task := range tasks {
 		c.startOf(task, 0)
@@ -262,7 +262,7 @@
 	for round := range 2 {
 		var urgent sync.WaitGroup
 		for i, e := range c.entries {
-			r := request(fmt.Sprintf("preview-%d-%d", round, i), 300*time.Millisecond)
+			r := taskRequest(fmt.Sprintf("preview-%d-%d", round, i), 300*time.Millisecond)
 			r.Class, r.Resources.Millicores = "latency_critical", 2_000
 			tasks = append(tasks, r.Task)
 			urgent.Go(func() {
--- a/e2e/tasks_faults_test.go
+++ b/e2e/tasks_faults_test.go
@@ -50,7 +50,7 @@
 	var tasks []string
 	submit := func(count int) {
 		for range count {
-			tasks = append(tasks, c.submitTo(nil, request(fmt.Sprintf("ledger-%d", len(tasks)), 4*time.Second)))
+			tasks = append(tasks, c.submitTo(nil, taskRequest(fmt.Sprintf("ledger-%d", len(tasks)), 4*time.Second)))
 		}
 	}
 	submit(8)
--- a/e2e/tasks_test.go
+++ b/e2e/tasks_test.go
@@ -67,7 +67,7 @@
 	grace := time.Now().Add(10 * time.Second)
 	var tasks []string
 	for i := range 8 {
-		tasks = append(tasks, c.submitTo(nil, request(fmt.Sprintf("ledger-%d", i), 14*time.Second)))
+		tasks = append(tasks, c.submitTo(nil, taskRequest(fmt.Sprintf("ledger-%d", i), 14*time.Second)))
 	}
 	victims := map[string]bool{}
 	for _, task := range tasks {
@@ -170,7 +170,7 @@
 			h.intercept(id, method, body, forward)
 		})
 	}
-	c.submitTo(nil, request(h.task, 2*time.Second))
+	c.submitTo(nil, taskRequest(h.task, 2*time.Second))
 	id := <-h.host
 	c.host(id).kill()
 	assert.Assert(t, arrives(fenced), "the worker was not fenced")
@@ -193,7 +193,7 @@
 			}
 		})
 	}
-	c.submitTo(nil, request(h.task, 8*time.Second))
+	c.submitTo(nil, taskRequest(h.task, 8*time.Second))
 	id := <-h.host
 	paused := time.Now()
 	c.host(id).pause()
@@ -232,7 +232,7 @@
 	parallel(t)
 	c, workers := startHoldCluster(t)
 	setAll(workers, noFence)
-	task := c.submitTo(nil, request("ledger-adopted", 6*time.Second))
+	task := c.submitTo(nil, taskRequest("ledger-adopted", 6*time.Second))
 	h := c.host(c.startOf(task, 0).Host)
 	for range 2 {
 		h.kill()
@@ -247,7 +247,7 @@
 		"killed":  func(h *host) { h.kill() },
 		"paused":  func(h *host) { h.pause() },
 	} {
-		task := c.submitTo(nil, request("ledger-"+name, 3*time.Second))
+		task := c.submitTo(nil, taskRequest("ledger-"+name, 3*time.Second))
 		h := c.host(c.startOf(task, 0).Host)
 		down(h)
 		for range 2 {
@@ -265,7 +265,7 @@
 		c.judgeFinished(task)
 	}
 
-	drained := c.submitTo(nil, request("ledger-drained", 4*time.Second))
+	drained := c.submitTo(nil, taskRequest("ledger-drained", 4*time.Second))
 	id := c.startOf(drained, 0).Host
 	_, err := c.operator("operations").Drain(context.Background(), id, "")
 	assert.NilError(t, err)
--- a/e2e/zones_test.go
+++ b/e2e/zones_test.go
@@ -25,7 +25,7 @@
 		hosts:   4,
 	})
 	c.linkPeers()
-	c.startAll()
+	c.startServing()
 	// host-0 polls the entry that will be cut off and no other.
 	isolated, paused := c.hosts[0], c.hosts[2]
 	c.proxies.refuse("sync/host-0/entry-1")
@@ -50,7 +50,7 @@
 			c.cutOneWay(towards, cut...)
 		}
 		paused.pause()
-		outAt := c.setZone(c.entries[1], "a", false)
+		outAt := c.setZoneAt(c.entries[1], "a", false)
 		time.Sleep(time.Until(outAt.Add(startBound)))
 		c.refuseWorkers("a", false)
 		time.Sleep(observeFor / 2)
@@ -63,7 +63,7 @@
 		assert.Assert(t, count(meanwhile, "entry-1", "") > 0, "the other zone did not serve")
 		assert.Equal(t, count(meanwhile, "entry-0", ""), 0)
 		c.join(cut...)
-		inAt := c.setZone(c.entries[2], "a", true)
+		inAt := c.setZoneAt(c.entries[2], "a", true)
 		waitFor(t, readyWithin, "the zone serves requests and starts its tasks", func() bool {
 			requests, tasks := c.startsBetween(c.inZone("a"), inAt, time.Now())
 			return requests > 0 && tasks >= 4
@@ -108,7 +108,7 @@
 		hosts: 4,
 	})
 	c.linkPeers()
-	c.startAll()
+	c.startServing()
 	load := c.startLoad(40*time.Millisecond, always)
 	restarted, cutOff := c.hosts[0], c.hosts[2]
 	c.holdStart(cutOff)
@@ -118,7 +118,7 @@
 	}
 	waitFor(t, readyWithin, "a task is claimed", func() bool { return c.claimed(restarted.id) })
 	c.cut(c.syncLinks(cutOff)...)
-	outAt := c.setZone(c.entries[0], "a", false)
+	outAt := c.setZoneAt(c.entries[0], "a", false)
 	c.logDown(true)
 	downAt := time.Now()
 	c.entries[1].kill()
@@ -149,7 +149,7 @@
 	c.waitReady(restarted.process)
 	time.Sleep(observeFor)
 	c.assertNoStarts("after the outage", c.inZone("a"), outAt.Add(startBound), time.Now())
-	inAt := c.setZone(c.entries[1], "a", true)
+	inAt := c.setZoneAt(c.entries[1], "a", true)
 	waitFor(t, readyWithin, "the zone returns", func() bool {
 		requests, tasks := c.startsBetween(c.inZone("a"), inAt, time.Now())
 		return requests > 0 && tasks > 0
@@ -215,9 +215,9 @@
 		document: document,
 	})
 	c.linkPeers()
-	c.startAll()
+	c.startServing()
 	load := c.startLoad(40*time.Millisecond, always)
-	outAt := c.setZone(c.entries[0], "a", false)
+	outAt := c.setZoneAt(c.entries[0], "a", false)
 	time.Sleep(time.Until(outAt.Add(time.Second)))
 	task := c.submitIn("stale", "a", 100)
 	c.logDown(true)
