--- /dev/null
+++ b/e2e/tasks_capacity_test.go
@@ -0,0 +1,55 @@
+package e2e_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"damaskspread.example/damaskspread/client"
+)
+
+// TestCapacityUnderConcurrentPlacement guards against a host that is committed
+// beyond what it has: three entries place tasks at once, each by its own view,
+// and one of them returns from a pause with its old one.
+func TestCapacityUnderConcurrentPlacement(t *testing.T) {
+	parallel(t)
+	random := seeded(t)
+	c := prepareCluster(t, options{
+		entries:  3,
+		hosts:    3,
+		zones:    []string{"a", "b", "c"},
+		capacity: smallHost,
+		document: taskDocument,
+	})
+	c.startAll()
+	var tasks []string
+	submit := func(count int, entries ...*entry) {
+		for range count {
+			r := request(fmt.Sprintf("ledger-%d", len(tasks)), time.Duration(100+random.IntN(500))*time.Millisecond)
+			r.Resources = client.Resources{
+				Millicores:   int64(500 + random.IntN(2_500)),
+				MemoryBytes:  int64(1+random.IntN(5)) << 30,
+				Accelerators: int64(random.IntN(3)),
+			}
+			tasks = append(tasks, c.submitTo(entries[len(tasks)%len(entries)], r))
+		}
+	}
+	submit(20, c.entries...)
+	c.entries[0].pause()
+	submit(20, c.entries[1:]...)
+	c.hosts[0].kill()
+	c.entries[0].resume()
+	submit(15, c.entries...)
+	c.entries[1].kill()
+	c.hosts[0].start()
+	c.hosts[1].kill()
+	submit(10, c.entries[0], c.entries[2])
+	c.entries[2].pause()
+	time.Sleep(time.Duration(random.IntN(2_000)) * time.Millisecond)
+	c.entries[2].resume()
+	c.entries[1].start()
+	c.hosts[1].start()
+	submit(10, c.entries[0], c.entries[2])
+	c.judgeFinished(tasks...)
+	c.judgeCapacity()
+}
