--- a/e2e/harness_tasks_test.go
+++ b/e2e/harness_tasks_test.go
@@ -190,7 +190,7 @@
 	return nil
 }
 
-// request is a checkpointable batch task that runs for a while.
+// taskRequest is a checkpointable batch task that runs for a while.
 func taskRequest(id string, run time.Duration) *client.TaskRequest {
 	return &client.TaskRequest{
 		Task:  id,
--- a/e2e/tasks_evict_test.go
+++ b/e2e/tasks_evict_test.go
@@ -40,7 +40,8 @@
 }
 
 // killAt kills the agent when its eviction of the task reaches the step.
-func (s step) killAt(h *host, task string, killed chan<- struct{}) hook {
+// The lock keeps the kill from an agent whose start has not returned yet.
+func (s step) killAt(h *host, life *sync.Mutex, task string, killed chan<- struct{}) hook {
 	var armed atomic.Bool
 	armed.Store(true)
 	return func(method string, body []byte, forward func()) {
@@ -49,7 +50,9 @@
 			forward()
 		}
 		if hit {
+			life.Lock()
 			h.kill()
+			life.Unlock()
 			killed <- struct{}{}
 		}
 	}
@@ -128,9 +131,9 @@
 		c.setZone("spare", true)
 		var victims sync.WaitGroup
 		for i, s := range evictionSteps {
-			h, killed := c.hosts[i+1], make(chan struct{}, 1)
+			h, life, killed := c.hosts[i+1], &sync.Mutex{}, make(chan struct{}, 1)
 			taps := append(slices.Clone(syncs[h.id]), workers[h.id])
-			setEach(taps, s.killAt(h, tasks[i], killed))
+			setEach(taps, s.killAt(h, life, tasks[i], killed))
 			victims.Go(func() {
 				for kill := range variant.kills {
 					if s.record != "" && s.after && kill > 0 {
@@ -142,10 +145,12 @@
 					}
 					setEach(taps, nil)
 					if kill+1 < variant.kills {
-						setEach(taps, s.next().killAt(h, tasks[i], killed))
+						setEach(taps, s.next().killAt(h, life, tasks[i], killed))
 					}
 					if variant.restart {
+						life.Lock()
 						h.start()
+						life.Unlock()
 					}
 				}
 			})
