Run a request whose key was committed as its endpoint began to leave

Cause: an agent that began to leave between the replication of a key and the check before the run refused the request. The key stayed at the secondary, and the entry's next try waited there until the caller's deadline.

Ruled out: removing the key at the secondary with another message, which needs a change of the protocol; leaving it to the caller's retry, which would wait as well.

Change: a request whose key was committed within one second of its admission is treated as admitted before the leave. Zone and currency are still checked.

Before/after: go test -race -run TestLeaveDuringCommit ./admitter before: "assertion failed: OUTCOME_NOT_RUN != OUTCOME_RAN: pause 0s"; after: ok.

Conclusion: a leave no longer leaves keys behind that never end.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -33,6 +33,13 @@
 // configuration older than the currency limit.
 const ConfigAgeHeader = "Damaskspread-Config-Age"
 
+// commitGrace is how long after its admission a request with a key may still
+// run although the endpoint has begun to leave. Refusing it would leave a key
+// at the secondary that never ends, on which the next try waits until its
+// deadline. It is short against the 5 s in which an endpoint that leaves must
+// get no new work.
+const commitGrace = time.Second
+
 // Feed is what the agent knows from Sync.
 type Feed interface {
 	damaskspread.Currency
@@ -200,13 +207,18 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	check := a.check
 	if ticket != nil {
+		admitted := a.Clock.Now()
 		if refusal := ticket.Commit(ctx); refusal != nil {
 			slot.Release(false)
 			return nil, refusal
 		}
+		if a.Clock.Since(admitted) <= commitGrace {
+			check = a.checkStart
+		}
 	}
-	if refusal := a.check(); refusal != nil {
+	if refusal := check(); refusal != nil {
 		slot.Release(false)
 		return nil, refusal
 	}
@@ -214,9 +226,15 @@
 }
 
 func (a *Admitter) check() *damaskspread.RefusalError {
-	switch age := a.Feed.Age(); {
-	case a.draining.Load() || a.Feed.Leaving():
+	if a.draining.Load() || a.Feed.Leaving() {
 		return damaskspread.NotRun(damaskspread.ReasonLeaving, "the endpoint is leaving")
+	}
+	return a.checkStart()
+}
+
+// checkStart is check for a request that was admitted before the leave.
+func (a *Admitter) checkStart() *damaskspread.RefusalError {
+	switch age := a.Feed.Age(); {
 	case !a.Feed.ZoneInService(a.Zone):
 		return damaskspread.NotRun(damaskspread.ReasonZoneOut, "zone %s is out of service", a.Zone)
 	case age > a.CurrencyLimit && age-a.CurrencyLimit > a.Feed.Policy().StaleLimit:
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -132,6 +132,34 @@
 	}
 }
 
+type peersFunc func()
+
+func (f peersFunc) Replicate(context.Context, string, *wire.ReplicateRequest) (*wire.ReplicateResponse, error) {
+	f()
+	return &wire.ReplicateResponse{Accepted: true}, nil
+}
+
+// Guards against a key that stays at the secondary for ever because the leave
+// began while the key was replicated, and against new work long after it.
+func TestLeaveDuringCommit(t *testing.T) {
+	for pause, want := range map[time.Duration]wire.Outcome{
+		0:               wire.Outcome_OUTCOME_RAN,
+		2 * time.Second: wire.Outcome_OUTCOME_NOT_RUN,
+	} {
+		b := newBench(t)
+		close(b.proceed)
+		b.Keys.Peers = peersFunc(func() {
+			b.leaving.Store(true)
+			b.clock.Advance(pause)
+		})
+		self := &wire.HostRef{Host: "a"}
+		b.Keys.Assign(self, []deduplicator.Assignment{{State: &wire.ShardState{
+			Service: "s", Primary: self, Epoch: &wire.Position{Offset: 1}, Founded: true, Secondary: &wire.HostRef{Host: "b"},
+		}, SecondaryAddress: "b"}})
+		assert.Equal(t, b.execute(t, "key").GetOutcome(), want, "pause %s", pause)
+	}
+}
+
 // Guards against a stored result that is withheld by an agent that may not
 // start anything, and against a stale answer without its age.
 func TestKnownResultWhileStale(t *testing.T) {
