Keep the tasks of a restarting agent's host

Cause: the departure of an agent made the scheduler evict all tasks of its host at once, although the successor adopts them.

Ruled out: never evicting from leaving hosts, which would leave tasks on a host that stays away while its agent lives; a new field in the departure, which needs a change of the protocol.

Change: tasks of a leaving host are evicted one minute after the departure was observed, which covers drain_timeout and the start of a successor.

TestLeavingHostKeepsItsTasksForASuccessor tests the planner alone.

--- a/scheduler/leave.go
+++ b/scheduler/leave.go
@@ -22,11 +22,15 @@
 	// released.
 	releaseGrace = 10 * time.Second
 	fenceRetry   = 5 * time.Second
+	// leaveGrace covers drain_timeout and the start of a successor: an agent
+	// that restarts adopts its tasks, so evicting them would stop them for
+	// nothing.
+	leaveGrace   = time.Minute
 	respondEvery = time.Second
 )
 
 // leave evicts the tasks of zones that are out of service and of hosts that
-// are leaving, a bounded number at a time.
+// are leaving and were not replaced in time, a bounded number at a time.
 func (p *Planner) leave(out *plan) {
 	groups := map[string][]*running{}
 	for _, h := range p.hostList {
@@ -37,7 +41,7 @@
 		switch {
 		case p.zonesOut[h.spec.GetZone()]:
 			group = h.spec.GetZone()
-		case h.leaving:
+		case h.leaving && out.now.Sub(h.left) >= leaveGrace:
 			group = "host " + h.spec.GetHost()
 		default:
 			continue
--- a/scheduler/observe.go
+++ b/scheduler/observe.go
@@ -176,6 +176,9 @@
 	if !changed {
 		return
 	}
+	if state.GetLeaving() && !h.leaving {
+		h.left = now
+	}
 	h.spec, h.leaving, h.expired = state.GetSpec(), state.GetLeaving(), state.GetExpired()
 	p.stable = now
 	p.Index.SetHost(state)
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -83,7 +83,9 @@
 	alive    *wire.Position
 	observed time.Time
 	leaving  bool
-	expired  bool
+	// left is when the departure was observed.
+	left    time.Time
+	expired bool
 	// released and fenced are the times of the latest try.
 	released time.Time
 	fenced   time.Time
--- a/scheduler/planner_test.go
+++ b/scheduler/planner_test.go
@@ -213,6 +213,35 @@
 	assert.Assert(t, running >= 60, "%d", running)
 }
 
+// Guards against stopping tasks that the successor of a restarting agent
+// adopts, and against leaving them on a host that stays away.
+func TestLeavingHostKeepsItsTasksForASuccessor(t *testing.T) {
+	c := newCluster(1, nil)
+	c.join("h0", "z", 16_000, 60)
+	c.submit(spec("kept", false, 1_000, 1))
+	c.step(tick)
+	host, _ := c.state.Host("h0")
+	ref := &wire.HostRef{
+		Host:        "h0",
+		Incarnation: host.GetSpec().GetIncarnation(),
+	}
+	c.apply(&wire.Record{
+		Body: &wire.Record_HostLeaving{
+			HostLeaving: &wire.HostLeaving{
+				Host: ref,
+			},
+		},
+	})
+	asked := func(after time.Duration) bool {
+		for range int(after / tick) {
+			c.step(tick)
+		}
+		return c.task("kept").GetEvictionRequested()
+	}
+	assert.Assert(t, !asked(50*time.Second))
+	assert.Assert(t, asked(15*time.Second))
+}
+
 // Guards against ending a task while hosts are still joining, and against
 // keeping it for ever.
 func TestUnplaceableEndsWithItsReason(t *testing.T) {
