Turn an entry ready only once it knows the endpoints

Cause: readiness followed the replay alone, and the router got the endpoints up to 200 ms later. Requests through a restarted entry were refused in between: "refused map[no_endpoint:36]" of 6,554 requests in a rolling restart.

Ruled out: refreshing on each change, which costs a listing of all members per record at the target size.

Change: readiness also waits for the first refresh from a complete replay.

Conclusion: an entry that is ready serves.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -84,6 +84,7 @@
 	clients  sync.Map // address to wireconnect.AgentServiceClient
 	draining atomic.Bool
 	stopped  atomic.Bool
+	routed   atomic.Bool
 	mu       sync.Mutex
 	active   int
 	idle     chan struct{}
@@ -93,7 +94,13 @@
 }
 
 // Ready reports whether the load balancer should send callers here.
-func (d *Dispatcher) Ready() bool { return !d.draining.Load() && d.Follower.Age() <= d.CurrencyLimit }
+func (d *Dispatcher) Ready() bool {
+	return !d.draining.Load() && d.Routed() && d.Follower.Age() <= d.CurrencyLimit
+}
+
+// Routed reports whether the router has had the members of a current state.
+// Before that, requests would be refused for want of endpoints.
+func (d *Dispatcher) Routed() bool { return d.routed.Load() }
 
 // InFlight is the number of requests in progress.
 func (d *Dispatcher) InFlight() int {
--- a/dispatcher/members.go
+++ b/dispatcher/members.go
@@ -36,6 +36,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	next := map[string][]damaskspread.Endpoint{}
+	if d.Follower.Age() < damaskspread.MaxAge {
+		defer d.routed.Store(true)
+	}
 	unchanged := false
 	d.Follower.View(func(s *replayer.State) {
 		if unchanged = d.loaded && s.Offset() == d.offset; unchanged {
--- a/server/entry.go
+++ b/server/entry.go
@@ -325,6 +325,15 @@
 			Name:    "configuration_current",
 			Failing: staleReason(e.follower, e.Settings.Limits().CurrencyLimit()),
 		},
+		{
+			Name: "routing",
+			Failing: func() string {
+				if e.dispatcher.Routed() {
+					return ""
+				}
+				return "the endpoints are not known yet"
+			},
+		},
 		{
 			Name: "accepting",
 			Failing: func() string {
