Ask callers to reconnect from the begin of an entry's stop

Cause: a stopping entry sent "Connection: close" only from the moment in which it closed idle connections, so callers kept theirs until then and could send on one just as it closed.

Ruled out: closing idle connections at the begin of the stop, which has the same race.

Change: answers ask for the connection to be closed during drain_delay too.

--- a/server/entry.go
+++ b/server/entry.go
@@ -364,6 +364,7 @@
 func (e *Entry) stop() {
 	log.Info().Msg("entry stopping")
 	e.stopping.Store(true)
+	e.listeners[0].draining.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), e.Settings.Limits().DrainTimeout())
 	defer cancel()
 	if err := e.dispatcher.Drain(ctx); err != nil {
