Send the last results before a stopping agent ends

Cause: the goroutine that sends results to the secondary ended with the tomb, and its running message was canceled. A request that ended last in a planned stop could lose its result, and retries got in_progress for key_lifetime.

Ruled out: waiting a fixed time before the tomb is killed.

Before/after: go test -race ./e2e -run TestKeyRunsOnce/endpoint_leaves. Before: failed in one of two full runs, assertion failed: unknown != ran: in_progress.

--- a/deduplicator/replicate.go
+++ b/deduplicator/replicate.go
@@ -36,12 +36,21 @@
 	d.mu.Unlock()
 	ctx := t.Context(context.Background())
 	t.Go(func() error {
+		// An agent that stops still sends its last results: nobody else can
+		// answer for their keys. Each message has a deadline of its own.
+		sending := context.WithoutCancel(ctx)
 		for {
 			select {
+			case first := <-d.results:
+				d.sendResults(sending, first)
+				continue
 			case <-t.Dying():
-				return nil
+			}
+			select {
 			case first := <-d.results:
-				d.sendResults(ctx, first)
+				d.sendResults(sending, first)
+			default:
+				return nil
 			}
 		}
 	})
