--- a/e2e/harness_requests_test.go
+++ b/e2e/harness_requests_test.go
@@ -34,6 +34,18 @@
 // the longest timeout of a request in these tests.
 const settleTime = 3 * time.Second
 
+var starting sync.Mutex
+
+// startAlone starts one cluster at a time. A process that is being started
+// holds open sockets of this one until its exec, so a port that another test
+// has just found free would be in use.
+func startAlone(t *testing.T, o options) *cluster {
+	t.Helper()
+	starting.Lock()
+	defer starting.Unlock()
+	return startCluster(t, o)
+}
+
 // request is what a caller wants; its path identifies it at the endpoints.
 type request struct {
 	path      string
