Drain a host's tasks as soon as an operator orders it

Cause: the scheduler waits a minute with the tasks of a leaving host, which keeps them for the successor of a restarting agent, so host drain did nothing for a minute. Found when the proofs of tasks and of planned stops were joined: TestAgentAndWorkerRestarts: not within 40s: start 2 of ledger-drained.

Ruled out: a shorter wait, which would stop tasks in planned restarts; a field in HostLeaving, which needs a change of the protocol.

Change: an agent that sees its host leaving without having asked for it checkpoints and evicts its tasks itself. Test addresses: each test process has a loopback address of its own and picks ports while no process is being started, which ends the failures with 'address already in use'.

Conclusion: a drain starts with the next Sync.

--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -46,25 +46,37 @@
 // connection of another test cannot take a port between its choice and use.
 var nextPort atomic.Int64
 
-func freePort(t *testing.T) int {
+const (
+	firstPort = 20_000
+	portCount = 12_000
+)
+
+// loopback is an address of this test process alone, so that test processes
+// that run at the same time cannot take each other's ports.
+var loopback = fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff)
+
+func freeAddress(t *testing.T) string {
 	t.Helper()
-	nextPort.CompareAndSwap(0, 20_000+int64(os.Getpid()%100)*100)
-	for range 5_000 {
-		port := 20_000 + int(nextPort.Add(1)-20_000)%12_000
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			continue
+	for range portCount {
+		at := fmt.Sprintf("%s:%d", loopback, firstPort+nextPort.Add(1)%portCount)
+		if available(at) {
+			return at
 		}
-		assert.NilError(t, listener.Close())
-		return port
 	}
 	t.Fatal("no free port")
-	return 0
+	return ""
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	return fmt.Sprintf("127.0.0.1:%d", freePort(t))
+// available keeps out process starts meanwhile: a child that is forked while
+// the socket is open holds it until it executes the binary.
+func available(address string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	return listener.Close() == nil
 }
 
 // process is one process of the product.
--- a/e2e/proxy_test.go
+++ b/e2e/proxy_test.go
@@ -61,10 +61,11 @@
 	p.get(name).Stop()
 }
 
-// restore opens a refused link again.
+// restore opens a refused link again. A process that is being started may hold
+// a copy of the closed socket for a moment.
 func (p *proxies) restore(name string) {
 	p.t.Helper()
-	assert.NilError(p.t, p.get(name).Start())
+	waitFor(p.t, readyWithin, "link "+name+" listens again", func() bool { return p.get(name).Start() == nil })
 }
 
 // direction of a one-way cut.
--- a/server/agent.go
+++ b/server/agent.go
@@ -295,7 +295,7 @@
 	}
 	runs := []func(*tomb.Tomb) error{a.subscriber.Run}
 	if a.executor != nil {
-		runs = append(runs, a.executor.Run)
+		runs = append(runs, a.executor.Run, a.drainOnOrder)
 	}
 	if a.admitter != nil {
 		runs = append(runs, a.keys.Run, a.admitter.Run, a.assignShards)
@@ -305,6 +305,29 @@
 	}
 }
 
+// drainOnOrder evicts the host's tasks at once when an operator drains it. The
+// scheduler waits a minute with the tasks of a leaving host, because it cannot
+// tell a drain from an agent that restarts.
+func (a *Agent) drainOnOrder(t *tomb.Tomb) error {
+	ctx := t.Context(context.Background())
+	for {
+		changed := a.subscriber.Changed()
+		if a.subscriber.View().Leaving() && !a.subscriber.Departing() {
+			break
+		}
+		select {
+		case <-changed:
+		case <-t.Dying():
+			return nil
+		}
+	}
+	log.Info().Msg("draining the host's tasks as ordered")
+	if err := a.executor.Drain(ctx); err != nil {
+		log.Warn().Err(err).Msg("the drain did not finish")
+	}
+	return nil
+}
+
 // assignShards passes the shards of each view to the deduplicator.
 func (a *Agent) assignShards(t *tomb.Tomb) error {
 	for {
--- a/subscriber/appender.go
+++ b/subscriber/appender.go
@@ -71,6 +71,14 @@
 	return damaskspread.Unknown(damaskspread.ReasonAppendUnknown, "%v", err)
 }
 
+// Departing reports whether Leave was called: the departure is this process's
+// own and not an operator's order to drain the host.
+func (s *Subscriber) Departing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
 // Leave announces the host's departure and waits until it is applied. A host
 // that is no longer a member has left.
 func (s *Subscriber) Leave(ctx context.Context) error {
