--- a/e2e/caller_test.go
+++ b/e2e/caller_test.go
@@ -68,16 +68,17 @@
 		caller = newHTTPClient()
 		defer caller.CloseIdleConnections()
 	}
-	return read(caller.Do(request))
-}
-
-func read(response *http.Response, err error) answer {
+	response, err := caller.Do(request)
 	if err != nil {
 		return answer{
 			err: err,
 		}
 	}
 	defer func() { _ = response.Body.Close() }()
+	return read(response)
+}
+
+func read(response *http.Response) answer {
 	a := answer{
 		status:  response.StatusCode,
 		outcome: response.Header.Get(client.HeaderOutcome),
--- a/e2e/harness_requests_test.go
+++ b/e2e/harness_requests_test.go
@@ -152,11 +152,12 @@
 		sent:    time.Now().UnixMicro(),
 	}
 	response, err := j.http.Do(message)
+	a.err = err
 	if err == nil {
 		defer func() { _ = response.Body.Close() }()
 		a.execution = response.Header.Get(emulator.HeaderExecution)
+		a.answer = read(response)
 	}
-	a.answer = read(response, err)
 	a.ended = time.Now().UnixMicro()
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/e2e/harness_zones_test.go
+++ b/e2e/harness_zones_test.go
@@ -280,7 +280,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	s.age = response.Header.Get(client.HeaderConfigAge)
-	s.answer = read(response, nil)
+	s.answer = read(response)
 	return s
 }
 
