--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,11 @@
 	COMPARISON_DIR=$(CURDIR)/bench $(GO) test -p 1 -count=1 -run '^$$' -bench '^BenchmarkComparison$$' -benchtime 1x ./scheduler ./router
 	$(GO) test -p 1 -count=1 -run '^$$' -bench . -skip '^BenchmarkComparison$$' -benchmem ./...
 
+# The randomized end-to-end run for longer than in CI; SEED replays one.
+SOAK_SECONDS ?= 600
+soak:
+	DAMASKSPREAD_E2E_SECONDS=$(SOAK_SECONDS) DAMASKSPREAD_E2E_SEED=$(SEED) $(GO) test -race -count=1 -v -timeout 60m -run TestRandomFailures ./e2e
+
 # Coverage-guided fuzzing of the parsers and of replayed records, bounded.
 FUZZ_TIME ?= 30s
 fuzz:
