Split the assembly of the daemons from their life cycle

Cause: server/entry.go and server/agent.go had grown to about 400 lines each.

Ruled out: a package per daemon; both share listeners and policies.

Change: entry_parts.go and agent_parts.go build the parts; entry.go and agent.go run and stop them. No behaviour changes.

Conclusion: a reader finds the order of a stop without scrolling past wiring.

--- /dev/null
+++ b/server/agent_parts.go
@@ -0,0 +1,174 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"damaskspread.example/damaskspread/admitter"
+	"damaskspread.example/damaskspread/connector"
+	"damaskspread.example/damaskspread/deduplicator"
+	"damaskspread.example/damaskspread/executor"
+	"damaskspread.example/damaskspread/forwarder"
+	"damaskspread.example/damaskspread/limiter"
+	"damaskspread.example/damaskspread/subscriber"
+	"damaskspread.example/damaskspread/wire"
+)
+
+func (a *Agent) assembleFeed(ctx context.Context, seed uint64) {
+	s := a.Settings
+	spec := &wire.HostSpec{
+		Host:     s.Process().Host(),
+		Region:   s.Process().Region(),
+		Zone:     s.Process().Zone(),
+		Rack:     s.Process().Rack(),
+		Address:  s.Agent().Address(),
+		Endpoint: s.Endpoint().Spec(),
+	}
+	if address := s.Worker().Address(); address != "" {
+		a.worker = &connector.Worker{
+			Address: "http://" + address,
+			HTTP:    a.http,
+			Timeout: s.Worker().Timeout(),
+		}
+		spec.WorkerAddress = address
+		probe, cancel := context.WithTimeout(ctx, workerProbe)
+		defer cancel()
+		if status, err := a.worker.Status(probe); err == nil {
+			spec.WorkerBoot = status.GetBoot()
+			spec.Capacity = status.GetCapacity()
+		} else {
+			log.Warn().Err(err).Msg("the worker does not answer; joining without it")
+		}
+	}
+	a.subscriber = &subscriber.Subscriber{
+		Spec:     spec,
+		Entries:  s.Agent().Entries(),
+		HTTP:     a.http,
+		Clock:    a.Clock,
+		Load:     a.load,
+		Usage:    a.usage,
+		Random:   newRandom(seed),
+		SyncWait: s.Limits().SyncWait(),
+	}
+}
+
+func (a *Agent) load() *wire.EndpointLoad {
+	if a.admitter == nil {
+		return nil
+	}
+	return a.admitter.Load()
+}
+
+func (a *Agent) usage() []*wire.UsageSample {
+	if a.executor == nil {
+		return nil
+	}
+	return a.executor.Usage()
+}
+
+// requestFeed is the admitter's view of the agent's feed.
+type requestFeed struct {
+	*Agent
+}
+
+// Age implements damaskspread.Currency.
+func (f requestFeed) Age() time.Duration { return f.subscriber.Age() }
+
+// ZoneInService implements admitter.Feed.
+func (f requestFeed) ZoneInService(zone string) bool {
+	return f.policies.of(f.subscriber.View()).zoneInService(zone)
+}
+
+// Leaving implements admitter.Feed.
+func (f requestFeed) Leaving() bool { return f.subscriber.View().Leaving() }
+
+// Policy implements admitter.Feed.
+func (f requestFeed) Policy() admitter.Policy {
+	return f.policies.of(f.subscriber.View()).admit(f.Settings.Endpoint().Service())
+}
+
+// taskFeed is the executor's view of the agent's feed.
+type taskFeed struct {
+	*subscriber.Subscriber
+	agent *Agent
+}
+
+type taskView struct {
+	*subscriber.View
+	policies *policies
+}
+
+// ZoneInService implements executor.View.
+func (v taskView) ZoneInService(zone string) bool { return v.policies.zoneInService(zone) }
+
+// View implements executor.Feed.
+func (f taskFeed) View() executor.View {
+	view := f.Subscriber.View()
+	return taskView{
+		View:     view,
+		policies: f.agent.policies.of(view),
+	}
+}
+
+func (a *Agent) assembleRequests() {
+	s := a.Settings
+	if s.Endpoint().Service() == "" {
+		return
+	}
+	a.keys = &deduplicator.Deduplicator{
+		Clock:       a.Clock,
+		Currency:    a.subscriber,
+		Peers:       &admitter.Peers{HTTP: a.http},
+		Appender:    a.subscriber,
+		KeyLifetime: s.Limits().KeyLifetime(),
+	}
+	a.admitter = &admitter.Admitter{
+		Limiter: &limiter.Limiter{
+			Clock: a.Clock,
+			Slots: s.Endpoint().Slots(),
+			Queue: s.Endpoint().Slots() * queuePerSlot,
+		},
+		Keys: a.keys,
+		Forwarder: &forwarder.Forwarder{
+			Clock:       a.Clock,
+			Address:     s.Endpoint().Address(),
+			Connections: s.Endpoint().Connections(),
+		},
+		Feed:          requestFeed{Agent: a},
+		Clock:         a.Clock,
+		Service:       s.Endpoint().Service(),
+		Zone:          s.Process().Zone(),
+		CurrencyLimit: s.Limits().CurrencyLimit(),
+		OnLeave:       a.subscriber.Leave,
+	}
+}
+
+func (a *Agent) assembleTasks() {
+	if a.worker == nil {
+		return
+	}
+	s := a.Settings
+	a.executor = &executor.Executor{
+		Worker: a.worker,
+		Feed: taskFeed{
+			Subscriber: a.subscriber,
+			agent:      a,
+		},
+		Clock: a.Clock,
+		Host:  s.Process().Host(),
+		Zone:  s.Process().Zone(),
+		Heartbeat: func() *wire.HostsAlive {
+			return &wire.HostsAlive{
+				Hosts: []*wire.HostRef{a.subscriber.Ref()},
+			}
+		},
+		BatchShare: func() int { return a.subscriber.View().BatchShare() },
+		// A new boot returns the tasks of the old one to the queue.
+		OnBoot:          a.subscriber.SetWorker,
+		CheckpointEvery: s.Limits().CheckpointEvery(),
+		TaskHold:        s.Limits().TaskHold(),
+		CurrencyLimit:   s.Limits().CurrencyLimit(),
+	}
+}
--- a/server/entry.go
+++ b/server/entry.go
@@ -24,21 +24,15 @@
 
 	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/auditor"
-	"damaskspread.example/damaskspread/connector"
 	"damaskspread.example/damaskspread/dispatcher"
 	"damaskspread.example/damaskspread/estimator"
 	"damaskspread.example/damaskspread/feeder"
 	"damaskspread.example/damaskspread/follower"
 	"damaskspread.example/damaskspread/monitor"
-	"damaskspread.example/damaskspread/operator"
-	"damaskspread.example/damaskspread/placer"
 	"damaskspread.example/damaskspread/recorder"
-	"damaskspread.example/damaskspread/replayer"
-	"damaskspread.example/damaskspread/retrier"
 	"damaskspread.example/damaskspread/router"
 	"damaskspread.example/damaskspread/scheduler"
 	"damaskspread.example/damaskspread/validator"
-	"damaskspread.example/damaskspread/wire"
 	"damaskspread.example/damaskspread/wire/wireconnect"
 )
 
@@ -113,187 +107,6 @@
 	return oops.In("entry").Wrap(t.Wait())
 }
 
-func (e *Entry) assembleState() {
-	s := e.Settings
-	logClient := &connector.Log{
-		Address: "http://" + s.Log().Address(),
-		HTTP:    e.http,
-		Timeout: s.Log().AppendTimeout(),
-	}
-	e.follower = &follower.Follower{
-		Log:           logClient,
-		Clock:         e.Clock,
-		Region:        s.Process().Region(),
-		Peers:         e.peers,
-		HTTP:          e.http,
-		Random:        newRandom(e.random.Uint64()),
-		ReadWait:      s.Log().ReadWait(),
-		CallTimeout:   s.Log().ReadTimeout(),
-		SnapshotEvery: int64(s.Limits().SnapshotEvery()),
-		Retention:     s.Log().Retention(),
-	}
-	e.recorder = &recorder.Recorder{
-		Log:              logClient,
-		Clock:            e.Clock,
-		Region:           s.Process().Region(),
-		Applied:          e.follower,
-		MaxRecords:       s.Limits().BatchRecords(),
-		AppendsPerSecond: s.Limits().AppendsPerSecond(),
-		AppendTimeout:    s.Log().AppendTimeout(),
-	}
-	e.estimates = &estimator.Estimator{
-		Clock:   e.Clock,
-		LoadLag: loadLag,
-	}
-	e.policies = &entryPolicies{
-		source: e.follower,
-		changed: func(p *policies) {
-			e.scheduler.Reconfigure(p.objective())
-		},
-	}
-	e.auditor = &auditor.Auditor{
-		Source: e.follower.Subscribe(),
-		View:   e.follower.View,
-	}
-}
-
-// peers returns the addresses of the other entry processes: the configured
-// ones, which help a process that starts with empty memory, and those in the
-// state.
-func (e *Entry) peers() []string {
-	s := e.Settings
-	seen := map[string]bool{
-		s.Entry().Address(): true,
-	}
-	var addresses []string
-	add := func(address string) {
-		if address != "" && !seen[address] {
-			seen[address] = true
-			addresses = append(addresses, address)
-		}
-	}
-	for _, address := range s.Entry().Peers() {
-		add(address)
-	}
-	e.follower.View(func(state *replayer.State) {
-		for entry := range state.Entries() {
-			add(entry.GetEntry().GetAddress())
-		}
-	})
-	return addresses
-}
-
-// loadObservers passes endpoint loads to routing and to the estimates.
-type loadObservers []damaskspread.LoadObserver
-
-// ObserveLoad implements damaskspread.LoadObserver.
-func (l loadObservers) ObserveLoad(host string, load *wire.EndpointLoad) {
-	for _, observer := range l {
-		observer.ObserveLoad(host, load)
-	}
-}
-
-func (e *Entry) assembleRequests() {
-	s := e.Settings
-	e.router = &router.Router{
-		Clock: e.Clock,
-		Zone:  s.Process().Zone(),
-		Seed:  e.random.Uint64(),
-	}
-	e.feeder = &feeder.Feeder{
-		Follower: e.follower,
-		Recorder: e.recorder,
-		Clock:    e.Clock,
-		Entry: &wire.EntryAlive{
-			Entry:   s.Process().ID(),
-			Address: s.Entry().Address(),
-			Region:  s.Process().Region(),
-			Zone:    s.Process().Zone(),
-		},
-		Loads:         loadObservers{e.router, e.estimates},
-		Usage:         e.estimates,
-		BatchShare:    e.batchShare,
-		MemberHold:    s.Limits().MemberHold(),
-		CurrencyLimit: s.Limits().CurrencyLimit(),
-		MaxSyncWait:   s.Limits().SyncWait(),
-	}
-	e.dispatcher = &dispatcher.Dispatcher{
-		Follower: e.follower,
-		Router:   e.router,
-		Retries: &retrier.Retrier{
-			Share:  s.Limits().RetryPercent() / 100,
-			Burst:  retryBurst,
-			Base:   backoffBase,
-			Max:    backoffMax,
-			Tries:  tries,
-			MinTry: minTry,
-			Random: newRandom(e.random.Uint64()),
-		},
-		HTTP:          e.http,
-		Clock:         e.Clock,
-		CurrencyLimit: s.Limits().CurrencyLimit(),
-		Policies:      func(service string) dispatcher.Policy { return e.policies.load().dispatch(service) },
-		DrainDelay:    s.Entry().DrainDelay(),
-	}
-}
-
-func (e *Entry) assembleScheduling() {
-	s := e.Settings
-	index := placer.NewIndex()
-	index.RampTime = zoneRamp
-	policy := &placer.Spread{
-		Index:        index,
-		Interference: e.estimates,
-		Random:       newRandom(e.random.Uint64()),
-	}
-	e.scheduler = &scheduler.Scheduler{
-		Follower:     e.follower,
-		Subscription: e.follower.Subscribe(),
-		Recorder:     e.recorder,
-		Clock:        e.Clock,
-		Fence:        e.fence,
-		Planner: &scheduler.Planner{
-			Entry:     s.Process().ID(),
-			Index:     index,
-			Policy:    policy,
-			Estimates: e.estimates,
-			Teams:     func(name string) scheduler.Team { return e.policies.load().team(name) },
-			Drains:    func(zone string) bool { return e.policies.load().drains(zone) },
-			Limits: scheduler.Limits{
-				CurrencyLimit: s.Limits().CurrencyLimit(),
-				TaskHold:      s.Limits().TaskHold(),
-			},
-			Random: newRandom(e.random.Uint64()),
-		},
-	}
-}
-
-// fence makes a worker whose agent is gone stop its tasks, so that they need
-// not wait for the end of their leases.
-func (e *Entry) fence(ctx context.Context, host *wire.HostSpec, minToken int64) ([]*wire.WorkerTask, error) {
-	worker := &connector.Worker{
-		Address: "http://" + host.GetWorkerAddress(),
-		HTTP:    e.http,
-	}
-	if err := worker.Fence(ctx, host.GetWorkerBoot(), minToken); err != nil {
-		return nil, err
-	}
-	status, err := worker.Status(ctx)
-	return status.GetTasks(), err
-}
-
-// batchShare is the smallest share that the estimates ask of a batch task on
-// the host.
-func (e *Entry) batchShare(host string) int {
-	share := 0
-	for _, throttle := range e.scheduler.Throttles() {
-		if throttle.Host == host && (share == 0 || throttle.Permille < share) {
-			share = throttle.Permille
-		}
-	}
-	return share
-}
-
 func (e *Entry) listen() error {
 	s := e.Settings
 	router := bunrouter.New()
@@ -313,27 +126,6 @@
 	})
 }
 
-func (e *Entry) operator() *operator.Handler {
-	return &operator.Handler{
-		State:         e.follower,
-		Appender:      e.recorder,
-		Audit:         e.auditor,
-		Clock:         e.Clock,
-		Entry:         e.Settings.Process().ID(),
-		Version:       e.Version,
-		CurrencyLimit: e.Settings.Limits().CurrencyLimit(),
-		Load:          e.router.Load,
-		BatchShare:    e.batchShare,
-		Explain: func(task string) any {
-			explanation, ok := e.scheduler.Explain(task)
-			if !ok {
-				return nil
-			}
-			return explanation
-		},
-	}
-}
-
 func (e *Entry) checks() []monitor.Check {
 	return []monitor.Check{
 		{
