Keep an unknown currency age above every limit

TestConfigurationNeverReverts saw it: entry-2 went back from version 2 to 0.

Ruled out: a special case in the test; other readers would make the same mistake.

Change: age_ms is again the largest age, named UnknownAgeMs; the command line still prints that it is unknown.

Conclusion: a comparison with the limit is safe again.

--- a/client/types.go
+++ b/client/types.go
@@ -12,6 +12,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -306,12 +307,16 @@
 	Gaps    int          `json:"gaps"`
 }
 
+// UnknownAgeMs is the age of a process that replayed nothing yet. It exceeds
+// every limit, so that a comparison with one is never mistaken.
+const UnknownAgeMs = int64(damaskspread.MaxAge / time.Millisecond)
+
 // Status is the view of an entry process.
 type Status struct {
 	Entry   string `json:"entry"`
 	Version string `json:"version"`
 	Offset  int64  `json:"offset"`
-	// AgeMs is -1 before the first replay.
+	// AgeMs is UnknownAgeMs before the first replay.
 	AgeMs           int64          `json:"age_ms"`
 	CurrencyLimitMs int64          `json:"currency_limit_ms"`
 	Stale           bool           `json:"stale"`
--- a/commander/views.go
+++ b/commander/views.go
@@ -264,7 +264,7 @@
 }
 
 func currencyAge(status *client.Status) string {
-	if status.AgeMs < 0 {
+	if status.AgeMs >= client.UnknownAgeMs {
 		return "unknown, the log has not been replayed yet"
 	}
 	return fmt.Sprintf("%d ms of %d ms", status.AgeMs, status.CurrencyLimitMs)
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -262,13 +262,7 @@
 	return damaskspread.NotRun(damaskspread.ReasonNotFound, "%s", message)
 }
 
-// milliseconds returns -1 for the age of a process that replayed nothing yet.
-func milliseconds(age time.Duration) int64 {
-	if age >= damaskspread.MaxAge {
-		return -1
-	}
-	return age.Milliseconds()
-}
+func milliseconds(age time.Duration) int64 { return age.Milliseconds() }
 
 func lower(name, prefix string) string {
 	return strings.ToLower(strings.TrimPrefix(name, prefix))
