Explain a task in named fields and rows

Cause: task explain printed the scheduler's internal structure: Go field names, a number for the phase.

Ruled out: JSON tags on the scheduler's type, which is not an HTTP type.

Before/after: no figures; the tests of operator and commander follow.

Conclusion: the answer has the names of the other answers.

--- a/client/types.go
+++ b/client/types.go
@@ -10,7 +10,6 @@
 package client
 
 import (
-	"encoding/json"
 	"fmt"
 	"time"
 
@@ -271,10 +270,25 @@
 	Next  string `json:"next,omitempty"`
 }
 
-// Explanation is the scheduler's account of a task.
+// Decision is the scheduler's account of a task.
+type Decision struct {
+	// Reason says why the task runs where it does or what it waits for.
+	Reason string `json:"reason"`
+	// Binding is the constraint that a pending task waits for, if one is known.
+	Binding string `json:"binding,omitempty"`
+	// Never is set if no known host could hold the task.
+	Never bool `json:"never"`
+	// Owned is false if another entry places the task and knows more.
+	Owned bool `json:"owned"`
+	// StartBeforeUnixMs is the end of the task's longest wait.
+	StartBeforeUnixMs int64 `json:"start_before_unix_ms"`
+}
+
+// Explanation is a task and why it is where it is. Decision is nil while the
+// entry's scheduler does not know the task.
 type Explanation struct {
-	Task    Task            `json:"task"`
-	Explain json.RawMessage `json:"explain"`
+	Task     Task      `json:"task"`
+	Decision *Decision `json:"decision"`
 }
 
 // AuditEntry is one change.
--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -167,7 +167,7 @@
 		{"task submit --team cutting --kind render --memory 4", commander.ExitUsage, "expected memory with a unit"},
 		{"task list --phase pending", commander.ExitOK, "t1"},
 		{"task show t1", commander.ExitOK, "pending"},
-		{"task explain t1", commander.ExitOK, "null"},
+		{"task explain t1", commander.ExitOK, "not known to the scheduler"},
 		{"task cancel t1 --team cutting", commander.ExitOK, "canceled"},
 		{"task show t9", commander.ExitFailure, "no task t9"},
 		{"host list", commander.ExitOK, "HOST"},
--- a/commander/tasks.go
+++ b/commander/tasks.go
@@ -195,13 +195,26 @@
 			if err != nil {
 				return err
 			}
-			if c.output == "json" {
-				return c.print(explanation, nil)
-			}
-			if err := c.printTask(&explanation.Task); err != nil {
-				return err
-			}
-			return writeJSON(c.Out, explanation.Explain)
+			return c.print(explanation, func(t *table) { explainRows(t, explanation) })
 		}),
 	}
 }
+
+func explainRows(t *table, explanation *client.Explanation) {
+	task, decision := &explanation.Task, explanation.Decision
+	t.row("task", task.Task)
+	t.row("phase", task.Phase)
+	t.row("attempt", task.Attempt)
+	t.row("host", task.Host)
+	if decision == nil {
+		t.row("decision", "not known to the scheduler of this entry")
+		return
+	}
+	t.row("reason", decision.Reason)
+	t.row("binding", decision.Binding)
+	t.row("can ever run", yesNo(!decision.Never))
+	t.row("start before", at(decision.StartBeforeUnixMs))
+	if !decision.Owned {
+		t.row("decided by", "another entry, which knows more")
+	}
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -64,8 +64,8 @@
 	CurrencyLimit time.Duration
 	// ConfirmTimeout bounds a change until its confirmation; 10 s by default.
 	ConfirmTimeout time.Duration
-	// Explain is the scheduler's account of a task, as JSON; may be nil.
-	Explain func(task string) any
+	// Explain is the scheduler's account of a task; may be nil.
+	Explain func(task string) *client.Decision
 	// Load is the load that this entry last saw of a host; may be nil.
 	Load func(host string) (*wire.EndpointLoad, bool)
 	// BatchShare is the share of its processors, in thousandths, that this entry
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -56,7 +56,7 @@
 		Entry:          "entry-1",
 		CurrencyLimit:  3 * time.Second,
 		ConfirmTimeout: time.Second,
-		Explain:        func(task string) any { return map[string]string{"reason": "no host holds " + task} },
+		Explain:        func(task string) *client.Decision { return &client.Decision{Reason: "no host holds " + task} },
 	}
 	router := bunrouter.New()
 	b.handler.Register(router)
--- a/operator/tasks.go
+++ b/operator/tasks.go
@@ -91,15 +91,10 @@
 		return notFound("task", param(r, "task"), nil)
 	}
 	explanation := client.Explanation{
-		Task:    task,
-		Explain: json.RawMessage("null"),
+		Task: task,
 	}
 	if h.Explain != nil {
-		data, err := json.Marshal(h.Explain(task.Task))
-		if err != nil {
-			return damaskspread.NotRun(damaskspread.ReasonInvalid, "the explanation cannot be encoded: %v", err)
-		}
-		explanation.Explain = data
+		explanation.Decision = h.Explain(task.Task)
 	}
 	return ok(w, explanation)
 }
--- a/operator/tasks_test.go
+++ b/operator/tasks_test.go
@@ -130,7 +130,7 @@
 	assert.Equal(t, b.call(http.MethodGet, "/v1/tasks?phase=running", nil, &refused), http.StatusBadRequest)
 	var explanation client.Explanation
 	assert.Equal(t, b.call(http.MethodGet, "/v1/tasks/t1/explain", nil, &explanation), http.StatusOK)
-	assert.Equal(t, string(explanation.Explain), `{"reason":"no host holds t1"}`)
+	assert.DeepEqual(t, explanation.Decision, &client.Decision{Reason: "no host holds t1"})
 }
 
 // Guards against a host that is drained or declared lost under another worker
--- a/server/entry_parts.go
+++ b/server/entry_parts.go
@@ -5,6 +5,7 @@
 
 	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/auditor"
+	"damaskspread.example/damaskspread/client"
 	"damaskspread.example/damaskspread/connector"
 	"damaskspread.example/damaskspread/dispatcher"
 	"damaskspread.example/damaskspread/estimator"
@@ -212,12 +213,20 @@
 		CurrencyLimit: e.Settings.Limits().CurrencyLimit(),
 		Load:          e.router.Load,
 		BatchShare:    e.batchShare,
-		Explain: func(task string) any {
-			explanation, ok := e.scheduler.Explain(task)
-			if !ok {
-				return nil
-			}
-			return explanation
-		},
+		Explain:       e.explain,
+	}
+}
+
+func (e *Entry) explain(task string) *client.Decision {
+	explanation, ok := e.scheduler.Explain(task)
+	if !ok {
+		return nil
+	}
+	return &client.Decision{
+		Reason:            explanation.Reason,
+		Binding:           string(explanation.Binding),
+		Never:             explanation.Never,
+		Owned:             explanation.Owned,
+		StartBeforeUnixMs: explanation.Deadline.UnixMilli(),
 	}
 }
