--- a/damaskspread.go
+++ b/damaskspread.go
@@ -72,6 +72,19 @@
 	return position.GetOffset()<<indexBits | int64(position.GetIndex())
 }
 
+// SamePosition reports whether both are the same position or both unset.
+func SamePosition(a, b *wire.Position) bool {
+	return (a == nil) == (b == nil) && Token(a) == Token(b)
+}
+
+// SetDefault sets an exported field that its user left at the zero value.
+func SetDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
 // LoadObserver receives the load that endpoints report.
 type LoadObserver interface {
 	ObserveLoad(host string, load *wire.EndpointLoad)
--- a/deduplicator/accept.go
+++ b/deduplicator/accept.go
@@ -23,7 +23,7 @@
 		return refuse(damaskspread.ReasonStaleEpoch)
 	}
 	now := d.Clock.Now()
-	if sh.role != roleSecondary || !samePosition(sh.state.GetEpoch(), request.GetEpoch()) ||
+	if sh.role != roleSecondary || !damaskspread.SamePosition(sh.state.GetEpoch(), request.GetEpoch()) ||
 		!proto.Equal(sh.state.GetPrimary(), request.GetFrom()) {
 		d.learn(sh, request.GetEntries(), now)
 		return refuse(damaskspread.ReasonStaleEpoch)
@@ -70,7 +70,7 @@
 			return damaskspread.ReasonKeyReused
 		case item.GetDone() && e.phase == phaseRemote:
 			d.finish(e, item.GetResponse(), now)
-		case isProposal(item) && (e.phase != phaseRemote || !samePosition(e.epoch, epoch)):
+		case isProposal(item) && (e.phase != phaseRemote || !damaskspread.SamePosition(e.epoch, epoch)):
 			// The primary takes for new what may have run. Only the repeated
 			// proposal of a try that did not run is accepted.
 			return damaskspread.ReasonInProgress
--- a/deduplicator/deduplicator.go
+++ b/deduplicator/deduplicator.go
@@ -221,11 +221,11 @@
 		d.drop(sh)
 		return
 	}
-	if sh.state != nil && samePosition(sh.state.GetEpoch(), a.State.GetEpoch()) {
+	if sh.state != nil && damaskspread.SamePosition(sh.state.GetEpoch(), a.State.GetEpoch()) {
 		sh.state = a.State
 		return
 	}
-	follows := sh.state != nil && a.Previous != nil && samePosition(a.Previous, sh.state.GetEpoch())
+	follows := sh.state != nil && a.Previous != nil && damaskspread.SamePosition(a.Previous, sh.state.GetEpoch())
 	before, wasComplete := sh.role, sh.complete
 	sh.complete = wasComplete && follows && (before != roleSecondary || next != roleSecondary)
 	if next == rolePrimary && a.State.GetFounded() && !sh.wasOther {
@@ -242,10 +242,6 @@
 	sh.announce = false
 }
 
-func samePosition(a, b *wire.Position) bool {
-	return (a == nil) == (b == nil) && damaskspread.Token(a) == damaskspread.Token(b)
-}
-
 // whole reports whether every key that may have run within its lifetime is
 // known here.
 func (sh *shard) whole(now time.Time, lifetime time.Duration) bool {
--- a/deduplicator/replicate.go
+++ b/deduplicator/replicate.go
@@ -163,7 +163,7 @@
 			service: service,
 			shard:   item.GetShard(),
 		}]
-		if sh.state != nil && samePosition(sh.state.GetEpoch(), item.GetEpoch()) {
+		if sh.state != nil && damaskspread.SamePosition(sh.state.GetEpoch(), item.GetEpoch()) {
 			sh.announce = false
 		}
 	}
@@ -192,7 +192,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	// A history that became complete since is sent again.
-	if sh.state != nil && samePosition(sh.state.GetEpoch(), epoch) && sh.complete == whole {
+	if sh.state != nil && damaskspread.SamePosition(sh.state.GetEpoch(), epoch) && sh.complete == whole {
 		sh.transferred = true
 	}
 	return nil
--- a/deduplicator/request.go
+++ b/deduplicator/request.go
@@ -79,7 +79,7 @@
 		known, refusal, wait := e.answer(call)
 		return nil, known, refusal, wait
 	}
-	if sh.role == roleNone || !samePosition(sh.state.GetEpoch(), call.Epoch) {
+	if sh.role == roleNone || !damaskspread.SamePosition(sh.state.GetEpoch(), call.Epoch) {
 		return nil, nil, damaskspread.NotRun(damaskspread.ReasonStaleEpoch, "the shard's epoch differs from the request's"), nil
 	}
 	now := d.Clock.Now()
@@ -137,7 +137,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	sh := d.shards[call.id()]
-	if sh.role != roleSecondary || !samePosition(sh.state.GetEpoch(), call.Epoch) || !sh.complete {
+	if sh.role != roleSecondary || !damaskspread.SamePosition(sh.state.GetEpoch(), call.Epoch) || !sh.complete {
 		return damaskspread.Unknown(damaskspread.ReasonStaleEpoch, "the shard moved since the request was sent")
 	}
 	if sh.entries[call.Key] != nil {
@@ -207,7 +207,7 @@
 	defer d.mu.Unlock()
 	sh := d.shards[call.id()]
 	return sh != nil && sh.role == rolePrimary && sh.complete &&
-		samePosition(sh.state.GetEpoch(), call.Epoch) && sh.entries[call.Key] == nil
+		damaskspread.SamePosition(sh.state.GetEpoch(), call.Epoch) && sh.entries[call.Key] == nil
 }
 
 // prepare builds the message that asks the secondary whether the epoch is
@@ -296,7 +296,7 @@
 func (t *Ticket) settled(epoch *wire.Position) bool {
 	t.keys.mu.Lock()
 	defer t.keys.mu.Unlock()
-	if t.shard.role != rolePrimary || !samePosition(t.shard.state.GetEpoch(), epoch) ||
+	if t.shard.role != rolePrimary || !damaskspread.SamePosition(t.shard.state.GetEpoch(), epoch) ||
 		t.shard.entries[t.entry.key] != t.entry {
 		return false
 	}
--- a/dispatcher/message.go
+++ b/dispatcher/message.go
@@ -31,21 +31,6 @@
 	maxKey = 256
 )
 
-// hopByHop headers belong to one connection and are not passed on.
-var hopByHop = map[string]bool{
-	"Connection":          true,
-	"Content-Length":      true,
-	"Expect":              true,
-	"Keep-Alive":          true,
-	"Proxy-Authenticate":  true,
-	"Proxy-Authorization": true,
-	"Proxy-Connection":    true,
-	"Te":                  true,
-	"Trailer":             true,
-	"Transfer-Encoding":   true,
-	"Upgrade":             true,
-}
-
 type incoming struct {
 	service string
 	timeout time.Duration
@@ -128,7 +113,7 @@
 func forwarded(header http.Header) []*wire.Header {
 	headers := make([]*wire.Header, 0, len(header))
 	for name, values := range header {
-		if !hopByHop[name] && !strings.HasPrefix(name, ownPrefix) {
+		if !damaskspread.IsHopByHop(name) && !strings.HasPrefix(name, ownPrefix) {
 			headers = append(headers, &wire.Header{
 				Name:   name,
 				Values: values,
@@ -148,7 +133,7 @@
 		return
 	}
 	for _, header := range answer.GetHeaders() {
-		if name := http.CanonicalHeaderKey(header.GetName()); !hopByHop[name] {
+		if name := http.CanonicalHeaderKey(header.GetName()); !damaskspread.IsHopByHop(name) {
 			w.Header()[name] = header.GetValues()
 		}
 	}
--- a/feeder/feeder.go
+++ b/feeder/feeder.go
@@ -87,13 +87,13 @@
 
 func (f *Feeder) prepare() {
 	f.setup.Do(func() {
-		setDefault(&f.MemberHold, DefaultMemberHold)
-		setDefault(&f.AliveEvery, DefaultAliveEvery)
-		setDefault(&f.EntryHold, DefaultEntryHold)
-		setDefault(&f.CurrencyLimit, DefaultCurrencyLimit)
-		setDefault(&f.MaxSyncWait, DefaultMaxSyncWait)
-		setDefault(&f.ForgetAfter, DefaultForgetAfter)
-		setDefault(&f.AppendTimeout, DefaultAppendTimeout)
+		damaskspread.SetDefault(&f.MemberHold, DefaultMemberHold)
+		damaskspread.SetDefault(&f.AliveEvery, DefaultAliveEvery)
+		damaskspread.SetDefault(&f.EntryHold, DefaultEntryHold)
+		damaskspread.SetDefault(&f.CurrencyLimit, DefaultCurrencyLimit)
+		damaskspread.SetDefault(&f.MaxSyncWait, DefaultMaxSyncWait)
+		damaskspread.SetDefault(&f.ForgetAfter, DefaultForgetAfter)
+		damaskspread.SetDefault(&f.AppendTimeout, DefaultAppendTimeout)
 		f.Entry = proto.CloneOf(f.Entry)
 		if f.Entry.GetIncarnation() == "" {
 			f.Entry.Incarnation = recorder.NewID()
@@ -105,13 +105,6 @@
 	})
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Run serves until the tomb dies.
 func (f *Feeder) Run(t *tomb.Tomb) error {
 	f.prepare()
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -101,12 +101,12 @@
 		f.loaded = make(chan struct{})
 		f.subscriptions = map[*Subscription]struct{}{}
 		f.ids = newRecentIDs(recentIDCount)
-		setDefault(&f.ReadWait, DefaultReadWait)
-		setDefault(&f.CallTimeout, DefaultCallTimeout)
-		setDefault(&f.RelayAfter, DefaultRelayAfter)
-		setDefault(&f.SnapshotEvery, DefaultSnapshotEvery)
-		setDefault(&f.SnapshotDelay, DefaultSnapshotDelay)
-		setDefault(&f.Retention, DefaultRetention)
+		damaskspread.SetDefault(&f.ReadWait, DefaultReadWait)
+		damaskspread.SetDefault(&f.CallTimeout, DefaultCallTimeout)
+		damaskspread.SetDefault(&f.RelayAfter, DefaultRelayAfter)
+		damaskspread.SetDefault(&f.SnapshotEvery, DefaultSnapshotEvery)
+		damaskspread.SetDefault(&f.SnapshotDelay, DefaultSnapshotDelay)
+		damaskspread.SetDefault(&f.Retention, DefaultRetention)
 		if f.HTTP == nil {
 			f.HTTP = http.DefaultClient
 		}
@@ -118,13 +118,6 @@
 	})
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func (f *Follower) stream() string { return "state." + f.Region }
 
 // Run reads until the tomb dies.
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -82,7 +82,7 @@
 func headersOf(answer *http.Response) []*wire.Header {
 	headers := make([]*wire.Header, 0, len(answer.Header))
 	for name, values := range answer.Header {
-		if !hopByHop[name] {
+		if !damaskspread.IsHopByHop(name) {
 			headers = append(headers, &wire.Header{
 				Name:   name,
 				Values: values,
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -128,7 +128,7 @@
 		return nil, damaskspread.NotRun(damaskspread.ReasonBadRequest, "the request is not valid: %v", err)
 	}
 	for _, header := range request.Headers {
-		if !hopByHop[http.CanonicalHeaderKey(header.GetName())] {
+		if !damaskspread.IsHopByHop(http.CanonicalHeaderKey(header.GetName())) {
 			message.Header[http.CanonicalHeaderKey(header.GetName())] = header.GetValues()
 		}
 	}
@@ -142,21 +142,6 @@
 	return message, nil
 }
 
-// hopByHop headers belong to one connection and are not passed on.
-var hopByHop = map[string]bool{
-	"Connection":          true,
-	"Content-Length":      true,
-	"Expect":              true,
-	"Keep-Alive":          true,
-	"Proxy-Authenticate":  true,
-	"Proxy-Authorization": true,
-	"Proxy-Connection":    true,
-	"Te":                  true,
-	"Trailer":             true,
-	"Transfer-Encoding":   true,
-	"Upgrade":             true,
-}
-
 // bodyReader has no Seek or other method that would let a caller rewind it.
 type bodyReader struct{ data []byte }
 
--- /dev/null
+++ b/headers.go
@@ -0,0 +1,20 @@
+package damaskspread
+
+// hopByHop headers belong to one connection and are not passed on.
+var hopByHop = map[string]bool{
+	"Connection":          true,
+	"Content-Length":      true,
+	"Expect":              true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+}
+
+// IsHopByHop reports whether a header, in canonical form, belongs to one
+// connection and is not passed on.
+func IsHopByHop(name string) bool { return hopByHop[name] }
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -88,12 +88,12 @@
 
 func (r *Recorder) prepare() {
 	r.setup.Do(func() {
-		setDefault(&r.Interval, DefaultInterval)
-		setDefault(&r.MaxRecords, DefaultMaxRecords)
-		setDefault(&r.AppendsPerSecond, DefaultAppendsPerSecond)
-		setDefault(&r.AppendTimeout, DefaultAppendTimeout)
-		setDefault(&r.ResolveTimeout, DefaultResolveTimeout)
-		setDefault(&r.QueueCapacity, DefaultQueueCapacity)
+		damaskspread.SetDefault(&r.Interval, DefaultInterval)
+		damaskspread.SetDefault(&r.MaxRecords, DefaultMaxRecords)
+		damaskspread.SetDefault(&r.AppendsPerSecond, DefaultAppendsPerSecond)
+		damaskspread.SetDefault(&r.AppendTimeout, DefaultAppendTimeout)
+		damaskspread.SetDefault(&r.ResolveTimeout, DefaultResolveTimeout)
+		damaskspread.SetDefault(&r.QueueCapacity, DefaultQueueCapacity)
 		// The last request taken into a batch may double it.
 		r.MaxRecords = min(r.MaxRecords, damaskspread.MaxBatchRecords/2)
 		r.queue = queuer.New[*request]("recorder", r.QueueCapacity)
@@ -101,13 +101,6 @@
 	})
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Run forms batches until the tomb dies. Requests that are still queued then
 // did not run.
 func (r *Recorder) Run(t *tomb.Tomb) error {
--- a/replayer/apply.go
+++ b/replayer/apply.go
@@ -95,14 +95,10 @@
 	}
 }
 
-func samePosition(a, b *wire.Position) bool {
-	return damaskspread.Token(a) == damaskspread.Token(b) && (a == nil) == (b == nil)
-}
-
 func (s *State) applySection(c Change, published *wire.SectionPublished) {
 	name := published.GetSection()
 	current := s.sections[name]
-	if !samePosition(published.GetBase(), current.GetPosition()) {
+	if !damaskspread.SamePosition(published.GetBase(), current.GetPosition()) {
 		s.void(c, name, damaskspread.ReasonConflict, "the section changed since the base of this publication")
 		return
 	}
@@ -167,7 +163,7 @@
 
 func (s *State) applyEntryExpired(c Change, expired *wire.EntryExpired) {
 	entry := s.entries[expired.GetEntry()]
-	if entry == nil || !samePosition(entry.GetAlive(), expired.GetAlive()) {
+	if entry == nil || !damaskspread.SamePosition(entry.GetAlive(), expired.GetAlive()) {
 		s.void(c, expired.GetEntry(), damaskspread.ReasonConflict, "the entry process was alive later")
 		return
 	}
--- a/replayer/hosts.go
+++ b/replayer/hosts.go
@@ -30,7 +30,7 @@
 	}
 	// A join that was delayed past that of a newer incarnation would release
 	// claims that the newer one is running.
-	if joined.GetReplaces() != nil && !samePosition(joined.GetReplaces(), s.JoinedPosition(id)) {
+	if joined.GetReplaces() != nil && !damaskspread.SamePosition(joined.GetReplaces(), s.JoinedPosition(id)) {
 		s.void(c, id, damaskspread.ReasonConflict, "another incarnation joined since")
 		return
 	}
@@ -110,7 +110,7 @@
 	ref := expired.GetHost()
 	h := s.hosts[ref.GetHost()]
 	if h == nil || h.state.GetSpec().GetIncarnation() != ref.GetIncarnation() ||
-		!samePosition(h.state.GetAlive(), expired.GetAlive()) {
+		!damaskspread.SamePosition(h.state.GetAlive(), expired.GetAlive()) {
 		s.void(c, ref.GetHost(), damaskspread.ReasonConflict, "the host was alive later")
 		return
 	}
@@ -125,7 +125,7 @@
 	ref := forgotten.GetHost()
 	h := s.hosts[ref.GetHost()]
 	if h == nil || h.state.GetSpec().GetIncarnation() != ref.GetIncarnation() || !h.state.GetExpired() ||
-		len(h.claims) > 0 || !samePosition(h.state.GetAlive(), forgotten.GetAlive()) {
+		len(h.claims) > 0 || !damaskspread.SamePosition(h.state.GetAlive(), forgotten.GetAlive()) {
 		s.void(c, ref.GetHost(), damaskspread.ReasonConflict, "the host is a member, holds claims or was alive later")
 		return
 	}
@@ -144,7 +144,7 @@
 	// An operator's word that the host is lost needs no alive position. A fence
 	// does: the host may have joined again and taken claims since.
 	if released.GetReason() != wire.ReleaseReason_RELEASE_REASON_DECLARED_LOST &&
-		!samePosition(h.state.GetAlive(), released.GetAlive()) {
+		!damaskspread.SamePosition(h.state.GetAlive(), released.GetAlive()) {
 		s.void(c, id, damaskspread.ReasonConflict, "the host was alive later")
 		return
 	}
--- a/replayer/shards.go
+++ b/replayer/shards.go
@@ -216,7 +216,7 @@
 	shards := s.shards[service]
 	for _, item := range ready.GetShards() {
 		i := int(item.GetShard())
-		if i < 0 || i >= len(shards) || !samePosition(shards[i].GetEpoch(), item.GetEpoch()) ||
+		if i < 0 || i >= len(shards) || !damaskspread.SamePosition(shards[i].GetEpoch(), item.GetEpoch()) ||
 			shards[i].GetSecondary() == nil || !proto.Equal(shards[i].GetSecondary(), ready.GetHost()) {
 			s.void(c, service, damaskspread.ReasonStaleEpoch, "the shard moved since")
 			continue
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -90,9 +90,9 @@
 
 func (s *Subscriber) prepare() {
 	s.setup.Do(func() {
-		setDefault(&s.SyncWait, DefaultSyncWait)
-		setDefault(&s.CallTimeout, DefaultCallTimeout)
-		setDefault(&s.StaleAfter, DefaultStaleAfter)
+		damaskspread.SetDefault(&s.SyncWait, DefaultSyncWait)
+		damaskspread.SetDefault(&s.CallTimeout, DefaultCallTimeout)
+		damaskspread.SetDefault(&s.StaleAfter, DefaultStaleAfter)
 		if s.HTTP == nil {
 			s.HTTP = http.DefaultClient
 		}
@@ -111,13 +111,6 @@
 	})
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Age implements damaskspread.Currency.
 func (s *Subscriber) Age() time.Duration {
 	s.mu.Lock()
