--- a/cmd/damaskspread/main.go
+++ b/cmd/damaskspread/main.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"damaskspread.example/damaskspread/commander"
+	"damaskspread.example/damaskspread/launcher"
 	"damaskspread.example/damaskspread/server"
 )
 
@@ -29,6 +30,12 @@
 	commands.Agent = daemons.Agent
 	commands.Emulator = daemons.Emulator
 	commands.Dev = daemons.Dev
+	jobs := launcher.Daemons{
+		Clock:  clockwork.NewRealClock(),
+		Reload: commands.LoadJobSettings,
+	}
+	commands.JobEntry = jobs.Entry
+	commands.JobAgent = jobs.Agent
 	code := commands.Execute(ctx, os.Args[1:])
 	stop()
 	os.Exit(code)
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -51,6 +51,8 @@
 	Agent    RunFunc
 	Emulator RunFunc
 	Dev      RunFunc
+	JobEntry JobRunFunc
+	JobAgent JobRunFunc
 
 	entries []string
 	team    string
@@ -150,6 +152,7 @@
 	flags.StringVarP(&c.output, "output", "o", "table", "table or json")
 	flags.DurationVar(&c.timeout, "timeout", 15*time.Second, "deadline of the whole command; 2s for request")
 	root.AddCommand(c.daemons()...)
+	root.AddCommand(c.jobDaemons()...)
 	root.AddCommand(c.configCommand(), c.zoneCommand(), c.taskCommand(), c.hostCommand(), c.endpointCommand(),
 		c.serviceCommand(), c.auditCommand(), c.statusCommand(), c.requestCommand(), c.versionCommand())
 	root.InitDefaultCompletionCmd()
--- /dev/null
+++ b/configurer/configurer.go
@@ -0,0 +1,101 @@
+// Package configurer keeps the newest configuration of the fleet and the zones
+// that operators took out of service.
+//
+// A Configurer starts no goroutine: a tailer applies records, and any
+// goroutine may read.
+package configurer
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/wire"
+)
+
+// Configurer implements damaskspread.OperatorView. Its fields are set before
+// use.
+type Configurer struct {
+	Decode func(record *wire.KeyedRecord) (*damaskspread.Operation, error)
+	// Age is an upper bound on the age of what was applied.
+	Age func() time.Duration
+	// Changed is told of each change; it may be nil.
+	Changed func()
+
+	mu       sync.RWMutex
+	config   *wire.FleetConfig
+	zonesOut map[string]bool
+}
+
+// Apply takes records in order.
+func (c *Configurer) Apply(records []*wire.KeyedRecord, reset bool) {
+	c.mu.Lock()
+	if reset || c.zonesOut == nil {
+		c.zonesOut = map[string]bool{}
+	}
+	for _, record := range records {
+		c.applyRecord(record)
+	}
+	c.mu.Unlock()
+	if c.Changed != nil {
+		c.Changed()
+	}
+}
+
+func (c *Configurer) applyRecord(record *wire.KeyedRecord) {
+	operation, err := c.Decode(record)
+	if err != nil {
+		log.Error().Str("key", record.GetKey()).Int64("offset", record.GetOffset()).Err(err).
+			Msg("publication ignored: it can't be decoded")
+		return
+	}
+	switch {
+	case operation == nil:
+	case operation.Config != nil:
+		c.applyConfig(operation.Config, record.GetOffset())
+	case operation.ZoneOut != "":
+		c.zonesOut[operation.ZoneOut] = true
+		log.Info().Str("zone", operation.ZoneOut).Int64("offset", record.GetOffset()).Msg("zone taken out of service")
+	case operation.ZoneBack != "":
+		delete(c.zonesOut, operation.ZoneBack)
+		log.Info().Str("zone", operation.ZoneBack).Int64("offset", record.GetOffset()).Msg("zone back in service")
+	}
+}
+
+// applyConfig never goes back to an earlier version.
+func (c *Configurer) applyConfig(config *wire.FleetConfig, offset int64) {
+	if config.GetVersion() < c.config.GetVersion() {
+		log.Warn().Int64("version", config.GetVersion()).Int64("in_force", c.config.GetVersion()).
+			Msg("configuration ignored: a later version is in force")
+		return
+	}
+	if config.GetVersion() > c.config.GetVersion() {
+		log.Info().Int64("version", config.GetVersion()).Int64("offset", offset).
+			Int("queues", len(config.GetQueues())).Msg("configuration in force")
+	}
+	c.config = config
+}
+
+// Config implements damaskspread.OperatorView.
+func (c *Configurer) Config() (*wire.FleetConfig, time.Duration) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.config, c.Age()
+}
+
+// ZoneOut implements damaskspread.OperatorView.
+func (c *Configurer) ZoneOut(zone string) bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.zonesOut[zone]
+}
+
+// ZonesOut returns the zones that are out of service.
+func (c *Configurer) ZonesOut() map[string]bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return maps.Clone(c.zonesOut)
+}
--- /dev/null
+++ b/coordinator/coordinator.go
@@ -0,0 +1,206 @@
+// Package coordinator schedules the jobs of the fleet while this process is
+// the scheduling leader.
+//
+// A Coordinator owns the jobs, the sessions with the agents, and the progress
+// topic of the log. Run has one goroutine that takes events, plans, stores the
+// progress and only then publishes orders; another writes the statuses that
+// callers see. Calls of agents run on the goroutines of the HTTP server: they
+// leave their report in a session and wait there for orders.
+//
+// The mutex guards sessions and the mailbox. The jobs belong to the goroutine
+// of Run alone.
+package coordinator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"gopkg.in/tomb.v2"
+
+	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/elector"
+	"damaskspread.example/damaskspread/indexer"
+	"damaskspread.example/damaskspread/planner"
+	"damaskspread.example/damaskspread/tailer"
+	"damaskspread.example/damaskspread/tracker"
+	"damaskspread.example/damaskspread/wire"
+)
+
+const (
+	// minCycle lets reports gather before the next round.
+	minCycle = 10 * time.Millisecond
+	// maxCycle bounds how late a timed event is noticed.
+	maxCycle = 100 * time.Millisecond
+	// maxPlanAge is the age of the jobs or the configuration above which
+	// nothing new starts.
+	maxPlanAge = 1500 * time.Millisecond
+	// leaseDrift covers the rate of an executor's clock.
+	leaseDrift = 1.05
+	leaseSlack = 200 * time.Millisecond
+)
+
+// FleetView is what operators published.
+type FleetView interface {
+	damaskspread.OperatorView
+	ZonesOut() map[string]bool
+}
+
+// Coordinator schedules jobs. Its fields are set before Run.
+type Coordinator struct {
+	Log        damaskspread.KeyedLog
+	Index      *indexer.Index
+	JobsTail   *tailer.Tailer
+	Operations FleetView
+	Election   *elector.Elector
+	Planner    *planner.Planner
+	Clock      damaskspread.Clock
+	Elapsed    damaskspread.ElapsedClock
+	// LeaseFor is the lease that one report of an agent earns.
+	LeaseFor time.Duration
+	// StatusFor is how long a finished job stays known.
+	StatusFor time.Duration
+
+	mu       sync.Mutex
+	epoch    int64
+	leading  bool
+	sessions map[string]*session
+	changed  map[string]bool
+	// lost are incarnations of executors that have certainly ended.
+	lost []tracker.ExecutorKey
+	wake chan struct{}
+
+	jobs       map[string]*tracker.Job
+	closed     map[string]time.Duration
+	orphans    map[tracker.ExecutorKey]time.Duration
+	suspicions map[tracker.ExecutorKey]*suspicion
+	published  map[string]wire.JobState
+	// closing are jobs whose final status is recorded while runs still stop.
+	closing []string
+	// removed are records of the progress that are no longer needed.
+	removed  []*wire.KeyedRecord
+	progress *writer
+	statuses *statusWriter
+}
+
+// Init prepares the coordinator for calls before Run.
+func (c *Coordinator) Init() {
+	c.wake = make(chan struct{}, 1)
+	c.sessions = map[string]*session{}
+	c.changed = map[string]bool{}
+}
+
+// Won starts the leadership of an epoch.
+func (c *Coordinator) Won(epoch int64) {
+	c.mu.Lock()
+	c.epoch = epoch
+	c.mu.Unlock()
+	c.signal()
+}
+
+// Lost ends the leadership.
+func (c *Coordinator) Lost() {
+	c.mu.Lock()
+	c.epoch = 0
+	c.leading = false
+	for _, s := range c.sessions {
+		s.notify()
+	}
+	c.sessions = map[string]*session{}
+	c.mu.Unlock()
+	c.signal()
+}
+
+// JobsChanged tells that the log has news of jobs.
+func (c *Coordinator) JobsChanged(ids []string) {
+	c.mu.Lock()
+	for _, id := range ids {
+		c.changed[id] = true
+	}
+	c.mu.Unlock()
+	c.signal()
+}
+
+func (c *Coordinator) signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (c *Coordinator) currentEpoch() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.epoch
+}
+
+// Run leads whenever this process is the leader.
+func (c *Coordinator) Run(tb *tomb.Tomb) error {
+	ctx := tb.Context(context.Background())
+	for tb.Alive() {
+		if epoch := c.currentEpoch(); epoch != 0 {
+			c.lead(ctx, epoch)
+			continue
+		}
+		select {
+		case <-c.wake:
+		case <-tb.Dying():
+		}
+	}
+	return nil
+}
+
+// lead schedules until another process leads.
+func (c *Coordinator) lead(ctx context.Context, epoch int64) {
+	term, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if err := c.takeOver(term, epoch); err != nil {
+		log.Warn().Int64("epoch", epoch).Err(err).Msg("taking over failed")
+		c.pause(ctx, maxCycle)
+		return
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.statuses.run(term)
+	}()
+	for c.currentEpoch() == epoch && ctx.Err() == nil {
+		if err := c.cycle(term, epoch); err != nil {
+			log.Warn().Int64("epoch", epoch).Err(err).Msg("leadership ended: progress was not stored")
+			c.abandon(epoch)
+			break
+		}
+		c.pause(ctx, minCycle)
+		c.await(ctx)
+	}
+	cancel()
+	<-done
+}
+
+// abandon drops a leadership whose epoch is fenced.
+func (c *Coordinator) abandon(epoch int64) {
+	if c.currentEpoch() == epoch {
+		c.Lost()
+	}
+}
+
+func (c *Coordinator) pause(ctx context.Context, duration time.Duration) {
+	timer := c.Clock.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+	case <-ctx.Done():
+	}
+}
+
+// await waits for news or for the next timed event.
+func (c *Coordinator) await(ctx context.Context) {
+	timer := c.Clock.NewTimer(maxCycle)
+	defer timer.Stop()
+	select {
+	case <-c.wake:
+	case <-timer.Chan():
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/coordinator/statuses.go
@@ -0,0 +1,73 @@
+package coordinator
+
+import (
+	"context"
+	"sync"
+
+	"github.com/phuslu/log"
+
+	"damaskspread.example/damaskspread/indexer"
+	"damaskspread.example/damaskspread/wire"
+)
+
+// statusWriter records what callers are told. It follows the stored progress
+// and never runs ahead of it.
+type statusWriter struct {
+	writer *writer
+
+	mu      sync.Mutex
+	pending []*wire.KeyedRecord
+	wake    chan struct{}
+}
+
+func newStatusWriter(w *writer) *statusWriter {
+	return &statusWriter{
+		writer: w,
+		wake:   make(chan struct{}, 1),
+	}
+}
+
+func (s *statusWriter) add(records ...*wire.KeyedRecord) {
+	s.mu.Lock()
+	s.pending = append(s.pending, records...)
+	s.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (s *statusWriter) status(id string, state wire.JobState) {
+	record, err := indexer.StatusRecord(id, state)
+	if err != nil {
+		log.Error().Str("job", id).Err(err).Msg("status not recorded: it can't be encoded")
+		return
+	}
+	s.add(record)
+}
+
+func (s *statusWriter) take() []*wire.KeyedRecord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	records := s.pending
+	s.pending = nil
+	return records
+}
+
+func (s *statusWriter) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+		}
+		records := s.take()
+		if len(records) == 0 {
+			continue
+		}
+		if err := s.writer.append(ctx, records); err != nil {
+			log.Warn().Int("records", len(records)).Err(err).Msg("statuses not recorded: the leadership ended")
+			return
+		}
+	}
+}
--- /dev/null
+++ b/coordinator/takeover.go
@@ -0,0 +1,129 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/phuslu/log"
+	"google.golang.org/protobuf/proto"
+
+	"damaskspread.example/damaskspread/elector"
+	"damaskspread.example/damaskspread/indexer"
+	"damaskspread.example/damaskspread/tracker"
+	"damaskspread.example/damaskspread/wire"
+)
+
+// progressTopic holds the progress of each job; only the leader writes it, and
+// only a new leader reads it.
+const progressTopic = "progress"
+
+// takeOver fences the earlier leader, then reads what it stored.
+func (c *Coordinator) takeOver(ctx context.Context, epoch int64) error {
+	started := c.Elapsed.Elapsed()
+	c.progress = c.newWriter(progressTopic, epoch)
+	statuses := c.newWriter(indexer.Topic, epoch)
+	for _, w := range []*writer{c.progress, statuses} {
+		if err := w.fence(ctx); err != nil {
+			return err
+		}
+	}
+	c.statuses = newStatusWriter(statuses)
+	stored, err := c.loadProgress(ctx)
+	if err != nil {
+		return err
+	}
+	if err := c.JobsTail.Refresh(ctx); err != nil {
+		return err
+	}
+	c.restore(stored)
+	c.mu.Lock()
+	c.leading = c.epoch == epoch
+	c.sessions = map[string]*session{}
+	c.mu.Unlock()
+	log.Info().Int64("epoch", epoch).Int("jobs", len(c.jobs)).Int("executors", len(c.orphans)).
+		Dur("took", c.Elapsed.Elapsed()-started).Msg("leader took over")
+	return nil
+}
+
+func (c *Coordinator) newWriter(topic string, epoch int64) *writer {
+	return &writer{
+		log:   c.Log,
+		clock: c.Clock,
+		topic: topic,
+		epoch: epoch,
+	}
+}
+
+func (c *Coordinator) loadProgress(ctx context.Context) (map[string]*wire.JobProgress, error) {
+	stored := map[string]*wire.JobProgress{}
+	after := ""
+	for {
+		page, err := c.progressPage(ctx, after)
+		if err != nil {
+			return nil, err
+		}
+		for _, record := range page.GetRecords() {
+			after = record.GetKey()
+			progress := &wire.JobProgress{}
+			if err := proto.Unmarshal(record.GetValue(), progress); err != nil {
+				return nil, err
+			}
+			stored[record.GetKey()] = progress
+		}
+		if !page.GetMore() || len(page.GetRecords()) == 0 {
+			return stored, nil
+		}
+	}
+}
+
+func (c *Coordinator) progressPage(ctx context.Context, after string) (*wire.KeyedPage, error) {
+	call, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	return c.Log.Newest(call, progressTopic, after)
+}
+
+// restore rebuilds the jobs. Hosts whose tasks may still run get as long as an
+// earlier leader could have extended their leases.
+func (c *Coordinator) restore(stored map[string]*wire.JobProgress) {
+	c.jobs = map[string]*tracker.Job{}
+	c.closed = map[string]time.Duration{}
+	c.orphans = map[tracker.ExecutorKey]time.Duration{}
+	c.suspicions = map[tracker.ExecutorKey]*suspicion{}
+	c.closing = nil
+	c.removed = nil
+	c.published = map[string]wire.JobState{}
+	now := c.Elapsed.Elapsed()
+	c.Index.Each(func(entry indexer.Entry) { c.restoreJob(entry, stored, now) })
+	deadline := now + elector.GrantFor + c.leaseBound()
+	for _, job := range c.jobs {
+		job.EachTask(func(t *tracker.Task) {
+			if t.Assigned() {
+				c.orphans[t.Executor()] = deadline
+			}
+		})
+	}
+}
+
+func (c *Coordinator) restoreJob(entry indexer.Entry, stored map[string]*wire.JobProgress, now time.Duration) {
+	id := entry.Job().GetId()
+	progress := stored[id]
+	if progress == nil && indexer.Final(entry.Recorded()) {
+		c.closed[id] = now
+		return
+	}
+	job := tracker.Restore(entry.Job(), progress)
+	if indexer.Final(entry.Recorded()) {
+		c.closing = append(c.closing, id)
+	}
+	if entry.Cancelled() {
+		job.Cancel()
+	}
+	c.jobs[id] = job
+	c.published[id] = entry.Recorded()
+}
+
+// leaseBound is the longest time for which an executor may keep a lease that
+// is granted now.
+func (c *Coordinator) leaseBound() time.Duration {
+	return time.Duration(float64(c.LeaseFor)*leaseDrift) + leaseSlack
+}
--- /dev/null
+++ b/launcher/agent.go
@@ -0,0 +1,91 @@
+package launcher
+
+import (
+	"context"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/connector"
+	"damaskspread.example/damaskspread/locator"
+	"damaskspread.example/damaskspread/monitor"
+	"damaskspread.example/damaskspread/pacer"
+	"damaskspread.example/damaskspread/platform"
+	"damaskspread.example/damaskspread/runner"
+	"damaskspread.example/damaskspread/validator"
+)
+
+// Agent is the process beside an executor. Its fields are set before Run.
+type Agent struct {
+	Settings *validator.JobSettings
+	Path     string
+	Reload   func(path string) (*validator.JobSettings, error)
+	Clock    damaskspread.Clock
+
+	process process
+	runner  *runner.Runner
+}
+
+// Run serves until the context ends. Tasks keep running under their lease, and
+// the next start of the agent takes them over.
+func (a *Agent) Run(ctx context.Context) error {
+	a.process = process{
+		settings: a.Settings,
+		path:     a.Path,
+		reload:   a.Reload,
+		clock:    a.Clock,
+	}
+	a.process.begin("job_agent")
+	a.assemble()
+	if err := a.listen(); err != nil {
+		_ = a.process.end()
+		return err
+	}
+	a.process.run(a.runner.Run)
+	select {
+	case <-ctx.Done():
+	case <-a.process.tomb.Dying():
+	}
+	return a.process.end()
+}
+
+func (a *Agent) assemble() {
+	s := a.Settings
+	peers := connector.NewHTTPClient()
+	a.runner = &runner.Runner{
+		Executor: &platform.Executor{
+			Address: s.Peers().Executor(),
+			HTTP:    connector.NewHTTPClient(),
+		},
+		Leader: &locator.Locator{
+			Log: &platform.Store{
+				Address: s.Peers().Log(),
+				HTTP:    peers,
+			},
+			HTTP:    peers,
+			Elapsed: a.process.elapsed,
+		},
+		Clock:      a.Clock,
+		Elapsed:    a.process.elapsed,
+		Pacer:      &pacer.Pacer{},
+		Host:       s.Process().ID(),
+		Zone:       s.Process().Zone(),
+		StopWithin: s.Bounds().StopWithin(),
+		DrainFor:   s.Bounds().DrainFor(),
+	}
+	a.runner.Init()
+}
+
+func (a *Agent) listen() error {
+	l := a.Settings.Listen()
+	announcements := &platform.Announcements{
+		Sink: a.runner,
+	}
+	m := &monitor.Monitor{
+		Metrics: metrics.NewSet(),
+	}
+	return a.process.serveAll([]site{
+		{name: "executor", address: l.Executors(), handler: announcements.Handler()},
+		{name: "metrics", address: l.Metrics(), handler: m.Handler()},
+	})
+}
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -114,10 +114,14 @@
 
 // Text is a parsed INI text.
 type Text struct {
+	file     string
 	sections []*Section
 	byName   map[string]*Section
 }
 
+// File is the name that the text was read under.
+func (t *Text) File() string { return t.file }
+
 // Sections are the sections in the order of the text. A second section of the
 // same name is listed and carries an error.
 func (t *Text) Sections() []*Section { return t.sections }
@@ -140,6 +144,7 @@
 // Parse reads a text of sections. It always returns what it could read.
 func Parse(file, text string) *Text {
 	t := &Text{
+		file:   file,
 		byName: map[string]*Section{},
 	}
 	section := newSection(file, "", 1)
--- /dev/null
+++ b/planner/host.go
@@ -0,0 +1,124 @@
+package planner
+
+import (
+	"maps"
+	"slices"
+
+	"damaskspread.example/damaskspread/tracker"
+	"damaskspread.example/damaskspread/wire"
+)
+
+// servingShare is the part of its declared processors that a serving task uses
+// on average; the rest is idle and can be filled.
+const servingShare = 0.6
+
+// Host is an executor as a target of placement. It is rebuilt for each round.
+type Host struct {
+	Key      tracker.ExecutorKey
+	Name     string
+	Service  string
+	Zone     string
+	Labels   []string
+	Capacity *wire.Resources
+	// Usable is false while nothing may start here.
+	Usable bool
+	// Suspect hosts get one task at a time after repeated failures.
+	Suspect bool
+
+	reserved     wire.Resources
+	servingMilli int64
+	fillMilli    int64
+	tasksByStep  map[string]int
+	probes       int
+}
+
+// Rack is the label that names the host's rack. Executors list their kind
+// first and the rack last.
+func (h *Host) Rack() string {
+	if len(h.Labels) == 0 {
+		return ""
+	}
+	return h.Labels[len(h.Labels)-1]
+}
+
+// Occupy adds a task that runs or will run on the host.
+func (h *Host) Occupy(group string, step *wire.JobStep) {
+	resources := step.GetResources()
+	h.reserved.MemoryBytes += resources.GetMemoryBytes()
+	h.reserved.Accelerators += resources.GetAccelerators()
+	if step.GetFillsIdle() {
+		h.fillMilli += resources.GetMillicores()
+	} else {
+		h.reserved.Millicores += resources.GetMillicores()
+	}
+	if step.GetTargetLatencyMs() > 0 {
+		h.servingMilli += resources.GetMillicores()
+	}
+	if h.tasksByStep == nil {
+		h.tasksByStep = map[string]int{}
+	}
+	h.tasksByStep[group]++
+	if h.Suspect {
+		h.probes++
+	}
+}
+
+// fits reports whether the task stays within what the host has.
+func (h *Host) fits(step *wire.JobStep) bool {
+	resources := step.GetResources()
+	if h.reserved.MemoryBytes+resources.GetMemoryBytes() > h.Capacity.GetMemoryBytes() {
+		return false
+	}
+	if h.reserved.Accelerators+resources.GetAccelerators() > h.Capacity.GetAccelerators() {
+		return false
+	}
+	if step.GetFillsIdle() {
+		return true
+	}
+	return h.reserved.Millicores+resources.GetMillicores() <= h.Capacity.GetMillicores()
+}
+
+// allows reports whether the step's constraints admit the host.
+func (h *Host) allows(group string, step *wire.JobStep) bool {
+	if limit := step.GetAntiAffinity(); limit > 0 && h.tasksByStep[group] >= int(limit) {
+		return false
+	}
+	label := step.GetRequiredLabel()
+	return label == "" || slices.Contains(h.Labels, label)
+}
+
+// idleMilli estimates the processors that no task uses; it is negative where
+// filling tasks already share.
+func (h *Host) idleMilli() int64 {
+	busy := h.reserved.Millicores - int64(float64(h.servingMilli)*(1-servingShare))
+	return h.Capacity.GetMillicores() - busy - h.fillMilli
+}
+
+// near reports whether the host is in the rack that holds the step's data.
+func (h *Host) near(step *wire.JobStep) bool {
+	rack := step.GetAffinityRack()
+	return rack == "" || slices.Contains(h.Labels, rack)
+}
+
+// clone copies a host for a trial placement.
+func (h *Host) clone() *Host {
+	return &Host{
+		Key:      h.Key,
+		Name:     h.Name,
+		Service:  h.Service,
+		Zone:     h.Zone,
+		Labels:   h.Labels,
+		Capacity: h.Capacity,
+		Usable:   h.Usable,
+		Suspect:  h.Suspect,
+		reserved: wire.Resources{
+			Millicores:   h.reserved.Millicores,
+			MemoryBytes:  h.reserved.MemoryBytes,
+			Accelerators: h.reserved.Accelerators,
+		},
+		servingMilli: h.servingMilli,
+		fillMilli:    h.fillMilli,
+		tasksByStep:  maps.Clone(h.tasksByStep),
+		probes:       h.probes,
+	}
+}
--- /dev/null
+++ b/planner/planner.go
@@ -0,0 +1,189 @@
+// Package planner decides which tasks start where.
+//
+// It is a function of the waiting tasks and the hosts, without network, clock
+// or state of its own: the caller rebuilds the hosts for each round.
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"damaskspread.example/damaskspread/tracker"
+	"damaskspread.example/damaskspread/wire"
+)
+
+// Assignment is a task with the host that is to run it.
+type Assignment struct {
+	Task  *tracker.Task
+	Host  *Host
+	Run   int32
+	Group string
+}
+
+// Planner holds the settings of the decisions.
+type Planner struct {
+	// FillDepth is how far filling tasks may exceed a host's idle processors,
+	// as a share of its capacity.
+	FillDepth float64
+}
+
+// Order sorts groups by which should start first: the priority of the queue,
+// then the earliest deadline.
+func Order(groups []*tracker.Group) {
+	slices.SortStableFunc(groups, func(a, b *tracker.Group) int {
+		if c := cmp.Compare(a.Job().Spec().GetPriority(), b.Job().Spec().GetPriority()); c != 0 {
+			return c
+		}
+		return cmp.Compare(deadlineMs(a), deadlineMs(b))
+	})
+}
+
+// deadlineMs is when the job should be done by its objective.
+func deadlineMs(g *tracker.Group) int64 {
+	job := g.Job().Spec()
+	chain := float64(Chain(job).Milliseconds())
+	return job.GetAcceptedUnixMs() + int64(chain*job.GetStretch()) + job.GetObjectiveMs()
+}
+
+// Chain is the longest chain of estimated work in a job.
+func Chain(job *wire.Job) time.Duration {
+	longest := int64(0)
+	ends := make([]int64, len(job.GetSteps()))
+	for i, step := range job.GetSteps() {
+		start := int64(0)
+		for _, earlier := range step.GetAfter() {
+			start = max(start, ends[earlier])
+		}
+		ends[i] = start + step.GetEstimateMs()
+		longest = max(longest, ends[i])
+	}
+	return time.Duration(longest) * time.Millisecond
+}
+
+// Plan assigns what can start now. Groups are in the order of Order.
+func (p *Planner) Plan(groups []*tracker.Group, hosts []*Host) []Assignment {
+	var plan []Assignment
+	for _, group := range groups {
+		if group.Step().GetGang() {
+			plan = append(plan, p.planGang(group, hosts)...)
+			continue
+		}
+		plan = append(plan, p.planTasks(group, hosts)...)
+	}
+	return plan
+}
+
+func (p *Planner) planTasks(group *tracker.Group, hosts []*Host) []Assignment {
+	var plan []Assignment
+	name := group.Name()
+	rack := ""
+	for _, task := range group.Tasks() {
+		host := p.choose(group, task, name, hosts, rack)
+		if host == nil {
+			continue
+		}
+		host.Occupy(name, group.Step())
+		if group.Step().GetSameRack() {
+			rack = host.Rack()
+		}
+		plan = append(plan, Assignment{
+			Task:  task,
+			Host:  host,
+			Run:   task.Run() + 1,
+			Group: name,
+		})
+	}
+	return plan
+}
+
+// planGang assigns all members or none.
+func (p *Planner) planGang(group *tracker.Group, hosts []*Host) []Assignment {
+	if len(group.Tasks()) < len(group.All()) {
+		return nil
+	}
+	trial := cloneHosts(hosts)
+	plan := p.planTasks(group, trial)
+	if len(plan) < len(group.All()) {
+		return nil
+	}
+	run := group.NextRun()
+	for i := range plan {
+		host := hosts[slices.Index(trial, plan[i].Host)]
+		host.Occupy(plan[i].Group, group.Step())
+		plan[i].Host = host
+		plan[i].Run = run
+	}
+	return plan
+}
+
+func cloneHosts(hosts []*Host) []*Host {
+	clones := make([]*Host, len(hosts))
+	for i, host := range hosts {
+		clones[i] = host.clone()
+	}
+	return clones
+}
+
+func (p *Planner) choose(group *tracker.Group, task *tracker.Task, name string, hosts []*Host, rack string) *Host {
+	step := group.Step()
+	var best *Host
+	var bestScore float64
+	for _, host := range hosts {
+		if !p.admits(host, group, task, name) {
+			continue
+		}
+		score := p.score(host, step, task, name)
+		if rack != "" && host.Rack() != rack {
+			score -= scoreOtherRack
+		}
+		if best == nil || score > bestScore {
+			best = host
+			bestScore = score
+		}
+	}
+	return best
+}
+
+func (p *Planner) admits(host *Host, group *tracker.Group, task *tracker.Task, name string) bool {
+	step := group.Step()
+	if !host.Usable || host.Service != group.Job().Spec().GetService() {
+		return false
+	}
+	if host.Suspect && (host.probes > 0 || task.Failures() > 0) {
+		return false
+	}
+	if !host.fits(step) || !host.allows(name, step) {
+		return false
+	}
+	if !step.GetFillsIdle() {
+		return true
+	}
+	overlap := p.FillDepth * float64(host.Capacity.GetMillicores())
+	return float64(host.idleMilli()-step.GetResources().GetMillicores()) >= -overlap
+}
+
+// Weights of a placement score; the idle share of a host is between 0 and 1.
+const (
+	scoreOtherRack = 4.0
+	scoreFar       = 1.0
+	scoreFailedOn  = 8.0
+	scoreSuspect   = 16.0
+	// scoreCrowded spreads the tasks of a step.
+	scoreCrowded = 0.02
+)
+
+func (p *Planner) score(host *Host, step *wire.JobStep, task *tracker.Task, name string) float64 {
+	score := float64(host.idleMilli()) / float64(max(host.Capacity.GetMillicores(), 1))
+	score -= scoreCrowded * float64(host.tasksByStep[name])
+	if !host.near(step) {
+		score -= scoreFar
+	}
+	if task.FailedOn(host.Key.ID) {
+		score -= scoreFailedOn
+	}
+	if host.Suspect {
+		score -= scoreSuspect
+	}
+	return score
+}
--- /dev/null
+++ b/submitter/submitter.go
@@ -0,0 +1,204 @@
+// Package submitter accepts, cancels and looks up jobs for callers.
+//
+// A job is accepted once its record is in the log, and not before. The record
+// is keyed by the caller's id, so a repeated submission has no second effect.
+// The package starts no goroutine; each call runs on its caller's.
+package submitter
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/indexer"
+	"damaskspread.example/damaskspread/tailer"
+	"damaskspread.example/damaskspread/wire"
+)
+
+const (
+	// appendTimeout lets a lost answer be noticed with time for another try.
+	appendTimeout = 700 * time.Millisecond
+	retryPause    = 60 * time.Millisecond
+	retryLimit    = 500 * time.Millisecond
+	// retryAfter is the pause asked of callers while the log is away.
+	retryAfter = 2 * time.Second
+	maxSteps   = 64
+	maxTasks   = 100_000
+)
+
+// Submitter implements damaskspread.JobService. Its fields are set before use.
+type Submitter struct {
+	Log     damaskspread.KeyedLog
+	Index   *indexer.Index
+	Tail    *tailer.Tailer
+	Clock   damaskspread.Clock
+	Elapsed damaskspread.ElapsedClock
+	// VisibleWithin is how soon after its acceptance each entry must know a
+	// job.
+	VisibleWithin time.Duration
+}
+
+// Submit implements damaskspread.JobService.
+func (s *Submitter) Submit(ctx context.Context, queue *wire.Queue, job *wire.Job) error {
+	if err := check(job); err != nil {
+		return err
+	}
+	if _, known := s.Index.Lookup(job.GetId()); known {
+		log.Info().Str("job", job.GetId()).Msg("job was accepted before")
+		return nil
+	}
+	s.applyPolicy(queue, job)
+	record, err := indexer.JobRecord(job)
+	if err != nil {
+		return damaskspread.NotRun(damaskspread.ReasonBadRequest, "%v", err)
+	}
+	started := s.Clock.Now()
+	offset, err := s.append(ctx, record)
+	if err != nil {
+		return err
+	}
+	log.Info().Str("job", job.GetId()).Str("queue", queue.GetName()).Int64("offset", offset).
+		Int("steps", len(job.GetSteps())).Dur("append", s.Clock.Since(started)).Msg("job accepted")
+	return nil
+}
+
+func (s *Submitter) applyPolicy(queue *wire.Queue, job *wire.Job) {
+	job.Queue = queue.GetName()
+	job.Service = queue.GetService()
+	job.Priority = queue.GetPriority()
+	job.MaxAttempts = queue.GetMaxAttempts()
+	job.Stretch = queue.GetStretch()
+	job.ObjectiveMs = queue.GetObjectiveMs()
+	job.AcceptedUnixMs = s.Clock.Now().UnixMilli()
+}
+
+func check(job *wire.Job) error {
+	steps := job.GetSteps()
+	if len(steps) == 0 || len(steps) > maxSteps {
+		return badJob("a job needs 1 to %d steps, found %d", maxSteps, len(steps))
+	}
+	tasks := 0
+	for i, step := range steps {
+		if step.GetCount() <= 0 {
+			return badJob("step %d has no tasks", i)
+		}
+		tasks += int(step.GetCount())
+		for _, earlier := range step.GetAfter() {
+			if earlier < 0 || int(earlier) >= i {
+				return badJob("step %d follows step %d, which is not an earlier one", i, earlier)
+			}
+		}
+	}
+	if tasks > maxTasks {
+		return badJob("%d tasks, allowed are %d", tasks, maxTasks)
+	}
+	return nil
+}
+
+func badJob(format string, args ...any) error {
+	return damaskspread.NotRun(damaskspread.ReasonBadRequest, format, args...)
+}
+
+// append repeats an idempotent record until the log has it or the caller's
+// deadline is near. Only if no try may have taken effect is the outcome
+// not_run.
+func (s *Submitter) append(ctx context.Context, record *wire.KeyedRecord) (int64, error) {
+	uncertain := false
+	pause := retryPause
+	for {
+		result, err := s.tryAppend(ctx, record)
+		if err == nil {
+			return result.GetOffset(), nil
+		}
+		var unknown *damaskspread.AppendUnknownError
+		uncertain = uncertain || errors.As(err, &unknown)
+		if !s.wait(ctx, pause) {
+			return 0, appendRefusal(uncertain, err)
+		}
+		pause = min(2*pause, retryLimit)
+	}
+}
+
+func (s *Submitter) tryAppend(ctx context.Context, record *wire.KeyedRecord) (*wire.AppendResult, error) {
+	call, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	return s.Log.Append(call, indexer.Topic, []*wire.KeyedRecord{record}, nil)
+}
+
+// wait pauses between tries and reports whether there is time for another.
+func (s *Submitter) wait(ctx context.Context, pause time.Duration) bool {
+	if deadline, ok := ctx.Deadline(); ok && s.Clock.Until(deadline) < pause+appendTimeout/2 {
+		return false
+	}
+	timer := s.Clock.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func appendRefusal(uncertain bool, cause error) error {
+	if uncertain {
+		return damaskspread.Unknown(damaskspread.ReasonAppendUnknown, "%v", cause)
+	}
+	refusal := damaskspread.NotRun(damaskspread.ReasonLogUnavailable, "%v", cause)
+	refusal.RetryAfter = retryAfter
+	return refusal
+}
+
+// Status implements damaskspread.JobService.
+func (s *Submitter) Status(ctx context.Context, _ *wire.Queue, id string) (wire.JobState, error) {
+	entry, err := s.find(ctx, id)
+	if err != nil {
+		return wire.JobState_JOB_STATE_UNSPECIFIED, err
+	}
+	return entry.State(), nil
+}
+
+// Cancel implements damaskspread.JobService.
+func (s *Submitter) Cancel(ctx context.Context, _ *wire.Queue, id string) error {
+	entry, err := s.find(ctx, id)
+	if err != nil {
+		return err
+	}
+	if entry.Cancelled() || indexer.Final(entry.Recorded()) {
+		return nil
+	}
+	offset, err := s.append(ctx, indexer.CancelRecord(id))
+	if err != nil {
+		return err
+	}
+	log.Info().Str("job", id).Int64("offset", offset).Msg("job cancelled")
+	return nil
+}
+
+// Pending implements damaskspread.JobService.
+func (s *Submitter) Pending(_ context.Context, queue *wire.Queue) (int, error) {
+	if age := s.Tail.Age(); age > s.VisibleWithin {
+		return 0, damaskspread.NotRun(damaskspread.ReasonLogUnavailable, "the list of jobs is %s", damaskspread.AgeText(age))
+	}
+	return s.Index.Pending(queue.GetName()), nil
+}
+
+// find looks a job up. A job is unknown only to a view that was read after the
+// request arrived.
+func (s *Submitter) find(ctx context.Context, id string) (indexer.Entry, error) {
+	if entry, known := s.Index.Lookup(id); known {
+		return entry, nil
+	}
+	if err := s.Tail.Refresh(ctx); err != nil {
+		return indexer.Entry{}, damaskspread.NotRun(damaskspread.ReasonLogUnavailable,
+			"job %s is not known and the log gives no answer", id)
+	}
+	entry, known := s.Index.Lookup(id)
+	if !known {
+		return indexer.Entry{}, damaskspread.NotRun(damaskspread.ReasonNotFound, "no job %s", id)
+	}
+	return entry, nil
+}
--- /dev/null
+++ b/tracker/tracker.go
@@ -0,0 +1,409 @@
+// Package tracker is the state machine of jobs: which tasks may start, which
+// run where, and when a job is done.
+//
+// A Job is plain data without clocks, locks or goroutines. The scheduling
+// leader owns the jobs, applies events to them and stores their progress.
+package tracker
+
+import (
+	"strconv"
+	"time"
+
+	"damaskspread.example/damaskspread/wire"
+)
+
+// ExecutorKey identifies one incarnation of an executor.
+type ExecutorKey struct {
+	ID         string
+	BornUnixMs int64
+}
+
+// Task is one task of a step.
+type Task struct {
+	id         TaskID
+	group      string
+	job        *Job
+	state      wire.JobTaskState
+	run        int32
+	executor   ExecutorKey
+	failures   int32
+	failedRun  int32
+	checkpoint string
+	failedOn   map[string]bool
+	stopping   bool
+	assignedAt time.Duration
+}
+
+// ID names the task.
+func (t *Task) ID() TaskID { return t.id }
+
+// Job is the job of the task.
+func (t *Task) Job() *Job { return t.job }
+
+// Step describes the task's step.
+func (t *Task) Step() *wire.JobStep { return t.job.job.GetSteps()[t.id.Step] }
+
+// Run is the number of the latest run.
+func (t *Task) Run() int32 { return t.run }
+
+// Executor is where the latest run was assigned.
+func (t *Task) Executor() ExecutorKey { return t.executor }
+
+// Checkpoint is where the next run resumes; empty is the beginning.
+func (t *Task) Checkpoint() string { return t.checkpoint }
+
+// Failures is the number of runs that failed.
+func (t *Task) Failures() int32 { return t.failures }
+
+// Assigned reports whether a run may be in progress.
+func (t *Task) Assigned() bool { return t.state == wire.JobTaskState_JOB_TASK_STATE_ASSIGNED }
+
+// Done reports whether the task is done.
+func (t *Task) Done() bool { return t.state == wire.JobTaskState_JOB_TASK_STATE_DONE }
+
+// Pending reports whether the task waits for a run.
+func (t *Task) Pending() bool { return t.state == wire.JobTaskState_JOB_TASK_STATE_PENDING }
+
+// Stopping reports whether the current run was ordered to stop.
+func (t *Task) Stopping() bool { return t.stopping }
+
+// GroupName identifies the task's step of one occurrence.
+func (t *Task) GroupName() string { return t.group }
+
+// FailedOn reports whether a run of the task failed on an executor.
+func (t *Task) FailedOn(executor string) bool { return t.failedOn[executor] }
+
+// AssignedAt is when the current run was assigned.
+func (t *Task) AssignedAt() time.Duration { return t.assignedAt }
+
+// Assign gives the task its next run.
+func (t *Task) Assign(executor ExecutorKey, run int32, now time.Duration) {
+	t.state = wire.JobTaskState_JOB_TASK_STATE_ASSIGNED
+	t.run = run
+	t.executor = executor
+	t.stopping = false
+	t.assignedAt = now
+	t.job.touch()
+	if !t.job.started {
+		t.job.started = true
+	}
+}
+
+// Stop marks the current run as ordered to stop.
+func (t *Task) Stop() { t.stopping = true }
+
+// Release returns a task whose run did not start or is certainly over.
+func (t *Task) Release() {
+	t.state = wire.JobTaskState_JOB_TASK_STATE_PENDING
+	t.executor = ExecutorKey{}
+	t.stopping = false
+	t.job.touch()
+}
+
+// Job is one job with its tasks.
+type Job struct {
+	job         *wire.Job
+	occurrences []*Occurrence
+	cancelled   bool
+	failed      bool
+	started     bool
+	dirty       bool
+}
+
+// Occurrence is one scheduled repetition of the steps.
+type Occurrence struct {
+	index int
+	steps [][]*Task
+}
+
+// New returns a job of which nothing has started.
+func New(job *wire.Job) *Job {
+	j := &Job{job: job}
+	for k := range occurrenceCount(job) {
+		j.occurrences = append(j.occurrences, j.newOccurrence(k))
+	}
+	return j
+}
+
+func occurrenceCount(job *wire.Job) int { return max(1, int(job.GetRepeatCount())) }
+
+func (j *Job) newOccurrence(index int) *Occurrence {
+	o := &Occurrence{index: index}
+	for s, step := range j.job.GetSteps() {
+		tasks := make([]*Task, step.GetCount())
+		for i := range tasks {
+			tasks[i] = &Task{
+				id: TaskID{
+					Job:        j.job.GetId(),
+					Occurrence: index,
+					Step:       s,
+					Index:      i,
+				},
+				group: j.job.GetId() + "." + strconv.Itoa(index) + "." + strconv.Itoa(s),
+				job:   j,
+			}
+		}
+		o.steps = append(o.steps, tasks)
+	}
+	return o
+}
+
+// Restore returns a job with its stored progress.
+func Restore(job *wire.Job, progress *wire.JobProgress) *Job {
+	j := New(job)
+	j.failed = progress.GetState() == wire.JobState_JOB_STATE_FAILED
+	j.cancelled = progress.GetState() == wire.JobState_JOB_STATE_CANCELLED
+	for _, stored := range progress.GetOccurrences() {
+		if int(stored.GetIndex()) >= len(j.occurrences) {
+			continue
+		}
+		j.occurrences[stored.GetIndex()].restore(stored)
+	}
+	return j
+}
+
+func (o *Occurrence) restore(stored *wire.OccurrenceProgress) {
+	for s, step := range stored.GetSteps() {
+		for i, progress := range step.GetTasks() {
+			if s >= len(o.steps) || i >= len(o.steps[s]) {
+				continue
+			}
+			o.steps[s][i].restore(progress)
+		}
+	}
+}
+
+func (t *Task) restore(progress *wire.TaskProgress) {
+	t.state = progress.GetState()
+	t.run = progress.GetRun()
+	t.executor = ExecutorKey{
+		ID:         progress.GetExecutor(),
+		BornUnixMs: progress.GetExecutorBornUnixMs(),
+	}
+	t.failures = progress.GetFailures()
+	t.failedRun = progress.GetLastFailedRun()
+	t.checkpoint = progress.GetCheckpoint()
+	if t.run > 0 {
+		t.job.started = true
+	}
+}
+
+// Progress is what has to be stored of the job.
+func (j *Job) Progress() *wire.JobProgress {
+	progress := &wire.JobProgress{State: j.State()}
+	for _, o := range j.occurrences {
+		if stored := o.progress(); stored != nil {
+			progress.Occurrences = append(progress.Occurrences, stored)
+		}
+	}
+	return progress
+}
+
+// progress is nil for an occurrence of which nothing has started.
+func (o *Occurrence) progress() *wire.OccurrenceProgress {
+	stored := &wire.OccurrenceProgress{Index: int32(o.index)}
+	started := false
+	for _, tasks := range o.steps {
+		step := &wire.StepProgress{}
+		for _, t := range tasks {
+			started = started || t.run > 0
+			step.Tasks = append(step.Tasks, &wire.TaskProgress{
+				State:              t.state,
+				Run:                t.run,
+				Executor:           t.executor.ID,
+				ExecutorBornUnixMs: t.executor.BornUnixMs,
+				Failures:           t.failures,
+				Checkpoint:         t.checkpoint,
+				LastFailedRun:      t.failedRun,
+			})
+		}
+		stored.Steps = append(stored.Steps, step)
+	}
+	if !started {
+		return nil
+	}
+	return stored
+}
+
+func (j *Job) touch() { j.dirty = true }
+
+// TakeDirty reports whether the job changed since the last call.
+func (j *Job) TakeDirty() bool {
+	dirty := j.dirty
+	j.dirty = false
+	return dirty
+}
+
+// Spec is the job as it was accepted.
+func (j *Job) Spec() *wire.Job { return j.job }
+
+// Cancel ends the job at a caller's wish.
+func (j *Job) Cancel() {
+	if j.Over() {
+		return
+	}
+	j.cancelled = true
+	j.touch()
+}
+
+// Over reports whether no further task may start.
+func (j *Job) Over() bool { return j.cancelled || j.failed || j.succeeded() }
+
+func (j *Job) succeeded() bool {
+	for _, o := range j.occurrences {
+		for s := range o.steps {
+			if !o.stepDone(s) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// State is what callers are told.
+func (j *Job) State() wire.JobState {
+	switch {
+	case j.cancelled:
+		return wire.JobState_JOB_STATE_CANCELLED
+	case j.failed:
+		return wire.JobState_JOB_STATE_FAILED
+	case j.succeeded():
+		return wire.JobState_JOB_STATE_SUCCEEDED
+	case j.started:
+		return wire.JobState_JOB_STATE_RUNNING
+	default:
+		return wire.JobState_JOB_STATE_QUEUED
+	}
+}
+
+// LongRunning reports whether the job runs until it is cancelled.
+func (j *Job) LongRunning() bool {
+	for _, step := range j.job.GetSteps() {
+		if step.GetLongRunning() {
+			return true
+		}
+	}
+	return false
+}
+
+func (o *Occurrence) stepDone(step int) bool {
+	for _, t := range o.steps[step] {
+		if !t.Done() {
+			return false
+		}
+	}
+	return true
+}
+
+// Task returns a task, or nil if the job has none of that name.
+func (j *Job) Task(id TaskID) *Task {
+	if id.Occurrence >= len(j.occurrences) {
+		return nil
+	}
+	o := j.occurrences[id.Occurrence]
+	if id.Step >= len(o.steps) || id.Index >= len(o.steps[id.Step]) {
+		return nil
+	}
+	return o.steps[id.Step][id.Index]
+}
+
+// EachTask calls visit for every task.
+func (j *Job) EachTask(visit func(*Task)) {
+	for _, o := range j.occurrences {
+		for _, tasks := range o.steps {
+			for _, t := range tasks {
+				visit(t)
+			}
+		}
+	}
+}
+
+// Group is the tasks of one step of one occurrence that wait for a run.
+type Group struct {
+	job        *Job
+	occurrence int
+	step       int
+	tasks      []*Task
+	all        []*Task
+}
+
+// Job is the job of the tasks.
+func (g *Group) Job() *Job { return g.job }
+
+// Step describes the tasks.
+func (g *Group) Step() *wire.JobStep { return g.job.job.GetSteps()[g.step] }
+
+// StepIndex is the index of the step in its job.
+func (g *Group) StepIndex() int { return g.step }
+
+// Tasks are the waiting tasks.
+func (g *Group) Tasks() []*Task { return g.tasks }
+
+// All are all tasks of the step in this occurrence.
+func (g *Group) All() []*Task { return g.all }
+
+// Name identifies the step of the occurrence.
+func (g *Group) Name() string { return g.all[0].GroupName() }
+
+// NextRun is the run number that tasks of a gang share.
+func (g *Group) NextRun() int32 {
+	run := int32(0)
+	for _, t := range g.all {
+		run = max(run, t.run)
+	}
+	return run + 1
+}
+
+// Ready returns the tasks that may start at a time of day.
+func (j *Job) Ready(nowUnixMs int64) []*Group {
+	if j.Over() {
+		return nil
+	}
+	var groups []*Group
+	for _, o := range j.occurrences {
+		if !j.due(o, nowUnixMs) {
+			break
+		}
+		groups = j.readySteps(o, groups)
+	}
+	return groups
+}
+
+func (j *Job) due(o *Occurrence, nowUnixMs int64) bool {
+	if j.job.GetRepeatCount() <= 0 {
+		return true
+	}
+	return nowUnixMs >= j.job.GetFirstStartUnixMs()+int64(o.index)*j.job.GetIntervalMs()
+}
+
+func (j *Job) readySteps(o *Occurrence, groups []*Group) []*Group {
+	for s, tasks := range o.steps {
+		if !o.unblocked(j.job.GetSteps()[s]) {
+			continue
+		}
+		group := &Group{
+			job:        j,
+			occurrence: o.index,
+			step:       s,
+			all:        tasks,
+		}
+		for _, t := range tasks {
+			if t.Pending() {
+				group.tasks = append(group.tasks, t)
+			}
+		}
+		if len(group.tasks) > 0 {
+			groups = append(groups, group)
+		}
+	}
+	return groups
+}
+
+func (o *Occurrence) unblocked(step *wire.JobStep) bool {
+	for _, earlier := range step.GetAfter() {
+		if !o.stepDone(int(earlier)) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/validator/job_settings.go
@@ -0,0 +1,198 @@
+package validator
+
+import (
+	"strings"
+	"time"
+
+	"damaskspread.example/damaskspread/parser"
+)
+
+// JobSettings are the checked settings of a process that serves jobs.
+type JobSettings struct {
+	process JobProcess
+	listen  JobListen
+	peers   JobPeers
+	bounds  JobBounds
+}
+
+// JobProcess is the section of what every process has.
+type JobProcess struct {
+	id, zone, region, logLevel string
+	processors                 float64
+	memoryMegabytes            int
+}
+
+// JobListen is the section of the addresses that a process serves.
+type JobListen struct {
+	callers, ready, executors, agents, metrics string
+}
+
+// JobPeers is the section of the addresses that a process calls.
+type JobPeers struct {
+	log, executor, advice string
+}
+
+// JobBounds is the section of the times that operators guarantee or demand.
+type JobBounds struct {
+	leaseMax, stopWithin, drainFor, configWithin, visibleWithin, statusFor, grace time.Duration
+}
+
+// Process is the section [process].
+func (s *JobSettings) Process() *JobProcess { return &s.process }
+
+// Listen is the section [listen].
+func (s *JobSettings) Listen() *JobListen { return &s.listen }
+
+// Peers is the section [peers].
+func (s *JobSettings) Peers() *JobPeers { return &s.peers }
+
+// Bounds is the section [bounds].
+func (s *JobSettings) Bounds() *JobBounds { return &s.bounds }
+
+// ID names the process in records and logs.
+func (p *JobProcess) ID() string { return p.id }
+
+// Zone is the availability zone of the process.
+func (p *JobProcess) Zone() string { return p.zone }
+
+// Region is the region of the process.
+func (p *JobProcess) Region() string { return p.region }
+
+// LogLevel is the least level that is logged.
+func (p *JobProcess) LogLevel() string { return p.logLevel }
+
+// Processors is the share of a processor that the process may use.
+func (p *JobProcess) Processors() float64 { return p.processors }
+
+// MemoryBytes is the memory above which the process is killed.
+func (p *JobProcess) MemoryBytes() int64 { return int64(p.memoryMegabytes) << 20 }
+
+// Callers is the address for callers; empty for an agent.
+func (l *JobListen) Callers() string { return l.callers }
+
+// Ready is the address of readiness for the load balancer.
+func (l *JobListen) Ready() string { return l.ready }
+
+// Executors is the address for the executor on the host.
+func (l *JobListen) Executors() string { return l.executors }
+
+// Agents is the address for agents.
+func (l *JobListen) Agents() string { return l.agents }
+
+// Metrics is the address of metrics.
+func (l *JobListen) Metrics() string { return l.metrics }
+
+// Log is the address of the keyed log.
+func (p *JobPeers) Log() string { return p.log }
+
+// Executor is the address of the executor on the host.
+func (p *JobPeers) Executor() string { return p.executor }
+
+// Advice is the address of the admission advice; it may be empty.
+func (p *JobPeers) Advice() string { return p.advice }
+
+// LeaseMax is the longest lease that an executor accepts.
+func (b *JobBounds) LeaseMax() time.Duration { return b.leaseMax }
+
+// StopWithin is the longest time that an executor takes to stop a task.
+func (b *JobBounds) StopWithin() time.Duration { return b.stopWithin }
+
+// DrainFor is how long an executor keeps running after its notice.
+func (b *JobBounds) DrainFor() time.Duration { return b.drainFor }
+
+// ConfigWithin is the time within which a configuration is in force.
+func (b *JobBounds) ConfigWithin() time.Duration { return b.configWithin }
+
+// VisibleWithin is the time within which every entry process knows a job.
+func (b *JobBounds) VisibleWithin() time.Duration { return b.visibleWithin }
+
+// StatusFor is how long a finished job stays known.
+func (b *JobBounds) StatusFor() time.Duration { return b.statusFor }
+
+// Grace is the time between a termination signal and the kill.
+func (b *JobBounds) Grace() time.Duration { return b.grace }
+
+func (s *JobSettings) sections() []SectionSchema {
+	return []SectionSchema{
+		{name: "process", fields: s.process.fields()},
+		{name: "listen", fields: s.listen.fields()},
+		{name: "peers", fields: s.peers.fields()},
+		{name: "bounds", fields: s.bounds.fields()},
+	}
+}
+
+func (p *JobProcess) fields() []Field {
+	return []Field{
+		required("id", "name of the process in records and logs", name(&p.id)),
+		required("zone", "availability zone of the process", name(&p.zone)),
+		optional("region", "", "region of the process", name(&p.region)),
+		optional("log_level", "info", "least level that is logged", choice(&p.logLevel, "debug", "info", "warn", "error")),
+		optional("processors", "1", "share of a processor that the process may use", number(&p.processors, 0.001, 1024)),
+		optional("memory_mb", "256", "memory in MiB above which the process is killed", integer(&p.memoryMegabytes, 16, 1<<20)),
+	}
+}
+
+func (l *JobListen) fields() []Field {
+	return []Field{
+		optional("callers", "", "address for callers (HTTP)", address(&l.callers, false)),
+		optional("ready", "", "address of readiness for the load balancer", address(&l.ready, false)),
+		optional("executors", "", "address for the executor on the host", address(&l.executors, false)),
+		optional("agents", "", "address for agents", address(&l.agents, false)),
+		optional("metrics", "", "address of metrics", address(&l.metrics, false)),
+	}
+}
+
+func (p *JobPeers) fields() []Field {
+	return []Field{
+		required("log", "address of the keyed log", address(&p.log, false)),
+		optional("executor", "", "address of the executor on the host", address(&p.executor, false)),
+		optional("advice", "", "address of the admission advice", address(&p.advice, false)),
+	}
+}
+
+func (b *JobBounds) fields() []Field {
+	bound := func(key, fallback, about string, target *time.Duration) Field {
+		return optional(key, fallback, about, duration(target, time.Millisecond, 24*time.Hour))
+	}
+	return []Field{
+		bound("lease_max", "10s", "longest lease that an executor accepts", &b.leaseMax),
+		bound("stop_within", "400ms", "longest time that an executor takes to stop a task", &b.stopWithin),
+		bound("drain_for", "2s", "how long an executor keeps running after its notice", &b.drainFor),
+		bound("config_within", "2s", "time within which a configuration is in force", &b.configWithin),
+		bound("visible_within", "3s", "time within which every entry process knows a job", &b.visibleWithin),
+		bound("status_for", "2m", "how long a finished job stays known", &b.statusFor),
+		bound("grace", "6s", "time between a termination signal and the kill", &b.grace),
+	}
+}
+
+// LoadJobSettings reads the settings text of a process that serves jobs.
+func LoadJobSettings(file, text string) (*JobSettings, []Diagnostic) {
+	settings := &JobSettings{}
+	return settings, readSettings(parser.Parse(file, text), settings.sections())
+}
+
+// JobSettingsSchema describes the sections of JobSettings.
+func JobSettingsSchema() []SectionSchema { return (&JobSettings{}).sections() }
+
+// readSettings reads every section of the schema and reports others.
+func readSettings(parsed *parser.Text, sections []SectionSchema) []Diagnostic {
+	var diagnostics []Diagnostic
+	headers := make([]string, len(sections))
+	for i, s := range sections {
+		headers[i] = s.name
+		section, ok := parsed.Section(s.name)
+		if !ok {
+			section = parser.ParseBody(parsed.File(), s.name, "")
+		}
+		diagnostics = append(diagnostics, read(section, s.fields)...)
+	}
+	for _, section := range parsed.Sections() {
+		if first, _ := parsed.Section(section.Name()); !contains(headers, section.Name()) {
+			diagnostics = append(diagnostics, diagnose(section, nil, "["+section.Name()+"]",
+				"one of the sections ["+strings.Join(headers, "], [")+"]", nearest(section.Name(), headers)))
+		} else if first != section {
+			diagnostics = append(diagnostics, read(section, nil)...)
+		}
+	}
+	return diagnostics
+}
--- a/validator/settings.go
+++ b/validator/settings.go
@@ -259,26 +259,8 @@
 // LoadSettings reads the settings text of a process.
 func LoadSettings(file, text string) (*Settings, []Diagnostic) {
 	settings := &Settings{}
-	sections := settings.sections()
-	var diagnostics []Diagnostic
 	parsed := parser.Parse(file, text)
-	headers := make([]string, len(sections))
-	for i, s := range sections {
-		headers[i] = s.name
-		section, ok := parsed.Section(s.name)
-		if !ok {
-			section = parser.ParseBody(file, s.name, "")
-		}
-		diagnostics = append(diagnostics, read(section, s.fields)...)
-	}
-	for _, section := range parsed.Sections() {
-		if first, _ := parsed.Section(section.Name()); !contains(headers, section.Name()) {
-			diagnostics = append(diagnostics, diagnose(section, nil, "["+section.Name()+"]",
-				"one of the sections ["+strings.Join(headers, "], [")+"]", nearest(section.Name(), headers)))
-		} else if first != section {
-			diagnostics = append(diagnostics, read(section, nil)...)
-		}
-	}
+	diagnostics := readSettings(parsed, settings.sections())
 	if len(diagnostics) > 0 {
 		return settings, diagnostics
 	}
