Keep the view of the leader young enough to notice its silence

Cause: a follower of the idle leader topic knows its view to be up to 1.4 s old, candidates asked for 1.2 s, so nobody claimed after a resignation.

Ruled out: lost claims (no log line of one); the store (it answered).

Change: reads of the leader topic wait 400 ms, the limit is 1.5 s.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -39,7 +39,7 @@
 	takeoverSpread = 300 * time.Millisecond
 	// maxViewAge is the age above which a candidate can't tell silence of the
 	// leader from silence of the log.
-	maxViewAge    = 1200 * time.Millisecond
+	maxViewAge    = 1500 * time.Millisecond
 	tick          = 50 * time.Millisecond
 	appendTimeout = 900 * time.Millisecond
 	// GrantFor is how long after its last renewal a leader extends leases. A
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -30,6 +30,9 @@
 const (
 	// tailWait bounds the age of a view of an idle topic to twice its value.
 	tailWait = 700 * time.Millisecond
+	// leaderWait keeps the view of a silent leader young enough to tell that it
+	// is silent.
+	leaderWait = 400 * time.Millisecond
 	// followerPause gathers news at entries that don't lead.
 	followerPause = 80 * time.Millisecond
 	leaderPause   = 0
@@ -141,6 +144,7 @@
 		Delay:   time.Duration(float64(claimDelay) * (1 - min(s.Process().Processors(), 1))),
 	}
 	e.leaders = e.tail(elector.Topic, e.elector.Apply)
+	e.leaders.Wait = leaderWait
 	e.elector.Tail = e.leaders
 	e.coordinator = &coordinator.Coordinator{
 		Log:        e.store,
