Learn which images disturb which, and place and pace by it

Cause: renders fill processors beside serving tasks; pacing cut all of them together, so renders took 5 to 30 s for 2 s of work.

Ruled out: lack of processors (80 to 120 of 205 cores idle); one weight per image (samples of a trial fit by pair: 1.0 to 1.9 for a few pairs, near 0 for the others).

Change: a ridge regression on the logarithm of latency per pair of images; the planner avoids hosts where a task would be paced and keeps serving tasks of one image together; the pacer limits only the images that disturb; slow tasks with checkpoints move.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -21,6 +21,7 @@
 
 	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/elector"
+	"damaskspread.example/damaskspread/estimator"
 	"damaskspread.example/damaskspread/indexer"
 	"damaskspread.example/damaskspread/planner"
 	"damaskspread.example/damaskspread/tailer"
@@ -55,6 +56,7 @@
 	Operations FleetView
 	Election   *elector.Elector
 	Planner    *planner.Planner
+	Pressure   *estimator.Pressure
 	Clock      damaskspread.Clock
 	Elapsed    damaskspread.ElapsedClock
 	// LeaseFor is the lease that one report of an agent earns.
@@ -70,6 +72,10 @@
 	// lost are incarnations of executors that have certainly ended.
 	lost []tracker.ExecutorKey
 	wake chan struct{}
+	// pressures are the published effects of images on each other.
+	pressures       []*wire.ImagePressure
+	pressureVersion int64
+	pressureAt      time.Duration
 
 	jobs       map[string]*tracker.Job
 	closed     map[string]time.Duration
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -26,6 +26,8 @@
 	lost    []tracker.ExecutorKey
 	views   []*sessionView
 	byKey   map[tracker.ExecutorKey]*sessionView
+	// hosts are the targets of placement; nil if nothing may start now.
+	hosts []*planner.Host
 }
 
 // sessionView is a session as the cycle sees it, with the orders to publish.
@@ -37,6 +39,7 @@
 	usable   bool
 	opening  bool
 	running  []*wire.TaskRun
+	measured bool
 	ends     []*wire.RunEnd
 	endsSeen int64
 	refusals []*wire.StartRefusal
@@ -51,7 +54,9 @@
 	c.applyReports(r)
 	c.applyLosses(r)
 	c.orderStops(r)
+	c.learn(r)
 	c.plan(r)
+	c.migrate(r)
 	if err := c.store(ctx); err != nil {
 		return err
 	}
@@ -96,12 +101,14 @@
 		usable:   s.reachable && !s.info.GetDraining() && r.now-s.heardAt < freshFor,
 		opening:  s.opening,
 		running:  s.running,
+		measured: s.measured,
 		ends:     s.ends,
 		endsSeen: s.endsSeen,
 		refusals: s.refusals,
 	}
 	s.ends = nil
 	s.refusals = nil
+	s.measured = false
 	r.views = append(r.views, view)
 	r.byKey[s.key] = view
 }
@@ -265,12 +272,10 @@
 	if age > maxPlanAge || c.JobsTail.Age() > maxPlanAge {
 		return
 	}
+	r.hosts = c.hosts(r)
 	groups := c.readyGroups()
-	if len(groups) == 0 {
-		return
-	}
 	planner.Order(groups)
-	for _, assignment := range c.Planner.Plan(groups, c.hosts(r)) {
+	for _, assignment := range c.Planner.Plan(groups, r.hosts) {
 		view := r.byKey[assignment.Host.Key]
 		assignment.Task.Assign(view.key, assignment.Run, r.now)
 		view.start(assignment.Task)
--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -125,6 +125,9 @@
 		HeldMs:       (now - began).Milliseconds(),
 		Unconfirmed:  c.Election.UnconfirmedFor() > elector.ConfirmedFor,
 	}
+	if response.PressureVersion = c.pressureVersion; report.GetPressureVersion() != c.pressureVersion {
+		response.Pressures = c.pressures
+	}
 	for _, queued := range s.orders {
 		if queued.order.GetNumber() <= report.GetOrdersReceived() {
 			continue
--- a/coordinator/session.go
+++ b/coordinator/session.go
@@ -22,8 +22,10 @@
 
 	// opening is set until the coordinator compared the first list of runs
 	// with what it assigned.
-	opening  bool
-	running  []*wire.TaskRun
+	opening bool
+	running []*wire.TaskRun
+	// measured is set while running holds measurements that no cycle took.
+	measured bool
 	ends     []*wire.RunEnd
 	endsSeen int64
 	refusals []*wire.StartRefusal
@@ -78,6 +80,7 @@
 	s.acknowledge(request.GetOrdersReceived())
 	if request.GetHasRunning() {
 		s.running = request.GetRunning()
+		s.measured = true
 	}
 	for _, end := range request.GetEnds() {
 		if end.GetNumber() > s.endsSeen {
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -15,6 +15,7 @@
 	"damaskspread.example/damaskspread/connector"
 	"damaskspread.example/damaskspread/coordinator"
 	"damaskspread.example/damaskspread/elector"
+	"damaskspread.example/damaskspread/estimator"
 	"damaskspread.example/damaskspread/indexer"
 	"damaskspread.example/damaskspread/locator"
 	"damaskspread.example/damaskspread/monitor"
@@ -46,8 +47,6 @@
 	stopMargin    = time.Second
 	announceRetry = time.Second
 	announceLimit = 900 * time.Millisecond
-	// fillDepth lets filling tasks share idle processors a little.
-	fillDepth = 0.1
 	// claimDelay is added to the silence before a claim by hosts with the
 	// least processor time.
 	claimDelay = 300 * time.Millisecond
@@ -146,6 +145,7 @@
 	e.leaders = e.tail(elector.Topic, e.elector.Apply)
 	e.leaders.Wait = leaderWait
 	e.elector.Tail = e.leaders
+	pressure := &estimator.Pressure{}
 	e.coordinator = &coordinator.Coordinator{
 		Log:        e.store,
 		Index:      e.index,
@@ -153,8 +153,9 @@
 		Operations: e.config,
 		Election:   e.elector,
 		Planner: &planner.Planner{
-			FillDepth: fillDepth,
+			Weight: pressure.Weight,
 		},
+		Pressure:  pressure,
 		Clock:     e.Clock,
 		Elapsed:   e.process.elapsed,
 		LeaseFor:  time.Duration(float64(s.Bounds().LeaseMax()) * leaseShare),
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -1,12 +1,12 @@
 // Package pacer decides how fast tasks may work that fill idle processors, so
 // that the serving tasks beside them keep their target latency.
 //
-// A Pacer keeps the pace of one host between decisions. It has no clock, no
-// network and no goroutine; one goroutine calls Decide.
+// A Pacer holds what is known of the images; it has no clock, no network and
+// no goroutine. Its caller serializes the calls.
 package pacer
 
 import (
-	"time"
+	"math"
 
 	"damaskspread.example/damaskspread/wire"
 )
@@ -14,14 +14,16 @@
 const (
 	// Full is the pace of an unlimited task, in percent.
 	Full = 100
-	// lowerAt and raiseAt are shares of the target latency.
-	lowerAt = 0.85
-	raiseAt = 0.6
-	// interval covers the window of the executor's measurements.
-	interval  = 600 * time.Millisecond
-	cutFactor = 0.5
-	floor     = 5
-	growth    = 12
+	// goalShare is the share of the target latency that pacing aims at.
+	goalShare = 0.85
+	// MinWeight is the effect of an image on another that pacing regards.
+	MinWeight = 0.8
+	// explained is the smallest known effect, as a change of the logarithm of
+	// the latency, that accounts for a serving task above its target.
+	explained = 0.15
+	// step is the coarseness of a pace, in percent; finer changes cost more
+	// calls than they gain.
+	step = 10
 )
 
 // Sample is one run on the host with its latest measurement.
@@ -29,7 +31,8 @@
 	Task string
 	Run  int32
 	Step *wire.JobStep
-	// Usage is the tail latency in milliseconds of a serving task.
+	// Usage is the tail latency in milliseconds of a serving task, and the
+	// processors in use, in thousandths, of another.
 	Usage   int64
 	Percent int
 }
@@ -41,59 +44,91 @@
 	Percent int
 }
 
-// Pacer paces one host. The zero value starts at full pace.
+// Pair names a disturbing and a serving image.
+type Pair struct {
+	Disturbing, Serving string
+}
+
+// Pacer paces one host. Its field is set by the caller.
 type Pacer struct {
-	percent int
-	decided time.Duration
-	begun   bool
+	// Weights are the known effects of images on each other.
+	Weights map[Pair]float64
 }
 
 // Decide returns the paces that differ from what the samples have.
-func (p *Pacer) Decide(samples []Sample, now time.Duration) []Change {
-	if !p.begun {
-		p.begun = true
-		p.percent = Full
-		p.decided = now
+func (p *Pacer) Decide(samples []Sample, capacity *wire.Resources) []Change {
+	room := float64(capacity.GetMillicores())
+	if room <= 0 {
+		return nil
 	}
-	if now-p.decided >= interval {
-		p.decided = now
-		p.adjust(worst(samples))
+	paces := make([]float64, len(samples))
+	for i := range paces {
+		paces[i] = 1
 	}
-	var changes []Change
 	for _, s := range samples {
-		if !s.Step.GetFillsIdle() || s.Percent == p.percent {
-			continue
+		if s.Step.GetTargetLatencyMs() > 0 && s.Usage > 0 {
+			p.limit(s, samples, paces, room)
+		}
+	}
+	var changes []Change
+	for i, s := range samples {
+		percent := rounded(paces[i])
+		if s.Step.GetFillsIdle() && percent != s.Percent {
+			changes = append(changes, Change{
+				Task:    s.Task,
+				Run:     s.Run,
+				Percent: percent,
+			})
 		}
-		changes = append(changes, Change{
-			Task:    s.Task,
-			Run:     s.Run,
-			Percent: p.percent,
-		})
 	}
 	return changes
 }
 
-// worst is the largest latency as a share of its target.
-func worst(samples []Sample) float64 {
-	largest := 0.0
+// limit lowers the paces as far as one serving task needs it. The logarithm of
+// its latency is its own level plus what the disturbing tasks add now; the
+// paces share what is left up to the goal.
+func (p *Pacer) limit(serving Sample, samples []Sample, paces []float64, room float64) {
+	target := float64(serving.Step.GetTargetLatencyMs())
+	left := math.Log(goalShare * target / float64(serving.Usage))
+	now, full := 0.0, 0.0
 	for _, s := range samples {
-		if target := s.Step.GetTargetLatencyMs(); target > 0 {
-			largest = max(largest, float64(s.Usage)/float64(target))
+		if weight := p.weight(s, serving); weight > 0 {
+			now += weight * float64(s.Usage) / room
+			full += weight * float64(s.Step.GetResources().GetMillicores()) / room
+		}
+	}
+	unexplained := float64(serving.Usage) > target && now < explained
+	share := 1.0
+	if full > 0 {
+		share = max(0, min(1, (left+now)/full))
+	}
+	for i, s := range samples {
+		switch {
+		case !s.Step.GetFillsIdle():
+		case unexplained:
+			paces[i] = 0
+		case p.weight(s, serving) > 0:
+			paces[i] = min(paces[i], share)
 		}
 	}
-	return largest
 }
 
-func (p *Pacer) adjust(load float64) {
-	switch {
-	case load > 1:
-		p.percent = 0
-	case load > lowerAt:
-		p.percent = int(float64(p.percent) * cutFactor)
-		if p.percent < floor {
-			p.percent = 0
-		}
-	case load < raiseAt:
-		p.percent = min(p.percent+growth, Full)
+// weight is the known effect of a run on a serving one; small ones count as
+// none.
+func (p *Pacer) weight(s, serving Sample) float64 {
+	if !s.Step.GetFillsIdle() {
+		return 0
 	}
+	weight := p.Weights[Pair{
+		Disturbing: s.Step.GetImage(),
+		Serving:    serving.Step.GetImage(),
+	}]
+	if weight < MinWeight {
+		return 0
+	}
+	return weight
+}
+
+func rounded(pace float64) int {
+	return int(pace*Full/step) * step
 }
--- a/planner/host.go
+++ b/planner/host.go
@@ -25,11 +25,13 @@
 	// Suspect hosts get one task at a time after repeated failures.
 	Suspect bool
 
-	reserved     wire.Resources
-	servingMilli int64
-	fillMilli    int64
-	tasksByStep  map[string]int
-	probes       int
+	reserved       wire.Resources
+	servingMilli   int64
+	fillMilli      int64
+	tasksByStep    map[string]int
+	servingByImage map[string]int64
+	fillByImage    map[string]int64
+	probes         int
 }
 
 // Rack is the label that names the host's rack. Executors list their kind
@@ -48,11 +50,13 @@
 	h.reserved.Accelerators += resources.GetAccelerators()
 	if step.GetFillsIdle() {
 		h.fillMilli += resources.GetMillicores()
+		addMilli(&h.fillByImage, step)
 	} else {
 		h.reserved.Millicores += resources.GetMillicores()
 	}
 	if step.GetTargetLatencyMs() > 0 {
 		h.servingMilli += resources.GetMillicores()
+		addMilli(&h.servingByImage, step)
 	}
 	if h.tasksByStep == nil {
 		h.tasksByStep = map[string]int{}
@@ -63,6 +67,13 @@
 	}
 }
 
+func addMilli(byImage *map[string]int64, step *wire.JobStep) {
+	if *byImage == nil {
+		*byImage = map[string]int64{}
+	}
+	(*byImage)[step.GetImage()] += step.GetResources().GetMillicores()
+}
+
 // fits reports whether the task stays within what the host has.
 func (h *Host) fits(step *wire.JobStep) bool {
 	resources := step.GetResources()
@@ -116,9 +127,11 @@
 			MemoryBytes:  h.reserved.MemoryBytes,
 			Accelerators: h.reserved.Accelerators,
 		},
-		servingMilli: h.servingMilli,
-		fillMilli:    h.fillMilli,
-		tasksByStep:  maps.Clone(h.tasksByStep),
-		probes:       h.probes,
+		servingMilli:   h.servingMilli,
+		fillMilli:      h.fillMilli,
+		tasksByStep:    maps.Clone(h.tasksByStep),
+		servingByImage: maps.Clone(h.servingByImage),
+		fillByImage:    maps.Clone(h.fillByImage),
+		probes:         h.probes,
 	}
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -23,9 +23,9 @@
 
 // Planner holds the settings of the decisions.
 type Planner struct {
-	// FillDepth is how far filling tasks may exceed a host's idle processors,
-	// as a share of its capacity.
-	FillDepth float64
+	// Weight is the effect of a disturbing image on a serving one; nil knows
+	// none.
+	Weight func(disturbing, serving string) float64
 }
 
 // Order sorts groups by which should start first: the priority of the queue,
@@ -156,25 +156,33 @@
 	if !host.fits(step) || !host.allows(name, step) {
 		return false
 	}
-	if !step.GetFillsIdle() {
-		return true
-	}
-	overlap := p.FillDepth * float64(host.Capacity.GetMillicores())
-	return float64(host.idleMilli()-step.GetResources().GetMillicores()) >= -overlap
+	return !step.GetFillsIdle() || p.speed(host, step) >= leastSpeed
 }
 
+// leastSpeed is the predicted share of its processors below which a filling
+// task rather waits.
+const leastSpeed = 0.5
+
 // Weights of a placement score; the idle share of a host is between 0 and 1.
 const (
 	scoreOtherRack = 4.0
 	scoreFar       = 1.0
 	scoreFailedOn  = 8.0
 	scoreSuspect   = 16.0
+	scoreSpeed     = 3.0
+	scoreSameImage = 2.0
 	// scoreCrowded spreads the tasks of a step.
 	scoreCrowded = 0.02
 )
 
 func (p *Planner) score(host *Host, step *wire.JobStep, task *tracker.Task, name string) float64 {
 	score := float64(host.idleMilli()) / float64(max(host.Capacity.GetMillicores(), 1))
+	switch {
+	case step.GetFillsIdle():
+		score += scoreSpeed * p.speed(host, step)
+	case step.GetTargetLatencyMs() > 0:
+		score += scoreSameImage*affinity(host, step.GetImage()) - p.disturbance(host, step.GetImage())
+	}
 	score -= scoreCrowded * float64(host.tasksByStep[name])
 	if !host.near(step) {
 		score -= scoreFar
--- a/runner/exchange.go
+++ b/runner/exchange.go
@@ -68,6 +68,7 @@
 		OrdersReceived:    r.received,
 		EndsRecorded:      r.recorded,
 		Refusals:          slices.Clone(r.refusals),
+		PressureVersion:   r.pressureVersion,
 	}
 	for _, end := range r.ends {
 		request.Ends = append(request.Ends, end)
@@ -140,6 +141,7 @@
 		return true
 	}
 	r.takeGrant(request, response, sent)
+	r.takePressures(response)
 	r.takeOrders(ctx, response, sent)
 	return true
 }
--- a/runner/pace.go
+++ b/runner/pace.go
@@ -6,6 +6,7 @@
 	"github.com/phuslu/log"
 
 	"damaskspread.example/damaskspread/pacer"
+	"damaskspread.example/damaskspread/wire"
 )
 
 // repace limits the tasks that fill idle processors as far as the serving
@@ -51,5 +52,22 @@
 			Percent: percent,
 		})
 	}
-	return r.info.GetId(), r.epoch, r.Pacer.Decide(samples, r.Elapsed.Elapsed())
+	return r.info.GetId(), r.epoch, r.Pacer.Decide(samples, r.info.GetCapacity())
+}
+
+// takePressures replaces what is known of the images. The caller holds the
+// mutex.
+func (r *Runner) takePressures(response *wire.ExchangeResponse) {
+	if response.GetPressureVersion() == r.pressureVersion {
+		return
+	}
+	r.pressureVersion = response.GetPressureVersion()
+	weights := map[pacer.Pair]float64{}
+	for _, pressure := range response.GetPressures() {
+		weights[pacer.Pair{
+			Disturbing: pressure.GetDisturbing(),
+			Serving:    pressure.GetServing(),
+		}] = pressure.GetWeight()
+	}
+	r.Pacer.Weights = weights
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -77,6 +77,8 @@
 	steps      map[runKey]*wire.JobStep
 	paces      map[runKey]int
 	stopped    map[runKey]bool
+	// pressureVersion is the version of the pacer's weights.
+	pressureVersion int64
 
 	renewWake  chan struct{}
 	reportWake chan struct{}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -32,6 +32,7 @@
 	failedOn   map[string]bool
 	stopping   bool
 	assignedAt time.Duration
+	slowSince  time.Duration
 }
 
 // ID names the task.
@@ -76,6 +77,16 @@
 // AssignedAt is when the current run was assigned.
 func (t *Task) AssignedAt() time.Duration { return t.assignedAt }
 
+// Slow notes whether the current run is slow and reports whether it has been
+// for a time.
+func (t *Task) Slow(slow bool, now, atLeast time.Duration) bool {
+	if !slow {
+		t.slowSince = now
+		return false
+	}
+	return now-max(t.slowSince, t.assignedAt) >= atLeast
+}
+
 // Assign gives the task its next run.
 func (t *Task) Assign(executor ExecutorKey, run int32, now time.Duration) {
 	t.state = wire.JobTaskState_JOB_TASK_STATE_ASSIGNED
