Slow filling tasks down in steps while a serving task exceeds its target

Cause: an excess that no known pair explained stopped every filling task of the host; hosts oscillated between stopped and full pace, at 40% of the work.

Change: the strain of a host rises by a third per window above the target and falls by half per window below; only known pairs are limited by the model. The planner leaves less room for pairs that disturb.

--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -7,6 +7,7 @@
 
 import (
 	"math"
+	"time"
 
 	"damaskspread.example/damaskspread/wire"
 )
@@ -18,9 +19,13 @@
 	goalShare = 0.85
 	// MinWeight is the effect of an image on another that pacing regards.
 	MinWeight = 0.8
-	// explained is the smallest known effect, as a change of the logarithm of
-	// the latency, that accounts for a serving task above its target.
-	explained = 0.15
+	// strainUp and strainDown are the changes of the strain per window with and
+	// without a serving task above its target. Three windows stop all filling
+	// tasks of a host, well within the time that a target may be exceeded.
+	strainUp   = 0.34
+	strainDown = 0.5
+	// window is the interval of the executor's measurements.
+	window = 500 * time.Millisecond
 	// step is the coarseness of a pace, in percent; finer changes cost more
 	// calls than they gain.
 	step = 10
@@ -53,17 +58,23 @@
 type Pacer struct {
 	// Weights are the known effects of images on each other.
 	Weights map[Pair]float64
+
+	// strain is the share by which all filling tasks are slowed down, whatever
+	// their image, while a serving task exceeds its target.
+	strain     float64
+	strainedAt time.Duration
 }
 
 // Decide returns the paces that differ from what the samples have.
-func (p *Pacer) Decide(samples []Sample, capacity *wire.Resources) []Change {
+func (p *Pacer) Decide(samples []Sample, capacity *wire.Resources, now time.Duration) []Change {
 	room := float64(capacity.GetMillicores())
 	if room <= 0 {
 		return nil
 	}
+	p.noteStrain(samples, now)
 	paces := make([]float64, len(samples))
 	for i := range paces {
-		paces[i] = 1
+		paces[i] = 1 - p.strain
 	}
 	for _, s := range samples {
 		if s.Step.GetTargetLatencyMs() > 0 && s.Usage > 0 {
@@ -84,6 +95,20 @@
 	return changes
 }
 
+func (p *Pacer) noteStrain(samples []Sample, now time.Duration) {
+	if now-p.strainedAt < window {
+		return
+	}
+	p.strainedAt = now
+	for _, s := range samples {
+		if target := s.Step.GetTargetLatencyMs(); target > 0 && s.Usage > target {
+			p.strain = min(p.strain+strainUp, 1)
+			return
+		}
+	}
+	p.strain = max(p.strain-strainDown, 0)
+}
+
 // limit lowers the paces as far as one serving task needs it. The logarithm of
 // its latency is its own level plus what the disturbing tasks add now; the
 // paces share what is left up to the goal.
@@ -97,17 +122,12 @@
 			full += weight * float64(s.Step.GetResources().GetMillicores()) / room
 		}
 	}
-	unexplained := float64(serving.Usage) > target && now < explained
-	share := 1.0
-	if full > 0 {
-		share = max(0, min(1, (left+now)/full))
+	if full <= 0 {
+		return
 	}
+	share := max(0, min(1, (left+now)/full))
 	for i, s := range samples {
-		switch {
-		case !s.Step.GetFillsIdle():
-		case unexplained:
-			paces[i] = 0
-		case p.weight(s, serving) > 0:
+		if p.weight(s, serving) > 0 {
 			paces[i] = min(paces[i], share)
 		}
 	}
--- a/planner/interference.go
+++ b/planner/interference.go
@@ -8,7 +8,7 @@
 const (
 	// typicalRoom is the logarithm of target to latency of an undisturbed
 	// serving task at its usual load.
-	typicalRoom = 0.9
+	typicalRoom = 0.3
 	// leastWeight is the effect of an image on another that counts.
 	leastWeight = 0.8
 )
--- a/runner/pace.go
+++ b/runner/pace.go
@@ -52,7 +52,7 @@
 			Percent: percent,
 		})
 	}
-	return r.info.GetId(), r.epoch, r.Pacer.Decide(samples, r.info.GetCapacity())
+	return r.info.GetId(), r.epoch, r.Pacer.Decide(samples, r.info.GetCapacity(), r.Elapsed.Elapsed())
 }
 
 // takePressures replaces what is known of the images. The caller holds the
