Hand the leadership over in a fraction of a second and append in groups

Cause: a resigned leader kept renewing until its process ended (4.2 s without a leader); a new leader waited out a long poll (0.6 s) and gave executors that had already been replaced another 13 s; with the store at 250 ms an answer each submission was an append of its own (44 answers 504).

Ruled out: slow processes (same times without processor charge).

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -48,6 +48,13 @@
 	ZonesOut() map[string]bool
 }
 
+// orphan is an executor with tasks of an earlier leader and no session yet.
+type orphan struct {
+	host string
+	// deadline is when its lease is certainly over.
+	deadline time.Duration
+}
+
 // Coordinator schedules jobs. Its fields are set before Run.
 type Coordinator struct {
 	Log        damaskspread.KeyedLog
@@ -79,7 +86,7 @@
 
 	jobs       map[string]*tracker.Job
 	closed     map[string]time.Duration
-	orphans    map[tracker.ExecutorKey]time.Duration
+	orphans    map[tracker.ExecutorKey]orphan
 	suspicions map[tracker.ExecutorKey]*suspicion
 	published  map[string]wire.JobState
 	// closing are jobs whose final status is recorded while runs still stop.
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -141,6 +141,7 @@
 			c.applyRefusal(view, refusal)
 		}
 		if view.opening {
+			r.lost = append(r.lost, c.replaced(view)...)
 			c.reconcile(view)
 		}
 	}
@@ -184,6 +185,19 @@
 		Str("host", view.host).Str("reason", refusal.GetReason()).Msg("start refused")
 }
 
+// replaced returns the incarnations that a session's executor replaced on its
+// host; an earlier leader may have assigned tasks to them.
+func (c *Coordinator) replaced(view *sessionView) []tracker.ExecutorKey {
+	var keys []tracker.ExecutorKey
+	for key, orphan := range c.orphans {
+		if orphan.host == view.host {
+			keys = append(keys, key)
+			delete(c.orphans, key)
+		}
+	}
+	return keys
+}
+
 // reconcile compares what runs on an executor with what was assigned to it.
 func (c *Coordinator) reconcile(view *sessionView) {
 	for _, run := range view.running {
@@ -233,8 +247,8 @@
 
 // applyLosses releases the tasks of executors that certainly run nothing.
 func (c *Coordinator) applyLosses(r *round) {
-	for key, deadline := range c.orphans {
-		if r.now > deadline {
+	for key, orphan := range c.orphans {
+		if r.now > orphan.deadline {
 			delete(c.orphans, key)
 			r.lost = append(r.lost, key)
 		}
@@ -277,7 +291,7 @@
 	planner.Order(groups)
 	for _, assignment := range c.Planner.Plan(groups, r.hosts) {
 		view := r.byKey[assignment.Host.Key]
-		assignment.Task.Assign(view.key, assignment.Run, r.now)
+		assignment.Task.Assign(view.key, view.host, assignment.Run, r.now)
 		view.start(assignment.Task)
 		log.Info().Str("job", assignment.Task.ID().Job).Str("task", assignment.Task.ID().String()).
 			Int32("run", assignment.Run).Str("host", view.host).Msg("task assigned")
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -87,7 +87,7 @@
 func (c *Coordinator) restore(stored map[string]*wire.JobProgress) {
 	c.jobs = map[string]*tracker.Job{}
 	c.closed = map[string]time.Duration{}
-	c.orphans = map[tracker.ExecutorKey]time.Duration{}
+	c.orphans = map[tracker.ExecutorKey]orphan{}
 	c.suspicions = map[tracker.ExecutorKey]*suspicion{}
 	c.closing = nil
 	c.removed = nil
@@ -98,7 +98,10 @@
 	for _, job := range c.jobs {
 		job.EachTask(func(t *tracker.Task) {
 			if t.Assigned() {
-				c.orphans[t.Executor()] = deadline
+				c.orphans[t.Executor()] = orphan{
+					host:     t.Host(),
+					deadline: deadline,
+				}
 			}
 		})
 	}
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -32,15 +32,17 @@
 const (
 	leaderKey = "leader"
 	// RenewInterval is the time between two renewals.
-	RenewInterval = 250 * time.Millisecond
+	RenewInterval = 200 * time.Millisecond
 	// takeoverAfter is the silence after which another process claims.
-	takeoverAfter = 1300 * time.Millisecond
+	takeoverAfter = 900 * time.Millisecond
 	// takeoverSpread keeps the candidates from claiming together.
 	takeoverSpread = 300 * time.Millisecond
+	// vacantShare shortens the delays while nobody leads.
+	vacantShare = 6
 	// maxViewAge is the age above which a candidate can't tell silence of the
 	// leader from silence of the log.
 	maxViewAge    = 1500 * time.Millisecond
-	tick          = 50 * time.Millisecond
+	tick          = 25 * time.Millisecond
 	appendTimeout = 900 * time.Millisecond
 	// GrantFor is how long after its last renewal a leader extends leases. A
 	// successor waits as long before it takes an unreachable host for lost.
@@ -161,7 +163,7 @@
 	e.mu.Unlock()
 	switch {
 	case renew:
-		e.renew(ctx, false)
+		e.renew(ctx)
 	case claim:
 		e.claim(ctx, max(end, e.Tail.Next()))
 	}
@@ -175,7 +177,7 @@
 		return false
 	}
 	if e.leader == nil || e.leader.GetResigned() {
-		return now-e.heardAt >= e.Delay+e.spread/2
+		return now-e.heardAt >= (e.Delay+e.spread)/vacantShare
 	}
 	return now-e.heardAt >= takeoverAfter+e.Delay+e.spread
 }
@@ -211,13 +213,12 @@
 
 // renew extends the leadership. If its condition fails, the tailer's records
 // tell whether an earlier renewal arrived late or another process leads.
-func (e *Elector) renew(ctx context.Context, resign bool) {
+func (e *Elector) renew(ctx context.Context) {
 	e.mu.Lock()
 	renewal := &wire.Leadership{
-		Process:  e.Process,
-		Address:  e.Address,
-		Epoch:    e.epoch,
-		Resigned: resign,
+		Process: e.Process,
+		Address: e.Address,
+		Epoch:   e.epoch,
 	}
 	end := e.end
 	e.mu.Unlock()
@@ -261,13 +262,25 @@
 // Resign gives the leadership up, so that another process claims at once.
 func (e *Elector) Resign(ctx context.Context) {
 	e.mu.Lock()
-	leading := e.epoch != 0
+	epoch, end := e.epoch, e.end
+	e.epoch = 0
 	e.resigned = true
 	e.mu.Unlock()
-	if !leading {
+	if epoch == 0 {
 		return
 	}
 	e.Lost()
-	e.renew(ctx, true)
-	log.Info().Msg("leadership resigned")
+	resignation := &wire.Leadership{
+		Process:  e.Process,
+		Address:  e.Address,
+		Epoch:    epoch,
+		Resigned: true,
+	}
+	_, err := e.append(ctx, resignation, end)
+	var moved *damaskspread.ConditionFailedError
+	if errors.As(err, &moved) {
+		// A renewal was under way; its record is the new end.
+		_, err = e.append(ctx, resignation, moved.End)
+	}
+	log.Info().Int64("epoch", epoch).Err(err).Msg("leadership resigned")
 }
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -68,6 +68,7 @@
 	index       *indexer.Index
 	elector     *elector.Elector
 	coordinator *coordinator.Coordinator
+	submitter   *submitter.Submitter
 	set         *metrics.Set
 	inFlight    atomic.Int64
 }
@@ -86,7 +87,8 @@
 		_ = e.process.end()
 		return err
 	}
-	e.process.run(e.operations.Run, e.jobs.Run, e.leaders.Run, e.elector.Run, e.coordinator.Run, e.announce)
+	e.process.run(e.operations.Run, e.jobs.Run, e.leaders.Run, e.elector.Run, e.coordinator.Run,
+		e.submitter.Run, e.announce)
 	select {
 	case <-ctx.Done():
 		e.stop()
@@ -110,6 +112,15 @@
 	e.config.Age = e.operations.Age
 	e.jobs = e.tail(indexer.Topic, e.index.Apply)
 	e.jobs.Pause = e.jobsPause
+	e.submitter = &submitter.Submitter{
+		Log:           e.store,
+		Index:         e.index,
+		Tail:          e.jobs,
+		Clock:         e.Clock,
+		Elapsed:       e.process.elapsed,
+		VisibleWithin: s.Bounds().VisibleWithin(),
+	}
+	e.submitter.Init()
 	e.assembleScheduling()
 }
 
@@ -170,15 +181,8 @@
 func (e *Entry) listen() error {
 	l := e.Settings.Listen()
 	callers := &platform.Jobs{
-		Operations: e.config,
-		Service: &submitter.Submitter{
-			Log:           e.store,
-			Index:         e.index,
-			Tail:          e.jobs,
-			Clock:         e.Clock,
-			Elapsed:       e.process.elapsed,
-			VisibleWithin: e.Settings.Bounds().VisibleWithin(),
-		},
+		Operations:    e.config,
+		Service:       e.submitter,
 		Clock:         e.Clock,
 		CurrencyLimit: e.currencyLimit(),
 		Observe:       e.observe,
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -2,15 +2,16 @@
 //
 // A job is accepted once its record is in the log, and not before. The record
 // is keyed by the caller's id, so a repeated submission has no second effect.
-// The package starts no goroutine; each call runs on its caller's.
+// Run has one goroutine, which appends the records of concurrent calls
+// together; the calls wait for it on their own goroutines.
 package submitter
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/phuslu/log"
+	"gopkg.in/tomb.v2"
 
 	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/indexer"
@@ -19,14 +20,11 @@
 )
 
 const (
-	// appendTimeout lets a lost answer be noticed with time for another try.
-	appendTimeout = 700 * time.Millisecond
-	retryPause    = 60 * time.Millisecond
-	retryLimit    = 500 * time.Millisecond
 	// retryAfter is the pause asked of callers while the log is away.
 	retryAfter = 2 * time.Second
 	maxSteps   = 64
-	maxTasks   = 100_000
+	// maxTasks keeps the stored progress of a job within one record.
+	maxTasks = 4000
 )
 
 // Submitter implements damaskspread.JobService. Its fields are set before use.
@@ -39,8 +37,20 @@
 	// VisibleWithin is how soon after its acceptance each entry must know a
 	// job.
 	VisibleWithin time.Duration
+
+	commits committer
+}
+
+// Init prepares the submitter for calls before Run.
+func (s *Submitter) Init() {
+	s.commits.log = s.Log
+	s.commits.clock = s.Clock
+	s.commits.wake = make(chan struct{}, 1)
 }
 
+// Run appends the records of calls until the tomb dies.
+func (s *Submitter) Run(tb *tomb.Tomb) error { return s.commits.run(tb) }
+
 // Submit implements damaskspread.JobService.
 func (s *Submitter) Submit(ctx context.Context, queue *wire.Queue, job *wire.Job) error {
 	if err := check(job); err != nil {
@@ -102,48 +112,28 @@
 	return damaskspread.NotRun(damaskspread.ReasonBadRequest, format, args...)
 }
 
-// append repeats an idempotent record until the log has it or the caller's
-// deadline is near. Only if no try may have taken effect is the outcome
-// not_run.
+// append waits until the log has an idempotent record. Only if no try may have
+// taken effect is the outcome of a failure not_run.
 func (s *Submitter) append(ctx context.Context, record *wire.KeyedRecord) (int64, error) {
-	uncertain := false
-	pause := retryPause
-	for {
-		result, err := s.tryAppend(ctx, record)
-		if err == nil {
-			return result.GetOffset(), nil
-		}
-		var unknown *damaskspread.AppendUnknownError
-		uncertain = uncertain || errors.As(err, &unknown)
-		if !s.wait(ctx, pause) {
-			return 0, appendRefusal(uncertain, err)
-		}
-		pause = min(2*pause, retryLimit)
-	}
-}
-
-func (s *Submitter) tryAppend(ctx context.Context, record *wire.KeyedRecord) (*wire.AppendResult, error) {
-	call, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	return s.Log.Append(call, indexer.Topic, []*wire.KeyedRecord{record}, nil)
-}
-
-// wait pauses between tries and reports whether there is time for another.
-func (s *Submitter) wait(ctx context.Context, pause time.Duration) bool {
-	if deadline, ok := ctx.Deadline(); ok && s.Clock.Until(deadline) < pause+appendTimeout/2 {
-		return false
-	}
-	timer := s.Clock.NewTimer(pause)
-	defer timer.Stop()
+	entry := s.commits.add(record)
 	select {
-	case <-timer.Chan():
-		return true
+	case <-entry.done:
+		return entry.offset, nil
 	case <-ctx.Done():
-		return false
+	}
+	uncertain, cause := s.commits.abandon(entry)
+	select {
+	case <-entry.done:
+		return entry.offset, nil
+	default:
+		return 0, appendRefusal(uncertain, cause)
 	}
 }
 
 func appendRefusal(uncertain bool, cause error) error {
+	if cause == nil {
+		cause = context.DeadlineExceeded
+	}
 	if uncertain {
 		return damaskspread.Unknown(damaskspread.ReasonAppendUnknown, "%v", cause)
 	}
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -48,6 +48,8 @@
 	lost      bool
 	freshAt   time.Duration
 	refreshes chan struct{}
+	// interrupt ends a read that waits for news.
+	interrupt context.CancelFunc
 	waiters   []chan struct{}
 }
 
@@ -101,6 +103,11 @@
 		}
 		waiter := make(chan struct{})
 		t.waiters = append(t.waiters, waiter)
+		if t.interrupt != nil {
+			// A read that waits for news would answer too late.
+			t.interrupt()
+			t.interrupt = nil
+		}
 		select {
 		case t.refreshes <- struct{}{}:
 		default:
@@ -128,7 +135,19 @@
 	}
 	call, cancel := context.WithTimeout(ctx, wait+callSlack)
 	defer cancel()
+	t.mu.Lock()
+	if wait > 0 && len(t.waiters) == 0 {
+		t.interrupt = cancel
+	}
+	t.mu.Unlock()
 	page, err := t.Log.Read(call, t.Topic, next, wait)
+	t.mu.Lock()
+	interrupted := err != nil && wait > 0 && t.interrupt == nil
+	t.interrupt = nil
+	t.mu.Unlock()
+	if interrupted && ctx.Err() == nil && errors.Is(call.Err(), context.Canceled) {
+		return nil
+	}
 	var passed *damaskspread.RetentionPassedError
 	if errors.As(err, &passed) {
 		log.Info().Str("topic", t.Topic).Int64("next", next).Int64("first", passed.First).
@@ -222,7 +241,10 @@
 }
 
 func (t *Tailer) pause(tb *tomb.Tomb) {
-	if t.Pause == nil {
+	t.mu.Lock()
+	hurried := len(t.waiters) > 0
+	t.mu.Unlock()
+	if t.Pause == nil || hurried {
 		return
 	}
 	if pause := t.Pause(); pause > 0 {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -26,6 +26,7 @@
 	state      wire.JobTaskState
 	run        int32
 	executor   ExecutorKey
+	host       string
 	failures   int32
 	failedRun  int32
 	checkpoint string
@@ -50,6 +51,9 @@
 // Executor is where the latest run was assigned.
 func (t *Task) Executor() ExecutorKey { return t.executor }
 
+// Host is the host of the latest run's executor.
+func (t *Task) Host() string { return t.host }
+
 // Checkpoint is where the next run resumes; empty is the beginning.
 func (t *Task) Checkpoint() string { return t.checkpoint }
 
@@ -88,10 +92,11 @@
 }
 
 // Assign gives the task its next run.
-func (t *Task) Assign(executor ExecutorKey, run int32, now time.Duration) {
+func (t *Task) Assign(executor ExecutorKey, host string, run int32, now time.Duration) {
 	t.state = wire.JobTaskState_JOB_TASK_STATE_ASSIGNED
 	t.run = run
 	t.executor = executor
+	t.host = host
 	t.stopping = false
 	t.assignedAt = now
 	t.job.touch()
@@ -191,6 +196,7 @@
 		ID:         progress.GetExecutor(),
 		BornUnixMs: progress.GetExecutorBornUnixMs(),
 	}
+	t.host = progress.GetHost()
 	t.failures = progress.GetFailures()
 	t.failedRun = progress.GetLastFailedRun()
 	t.checkpoint = progress.GetCheckpoint()
@@ -222,6 +228,7 @@
 				State:              t.state,
 				Run:                t.run,
 				Executor:           t.executor.ID,
+				Host:               t.host,
 				ExecutorBornUnixMs: t.executor.BornUnixMs,
 				Failures:           t.failures,
 				Checkpoint:         t.checkpoint,
