Spare filling tasks that are known to be harmless

Cause: the strain of a host slowed down every filling task, also those whose image had been observed beside that serving image without effect.

Change: pairs with enough observations are published with small weights too; harmless ones are slowed down only when the excess lasts. Tasks past 75% of their work don't move.

--- a/coordinator/interference.go
+++ b/coordinator/interference.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// leastPressure is the effect that agents are told of.
-	leastPressure = 0.5
 	// pressureInterval bounds how often agents are told.
 	pressureInterval = time.Second
 	// pressureChange is the change of an effect that agents are told of.
@@ -23,6 +21,9 @@
 	// slow, and slowFor how long it has to be.
 	slowSpeed = 0.45
 	slowFor   = 1200 * time.Millisecond
+	// nearlyDone is the progress in percent from which a move costs more than
+	// it gains.
+	nearlyDone = 75
 	// goodSpeed is what another host has to promise for a move.
 	goodSpeed = 0.85
 	// maxMoves bounds the moves of one cycle.
@@ -73,7 +74,7 @@
 		return
 	}
 	c.pressureAt = now
-	pairs := c.Pressure.Weights(leastPressure)
+	pairs := c.Pressure.Weights()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.pressuresChanged(pairs) {
@@ -141,7 +142,7 @@
 // slowTask returns the task of a run that has been slow for long enough.
 func (c *Coordinator) slowTask(run *wire.TaskRun, view *sessionView, now time.Duration) *tracker.Task {
 	t := c.task(run.GetTask())
-	if t == nil || !t.Assigned() || t.Stopping() || t.Run() != run.GetRun() || t.Executor() != view.key {
+	if t == nil || !t.Assigned() || t.Stopping() || run.GetPercent() >= nearlyDone || t.Run() != run.GetRun() || t.Executor() != view.key {
 		return nil
 	}
 	step := t.Step()
--- a/estimator/pressure.go
+++ b/estimator/pressure.go
@@ -15,6 +15,9 @@
 	baselineShare = 0.15
 	// ridge keeps pairs that were hardly observed near zero.
 	ridge = 0.01
+	// evidence is the sum of squared changes of processor use, as a share of
+	// the host, from which a pair counts as known.
+	evidence = 0.05
 	// solveInterval bounds the cost of solving.
 	solveInterval = 500 * time.Millisecond
 	// maxImages bounds the images that a model tells apart.
@@ -223,20 +226,21 @@
 	return m.weights[i]
 }
 
-// Weights are the effects of at least a size.
-func (p *Pressure) Weights(least float64) []PairWeight {
+// Weights are the effects of the pairs that were observed enough to tell.
+func (p *Pressure) Weights() []PairWeight {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var pairs []PairWeight
 	for serving, m := range p.models {
 		for i, image := range m.images {
-			if m.weights[i] >= least {
-				pairs = append(pairs, PairWeight{
-					Disturbing: image,
-					Serving:    serving,
-					Weight:     m.weights[i],
-				})
+			if m.squares[i][i] < evidence {
+				continue
 			}
+			pairs = append(pairs, PairWeight{
+				Disturbing: image,
+				Serving:    serving,
+				Weight:     m.weights[i],
+			})
 		}
 	}
 	return pairs
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -20,10 +20,11 @@
 	// MinWeight is the effect of an image on another that pacing regards.
 	MinWeight = 0.8
 	// strainUp and strainDown are the changes of the strain per window with and
-	// without a serving task above its target. Three windows stop all filling
-	// tasks of a host, well within the time that a target may be exceeded.
-	strainUp   = 0.34
-	strainDown = 0.5
+	// without a serving task above its target. Five windows stop all filling
+	// tasks of a host, within the time that a target may be exceeded.
+	strainUp   = 0.4
+	strainDown = 0.6
+	maxStrain  = 2
 	// window is the interval of the executor's measurements.
 	window = 500 * time.Millisecond
 	// step is the coarseness of a pace, in percent; finer changes cost more
@@ -59,8 +60,9 @@
 	// Weights are the known effects of images on each other.
 	Weights map[Pair]float64
 
-	// strain is the share by which all filling tasks are slowed down, whatever
-	// their image, while a serving task exceeds its target.
+	// strain grows while a serving task exceeds its target. Up to 1 it slows
+	// down the tasks that may be the cause, above 1 also those that are known
+	// to be harmless.
 	strain     float64
 	strainedAt time.Duration
 }
@@ -74,11 +76,12 @@
 	p.noteStrain(samples, now)
 	paces := make([]float64, len(samples))
 	for i := range paces {
-		paces[i] = 1 - p.strain
+		paces[i] = 1
 	}
 	for _, s := range samples {
 		if s.Step.GetTargetLatencyMs() > 0 && s.Usage > 0 {
 			p.limit(s, samples, paces, room)
+			p.relieve(s, samples, paces)
 		}
 	}
 	var changes []Change
@@ -102,7 +105,7 @@
 	p.strainedAt = now
 	for _, s := range samples {
 		if target := s.Step.GetTargetLatencyMs(); target > 0 && s.Usage > target {
-			p.strain = min(p.strain+strainUp, 1)
+			p.strain = min(p.strain+strainUp, maxStrain)
 			return
 		}
 	}
@@ -133,6 +136,29 @@
 	}
 }
 
+// relieve slows down what stands beside a serving task above its target.
+func (p *Pacer) relieve(serving Sample, samples []Sample, paces []float64) {
+	if serving.Usage <= serving.Step.GetTargetLatencyMs() {
+		return
+	}
+	for i, s := range samples {
+		cut := p.strain
+		if p.harmless(s, serving) {
+			cut--
+		}
+		paces[i] = min(paces[i], max(0, 1-max(cut, 0)))
+	}
+}
+
+// harmless reports whether a run is known not to disturb a serving one.
+func (p *Pacer) harmless(s, serving Sample) bool {
+	weight, known := p.Weights[Pair{
+		Disturbing: s.Step.GetImage(),
+		Serving:    serving.Step.GetImage(),
+	}]
+	return known && weight < MinWeight
+}
+
 // weight is the known effect of a run on a serving one; small ones count as
 // none.
 func (p *Pacer) weight(s, serving Sample) float64 {
