Take the common load out of the disturbance of images

Cause: serving tasks share a load that swings within 10 to 20 s, and pacing follows it; so the regression saw disturbance vanish under load.

Change: a level that all serving tasks share is followed and taken out; the baseline of a task follows more slowly.

--- a/estimator/pressure.go
+++ b/estimator/pressure.go
@@ -12,7 +12,12 @@
 const (
 	// baselineShare is the weight of a new sample in a serving task's
 	// baseline; its own load changes over tens of seconds.
-	baselineShare = 0.15
+	baselineShare = 0.1
+	// commonShare is the weight of a residual in the common level; residuals
+	// beyond the bounds are disturbances.
+	commonShare     = 0.02
+	lowestResidual  = -0.5
+	highestResidual = 0.25
 	// ridge keeps pairs that were hardly observed near zero.
 	ridge = 0.01
 	// evidence is the sum of squared changes of processor use, as a share of
@@ -44,6 +49,8 @@
 	mu     sync.Mutex
 	models map[string]*pressureModel
 	last   map[string][]RunSample
+	// common follows the load that all serving tasks share over the day.
+	common float64
 }
 
 // PairWeight is what one host's worth of processors, used by the disturbing
@@ -90,7 +97,7 @@
 	}
 	for _, s := range samples {
 		if s.Serving && s.LatencyMs > 0 {
-			p.model(s.Image).observe(s, use, now)
+			p.common += p.model(s.Image).observe(s, use, p.common, now)
 		}
 	}
 }
@@ -107,7 +114,8 @@
 	return m
 }
 
-func (m *pressureModel) observe(s RunSample, use map[string]float64, now time.Duration) {
+// observe takes one measurement and returns the change of the common level.
+func (m *pressureModel) observe(s RunSample, use map[string]float64, common float64, now time.Duration) float64 {
 	for image := range use {
 		m.column(image)
 	}
@@ -117,23 +125,34 @@
 			row[i] = share
 		}
 	}
-	level := math.Log(float64(s.LatencyMs))
+	level := math.Log(float64(s.LatencyMs)) - common
 	b := m.baselines[s.Task]
 	if b == nil {
 		m.baselines[s.Task] = &baseline{
 			level: level,
 			use:   row,
 		}
-		return
+		return 0
 	}
 	b.grow(len(row))
 	m.accumulate(row, level, b)
+	change := commonShare * min(max(m.residual(row, level, b), lowestResidual), highestResidual)
 	b.follow(row, level)
 	m.dirty = true
 	if now-m.solvedAt >= solveInterval {
 		m.solvedAt = now
 		m.solve()
 	}
+	return change
+}
+
+// residual is what the baseline and the known effects leave unexplained.
+func (m *pressureModel) residual(row []float64, level float64, b *baseline) float64 {
+	left := level - b.level
+	for i := range row {
+		left -= m.weights[i] * (row[i] - b.use[i])
+	}
+	return left
 }
 
 func (m *pressureModel) column(image string) {
