Let only agents open sessions, and keep refusals final

After a zone was cut off, lasting tasks stayed assigned to hosts where nothing started them.

Change: requests say whether they open a session; refusals are dropped by identity; refused runs stay refused; the leader repeats starts that an agent does not list after 3 s; less urgent tasks are stopped where an urgent one fits nowhere.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -201,3 +201,19 @@
 	}
 	w.neverTwice()
 }
+
+// Guards against an agent that stays without orders after it was cut off for
+// longer than its lease.
+func TestAgentCutOff(t *testing.T) {
+	w := newWorld(t, 1, 1, after(50*time.Millisecond))
+	w.submit(w.entries[0], &wire.Job{Id: jobID, Steps: steps(6)})
+	w.succeeds(w.entries[0], jobID)
+	w.entries[0].cut.Store(true)
+	time.Sleep(lease + 2*time.Second)
+	w.entries[0].cut.Store(false)
+	second := "00000000000000a2"
+	w.submit(w.entries[0], &wire.Job{Id: second, Steps: steps(6)})
+	began := time.Now()
+	w.succeeds(w.entries[0], second)
+	assert.Assert(t, time.Since(began) < 2*time.Second, "%s", time.Since(began))
+}
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -19,6 +19,10 @@
 // its host.
 const freshFor = 2500 * time.Millisecond
 
+// repeatAfter is the age of an assignment that the agent doesn't list, after
+// which its start is sent again.
+const repeatAfter = 3 * time.Second
+
 // round is what one cycle takes in and what it publishes.
 type round struct {
 	now     time.Duration
@@ -140,6 +144,9 @@
 		for _, refusal := range view.refusals {
 			c.applyRefusal(view, refusal)
 		}
+		if view.measured && !view.opening {
+			c.repeatStarts(view, r.now)
+		}
 		if view.opening {
 			r.lost = append(r.lost, c.replaced(view)...)
 			c.reconcile(view)
@@ -218,6 +225,23 @@
 	})
 }
 
+// repeatStarts sends starts again whose runs the agent doesn't list. The agent
+// skips runs that are in progress or have ended.
+func (c *Coordinator) repeatStarts(view *sessionView, now time.Duration) {
+	listed := map[string]int32{}
+	for _, run := range view.running {
+		listed[run.GetTask()] = run.GetRun()
+	}
+	c.eachAssigned(view.key, func(t *tracker.Task) {
+		name := t.ID().String()
+		if t.Stopping() || listed[name] == t.Run() || !t.Overdue(now, repeatAfter) {
+			return
+		}
+		log.Info().Str("job", t.ID().Job).Str("task", name).Int32("run", t.Run()).Str("host", view.host).Msg("start repeated")
+		view.start(t)
+	})
+}
+
 func (c *Coordinator) eachAssigned(key tracker.ExecutorKey, visit func(*tracker.Task)) {
 	for _, job := range c.jobs {
 		job.EachTask(func(t *tracker.Task) {
@@ -296,6 +320,40 @@
 		log.Info().Str("job", assignment.Task.ID().Job).Str("task", assignment.Task.ID().String()).
 			Int32("run", assignment.Run).Str("host", view.host).Msg("task assigned")
 	}
+	c.preempt(r, groups)
+}
+
+// preempt makes room for the most urgent tasks that fit nowhere. Filling tasks
+// wait instead.
+func (c *Coordinator) preempt(r *round, groups []*tracker.Group) {
+	for _, group := range groups {
+		if group.Step().GetFillsIdle() {
+			continue
+		}
+		for _, t := range group.Tasks() {
+			if !t.Pending() {
+				continue
+			}
+			victims := c.Planner.Preempt(group, t, r.hosts)
+			for _, victim := range victims {
+				c.stopForRoom(r, victim, t)
+			}
+			if len(victims) > 0 {
+				return
+			}
+		}
+	}
+}
+
+func (c *Coordinator) stopForRoom(r *round, victim, urgent *tracker.Task) {
+	view := r.byKey[victim.Executor()]
+	if view == nil {
+		return
+	}
+	victim.Stop()
+	view.stop(victim.ID().String(), victim.Run())
+	log.Info().Str("job", victim.ID().Job).Str("task", victim.ID().String()).Int32("run", victim.Run()).
+		Str("host", view.host).Str("for", urgent.ID().String()).Msg("task stopped to make room")
 }
 
 func (c *Coordinator) readyGroups() []*tracker.Group {
@@ -338,7 +396,7 @@
 	for _, job := range c.jobs {
 		job.EachTask(func(t *tracker.Task) {
 			if host := byKey[t.Executor()]; host != nil && t.Assigned() {
-				host.Occupy(t.GroupName(), t.Step())
+				host.Hold(t)
 			}
 		})
 	}
--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -39,7 +39,9 @@
 		return nil, c.takeDeparture(report)
 	}
 	if s == nil || s.id != report.GetSession() || report.GetEpoch() != c.epoch {
-		if !report.GetHasRunning() || report.GetEpoch() != c.epoch {
+		// A session that is over here is still open to its agent, which would
+		// take new orders for old ones.
+		if !report.GetOpening() || !report.GetHasRunning() || report.GetEpoch() != c.epoch {
 			return nil, &wire.ExchangeResponse{
 				Epoch:  c.epoch,
 				Reopen: true,
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -73,6 +74,8 @@
 	submitter *submitter.Submitter
 	tomb      *tomb.Tomb
 	server    *httptest.Server
+	// cut breaks the calls of agents off after a while.
+	cut atomic.Bool
 }
 
 type host struct {
@@ -143,7 +146,13 @@
 	e.elector.Won, e.elector.Lost, index.Changed = c.Won, c.Lost, c.JobsChanged
 	mux := http.NewServeMux()
 	mux.Handle(wireconnect.NewCoordinatorServiceHandler(c))
-	e.server = httptest.NewServer(mux)
+	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.cut.Load() {
+			time.Sleep(500 * time.Millisecond)
+			panic(http.ErrAbortHandler)
+		}
+		mux.ServeHTTP(w, r)
+	}))
 	e.elector.Address = strings.TrimPrefix(e.server.URL, "http://")
 	e.submitter = &submitter.Submitter{
 		Log:           e.client,
--- a/planner/host.go
+++ b/planner/host.go
@@ -25,7 +25,10 @@
 	// Suspect hosts get one task at a time after repeated failures.
 	Suspect bool
 
-	reserved       wire.Resources
+	reserved wire.Resources
+	// leaving is what tasks hold that were ordered to stop.
+	leaving        wire.Resources
+	held           []*tracker.Task
 	servingMilli   int64
 	fillMilli      int64
 	tasksByStep    map[string]int
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -130,7 +130,7 @@
 	var best *Host
 	var bestScore float64
 	for _, host := range hosts {
-		if !p.admits(host, group, task, name) {
+		if !p.admits(host, group, task) {
 			continue
 		}
 		score := p.score(host, step, task, name)
@@ -145,15 +145,20 @@
 	return best
 }
 
-func (p *Planner) admits(host *Host, group *tracker.Group, task *tracker.Task, name string) bool {
-	step := group.Step()
+// open reports whether the task may run on the host, if there is room.
+func (p *Planner) open(host *Host, group *tracker.Group, task *tracker.Task) bool {
 	if !host.Usable || host.Service != group.Job().Spec().GetService() {
 		return false
 	}
 	if host.Suspect && (host.probes > 0 || task.Failures() > 0) {
 		return false
 	}
-	if !host.fits(step) || !host.allows(name, step) {
+	return host.allows(group.Name(), group.Step())
+}
+
+func (p *Planner) admits(host *Host, group *tracker.Group, task *tracker.Task) bool {
+	step := group.Step()
+	if !p.open(host, group, task) || !host.fits(step) {
 		return false
 	}
 	return !step.GetFillsIdle() || p.speed(host, step) >= leastSpeed
--- a/runner/exchange.go
+++ b/runner/exchange.go
@@ -69,6 +69,7 @@
 		EndsRecorded:      r.recorded,
 		Refusals:          slices.Clone(r.refusals),
 		PressureVersion:   r.pressureVersion,
+		Opening:           poll && !r.opened,
 	}
 	for _, end := range r.ends {
 		request.Ends = append(request.Ends, end)
@@ -173,9 +174,10 @@
 		}
 		signal(r.renewWake)
 	}
-	if sentRefusals := len(request.GetRefusals()); sentRefusals > 0 && len(r.refusals) >= sentRefusals {
-		r.refusals = r.refusals[sentRefusals:]
-	}
+	// Calls overlap, so only what this one carried is delivered by it.
+	r.refusals = slices.DeleteFunc(r.refusals, func(refusal *wire.StartRefusal) bool {
+		return slices.Contains(request.GetRefusals(), refusal)
+	})
 }
 
 func (r *Runner) takeOrders(ctx context.Context, response *wire.ExchangeResponse, sent time.Duration) {
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -59,6 +59,8 @@
 	switch {
 	case r.isRunning(key) || r.hasEnded(key):
 		a.exists = true
+	case r.refused[key] != "":
+		a.refuse = r.refused[key]
 	case r.info.GetDraining():
 		a.refuse = damaskspread.RefusedDraining
 	case r.Elapsed.Elapsed()-decidedAt > startWithin:
--- a/runner/renew.go
+++ b/runner/renew.go
@@ -195,7 +195,10 @@
 	return false
 }
 
+// refuse reports that a run won't start. The leader then gives the task to
+// another executor, so this holds for repeated orders too.
 func (r *Runner) refuse(key runKey, reason damaskspread.StartRefusal) {
+	r.refused[key] = reason
 	r.refusals = append(r.refusals, &wire.StartRefusal{
 		Task:   key.task,
 		Run:    key.run,
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -74,9 +74,11 @@
 	running    []*wire.TaskRun
 	refusals   []*wire.StartRefusal
 	checks     map[runKey]time.Duration
-	steps      map[runKey]*wire.JobStep
-	paces      map[runKey]int
-	stopped    map[runKey]bool
+	// refused are runs that the leader was told won't start here.
+	refused map[runKey]damaskspread.StartRefusal
+	steps   map[runKey]*wire.JobStep
+	paces   map[runKey]int
+	stopped map[runKey]bool
 	// pressureVersion is the version of the pacer's weights.
 	pressureVersion int64
 
@@ -150,6 +152,7 @@
 	r.failures = 0
 	r.ends = map[int64]*wire.RunEnd{}
 	r.running = nil
+	r.refused = map[runKey]damaskspread.StartRefusal{}
 	r.steps = map[runKey]*wire.JobStep{}
 	r.paces = map[runKey]int{}
 	r.stopped = map[runKey]bool{}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -34,6 +34,7 @@
 	stopping   bool
 	assignedAt time.Duration
 	slowSince  time.Duration
+	remindedAt time.Duration
 }
 
 // ID names the task.
@@ -91,6 +92,16 @@
 	return now-max(t.slowSince, t.assignedAt) >= atLeast
 }
 
+// Overdue reports whether a time has passed since the run was assigned or was
+// last found overdue.
+func (t *Task) Overdue(now, after time.Duration) bool {
+	if now-max(t.assignedAt, t.remindedAt) < after {
+		return false
+	}
+	t.remindedAt = now
+	return true
+}
+
 // Assign gives the task its next run.
 func (t *Task) Assign(executor ExecutorKey, host string, run int32, now time.Duration) {
 	t.state = wire.JobTaskState_JOB_TASK_STATE_ASSIGNED
