--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -19,8 +19,8 @@
 	w := newWorld(t, 2, 3, after(30*time.Millisecond))
 	w.submit(w.entries[0], &wire.Job{Id: jobID, Steps: steps(6, 4)})
 	w.succeeds(w.entries[1], jobID)
-	assert.Equal(t, w.count(jobID, wire.EndCause_END_CAUSE_DONE), 10)
-	assert.Equal(t, w.count(jobID, wire.EndCause_END_CAUSE_UNSPECIFIED), 10)
+	assert.Equal(t, w.count(wire.EndCause_END_CAUSE_DONE), 10)
+	assert.Equal(t, w.count(wire.EndCause_END_CAUSE_UNSPECIFIED), 10)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	done := 0
@@ -39,10 +39,10 @@
 	w := newWorld(t, 3, 3, after(400*time.Millisecond))
 	leader := w.leader()
 	w.submit(leader, &wire.Job{Id: jobID, Steps: steps(8, 8)})
-	w.until("start", func() bool { return w.count(jobID, wire.EndCause_END_CAUSE_UNSPECIFIED) >= 4 })
+	w.until("start", func() bool { return w.count(wire.EndCause_END_CAUSE_UNSPECIFIED) >= 4 })
 	w.killEntry(leader)
 	w.succeeds(w.leader(), jobID)
-	assert.Equal(t, w.count(jobID, wire.EndCause_END_CAUSE_DONE), 16)
+	assert.Equal(t, w.count(wire.EndCause_END_CAUSE_DONE), 16)
 	w.neverTwice()
 }
 
@@ -79,7 +79,7 @@
 	}
 	w.submit(successor, &wire.Job{Id: jobID, Steps: steps(12)})
 	w.succeeds(successor, jobID)
-	assert.Equal(t, w.count(jobID, wire.EndCause_END_CAUSE_DONE), 12)
+	assert.Equal(t, w.count(wire.EndCause_END_CAUSE_DONE), 12)
 	w.neverTwice()
 }
 
@@ -88,7 +88,7 @@
 func TestPowerLoss(t *testing.T) {
 	w := newWorld(t, 2, 2, after(300*time.Millisecond))
 	w.submit(w.entries[0], &wire.Job{Id: jobID, Steps: steps(4, 4)})
-	w.until("start", func() bool { return w.count(jobID, wire.EndCause_END_CAUSE_UNSPECIFIED) >= 2 })
+	w.until("start", func() bool { return w.count(wire.EndCause_END_CAUSE_UNSPECIFIED) >= 2 })
 	for _, e := range w.entries {
 		w.killEntry(e)
 	}
@@ -118,7 +118,7 @@
 	w.killAgent(w.hosts[0])
 	w.startAgent(w.hosts[0])
 	w.succeeds(w.entries[0], jobID)
-	assert.Equal(t, w.count(jobID, wire.EndCause_END_CAUSE_UNSPECIFIED), 4)
+	assert.Equal(t, w.count(wire.EndCause_END_CAUSE_UNSPECIFIED), 4)
 }
 
 // Guards against tasks that stay assigned to an incarnation that has ended.
@@ -151,7 +151,7 @@
 	}
 	w.submit(w.entries[0], &wire.Job{Id: jobID, Steps: steps(6)})
 	w.succeeds(w.entries[0], jobID)
-	assert.Equal(t, w.count(jobID, wire.EndCause_END_CAUSE_DONE), 6)
+	assert.Equal(t, w.count(wire.EndCause_END_CAUSE_DONE), 6)
 	w.neverTwice()
 }
 
@@ -167,26 +167,26 @@
 	w.submit(w.entries[0], job)
 	w.submit(w.entries[1], job)
 	w.succeeds(leader, jobID)
-	assert.Equal(t, w.count(jobID, wire.EndCause_END_CAUSE_DONE), 6)
+	assert.Equal(t, w.count(wire.EndCause_END_CAUSE_DONE), 6)
 	w.neverTwice()
 }
 
-// Guards against tasks of a cancelled job that run on or start afterwards.
+// Guards against tasks of a canceled job that run on or start afterwards.
 func TestCancel(t *testing.T) {
 	w := newWorld(t, 2, 2, after(-1))
 	job := &wire.Job{Id: jobID, Steps: steps(4)}
 	job.Steps[0].LongRunning = true
 	w.submit(w.entries[0], job)
-	w.until("start", func() bool { return w.count(jobID, wire.EndCause_END_CAUSE_UNSPECIFIED) == 4 })
+	w.until("start", func() bool { return w.count(wire.EndCause_END_CAUSE_UNSPECIFIED) == 4 })
 	w.until("acknowledged cancellation", func() bool {
 		return w.entries[1].submitter.Cancel(context.Background(), nil, jobID) == nil
 	})
 	// cancel_ms of the deployments.
 	began := time.Now()
-	w.until("stop", func() bool { return w.count(jobID, wire.EndCause_END_CAUSE_STOPPED) == 4 })
+	w.until("stop", func() bool { return w.count(wire.EndCause_END_CAUSE_STOPPED) == 4 })
 	assert.Assert(t, time.Since(began) < 3*time.Second, "%s", time.Since(began))
-	w.until("state", func() bool { return w.state(w.entries[0], jobID) == wire.JobState_JOB_STATE_CANCELLED })
-	assert.Equal(t, w.count(jobID, wire.EndCause_END_CAUSE_UNSPECIFIED), 4)
+	w.until("state", func() bool { return w.state(w.entries[0], jobID) == wire.JobState_JOB_STATE_CANCELED })
+	assert.Equal(t, w.count(wire.EndCause_END_CAUSE_UNSPECIFIED), 4)
 }
 
 // Guards against one bad executor that uses up the attempts of good jobs.
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -129,7 +129,7 @@
 			job = tracker.New(entry.Job())
 			c.jobs[id] = job
 		}
-		if job != nil && entry.Cancelled() {
+		if job != nil && entry.Canceled() {
 			job.Cancel()
 		}
 	}
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -118,7 +118,7 @@
 	if indexer.Final(entry.Recorded()) {
 		c.closing = append(c.closing, id)
 	}
-	if entry.Cancelled() {
+	if entry.Canceled() {
 		job.Cancel()
 	}
 	c.jobs[id] = job
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -318,13 +318,13 @@
 	w.until("success of "+id, func() bool { return w.state(e, id) == wire.JobState_JOB_STATE_SUCCEEDED })
 }
 
-// count is the number of events of a cause for tasks with a prefix.
-func (w *world) count(prefix string, cause wire.EndCause) int {
+// count is the number of events of a cause for tasks of the usual job.
+func (w *world) count(cause wire.EndCause) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	n := 0
 	for _, event := range w.events {
-		if strings.HasPrefix(event.Task, prefix) && event.Cause == cause {
+		if strings.HasPrefix(event.Task, jobID) && event.Cause == cause {
 			n++
 		}
 	}
--- /dev/null
+++ b/estimator/pressure_test.go
@@ -0,0 +1,72 @@
+package estimator_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"damaskspread.example/damaskspread/estimator"
+	"damaskspread.example/damaskspread/wire"
+)
+
+// Guards against a model that blames the wrong image: two images run beside
+// two serving ones under a load that swings, and one pair of them disturbs.
+func TestPressureFindsThePair(t *testing.T) {
+	const seed, hosts, seconds, truth = 7, 6, 20, 5.0
+	random := rand.New(rand.NewPCG(seed, seed))
+	p := &estimator.Pressure{}
+	capacity := &wire.Resources{Millicores: 16000}
+	for tick := range seconds * 2 {
+		now := time.Duration(tick) * 500 * time.Millisecond
+		swing := 0.5 * math.Sin(2*math.Pi*now.Seconds()/10)
+		for host := range hosts {
+			loud, quiet := random.Int64N(3)*2000, random.Int64N(3)*2000
+			var samples []estimator.RunSample
+			for _, image := range []string{"tender", "robust"} {
+				level := math.Log(40) + swing + 0.05*random.NormFloat64()
+				if image == "tender" {
+					level += truth * float64(loud) / 16000
+				}
+				samples = append(samples, estimator.RunSample{
+					Task:      fmt.Sprint(image, host),
+					Image:     image,
+					Serving:   true,
+					LatencyMs: int64(math.Exp(level)),
+				})
+			}
+			samples = append(
+				samples,
+				estimator.RunSample{Task: "l", Image: "loud", Millicores: loud},
+				estimator.RunSample{Task: "q", Image: "quiet", Millicores: quiet},
+			)
+			p.Observe(fmt.Sprint(host), capacity, samples, now)
+		}
+	}
+	weights := map[string]float64{}
+	for _, pair := range p.Weights() {
+		weights[pair.Disturbing+">"+pair.Serving] = pair.Weight
+	}
+	assert.Equal(t, len(weights), 4)
+	assert.Assert(t, math.Abs(weights["loud>tender"]-truth) < 1.5, "%v", weights)
+	for _, harmless := range []string{"loud>robust", "quiet>tender", "quiet>robust"} {
+		assert.Assert(t, weights[harmless] < 0.8, "%v", weights)
+	}
+	assert.Equal(t, p.Weight("unknown", "tender"), 0.0)
+}
+
+// Guards against a window that counts as often as it is reported.
+func TestPressureCountsWindowsOnce(t *testing.T) {
+	p := &estimator.Pressure{}
+	samples := []estimator.RunSample{
+		{Task: "s", Image: "tender", Serving: true, LatencyMs: 50},
+		{Task: "l", Image: "loud", Millicores: 8000},
+	}
+	for range 1000 {
+		p.Observe("host", &wire.Resources{Millicores: 16000}, samples, 0)
+	}
+	assert.Equal(t, len(p.Weights()), 0)
+}
--- a/indexer/indexer.go
+++ b/indexer/indexer.go
@@ -35,7 +35,7 @@
 	}, nil
 }
 
-// CancelRecord is the record of a cancelled job.
+// CancelRecord is the record of a canceled job.
 func CancelRecord(id string) *wire.KeyedRecord {
 	return &wire.KeyedRecord{
 		Key:   id + cancelSuffix,
@@ -66,16 +66,16 @@
 
 // Entry is what is known of one job.
 type Entry struct {
-	job       *wire.Job
-	cancelled bool
-	state     wire.JobState
+	job      *wire.Job
+	canceled bool
+	state    wire.JobState
 }
 
 // Job is nil while only a cancellation or a status is known.
 func (e Entry) Job() *wire.Job { return e.job }
 
-// Cancelled reports whether a caller cancelled the job.
-func (e Entry) Cancelled() bool { return e.cancelled }
+// Canceled reports whether a caller canceled the job.
+func (e Entry) Canceled() bool { return e.canceled }
 
 // Recorded is the status that the scheduling leader recorded last.
 func (e Entry) Recorded() wire.JobState { return e.state }
@@ -85,8 +85,8 @@
 	switch {
 	case Final(e.state):
 		return e.state
-	case e.cancelled:
-		return wire.JobState_JOB_STATE_CANCELLED
+	case e.canceled:
+		return wire.JobState_JOB_STATE_CANCELED
 	case e.state == wire.JobState_JOB_STATE_UNSPECIFIED:
 		return wire.JobState_JOB_STATE_QUEUED
 	default:
@@ -97,7 +97,7 @@
 // Final reports whether a job in this state has nothing left to run.
 func Final(state wire.JobState) bool {
 	switch state {
-	case wire.JobState_JOB_STATE_SUCCEEDED, wire.JobState_JOB_STATE_FAILED, wire.JobState_JOB_STATE_CANCELLED:
+	case wire.JobState_JOB_STATE_SUCCEEDED, wire.JobState_JOB_STATE_FAILED, wire.JobState_JOB_STATE_CANCELED:
 		return true
 	default:
 		return false
@@ -152,7 +152,7 @@
 	}
 	switch "." + kind {
 	case cancelSuffix:
-		entry.cancelled = true
+		entry.canceled = true
 	case statusSuffix:
 		entry.applyStatus(id, record.GetValue())
 	case ".":
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -156,14 +156,14 @@
 		return nil, err
 	}
 	l.loadEntries(limited)
-	for _, record := range page.GetRecords() {
-		leader := &wire.Leadership{}
-		if err := proto.Unmarshal(record.GetValue(), leader); err != nil {
-			return nil, err
-		}
-		return leader, nil
+	if len(page.GetRecords()) == 0 {
+		return nil, nil
+	}
+	leader := &wire.Leadership{}
+	if err := proto.Unmarshal(page.GetRecords()[0].GetValue(), leader); err != nil {
+		return nil, err
 	}
-	return nil, nil
+	return leader, nil
 }
 
 // loadEntries remembers the entry processes for times without the log.
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -157,14 +157,14 @@
 	if err != nil {
 		return err
 	}
-	if entry.Cancelled() || indexer.Final(entry.Recorded()) {
+	if entry.Canceled() || indexer.Final(entry.Recorded()) {
 		return nil
 	}
 	offset, err := s.append(ctx, indexer.CancelRecord(id))
 	if err != nil {
 		return err
 	}
-	log.Info().Str("job", id).Int64("offset", offset).Msg("job cancelled")
+	log.Info().Str("job", id).Int64("offset", offset).Msg("job canceled")
 	return nil
 }
 
--- /dev/null
+++ b/tailer/tailer_test.go
@@ -0,0 +1,138 @@
+package tailer_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gopkg.in/tomb.v2"
+	"gotest.tools/v3/assert"
+
+	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/emulator"
+	"damaskspread.example/damaskspread/tailer"
+	"damaskspread.example/damaskspread/wire"
+)
+
+const topic = "topic"
+
+type elapsed struct{ start time.Time }
+
+func (e elapsed) Elapsed() time.Duration { return time.Since(e.start) + time.Hour }
+
+// reader follows a topic and keeps what it has.
+type reader struct {
+	tail   *tailer.Tailer
+	client *emulator.KeyedLogClient
+	log    *emulator.KeyedLog
+
+	mu     sync.Mutex
+	values map[string]string
+}
+
+func (r *reader) apply(records []*wire.KeyedRecord, reset bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if reset {
+		r.values = map[string]string{}
+	}
+	for _, record := range records {
+		if len(record.GetValue()) == 0 {
+			delete(r.values, record.GetKey())
+			continue
+		}
+		r.values[record.GetKey()] = string(record.GetValue())
+	}
+}
+
+func (r *reader) value(key string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.values[key]
+}
+
+func (r *reader) put(t *testing.T, key, value string) {
+	t.Helper()
+	writer := &emulator.KeyedLogClient{Log: r.log}
+	_, err := writer.Append(context.Background(), topic, []*wire.KeyedRecord{{Key: key, Value: []byte(value)}}, nil)
+	assert.NilError(t, err)
+}
+
+func (r *reader) refresh(t *testing.T) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	assert.NilError(t, r.tail.Refresh(ctx))
+}
+
+func follow(t *testing.T, wait time.Duration) *reader {
+	clock := clockwork.NewRealClock()
+	r := &reader{log: &emulator.KeyedLog{Clock: clock}}
+	r.client = &emulator.KeyedLogClient{Log: r.log}
+	r.tail = &tailer.Tailer{
+		Log:     r.client,
+		Topic:   topic,
+		Clock:   clock,
+		Elapsed: elapsed{start: time.Now()},
+		Wait:    wait,
+		Apply:   r.apply,
+	}
+	r.put(t, "before", "1")
+	tb := &tomb.Tomb{}
+	tb.Go(func() error { return r.tail.Run(tb) })
+	t.Cleanup(func() {
+		tb.Kill(nil)
+		_ = tb.Wait()
+	})
+	return r
+}
+
+// Guards against a view that misses records from before or after its start.
+func TestFollow(t *testing.T) {
+	r := follow(t, 100*time.Millisecond)
+	r.refresh(t)
+	assert.Equal(t, r.value("before"), "1")
+	r.put(t, "after", "2")
+	r.put(t, "before", "")
+	r.refresh(t)
+	assert.Equal(t, r.value("after"), "2")
+	assert.Equal(t, r.value("before"), "")
+}
+
+// Guards against a refresh that waits out a read at the head: a takeover of
+// the leadership waits for it.
+func TestRefreshInterrupts(t *testing.T) {
+	r := follow(t, 5*time.Second)
+	r.refresh(t)
+	time.Sleep(50 * time.Millisecond)
+	began := time.Now()
+	r.refresh(t)
+	assert.Assert(t, time.Since(began) < time.Second, "%s", time.Since(began))
+}
+
+// Guards against keys that stay known although their removal expired unread.
+func TestExpiredHistory(t *testing.T) {
+	r := follow(t, 50*time.Millisecond)
+	r.refresh(t)
+	r.client.SetDown(true)
+	time.Sleep(100 * time.Millisecond)
+	r.put(t, "before", "")
+	r.put(t, "after", "2")
+	r.log.Forget(topic)
+	r.client.SetDown(false)
+	r.refresh(t)
+	assert.Equal(t, r.value("after"), "2")
+	assert.Equal(t, r.value("before"), "")
+}
+
+// Guards against a view that claims to be current while the log is away.
+func TestAge(t *testing.T) {
+	r := follow(t, 50*time.Millisecond)
+	assert.Assert(t, r.tail.Age() == damaskspread.MaxAge || r.tail.Age() < time.Minute)
+	r.refresh(t)
+	r.client.SetSilent(true)
+	time.Sleep(400 * time.Millisecond)
+	assert.Assert(t, r.tail.Age() >= 300*time.Millisecond, "%s", r.tail.Age())
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -131,7 +131,7 @@
 type Job struct {
 	job         *wire.Job
 	occurrences []*Occurrence
-	cancelled   bool
+	canceled    bool
 	failed      bool
 	started     bool
 	dirty       bool
@@ -179,7 +179,7 @@
 func Restore(job *wire.Job, progress *wire.JobProgress) *Job {
 	j := New(job)
 	j.failed = progress.GetState() == wire.JobState_JOB_STATE_FAILED
-	j.cancelled = progress.GetState() == wire.JobState_JOB_STATE_CANCELLED
+	j.canceled = progress.GetState() == wire.JobState_JOB_STATE_CANCELED
 	for _, stored := range progress.GetOccurrences() {
 		if int(stored.GetIndex()) >= len(j.occurrences) {
 			continue
@@ -271,12 +271,12 @@
 	if j.Over() {
 		return
 	}
-	j.cancelled = true
+	j.canceled = true
 	j.touch()
 }
 
 // Over reports whether no further task may start.
-func (j *Job) Over() bool { return j.cancelled || j.failed || j.succeeded() }
+func (j *Job) Over() bool { return j.canceled || j.failed || j.succeeded() }
 
 func (j *Job) succeeded() bool {
 	for _, o := range j.occurrences {
@@ -292,8 +292,8 @@
 // State is what callers are told.
 func (j *Job) State() wire.JobState {
 	switch {
-	case j.cancelled:
-		return wire.JobState_JOB_STATE_CANCELLED
+	case j.canceled:
+		return wire.JobState_JOB_STATE_CANCELED
 	case j.failed:
 		return wire.JobState_JOB_STATE_FAILED
 	case j.succeeded():
@@ -305,7 +305,7 @@
 	}
 }
 
-// LongRunning reports whether the job runs until it is cancelled.
+// LongRunning reports whether the job runs until it is canceled.
 func (j *Job) LongRunning() bool {
 	for _, step := range j.job.GetSteps() {
 		if step.GetLongRunning() {
