Settle starts by the first try and let the pace return in steps

A start took effect without an answer, its repeat was refused by an unhealthy executor, and the agent reported the run as not started.

Ruled out: a lost stop (none was sent); a pace call that failed (none logged).

--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -20,9 +20,9 @@
 	// MinWeight is the effect of an image on another that pacing regards.
 	MinWeight = 0.8
 	// strainUp and strainDown are the changes of the strain per window with and
-	// without a serving task above its target. Five windows stop all filling
-	// tasks of a host, within the time that a target may be exceeded.
-	strainUp   = 0.4
+	// without a serving task above its target. Four windows stop all filling
+	// tasks of a host, well within the time that a target may be exceeded.
+	strainUp   = 0.5
 	strainDown = 0.6
 	maxStrain  = 2
 	// window is the interval of the executor's measurements.
@@ -136,11 +136,9 @@
 	}
 }
 
-// relieve slows down what stands beside a serving task above its target.
+// relieve slows down what stands beside a serving task under strain. The strain
+// outlasts the excess, so that the pace returns in steps.
 func (p *Pacer) relieve(serving Sample, samples []Sample, paces []float64) {
-	if serving.Usage <= serving.Step.GetTargetLatencyMs() {
-		return
-	}
 	for i, s := range samples {
 		cut := p.strain
 		if p.harmless(s, serving) {
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -94,7 +94,7 @@
 		}
 		var unknown *damaskspread.WorkerUnknownError
 		uncertain = uncertain || errors.As(err, &unknown)
-		if r.startRefused(key, err) {
+		if r.startRefused(key, err, uncertain) {
 			return
 		}
 		r.pause(ctx, orderRetry)
@@ -108,15 +108,16 @@
 }
 
 // startRefused handles definite refusals and reports whether the order is
-// settled.
-func (r *Runner) startRefused(key runKey, err error) bool {
+// settled. The refusal of a repeat says nothing of an earlier try without an
+// answer; the lists of the executor or a stop settle that.
+func (r *Runner) startRefused(key runKey, err error, uncertain bool) bool {
 	var refused *damaskspread.StartRefusedError
 	var fenced *damaskspread.FencedError
 	var wrong *damaskspread.WrongIncarnationError
 	switch {
 	case errors.As(err, &wrong):
 		return true
-	case errors.As(err, &fenced):
+	case errors.As(err, &fenced) && !uncertain:
 		r.reportRefusal(key, damaskspread.RefusedExpired)
 		return true
 	case !errors.As(err, &refused):
@@ -126,6 +127,9 @@
 		// The run may have ended here; the next list of ends tells.
 		r.check(key, 0)
 		return true
+	case uncertain:
+		log.Info().Str("task", key.task).Int32("run", key.run).Err(err).Msg("repeat of a start refused; the first try is open")
+		return false
 	default:
 		r.reportRefusal(key, refused.Reason)
 		return true
