Ask for advice before steps of queues that need it

Cause: executors of such queues refuse every start without a ticket; a deployment with advice would have run nothing.

Ruled out: asking from the agents (a call per task instead of one per step).

Change: the leader asks once per step, one call at a time, and places the step only where a ticket is valid; a refused ticket is forgotten.

Two tests of the world no longer assume which host gets the first tasks (TestExecutorReplaced failed once on that assumption).

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -64,8 +64,10 @@
 	Election   *elector.Elector
 	Planner    *planner.Planner
 	Pressure   *estimator.Pressure
-	Clock      damaskspread.Clock
-	Elapsed    damaskspread.ElapsedClock
+	// Advisor is nil on deployments without admission advice.
+	Advisor damaskspread.StepAdvisor
+	Clock   damaskspread.Clock
+	Elapsed damaskspread.ElapsedClock
 	// LeaseFor is the lease that one report of an agent earns.
 	LeaseFor time.Duration
 	// StatusFor is how long a finished job stays known.
@@ -94,6 +96,7 @@
 	// removed are records of the progress that are no longer needed.
 	removed  []*wire.KeyedRecord
 	progress *writer
+	advices  *advices
 	statuses *statusWriter
 }
 
@@ -173,11 +176,9 @@
 		c.pause(ctx, maxCycle)
 		return
 	}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		c.statuses.run(term)
-	}()
+	var duties sync.WaitGroup
+	duties.Go(func() { c.statuses.run(term) })
+	duties.Go(func() { c.advices.run(term) })
 	for c.currentEpoch() == epoch && ctx.Err() == nil {
 		if err := c.cycle(term, epoch); err != nil {
 			log.Warn().Int64("epoch", epoch).Err(err).Msg("leadership ended: progress was not stored")
@@ -188,7 +189,7 @@
 		c.await(ctx)
 	}
 	cancel()
-	<-done
+	duties.Wait()
 }
 
 // abandon drops a leadership whose epoch is fenced.
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -125,8 +125,7 @@
 func TestExecutorReplaced(t *testing.T) {
 	w := newWorld(t, 1, 2, after(500*time.Millisecond))
 	w.submit(w.entries[0], &wire.Job{Id: jobID, Steps: steps(8)})
-	w.until("start", func() bool { return w.hosts[0].executor.Running() > 0 })
-	w.boot(w.hosts[0])
+	w.boot(w.busy())
 	w.succeeds(w.entries[0], jobID)
 	w.neverTwice()
 }
@@ -136,8 +135,7 @@
 func TestSilentExecutor(t *testing.T) {
 	w := newWorld(t, 1, 2, after(600*time.Millisecond))
 	w.submit(w.entries[0], &wire.Job{Id: jobID, Steps: steps(8)})
-	w.until("start", func() bool { return w.hosts[0].executor.Running() > 0 })
-	w.hosts[0].executor.SetSilent(true)
+	w.busy().executor.SetSilent(true)
 	w.succeeds(w.entries[0], jobID)
 	w.neverTwice()
 }
@@ -217,3 +215,19 @@
 	w.succeeds(w.entries[0], second)
 	assert.Assert(t, time.Since(began) < 2*time.Second, "%s", time.Since(began))
 }
+
+// Guards against starts on executors that the advice did not grant, and against
+// advice that is asked for each task.
+func TestAdvice(t *testing.T) {
+	w := newWorld(t, 1, 3, after(50*time.Millisecond))
+	w.advisor.host = "host-1"
+	queue := &wire.Queue{Name: "advised", Service: service, MaxAttempts: 3, Advice: &wire.AdvicePolicy{}}
+	assert.NilError(t, w.entries[0].submitter.Submit(context.Background(), queue, &wire.Job{Id: jobID, Steps: steps(8, 4)}))
+	w.succeeds(w.entries[0], jobID)
+	assert.Assert(t, w.advisor.calls.Load() <= 6, "%d calls", w.advisor.calls.Load())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, event := range w.events {
+		assert.Assert(t, strings.HasPrefix(event.Executor, "host-1-"), "%s ran on %s", event.Task, event.Executor)
+	}
+}
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -187,6 +187,7 @@
 		return
 	}
 	t.Release()
+	c.advices.forgetRefused(t, refusal.GetReason())
 	c.judgeRefusal(view.key, refusal.GetReason())
 	log.Info().Str("job", t.ID().Job).Str("task", refusal.GetTask()).Int32("run", refusal.GetRun()).
 		Str("host", view.host).Str("reason", refusal.GetReason()).Msg("start refused")
@@ -220,7 +221,7 @@
 			view.stop(t.ID().String(), t.Run())
 		default:
 			// The agent skips runs that are in progress, but learns their step.
-			view.start(t)
+			c.start(view, t)
 		}
 	})
 }
@@ -238,7 +239,7 @@
 			return
 		}
 		log.Info().Str("job", t.ID().Job).Str("task", name).Int32("run", t.Run()).Str("host", view.host).Msg("start repeated")
-		view.start(t)
+		c.start(view, t)
 	})
 }
 
@@ -259,8 +260,10 @@
 	})
 }
 
-func (v *sessionView) start(t *tracker.Task) {
-	v.starts = append(v.starts, &wire.StartOrder{
+func (c *Coordinator) start(view *sessionView, t *tracker.Task) {
+	ticket, _ := c.advices.ticket(t.GroupName(), view.key.ID)
+	view.starts = append(view.starts, &wire.StartOrder{
+		Ticket:     ticket,
 		Task:       t.ID().String(),
 		Run:        t.Run(),
 		Spec:       t.Job().Spec().GetSpec(),
@@ -313,10 +316,11 @@
 	r.hosts = c.hosts(r)
 	groups := c.readyGroups()
 	planner.Order(groups)
+	c.advices.prepare(groups, r.hosts)
 	for _, assignment := range c.Planner.Plan(groups, r.hosts) {
 		view := r.byKey[assignment.Host.Key]
 		assignment.Task.Assign(view.key, view.host, assignment.Run, r.now)
-		view.start(assignment.Task)
+		c.start(view, assignment.Task)
 		log.Info().Str("job", assignment.Task.ID().Job).Str("task", assignment.Task.ID().String()).
 			Int32("run", assignment.Run).Str("host", view.host).Msg("task assigned")
 	}
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -28,6 +28,8 @@
 		}
 	}
 	c.statuses = newStatusWriter(statuses)
+	c.advices = newAdvices(c)
+	c.Planner.Ticket = c.advices.ticket
 	stored, err := c.loadProgress(ctx)
 	if err != nil {
 		return err
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -50,6 +50,23 @@
 func (operations) ZoneOut(string) bool       { return false }
 func (operations) ZonesOut() map[string]bool { return nil }
 
+// advisor grants every step to executors of one host only.
+type advisor struct {
+	host  string
+	calls atomic.Int64
+}
+
+func (a *advisor) Advise(_ context.Context, _ string, executors []string) (map[string]string, time.Duration, error) {
+	a.calls.Add(1)
+	tickets := map[string]string{}
+	for _, executor := range executors {
+		if strings.HasPrefix(executor, a.host+"-") {
+			tickets[executor] = "ticket"
+		}
+	}
+	return tickets, time.Second, nil
+}
+
 // world is a fleet in one process: a log, entries, and hosts with an agent and
 // an executor each. What executors saw is the judge.
 type world struct {
@@ -60,6 +77,7 @@
 	entries []*entry
 	hosts   []*host
 	work    func(task string) time.Duration
+	advisor *advisor
 
 	mu      sync.Mutex
 	events  []emulator.RunEvent
@@ -94,6 +112,7 @@
 		elapsed: elapsed{start: time.Now()},
 		log:     &emulator.KeyedLog{Clock: clock},
 		work:    work,
+		advisor: &advisor{},
 		running: map[string]string{},
 	}
 	for i := range entries {
@@ -137,6 +156,7 @@
 		Operations: operations{},
 		Election:   e.elector,
 		Planner:    &planner.Planner{},
+		Advisor:    w.advisor,
 		Clock:      w.clock,
 		Elapsed:    w.elapsed,
 		LeaseFor:   lease,
@@ -284,6 +304,22 @@
 	return leader
 }
 
+// busy waits for a host that runs a task; which one gets the first tasks depends
+// on whose agent was there first.
+func (w *world) busy() *host {
+	var busy *host
+	w.until("start", func() bool {
+		for _, h := range w.hosts {
+			if h.executor.Running() > 0 {
+				busy = h
+				return true
+			}
+		}
+		return false
+	})
+	return busy
+}
+
 func (w *world) until(what string, condition func() bool) {
 	w.t.Helper()
 	deadline := time.Now().Add(bound)
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -172,6 +172,12 @@
 		LeaseFor:  time.Duration(float64(s.Bounds().LeaseMax()) * leaseShare),
 		StatusFor: s.Bounds().StatusFor(),
 	}
+	if address := s.Peers().Advice(); address != "" {
+		e.coordinator.Advisor = &platform.Advice{
+			Address: address,
+			HTTP:    connector.NewHTTPClient(),
+		}
+	}
 	e.coordinator.Init()
 	e.elector.Won = e.coordinator.Won
 	e.elector.Lost = e.coordinator.Lost
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -26,6 +26,8 @@
 	// Weight is the effect of a disturbing image on a serving one; nil knows
 	// none.
 	Weight func(disturbing, serving string) float64
+	// Ticket is an executor's ticket for a step whose queue needs advice.
+	Ticket func(step, executor string) (string, bool)
 }
 
 // Order sorts groups by which should start first: the priority of the queue,
@@ -153,7 +155,19 @@
 	if host.Suspect && (host.probes > 0 || task.Failures() > 0) {
 		return false
 	}
-	return host.allows(group.Name(), group.Step())
+	return p.advised(host, group) && host.allows(group.Name(), group.Step())
+}
+
+// advised reports whether the host has a ticket, if the step needs one.
+func (p *Planner) advised(host *Host, group *tracker.Group) bool {
+	if !group.Job().Spec().GetNeedsAdvice() {
+		return true
+	}
+	if p.Ticket == nil {
+		return false
+	}
+	_, granted := p.Ticket(group.Name(), host.Key.ID)
+	return granted
 }
 
 func (p *Planner) admits(host *Host, group *tracker.Group, task *tracker.Task) bool {
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -82,6 +82,7 @@
 	job.MaxAttempts = queue.GetMaxAttempts()
 	job.Stretch = queue.GetStretch()
 	job.ObjectiveMs = queue.GetObjectiveMs()
+	job.NeedsAdvice = queue.GetAdvice() != nil
 	job.AcceptedUnixMs = s.Clock.Now().UnixMilli()
 }
 
