--- /dev/null
+++ b/soak/stand_in_test.go
@@ -0,0 +1,214 @@
+package soak_test
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/emulator"
+	"damaskspread.example/damaskspread/wire"
+)
+
+// storeHandler serves the platform's store over an in-memory log.
+func storeHandler(keyed *emulator.KeyedLogClient) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /log-append", func(w http.ResponseWriter, r *http.Request) { serveAppend(w, r, keyed) })
+	mux.HandleFunc("GET /log-read", func(w http.ResponseWriter, r *http.Request) { serveRead(w, r, keyed) })
+	mux.HandleFunc("GET /log-newest", func(w http.ResponseWriter, r *http.Request) { serveNewest(w, r, keyed) })
+	return mux
+}
+
+func number(r *http.Request, key string) int64 {
+	n, _ := strconv.ParseInt(r.URL.Query().Get(key), 10, 64)
+	return n
+}
+
+func topicOf(r *http.Request) string { return r.URL.Query().Get("topic")[len("keyed."):] }
+
+func answer(w http.ResponseWriter, status int, body any) {
+	data, _ := json.Marshal(body)
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
+
+func serveAppend(w http.ResponseWriter, r *http.Request, keyed *emulator.KeyedLogClient) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	var records []*wire.KeyedRecord
+	for len(body) >= 4 {
+		size := binary.BigEndian.Uint32(body)
+		data := body[4 : 4+size]
+		keyEnd := 1 + int(data[0])
+		records = append(records, &wire.KeyedRecord{Key: string(data[1:keyEnd]), Value: data[keyEnd:]})
+		body = body[4+size:]
+	}
+	condition := &wire.AppendCondition{}
+	if r.URL.Query().Has("at") {
+		end := number(r, "at")
+		condition.End = &end
+	}
+	if name := r.URL.Query().Get("producer"); name != "" {
+		condition.Producer = &wire.Producer{Name: name, Epoch: number(r, "epoch"), Sequence: number(r, "sequence")}
+	}
+	result, err := keyed.Append(r.Context(), topicOf(r), records, condition)
+	var moved *damaskspread.ConditionFailedError
+	var fenced *damaskspread.FencedError
+	var order *damaskspread.SequenceError
+	var unknown *damaskspread.AppendUnknownError
+	switch {
+	case err == nil:
+		answer(w, http.StatusOK, map[string]int64{"offset": result.GetOffset(), "end": result.GetEnd()})
+	case errors.As(err, &moved):
+		answer(w, http.StatusPreconditionFailed, map[string]int64{"end": moved.End})
+	case errors.As(err, &fenced):
+		answer(w, http.StatusConflict, map[string]string{"reason": "fenced"})
+	case errors.As(err, &order):
+		answer(w, http.StatusConflict, map[string]any{"reason": "seq", "sequence": order.Expected})
+	case errors.As(err, &unknown):
+		panic(http.ErrAbortHandler)
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func serveRead(w http.ResponseWriter, r *http.Request, keyed *emulator.KeyedLogClient) {
+	page, err := keyed.Read(r.Context(), topicOf(r), number(r, "from"), time.Duration(number(r, "waitMs"))*time.Millisecond)
+	var passed *damaskspread.RetentionPassedError
+	if errors.As(err, &passed) {
+		answer(w, http.StatusGone, map[string]int64{"first": passed.First})
+		return
+	}
+	if err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	data := binary.BigEndian.AppendUint64(nil, uint64(page.GetEnd()))
+	data = binary.BigEndian.AppendUint64(data, uint64(page.GetFirst()))
+	for _, record := range page.GetRecords() {
+		data = binary.BigEndian.AppendUint32(data, uint32(1+len(record.GetKey())+len(record.GetValue())))
+		data = append(data, byte(len(record.GetKey())))
+		data = append(data, record.GetKey()...)
+		data = append(data, record.GetValue()...)
+	}
+	_, _ = w.Write(data)
+}
+
+func serveNewest(w http.ResponseWriter, r *http.Request, keyed *emulator.KeyedLogClient) {
+	page, err := keyed.Newest(r.Context(), topicOf(r), r.URL.Query().Get("after"))
+	if err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	type item struct {
+		Key    string `json:"key"`
+		Value  []byte `json:"value"`
+		Offset int64  `json:"offset"`
+	}
+	items := []item{}
+	for _, record := range page.GetRecords() {
+		items = append(items, item{Key: record.GetKey(), Value: record.GetValue(), Offset: record.GetOffset()})
+	}
+	answer(w, http.StatusOK, map[string]any{"items": items, "more": page.GetMore(), "end": page.GetEnd()})
+}
+
+// executorHandler serves the calls of an agent to its executor.
+type executorHandler struct {
+	executor *emulator.JobExecutor
+
+	mu sync.Mutex
+	// loseAnswers is the number of orders that take effect without an answer.
+	loseAnswers int
+}
+
+type orderBody struct {
+	Task         string `json:"task"`
+	Run          int32  `json:"run"`
+	Spec         string `json:"spec"`
+	DeadlineMs   int64  `json:"deadlineMs"`
+	FencingToken int64  `json:"fencingToken"`
+	LastSeen     int64  `json:"lastSeen"`
+	WaitMs       int64  `json:"waitMs"`
+	Checkpoint   string `json:"checkpoint"`
+	Percent      int    `json:"percent"`
+}
+
+var causes = map[wire.EndCause]string{
+	wire.EndCause_END_CAUSE_DONE:          "done",
+	wire.EndCause_END_CAUSE_FAILED:        "failed",
+	wire.EndCause_END_CAUSE_STOPPED:       "stopped",
+	wire.EndCause_END_CAUSE_LEASE_EXPIRED: "lapsed",
+}
+
+func (h *executorHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var body orderBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	id := r.Header.Get("X-Expected-Instance")
+	lease := &damaskspread.Lease{Token: body.FencingToken, DeadlineMs: body.DeadlineMs}
+	var err error
+	var state *wire.ExecutorState
+	switch r.URL.Path {
+	case "/hold":
+		state, err = h.executor.Renew(r.Context(), id, lease, body.LastSeen, time.Duration(body.WaitMs)*time.Millisecond)
+	case "/run-start":
+		err = h.executor.Start(r.Context(), id, &wire.StartOrder{Task: body.Task, Run: body.Run, Checkpoint: body.Checkpoint}, lease)
+	case "/run-stop":
+		err = h.executor.Stop(r.Context(), id, &wire.StopOrder{Task: body.Task, Run: body.Run}, body.FencingToken)
+	case "/pace":
+		err = h.executor.Pace(r.Context(), id, body.Task, body.Run, body.Percent, body.FencingToken)
+	}
+	if err == nil && r.URL.Path != "/hold" && h.losesAnswer() {
+		panic(http.ErrAbortHandler)
+	}
+	h.respond(w, state, err)
+}
+
+func (h *executorHandler) losesAnswer() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.loseAnswers == 0 {
+		return false
+	}
+	h.loseAnswers--
+	return true
+}
+
+func (h *executorHandler) respond(w http.ResponseWriter, state *wire.ExecutorState, err error) {
+	var wrong *damaskspread.WrongIncarnationError
+	var fenced *damaskspread.FencedError
+	var refused *damaskspread.StartRefusedError
+	switch {
+	case errors.As(err, &wrong):
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	case errors.As(err, &fenced):
+		answer(w, http.StatusConflict, map[string]string{"reason": "fence"})
+	case errors.As(err, &refused):
+		reasons := map[damaskspread.StartRefusal]string{damaskspread.RefusedOld: "old", damaskspread.RefusedLate: "late"}
+		answer(w, http.StatusConflict, map[string]string{"reason": reasons[refused.Reason]})
+	case err != nil:
+		panic(http.ErrAbortHandler)
+	default:
+		answer(w, http.StatusOK, listsOf(state))
+	}
+}
+
+func listsOf(state *wire.ExecutorState) map[string]any {
+	running, ended := [][]any{}, [][]any{}
+	for _, run := range state.GetRunning() {
+		running = append(running, []any{run.GetTask(), run.GetRun(), run.GetCheckpoint(), 50, 0})
+	}
+	for _, end := range state.GetEnded() {
+		ended = append(ended, []any{end.GetNumber(), end.GetTask(), end.GetRun(), causes[end.GetCause()], end.GetCheckpoint()})
+	}
+	return map[string]any{"clockMs": state.GetClockMs(), "born": state.GetBornUnixMs(), "running": running, "ended": ended}
+}
