Give each run to the first order that reaches the agent

Ruled out: a change of leader (the epoch was the same), late appends.

Change: the agent lets the first order for a run start it or refuse it for good, under one lock.

--- a/runner/orders.go
+++ b/runner/orders.go
@@ -42,7 +42,9 @@
 	refuse damaskspread.StartRefusal
 }
 
-// prepare checks whether a start is still allowed.
+// prepare checks whether a start is still allowed. A run belongs to the first
+// order that gets here: it starts the run or refuses it for good, and other
+// orders for it are skipped.
 func (r *Runner) prepare(order *wire.StartOrder, decidedAt time.Duration) attempt {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -56,17 +58,25 @@
 		return a
 	}
 	r.steps[key] = order.GetStep()
+	owner := r.starting[key]
 	switch {
 	case r.isRunning(key) || r.hasEnded(key):
 		a.exists = true
 	case r.refused[key] != "":
 		a.refuse = r.refused[key]
+	case owner != nil && owner != order:
+		a.exists = true
 	case r.info.GetDraining():
 		a.refuse = damaskspread.RefusedDraining
 	case r.Elapsed.Elapsed()-decidedAt > startWithin:
 		a.refuse = damaskspread.RefusedExpired
 	case a.lease.DeadlineMs == 0:
 		a.refuse = damaskspread.RefusedLate
+	default:
+		r.starting[key] = order
+	}
+	if a.refuse != "" && owner == nil {
+		r.refused[key] = a.refuse
 	}
 	return a
 }
--- a/runner/renew.go
+++ b/runner/renew.go
@@ -212,6 +212,7 @@
 		if r.hasEnded(key) {
 			delete(r.steps, key)
 			delete(r.paces, key)
+			delete(r.starting, key)
 		}
 	}
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -74,6 +74,8 @@
 	running    []*wire.TaskRun
 	refusals   []*wire.StartRefusal
 	checks     map[runKey]time.Duration
+	// starting has the order that is in charge of each run's start.
+	starting map[runKey]*wire.StartOrder
 	// refused are runs that the leader was told won't start here.
 	refused map[runKey]damaskspread.StartRefusal
 	steps   map[runKey]*wire.JobStep
@@ -153,6 +155,7 @@
 	r.ends = map[int64]*wire.RunEnd{}
 	r.running = nil
 	r.refused = map[runKey]damaskspread.StartRefusal{}
+	r.starting = map[runKey]*wire.StartOrder{}
 	r.steps = map[runKey]*wire.JobStep{}
 	r.paces = map[runKey]int{}
 	r.stopped = map[runKey]bool{}
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -270,3 +270,39 @@
 	})
 	assert.Equal(t, executor.Running(), 0)
 }
+
+// Guards against a run that one order starts while another order for it, which
+// came too late, reports it as not started.
+func TestOrdersForOneRun(t *testing.T) {
+	const tasks = 40
+	name := func(i int) string { return fmt.Sprintf("a.0.0.%d", i) }
+	l := &leader{}
+	l.answer = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
+		if request.GetWaitMs() > 0 {
+			time.Sleep(5 * time.Millisecond)
+		}
+		response := &wire.ExchangeResponse{}
+		if request.GetOrdersReceived() > 0 {
+			return response
+		}
+		for i := range tasks {
+			late, fresh := expired(int64(2*i+1), name(i)), expired(int64(2*i+2), name(i))
+			fresh.AgeMs = 0
+			response.Orders = append(response.Orders, late, fresh)
+		}
+		return response
+	}
+	_, executor := start(t, l)
+	refusals := func() int {
+		count := 0
+		for i := range tasks {
+			if l.heard(func(r *wire.ExchangeRequest) bool { return refuses(r, name(i)) }) {
+				count++
+			}
+		}
+		return count
+	}
+	until(t, "start or refusal of each run", func() bool { return executor.Running()+refusals() >= tasks })
+	time.Sleep(200 * time.Millisecond)
+	assert.Equal(t, executor.Running()+refusals(), tasks)
+}
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -21,8 +21,12 @@
 	done     map[string]int
 	starts   int
 	accepted map[string]bool
-	tried    map[string]bool
-	broken   []string
+	// tried tells of each submitted job whether a try may have been accepted.
+	tried map[string]bool
+	// started has a task of each job that ran. Tries are noted when they are
+	// answered, which may be after the first start.
+	started map[string]string
+	broken  []string
 }
 
 func newChecker() *checker {
@@ -31,6 +35,7 @@
 		done:     map[string]int{},
 		accepted: map[string]bool{},
 		tried:    map[string]bool{},
+		started:  map[string]string{},
 	}
 }
 
@@ -65,9 +70,7 @@
 		c.breaks("%s runs on %s and %s", event.Task, other, event.Executor)
 	}
 	c.running[event.Task] = event.Executor
-	if _, known := c.tried[job]; known && !c.tried[job] {
-		c.breaks("%s started, and every try to submit it was refused", event.Task)
-	}
+	c.started[job] = event.Task
 	if strings.HasPrefix(rest, "0.1.") {
 		for i := range firstStep {
 			if c.done[job+".0.0."+strconv.Itoa(i)] == 0 {
@@ -90,10 +93,17 @@
 	}
 }
 
+// report is taken once all tries have been answered.
 func (c *checker) report() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.broken
+	broken := c.broken
+	for job, task := range c.started {
+		if mayRun, known := c.tried[job]; known && !mayRun {
+			broken = append(broken, task+" started, and every try to submit its job was refused")
+		}
+	}
+	return broken
 }
 
 // Guards against a checker that can't fail.
