--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 # passed over and printed. Entries "finding:" pass over none.
 KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
 
-.PHONY: all build test lint fmt bench soak fuzz capacity generate
+.PHONY: all build test lint fmt bench soak soak_requests fuzz capacity generate
 
 all: build lint test
 
@@ -31,10 +31,18 @@
 	COMPARISON_DIR=$(CURDIR)/bench $(GO) test -p 1 -count=1 -run '^$$' -bench '^BenchmarkComparison$$' -benchtime 1x ./scheduler ./router
 	$(GO) test -p 1 -count=1 -run '^$$' -bench . -skip '^BenchmarkComparison$$' -benchmem ./...
 
-# The randomized end-to-end run for longer than in CI; SEED replays one.
-SOAK_SECONDS ?= 600
+# Seeded soak of the job processes with faults from outside. SEED replays one
+# seed, SOAK_SEEDS runs several from there on.
+SEED ?= 1
+SOAK_SEEDS ?= 50
+SOAK_SECONDS ?= 12
 soak:
-	DAMASKSPREAD_E2E_SECONDS=$(SOAK_SECONDS) DAMASKSPREAD_E2E_SEED=$(SEED) $(GO) test -race -count=1 -v -timeout 60m -run TestRandomFailures ./e2e
+	DAMASKSPREAD_SOAK_SEED=$(SEED) DAMASKSPREAD_SOAK_SEEDS=$(SOAK_SEEDS) DAMASKSPREAD_SOAK_SECONDS=$(SOAK_SECONDS) $(GO) test -count=1 -v -timeout 120m ./soak
+
+# The randomized end-to-end run of requests for longer than in CI.
+REQUEST_SECONDS ?= 600
+soak_requests:
+	DAMASKSPREAD_E2E_SECONDS=$(REQUEST_SECONDS) DAMASKSPREAD_E2E_SEED=$(SEED) $(GO) test -race -count=1 -v -timeout 60m -run TestRandomFailures ./e2e
 
 # Coverage-guided fuzzing of the parsers and of replayed records, bounded.
 FUZZ_TIME ?= 30s
--- /dev/null
+++ b/coordinator/placement.go
@@ -0,0 +1,110 @@
+package coordinator
+
+import (
+	"slices"
+
+	"github.com/phuslu/log"
+
+	"damaskspread.example/damaskspread/planner"
+	"damaskspread.example/damaskspread/tracker"
+)
+
+// plan assigns waiting tasks, unless what this process knows is too old.
+func (c *Coordinator) plan(r *round) {
+	_, age := c.Operations.Config()
+	if age > maxPlanAge || c.JobsTail.Age() > maxPlanAge {
+		return
+	}
+	r.hosts = c.hosts(r)
+	groups := c.readyGroups()
+	planner.Order(groups)
+	c.advices.prepare(groups, r.hosts)
+	for _, assignment := range c.Planner.Plan(groups, r.hosts) {
+		view := r.byKey[assignment.Host.Key]
+		assignment.Task.Assign(view.key, view.host, assignment.Run, r.now)
+		c.start(view, assignment.Task)
+		log.Info().Str("job", assignment.Task.ID().Job).Str("task", assignment.Task.ID().String()).
+			Int32("run", assignment.Run).Str("host", view.host).Msg("task assigned")
+	}
+	c.preempt(r, groups)
+}
+
+// preempt makes room for the most urgent tasks that fit nowhere. Filling tasks
+// wait instead.
+func (c *Coordinator) preempt(r *round, groups []*tracker.Group) {
+	for _, group := range groups {
+		if group.Step().GetFillsIdle() {
+			continue
+		}
+		for _, t := range group.Tasks() {
+			if !t.Pending() {
+				continue
+			}
+			victims := c.Planner.Preempt(group, t, r.hosts)
+			for _, victim := range victims {
+				c.stopForRoom(r, victim, t)
+			}
+			if len(victims) > 0 {
+				return
+			}
+		}
+	}
+}
+
+func (c *Coordinator) stopForRoom(r *round, victim, urgent *tracker.Task) {
+	view := r.byKey[victim.Executor()]
+	if view == nil {
+		return
+	}
+	victim.Stop()
+	view.stop(victim.ID().String(), victim.Run())
+	log.Info().Str("job", victim.ID().Job).Str("task", victim.ID().String()).Int32("run", victim.Run()).
+		Str("host", view.host).Str("for", urgent.ID().String()).Msg("task stopped to make room")
+}
+
+func (c *Coordinator) readyGroups() []*tracker.Group {
+	now := c.Clock.Now().UnixMilli()
+	var groups []*tracker.Group
+	for _, job := range c.jobs {
+		groups = append(groups, job.Ready(now)...)
+	}
+	slices.SortFunc(groups, func(a, b *tracker.Group) int {
+		return int(a.Job().Spec().GetAcceptedUnixMs() - b.Job().Spec().GetAcceptedUnixMs())
+	})
+	return groups
+}
+
+// hosts are the targets of placement with what occupies them.
+func (c *Coordinator) hosts(r *round) []*planner.Host {
+	zonesOut := c.Operations.ZonesOut()
+	byKey := map[tracker.ExecutorKey]*planner.Host{}
+	var hosts []*planner.Host
+	for _, view := range r.views {
+		host := &planner.Host{
+			Key:      view.key,
+			Name:     view.host,
+			Service:  view.info.GetService(),
+			Zone:     view.info.GetZone(),
+			Labels:   view.info.GetLabels(),
+			Capacity: view.info.GetCapacity(),
+			Usable:   view.usable && !zonesOut[view.info.GetZone()],
+		}
+		c.markSuspect(host, r.now)
+		byKey[view.key] = host
+		hosts = append(hosts, host)
+	}
+	slices.SortFunc(hosts, func(a, b *planner.Host) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	for _, job := range c.jobs {
+		job.EachTask(func(t *tracker.Task) {
+			if host := byKey[t.Executor()]; host != nil && t.Assigned() {
+				host.Hold(t)
+			}
+		})
+	}
+	return hosts
+}
--- a/emulator/job_executor.go
+++ b/emulator/job_executor.go
@@ -84,7 +84,7 @@
 		Zone:       zone,
 		Capacity:   capacity,
 		Labels:     labels,
-		ClockMs:    e.clockMs(),
+		ClockMs:    e.reading(),
 	}
 }
 
@@ -117,7 +117,7 @@
 	return len(e.runs)
 }
 
-func (e *JobExecutor) clockMs() int64 { return e.Clock.Since(e.startedAt).Milliseconds() + 1 }
+func (e *JobExecutor) reading() int64 { return e.Clock.Since(e.startedAt).Milliseconds() + 1 }
 
 func (e *JobExecutor) signal() {
 	if e.changed != nil {
@@ -208,7 +208,7 @@
 	defer e.mu.Unlock()
 	state := &wire.ExecutorState{
 		BornUnixMs: e.born,
-		ClockMs:    e.clockMs(),
+		ClockMs:    e.reading(),
 		Ended:      slices.Clone(e.ended),
 	}
 	for task, run := range e.runs {
@@ -252,7 +252,7 @@
 	if order.GetRun() <= e.highest[task] || e.runs[task] != nil {
 		return &damaskspread.StartRefusedError{Reason: damaskspread.RefusedOld}
 	}
-	if lease.DeadlineMs <= e.clockMs() {
+	if lease.DeadlineMs <= e.reading() {
 		return &damaskspread.StartRefusedError{Reason: damaskspread.RefusedLate}
 	}
 	e.begin(order)
