Let a restarted leader claim at once

Cause: after a loss of power the process that led waited 0.9 to 1.5 s for the silence of its own earlier start.

Ruled out: a shorter silence for all (spurious changes of leader under load).

Change: a leader record of the process's own name counts as vacant.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -231,3 +231,15 @@
 		assert.Assert(t, strings.HasPrefix(event.Executor, "host-1-"), "%s ran on %s", event.Task, event.Executor)
 	}
 }
+
+// Guards against a leader that waits for itself to fall silent after its
+// restart; after a loss of power that delays the whole fleet.
+func TestLeaderRestarts(t *testing.T) {
+	w := newWorld(t, 1, 1, after(10*time.Millisecond))
+	leader := w.leader()
+	w.killEntry(leader)
+	w.startEntry(leader)
+	began := time.Now()
+	w.leader()
+	assert.Assert(t, time.Since(began) < 600*time.Millisecond, "%s", time.Since(began))
+}
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -176,7 +176,8 @@
 		e.heardAt = now
 		return false
 	}
-	if e.leader == nil || e.leader.GetResigned() {
+	// A leader of this process's name is an earlier start of it, which is over.
+	if e.leader == nil || e.leader.GetResigned() || e.leader.GetProcess() == e.Process {
 		return now-e.heardAt >= (e.Delay+e.spread)/vacantShare
 	}
 	return now-e.heardAt >= takeoverAfter+e.Delay+e.spread
