--- a/validator/docs_test.go
+++ b/validator/docs_test.go
@@ -17,9 +17,17 @@
 	page, err := os.ReadFile("../docs/configuration.md")
 	assert.NilError(t, err)
 	schemas := append(validator.SettingsSchema(), validator.DocumentSchema()...)
+	rows := countRows(t, string(page), "### ", schemas)
+	rows += countRows(t, string(page), "### Job processes ", validator.JobSettingsSchema())
+	assert.Equal(t, strings.Count(string(page), "\n| `"), rows)
+}
+
+// countRows checks that the page has each key of the schemas.
+func countRows(t *testing.T, page, heading string, schemas []validator.SectionSchema) int {
+	t.Helper()
 	rows := 0
 	for _, schema := range schemas {
-		_, body, found := strings.Cut(string(page), "### `["+schema.Name()+"]`\n")
+		_, body, found := strings.Cut(page, heading+"`["+schema.Name()+"]`\n")
 		assert.Assert(t, found, schema.Name())
 		body, _, _ = strings.Cut(body, "\n### ")
 		for _, field := range schema.Fields() {
@@ -27,7 +35,7 @@
 			rows++
 		}
 	}
-	assert.Equal(t, strings.Count(string(page), "\n| `"), rows)
+	return rows
 }
 
 func row(field validator.Field) string {
