Add no filling tasks to hosts near a target latency

A trial's series shows hosts above their target for 3.8 s: the pacer slowed down what ran, and the planner kept adding tasks that start at full pace.

Ruled out: rough measurements alone (they were far above the target).

Change: a host with a serving task above 0.85 of its target gets no filling task, by placing or by moving.

Before/after: TestStrainedHost fails first.

--- a/coordinator/interference.go
+++ b/coordinator/interference.go
@@ -26,6 +26,9 @@
 	nearlyDone = 75
 	// goodSpeed is what another host has to promise for a move.
 	goodSpeed = 0.85
+	// strainedAt is the share of a target latency from which a host gets no
+	// more filling tasks.
+	strainedAt = 0.85
 	// maxMoves bounds the moves of one cycle.
 	maxMoves = 3
 )
@@ -155,3 +158,18 @@
 	}
 	return t
 }
+
+// strained reports whether a serving task of the session is near its target.
+func (c *Coordinator) strained(view *sessionView) bool {
+	for _, run := range view.running {
+		t := c.task(run.GetTask())
+		if t == nil {
+			continue
+		}
+		target := t.Step().GetTargetLatencyMs()
+		if target > 0 && float64(run.GetUsage()) > strainedAt*float64(target) {
+			return true
+		}
+	}
+	return false
+}
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -89,6 +89,7 @@
 			Capacity: view.info.GetCapacity(),
 			Usable:   view.usable && !zonesOut[view.info.GetZone()],
 		}
+		host.Strained = c.strained(view)
 		c.markSuspect(host, r.now)
 		byKey[view.key] = host
 		hosts = append(hosts, host)
--- a/planner/host.go
+++ b/planner/host.go
@@ -22,6 +22,9 @@
 	Capacity *wire.Resources
 	// Usable is false while nothing may start here.
 	Usable bool
+	// Strained hosts get no more filling tasks: a serving task is near its
+	// target or above it.
+	Strained bool
 	// Suspect hosts get one task at a time after repeated failures.
 	Suspect bool
 
@@ -124,6 +127,7 @@
 		Labels:   h.Labels,
 		Capacity: h.Capacity,
 		Usable:   h.Usable,
+		Strained: h.Strained,
 		Suspect:  h.Suspect,
 		reserved: wire.Resources{
 			Millicores:   h.reserved.Millicores,
--- a/planner/interference.go
+++ b/planner/interference.go
@@ -78,7 +78,7 @@
 func (p *Planner) Better(task *tracker.Task, current *Host, hosts []*Host, speed float64) bool {
 	step := task.Step()
 	for _, host := range hosts {
-		if host == current || !host.Usable || host.Suspect || host.Service != task.Job().Spec().GetService() {
+		if host == current || !host.Usable || host.Strained || host.Suspect || host.Service != task.Job().Spec().GetService() {
 			continue
 		}
 		if !host.fits(step) || !host.allows(task.GroupName(), step) || task.FailedOn(host.Key.ID) {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -175,7 +175,7 @@
 	if !p.open(host, group, task) || !host.fits(step) {
 		return false
 	}
-	return !step.GetFillsIdle() || p.speed(host, step) >= leastSpeed
+	return !step.GetFillsIdle() || (!host.Strained && p.speed(host, step) >= leastSpeed)
 }
 
 // leastSpeed is the predicted share of its processors below which a filling
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -194,3 +194,14 @@
 		p.Plan(ready(newJob("1", 2, filling(900, "quiet"))), hosts)
 	}
 }
+
+// Guards against filling tasks that are added to a host whose serving tasks are
+// above their target: each new one starts at full pace.
+func TestStrainedHost(t *testing.T) {
+	strained := newHost("a", 16)
+	strained.Strained = true
+	p := &planner.Planner{}
+	hosts := []*planner.Host{strained, newHost("b", 4)}
+	assert.DeepEqual(t, counts(p.Plan(ready(newJob("1", 2, filling(2, "quiet"))), hosts)), map[string]int{"b": 2})
+	assert.Equal(t, len(p.Plan(ready(newJob("2", 0, plain(4, 1000))), []*planner.Host{strained})), 4)
+}
