Remove state and accessors that nothing reads

Cause: reading the whole change once more: a flag of the pressure model was set and never read, and two accessors of the tracker had no caller.

Change: the flag, Job.LongRunning and Group.StepIndex are gone.

Before/after: no change of behaviour; go vet and the tests of estimator, tracker and planner pass.

--- a/estimator/pressure.go
+++ b/estimator/pressure.go
@@ -68,7 +68,6 @@
 	weights   []float64
 	baselines map[string]*baseline
 	solvedAt  time.Duration
-	dirty     bool
 }
 
 type baseline struct {
@@ -138,7 +137,6 @@
 	m.accumulate(row, level, b)
 	change := commonShare * min(max(m.residual(row, level, b), lowestResidual), highestResidual)
 	b.follow(row, level)
-	m.dirty = true
 	if now-m.solvedAt >= solveInterval {
 		m.solvedAt = now
 		m.solve()
@@ -210,7 +208,6 @@
 	for i := range n {
 		m.weights[i] = max(0, matrix[i][n]/matrix[i][i])
 	}
-	m.dirty = false
 }
 
 // eliminate clears a column in all other rows. The matrix is positive definite
--- a/tracker/ready.go
+++ b/tracker/ready.go
@@ -17,9 +17,6 @@
 // Step describes the tasks.
 func (g *Group) Step() *wire.JobStep { return g.job.job.GetSteps()[g.step] }
 
-// StepIndex is the index of the step in its job.
-func (g *Group) StepIndex() int { return g.step }
-
 // Tasks are the waiting tasks.
 func (g *Group) Tasks() []*Task { return g.tasks }
 
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -226,16 +226,6 @@
 	}
 }
 
-// LongRunning reports whether the job runs until it is canceled.
-func (j *Job) LongRunning() bool {
-	for _, step := range j.job.GetSteps() {
-		if step.GetLongRunning() {
-			return true
-		}
-	}
-	return false
-}
-
 func (o *Occurrence) stepDone(step int) bool {
 	for _, t := range o.steps[step] {
 		if !t.Done() {
