Relay calls of the log through another entry while it turns a host away

Cause: while the platform's log turns some hosts away, their entries had no way to accept, cancel or look up jobs, although other entries had one. Callers got 503 from a fleet with free processors.

Ruled out: relaying the callers' requests: the other entry's view of jobs and configuration would have to stand in for the own one, later calls for the same job would need the same way, and the host would be out of rotation all the same. Relaying conditional appends: a leader that the log doesn't serve should give way.

Change: relayer, an implementation of KeyedLog in front of the log. It asks a peer when the log refuses or is silent, goes to peers first while the log is away, and tries the log each 0.5 s. A peer that the log doesn't serve refuses at once. connector.KeyedLog is the client, KeyedLogService the wire.

--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -21,6 +21,7 @@
 	"damaskspread.example/damaskspread/monitor"
 	"damaskspread.example/damaskspread/planner"
 	"damaskspread.example/damaskspread/platform"
+	"damaskspread.example/damaskspread/relayer"
 	"damaskspread.example/damaskspread/submitter"
 	"damaskspread.example/damaskspread/tailer"
 	"damaskspread.example/damaskspread/validator"
@@ -61,6 +62,7 @@
 
 	process     process
 	store       *platform.Store
+	relay       *relayer.Relayer
 	operations  *tailer.Tailer
 	jobs        *tailer.Tailer
 	leaders     *tailer.Tailer
@@ -88,7 +90,7 @@
 		return err
 	}
 	e.process.run(e.operations.Run, e.jobs.Run, e.leaders.Run, e.elector.Run, e.coordinator.Run,
-		e.submitter.Run, e.announce)
+		e.submitter.Run, e.relay.Run, e.announce)
 	select {
 	case <-ctx.Done():
 		e.stop()
@@ -104,6 +106,13 @@
 		Address: s.Peers().Log(),
 		HTTP:    connector.NewHTTPClient(),
 	}
+	e.relay = &relayer.Relayer{
+		Direct:  e.store,
+		HTTP:    connector.NewHTTPClient(),
+		Clock:   e.Clock,
+		Elapsed: e.process.elapsed,
+		Process: s.Process().ID(),
+	}
 	e.index = &indexer.Index{}
 	e.config = &configurer.Configurer{
 		Decode: platform.DecodeOperation,
@@ -113,7 +122,7 @@
 	e.jobs = e.tail(indexer.Topic, e.index.Apply)
 	e.jobs.Pause = e.jobsPause
 	e.submitter = &submitter.Submitter{
-		Log:           e.store,
+		Log:           e.relay,
 		Index:         e.index,
 		Tail:          e.jobs,
 		Clock:         e.Clock,
@@ -126,7 +135,7 @@
 
 func (e *Entry) tail(topic string, apply func([]*wire.KeyedRecord, bool)) *tailer.Tailer {
 	return &tailer.Tailer{
-		Log:     e.store,
+		Log:     e.relay,
 		Topic:   topic,
 		Clock:   e.Clock,
 		Elapsed: e.process.elapsed,
@@ -146,7 +155,7 @@
 func (e *Entry) assembleScheduling() {
 	s := e.Settings
 	e.elector = &elector.Elector{
-		Log:     e.store,
+		Log:     e.relay,
 		Clock:   e.Clock,
 		Elapsed: e.process.elapsed,
 		Process: s.Process().ID(),
@@ -158,7 +167,7 @@
 	e.elector.Tail = e.leaders
 	pressure := &estimator.Pressure{}
 	e.coordinator = &coordinator.Coordinator{
-		Log:        e.store,
+		Log:        e.relay,
 		Index:      e.index,
 		JobsTail:   e.jobs,
 		Operations: e.config,
@@ -195,6 +204,10 @@
 	}
 	agents := http.NewServeMux()
 	agents.Handle(wireconnect.NewCoordinatorServiceHandler(e.coordinator))
+	agents.Handle(wireconnect.NewKeyedLogServiceHandler(&relayer.Server{
+		Log:  e.store,
+		Away: e.relay.Away,
+	}))
 	m := &monitor.Monitor{
 		Checks:  e.checks(),
 		Metrics: e.metrics(),
@@ -271,6 +284,7 @@
 	e.set.NewGauge("damaskspread_configuration_age_seconds", age(e.operations))
 	e.set.NewGauge("damaskspread_jobs_age_seconds", age(e.jobs))
 	e.set.NewGauge("damaskspread_leader_epoch", func() float64 { return float64(e.elector.Epoch()) })
+	e.set.NewGauge("damaskspread_log_calls_relayed_total", func() float64 { return float64(e.relay.Relayed()) })
 	e.set.NewGauge("damaskspread_requests_in_flight", func() float64 { return float64(e.inFlight.Load()) })
 	return e.set
 }
@@ -285,7 +299,7 @@
 	}
 	for tb.Alive() {
 		limited, cancel := context.WithTimeout(ctx, announceLimit)
-		err := locator.Announce(limited, e.store, presence)
+		err := locator.Announce(limited, e.relay, presence)
 		cancel()
 		if err == nil {
 			return nil
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -71,6 +71,20 @@
 	return err
 }
 
+// Presences decodes the records of the entry processes.
+func Presences(records []*wire.KeyedRecord) []*wire.EntryPresence {
+	var presences []*wire.EntryPresence
+	for _, record := range records {
+		presence := &wire.EntryPresence{}
+		if err := proto.Unmarshal(record.GetValue(), presence); err != nil {
+			log.Warn().Str("key", record.GetKey()).Err(err).Msg("entry process ignored: its record can't be decoded")
+			continue
+		}
+		presences = append(presences, presence)
+	}
+	return presences
+}
+
 // Exchange calls the leader.
 func (l *Locator) Exchange(ctx context.Context, request *wire.ExchangeRequest) (*wire.ExchangeResponse, error) {
 	leader, err := l.current(ctx)
@@ -174,12 +188,7 @@
 		return
 	}
 	var addresses []string
-	for _, record := range page.GetRecords() {
-		presence := &wire.EntryPresence{}
-		if err := proto.Unmarshal(record.GetValue(), presence); err != nil {
-			log.Warn().Str("key", record.GetKey()).Err(err).Msg("entry process ignored: its record can't be decoded")
-			continue
-		}
+	for _, presence := range Presences(page.GetRecords()) {
 		addresses = append(addresses, presence.GetAddress())
 	}
 	l.mu.Lock()
--- a/wire/wireconnect/jobs.connect.go
+++ b/wire/wireconnect/jobs.connect.go
@@ -23,6 +23,8 @@
 const (
 	// CoordinatorServiceName is the fully-qualified name of the CoordinatorService service.
 	CoordinatorServiceName = "damaskspread.v1.CoordinatorService"
+	// KeyedLogServiceName is the fully-qualified name of the KeyedLogService service.
+	KeyedLogServiceName = "damaskspread.v1.KeyedLogService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -39,6 +41,12 @@
 	// CoordinatorServiceFindLeaderProcedure is the fully-qualified name of the CoordinatorService's
 	// FindLeader RPC.
 	CoordinatorServiceFindLeaderProcedure = "/damaskspread.v1.CoordinatorService/FindLeader"
+	// KeyedLogServiceAppendProcedure is the fully-qualified name of the KeyedLogService's Append RPC.
+	KeyedLogServiceAppendProcedure = "/damaskspread.v1.KeyedLogService/Append"
+	// KeyedLogServiceReadProcedure is the fully-qualified name of the KeyedLogService's Read RPC.
+	KeyedLogServiceReadProcedure = "/damaskspread.v1.KeyedLogService/Read"
+	// KeyedLogServiceNewestProcedure is the fully-qualified name of the KeyedLogService's Newest RPC.
+	KeyedLogServiceNewestProcedure = "/damaskspread.v1.KeyedLogService/Newest"
 )
 
 // CoordinatorServiceClient is a client for the damaskspread.v1.CoordinatorService service.
@@ -138,3 +146,125 @@
 func (UnimplementedCoordinatorServiceHandler) FindLeader(context.Context, *connect.Request[wire.FindLeaderRequest]) (*connect.Response[wire.FindLeaderResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("damaskspread.v1.CoordinatorService.FindLeader is not implemented"))
 }
+
+// KeyedLogServiceClient is a client for the damaskspread.v1.KeyedLogService service.
+type KeyedLogServiceClient interface {
+	Append(context.Context, *connect.Request[wire.KeyedAppendRequest]) (*connect.Response[wire.AppendResult], error)
+	Read(context.Context, *connect.Request[wire.KeyedReadRequest]) (*connect.Response[wire.KeyedReadResponse], error)
+	Newest(context.Context, *connect.Request[wire.KeyedNewestRequest]) (*connect.Response[wire.KeyedPage], error)
+}
+
+// NewKeyedLogServiceClient constructs a client for the damaskspread.v1.KeyedLogService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewKeyedLogServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) KeyedLogServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	keyedLogServiceMethods := wire.File_jobs_proto.Services().ByName("KeyedLogService").Methods()
+	return &keyedLogServiceClient{
+		append: connect.NewClient[wire.KeyedAppendRequest, wire.AppendResult](
+			httpClient,
+			baseURL+KeyedLogServiceAppendProcedure,
+			connect.WithSchema(keyedLogServiceMethods.ByName("Append")),
+			connect.WithClientOptions(opts...),
+		),
+		read: connect.NewClient[wire.KeyedReadRequest, wire.KeyedReadResponse](
+			httpClient,
+			baseURL+KeyedLogServiceReadProcedure,
+			connect.WithSchema(keyedLogServiceMethods.ByName("Read")),
+			connect.WithClientOptions(opts...),
+		),
+		newest: connect.NewClient[wire.KeyedNewestRequest, wire.KeyedPage](
+			httpClient,
+			baseURL+KeyedLogServiceNewestProcedure,
+			connect.WithSchema(keyedLogServiceMethods.ByName("Newest")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// keyedLogServiceClient implements KeyedLogServiceClient.
+type keyedLogServiceClient struct {
+	append *connect.Client[wire.KeyedAppendRequest, wire.AppendResult]
+	read   *connect.Client[wire.KeyedReadRequest, wire.KeyedReadResponse]
+	newest *connect.Client[wire.KeyedNewestRequest, wire.KeyedPage]
+}
+
+// Append calls damaskspread.v1.KeyedLogService.Append.
+func (c *keyedLogServiceClient) Append(ctx context.Context, req *connect.Request[wire.KeyedAppendRequest]) (*connect.Response[wire.AppendResult], error) {
+	return c.append.CallUnary(ctx, req)
+}
+
+// Read calls damaskspread.v1.KeyedLogService.Read.
+func (c *keyedLogServiceClient) Read(ctx context.Context, req *connect.Request[wire.KeyedReadRequest]) (*connect.Response[wire.KeyedReadResponse], error) {
+	return c.read.CallUnary(ctx, req)
+}
+
+// Newest calls damaskspread.v1.KeyedLogService.Newest.
+func (c *keyedLogServiceClient) Newest(ctx context.Context, req *connect.Request[wire.KeyedNewestRequest]) (*connect.Response[wire.KeyedPage], error) {
+	return c.newest.CallUnary(ctx, req)
+}
+
+// KeyedLogServiceHandler is an implementation of the damaskspread.v1.KeyedLogService service.
+type KeyedLogServiceHandler interface {
+	Append(context.Context, *connect.Request[wire.KeyedAppendRequest]) (*connect.Response[wire.AppendResult], error)
+	Read(context.Context, *connect.Request[wire.KeyedReadRequest]) (*connect.Response[wire.KeyedReadResponse], error)
+	Newest(context.Context, *connect.Request[wire.KeyedNewestRequest]) (*connect.Response[wire.KeyedPage], error)
+}
+
+// NewKeyedLogServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewKeyedLogServiceHandler(svc KeyedLogServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	keyedLogServiceMethods := wire.File_jobs_proto.Services().ByName("KeyedLogService").Methods()
+	keyedLogServiceAppendHandler := connect.NewUnaryHandler(
+		KeyedLogServiceAppendProcedure,
+		svc.Append,
+		connect.WithSchema(keyedLogServiceMethods.ByName("Append")),
+		connect.WithHandlerOptions(opts...),
+	)
+	keyedLogServiceReadHandler := connect.NewUnaryHandler(
+		KeyedLogServiceReadProcedure,
+		svc.Read,
+		connect.WithSchema(keyedLogServiceMethods.ByName("Read")),
+		connect.WithHandlerOptions(opts...),
+	)
+	keyedLogServiceNewestHandler := connect.NewUnaryHandler(
+		KeyedLogServiceNewestProcedure,
+		svc.Newest,
+		connect.WithSchema(keyedLogServiceMethods.ByName("Newest")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/damaskspread.v1.KeyedLogService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case KeyedLogServiceAppendProcedure:
+			keyedLogServiceAppendHandler.ServeHTTP(w, r)
+		case KeyedLogServiceReadProcedure:
+			keyedLogServiceReadHandler.ServeHTTP(w, r)
+		case KeyedLogServiceNewestProcedure:
+			keyedLogServiceNewestHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedKeyedLogServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedKeyedLogServiceHandler struct{}
+
+func (UnimplementedKeyedLogServiceHandler) Append(context.Context, *connect.Request[wire.KeyedAppendRequest]) (*connect.Response[wire.AppendResult], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("damaskspread.v1.KeyedLogService.Append is not implemented"))
+}
+
+func (UnimplementedKeyedLogServiceHandler) Read(context.Context, *connect.Request[wire.KeyedReadRequest]) (*connect.Response[wire.KeyedReadResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("damaskspread.v1.KeyedLogService.Read is not implemented"))
+}
+
+func (UnimplementedKeyedLogServiceHandler) Newest(context.Context, *connect.Request[wire.KeyedNewestRequest]) (*connect.Response[wire.KeyedPage], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("damaskspread.v1.KeyedLogService.Newest is not implemented"))
+}
