Try hosts that were set aside beside lasting tasks, and keep room for large ones

Every task on a host that was set aside counted as the one that tries it, so a host with lasting tasks was never tried again. And small tasks of the same priority took each bit of room on the other hosts, so that 6.4 cores never came free together.

Ruled out: lost orders (none was sent), labels and anti-affinity (8 of 11 hosts allowed the task).

Change: only tasks that were assigned after the pause count as trials; lasting tasks don't try a host; a host that no task tries and that has not failed for 3 s is trusted again.

--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -107,5 +107,6 @@
 			}
 		})
 	}
+	c.forgetSuspicions(hosts, r.now)
 	return hosts
 }
--- a/coordinator/suspicion.go
+++ b/coordinator/suspicion.go
@@ -18,6 +18,9 @@
 	suspectPause  = 800 * time.Millisecond
 	suspectFactor = 2
 	suspectLimit  = 6 * time.Second
+	// suspectForget is the time without another failure after which an executor
+	// is trusted again, though no task tried it.
+	suspectForget = 3 * time.Second
 )
 
 // suspicion is what failures tell of an executor.
@@ -66,7 +69,22 @@
 		return
 	}
 	host.Suspect = true
+	host.TriedFrom = s.until
 	if now < s.until {
 		host.Usable = false
 	}
 }
+
+// forgetSuspicions trusts executors again that have not failed for a while and
+// that no task tries at the moment.
+func (c *Coordinator) forgetSuspicions(hosts []*planner.Host, now time.Duration) {
+	for _, host := range hosts {
+		s := c.suspicions[host.Key]
+		if !host.Suspect || host.Tried() || now < s.until+suspectForget {
+			continue
+		}
+		host.Suspect = false
+		delete(c.suspicions, host.Key)
+		log.Info().Str("executor", host.Key.ID).Int("failures", s.failures).Msg("executor trusted again")
+	}
+}
--- a/planner/host.go
+++ b/planner/host.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
@@ -25,8 +26,10 @@
 	// Strained hosts get no more filling tasks: a serving task is near its
 	// target or above it.
 	Strained bool
-	// Suspect hosts get one task at a time after repeated failures.
-	Suspect bool
+	// Suspect hosts get one task at a time after repeated failures. Tasks that
+	// were assigned earlier than TriedFrom don't count.
+	Suspect   bool
+	TriedFrom time.Duration
 
 	reserved wire.Resources
 	// leaving is what tasks hold that were ordered to stop.
@@ -37,7 +40,10 @@
 	tasksByStep    map[string]int
 	servingByImage map[string]int64
 	fillByImage    map[string]int64
-	probes         int
+	// probes are the tasks that try a suspect host.
+	probes int
+	// kept hosts leave room that comes free to a large task.
+	kept bool
 }
 
 // Rack is the label that names the host's rack. Executors list their kind
@@ -49,8 +55,15 @@
 	return h.Labels[len(h.Labels)-1]
 }
 
-// Occupy adds a task that runs or will run on the host.
+// Occupy adds a task that will run on the host.
 func (h *Host) Occupy(group string, step *wire.JobStep) {
+	h.reserve(group, step)
+	if h.Suspect {
+		h.probes++
+	}
+}
+
+func (h *Host) reserve(group string, step *wire.JobStep) {
 	resources := step.GetResources()
 	h.reserved.MemoryBytes += resources.GetMemoryBytes()
 	h.reserved.Accelerators += resources.GetAccelerators()
@@ -68,9 +81,6 @@
 		h.tasksByStep = map[string]int{}
 	}
 	h.tasksByStep[group]++
-	if h.Suspect {
-		h.probes++
-	}
 }
 
 func addMilli(byImage *map[string]int64, step *wire.JobStep) {
@@ -129,6 +139,7 @@
 		Usable:   h.Usable,
 		Strained: h.Strained,
 		Suspect:  h.Suspect,
+		kept:     h.kept,
 		reserved: wire.Resources{
 			Millicores:   h.reserved.Millicores,
 			MemoryBytes:  h.reserved.MemoryBytes,
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -83,6 +83,7 @@
 	for _, task := range group.Tasks() {
 		host := p.choose(group, task, name, hosts, rack)
 		if host == nil {
+			p.keepRoom(group, task, hosts)
 			continue
 		}
 		host.Occupy(name, group.Step())
@@ -152,7 +153,7 @@
 	if !host.Usable || host.Service != group.Job().Spec().GetService() {
 		return false
 	}
-	if host.Suspect && (host.probes > 0 || task.Failures() > 0) {
+	if host.Suspect && !host.admitsTrial(group, task) {
 		return false
 	}
 	return p.advised(host, group) && host.allows(group.Name(), group.Step())
@@ -172,7 +173,7 @@
 
 func (p *Planner) admits(host *Host, group *tracker.Group, task *tracker.Task) bool {
 	step := group.Step()
-	if !p.open(host, group, task) || !host.fits(step) {
+	if host.kept || !p.open(host, group, task) || !host.fits(step) {
 		return false
 	}
 	return !step.GetFillsIdle() || (!host.Strained && p.speed(host, step) >= leastSpeed)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -205,3 +206,25 @@
 	assert.DeepEqual(t, counts(p.Plan(ready(newJob("1", 2, filling(2, "quiet"))), hosts)), map[string]int{"b": 2})
 	assert.Equal(t, len(p.Plan(ready(newJob("2", 0, plain(4, 1000))), []*planner.Host{strained})), 4)
 }
+
+// Guards against a suspect host that is never tried again because lasting tasks
+// run there, and against a lasting task as the one that tries it.
+func TestSuspectHostWithLastingTasks(t *testing.T) {
+	suspect := newHost("a", 16)
+	suspect.Suspect = true
+	suspect.TriedFrom = time.Minute
+	lasting := ready(newJob("1", 0, serving("im")))[0].Tasks()[0]
+	lasting.Assign(suspect.Key, suspect.Name, 1, time.Second)
+	suspect.Hold(lasting)
+	p := &planner.Planner{}
+	assert.Equal(t, len(p.Plan(ready(newJob("2", 0, serving("im"))), []*planner.Host{suspect})), 0)
+	assert.Equal(t, len(p.Plan(ready(newJob("3", 0, plain(4, 500))), []*planner.Host{suspect})), 1)
+
+	trial := newHost("a", 16)
+	trial.Suspect = true
+	trial.TriedFrom = time.Minute
+	probe := ready(newJob("4", 0, plain(1, 500)))[0].Tasks()[0]
+	probe.Assign(trial.Key, trial.Name, 1, 2*time.Minute)
+	trial.Hold(probe)
+	assert.Equal(t, len(p.Plan(ready(newJob("5", 0, plain(4, 500))), []*planner.Host{trial})), 0)
+}
--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -14,7 +14,10 @@
 // Hold adds a task that is assigned to the host. It may make room for a more
 // urgent one.
 func (h *Host) Hold(task *tracker.Task) {
-	h.Occupy(task.GroupName(), task.Step())
+	h.reserve(task.GroupName(), task.Step())
+	if h.Suspect && task.AssignedAt() >= h.TriedFrom {
+		h.probes++
+	}
 	if task.Stopping() {
 		add(&h.leaving, task.Step())
 		return
