Explain a job from the logs of all processes

Cause: an engineer on call had to find the cause of a failed request by hand with grep, by the clocks of fifteen processes. Fields were written as free text in 60 places and read in none; a task that waited said nothing of why; pacing left no line; nothing bounded the lines of one kind; counters existed for requests only.

Change: tracer has a struct for each decision, which writes and reads its line, a rate for each kind, and counters and histograms that also see what is left out. explainer merges the lines of a job by offsets, epochs and run numbers and names the findings; damaskspread explain prints them. New lines: what keeps tasks waiting (hosts by obstacle), why a run is stopped, paces, runs lost with their executor. planner's checks became one list of obstacles, used to place and to explain. An agent says once that it lost the log.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -154,7 +154,7 @@
 	root.AddCommand(c.daemons()...)
 	root.AddCommand(c.jobDaemons()...)
 	root.AddCommand(c.configCommand(), c.zoneCommand(), c.taskCommand(), c.hostCommand(), c.endpointCommand(),
-		c.serviceCommand(), c.auditCommand(), c.statusCommand(), c.requestCommand(), c.versionCommand())
+		c.serviceCommand(), c.auditCommand(), c.statusCommand(), c.requestCommand(), c.explainCommand(), c.versionCommand())
 	root.InitDefaultCompletionCmd()
 	addCompletionExamples(root)
 	group(root)
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -49,7 +49,7 @@
 	operation, err := c.Decode(record)
 	if err != nil {
 		log.Error().Str("key", record.GetKey()).Int64("offset", record.GetOffset()).Err(err).
-			Msg("publication ignored: it can't be decoded")
+			Msg("publication ignored: it cannot be decoded")
 		return
 	}
 	switch {
--- a/coordinator/closing.go
+++ b/coordinator/closing.go
@@ -4,9 +4,8 @@
 	"slices"
 	"time"
 
-	"github.com/phuslu/log"
-
 	"damaskspread.example/damaskspread/indexer"
+	"damaskspread.example/damaskspread/tracer"
 	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
 )
@@ -19,7 +18,10 @@
 		}
 		c.published[id] = state
 		c.statuses.status(id, state)
-		log.Info().Str("job", id).Str("state", state.String()).Msg("job state changed")
+		tracer.Write(&tracer.JobState{
+			Job:   id,
+			State: state.String(),
+		})
 	}
 }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -91,10 +92,15 @@
 	orphans    map[tracker.ExecutorKey]orphan
 	suspicions map[tracker.ExecutorKey]*suspicion
 	published  map[string]wire.JobState
+	// waiting are the steps with tasks that wait for a host.
+	waiting map[string]*waitingStep
 	// closing are jobs whose final status is recorded while runs still stop.
 	closing []string
 	// removed are records of the progress that are no longer needed.
-	removed  []*wire.KeyedRecord
+	removed []*wire.KeyedRecord
+	// openJobs and waitingSteps are the sizes of jobs and waiting for others.
+	openJobs, waitingSteps atomic.Int64
+
 	progress *writer
 	advices  *advices
 	statuses *statusWriter
@@ -138,6 +144,19 @@
 	c.signal()
 }
 
+// OpenJobs is the number of jobs that this process schedules.
+func (c *Coordinator) OpenJobs() int64 { return c.openJobs.Load() }
+
+// WaitingSteps is the number of steps with tasks that wait for a host.
+func (c *Coordinator) WaitingSteps() int64 { return c.waitingSteps.Load() }
+
+// Sessions is the number of agents that this process leads.
+func (c *Coordinator) Sessions() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.sessions)
+}
+
 func (c *Coordinator) signal() {
 	select {
 	case c.wake <- struct{}{}:
@@ -190,6 +209,8 @@
 	}
 	cancel()
 	duties.Wait()
+	c.openJobs.Store(0)
+	c.waitingSteps.Store(0)
 }
 
 // abandon drops a leadership whose epoch is fenced.
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -11,6 +11,7 @@
 
 	"damaskspread.example/damaskspread/indexer"
 	"damaskspread.example/damaskspread/planner"
+	"damaskspread.example/damaskspread/tracer"
 	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
 )
@@ -55,12 +56,14 @@
 	c.applyLosses(r)
 	c.orderStops(r)
 	c.learn(r)
-	c.plan(r)
+	c.plan(r, epoch)
 	c.migrate(r)
 	if err := c.store(ctx); err != nil {
 		return err
 	}
 	c.publish(r, epoch)
+	c.openJobs.Store(int64(len(c.jobs)))
+	c.waitingSteps.Store(int64(len(c.waiting)))
 	c.publishStatuses()
 	c.closeJobs(r.changed, r.now)
 	return nil
@@ -131,7 +134,13 @@
 	}
 }
 
-func (v *sessionView) stop(task string, run int32) {
+// stop orders the stop of a run; the event tells why.
+func (v *sessionView) stop(task string, run int32, event tracer.StopOrdered) {
+	event.Job = tracker.JobOf(task)
+	event.Task = task
+	event.Run = run
+	event.Host = v.host
+	tracer.Write(&event)
 	v.stops = append(v.stops, &wire.StopOrder{
 		Task: task,
 		Run:  run,
@@ -162,7 +171,9 @@
 				return
 			}
 			t.Stop()
-			view.stop(t.ID().String(), t.Run())
+			view.stop(t.ID().String(), t.Run(), tracer.StopOrdered{
+				Reason: tracer.StopJobOver,
+			})
 		})
 	}
 }
--- a/coordinator/interference.go
+++ b/coordinator/interference.go
@@ -8,6 +8,7 @@
 
 	"damaskspread.example/damaskspread/estimator"
 	"damaskspread.example/damaskspread/planner"
+	"damaskspread.example/damaskspread/tracer"
 	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
 )
@@ -133,10 +134,11 @@
 				continue
 			}
 			t.Stop()
-			view.stop(t.ID().String(), t.Run())
+			view.stop(t.ID().String(), t.Run(), tracer.StopOrdered{
+				Reason:     tracer.StopSlow,
+				Millicores: run.GetUsage(),
+			})
 			moves++
-			log.Info().Str("job", t.ID().Job).Str("task", t.ID().String()).Int32("run", t.Run()).
-				Str("host", view.host).Int64("millicores", run.GetUsage()).Msg("slow task moves")
 			break
 		}
 	}
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -3,16 +3,16 @@
 import (
 	"slices"
 
-	"github.com/phuslu/log"
-
 	"damaskspread.example/damaskspread/planner"
+	"damaskspread.example/damaskspread/tracer"
 	"damaskspread.example/damaskspread/tracker"
 )
 
 // plan assigns waiting tasks, unless what this process knows is too old.
-func (c *Coordinator) plan(r *round) {
-	_, age := c.Operations.Config()
-	if age > maxPlanAge || c.JobsTail.Age() > maxPlanAge {
+func (c *Coordinator) plan(r *round, epoch int64) {
+	config, configAge := c.Operations.Config()
+	jobsAge := c.JobsTail.Age()
+	if configAge > maxPlanAge || jobsAge > maxPlanAge {
 		return
 	}
 	r.hosts = c.hosts(r)
@@ -23,10 +23,20 @@
 		view := r.byKey[assignment.Host.Key]
 		assignment.Task.Assign(view.key, view.host, assignment.Run, r.now)
 		c.start(view, assignment.Task)
-		log.Info().Str("job", assignment.Task.ID().Job).Str("task", assignment.Task.ID().String()).
-			Int32("run", assignment.Run).Str("host", view.host).Msg("task assigned")
+		tracer.Write(&tracer.TaskAssigned{
+			Job:           assignment.Task.ID().Job,
+			Task:          assignment.Task.ID().String(),
+			Run:           assignment.Run,
+			Host:          view.host,
+			Executor:      view.key.ID,
+			Epoch:         epoch,
+			ConfigVersion: config.GetVersion(),
+			ConfigAge:     tracer.Milliseconds(configAge),
+			JobsAge:       tracer.Milliseconds(jobsAge),
+		})
 	}
 	c.preempt(r, groups)
+	c.noteWaiting(groups, r, epoch)
 }
 
 // preempt makes room for the most urgent tasks that fit nowhere. Filling tasks
@@ -57,9 +67,10 @@
 		return
 	}
 	victim.Stop()
-	view.stop(victim.ID().String(), victim.Run())
-	log.Info().Str("job", victim.ID().Job).Str("task", victim.ID().String()).Int32("run", victim.Run()).
-		Str("host", view.host).Str("for", urgent.ID().String()).Msg("task stopped to make room")
+	view.stop(victim.ID().String(), victim.Run(), tracer.StopOrdered{
+		Reason: tracer.StopForRoom,
+		For:    urgent.ID().String(),
+	})
 }
 
 func (c *Coordinator) readyGroups() []*tracker.Group {
--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -5,6 +5,7 @@
 
 	"github.com/phuslu/log"
 
+	"damaskspread.example/damaskspread/tracer"
 	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
 )
@@ -42,8 +43,14 @@
 		return
 	}
 	c.judge(view.key, end.GetCause(), first)
-	log.Info().Str("job", t.ID().Job).Str("task", end.GetTask()).Int32("run", end.GetRun()).
-		Str("host", view.host).Str("cause", end.GetCause().String()).Msg("run ended")
+	tracer.Write(&tracer.RunEnded{
+		Job:      t.ID().Job,
+		Task:     end.GetTask(),
+		Run:      end.GetRun(),
+		Host:     view.host,
+		Cause:    end.GetCause().String(),
+		Failures: t.Failures(),
+	})
 }
 
 func (c *Coordinator) task(name string) *tracker.Task {
@@ -67,8 +74,13 @@
 	t.Release()
 	c.advices.forgetRefused(t, refusal.GetReason())
 	c.judgeRefusal(view.key, refusal.GetReason())
-	log.Info().Str("job", t.ID().Job).Str("task", refusal.GetTask()).Int32("run", refusal.GetRun()).
-		Str("host", view.host).Str("reason", refusal.GetReason()).Msg("start refused")
+	tracer.Write(&tracer.StartRefused{
+		Job:    t.ID().Job,
+		Task:   refusal.GetTask(),
+		Run:    refusal.GetRun(),
+		Host:   view.host,
+		Reason: refusal.GetReason(),
+	})
 }
 
 // replaced returns the incarnations that a session's executor replaced on its
@@ -89,14 +101,18 @@
 	for _, run := range view.running {
 		t := c.task(run.GetTask())
 		if t == nil || !t.Assigned() || t.Run() != run.GetRun() || t.Executor() != view.key {
-			view.stop(run.GetTask(), run.GetRun())
+			view.stop(run.GetTask(), run.GetRun(), tracer.StopOrdered{
+				Reason: tracer.StopUnknown,
+			})
 		}
 	}
 	c.eachAssigned(view.key, func(t *tracker.Task) {
 		switch {
 		case t.Job().Over():
 			t.Stop()
-			view.stop(t.ID().String(), t.Run())
+			view.stop(t.ID().String(), t.Run(), tracer.StopOrdered{
+				Reason: tracer.StopJobOver,
+			})
 		default:
 			// The agent skips runs that are in progress, but learns their step.
 			c.start(view, t)
@@ -116,7 +132,12 @@
 		if t.Stopping() || listed[name] == t.Run() || !t.Overdue(now, repeatAfter) {
 			return
 		}
-		log.Info().Str("job", t.ID().Job).Str("task", name).Int32("run", t.Run()).Str("host", view.host).Msg("start repeated")
+		tracer.Write(&tracer.StartRepeated{
+			Job:  t.ID().Job,
+			Task: name,
+			Run:  t.Run(),
+			Host: view.host,
+		})
 		c.start(view, t)
 	})
 }
@@ -142,6 +163,12 @@
 	for _, key := range r.lost {
 		released := 0
 		c.eachAssigned(key, func(t *tracker.Task) {
+			tracer.Write(&tracer.RunLost{
+				Job:      t.ID().Job,
+				Task:     t.ID().String(),
+				Run:      t.Run(),
+				Executor: key.ID,
+			})
 			t.Release()
 			released++
 		})
--- a/coordinator/statuses.go
+++ b/coordinator/statuses.go
@@ -40,7 +40,7 @@
 func (s *statusWriter) status(id string, state wire.JobState) {
 	record, err := indexer.StatusRecord(id, state)
 	if err != nil {
-		log.Error().Str("job", id).Err(err).Msg("status not recorded: it can't be encoded")
+		log.Error().Str("job", id).Err(err).Msg("status not recorded: it cannot be encoded")
 		return
 	}
 	s.add(record)
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -91,6 +91,7 @@
 	c.closed = map[string]time.Duration{}
 	c.orphans = map[tracker.ExecutorKey]orphan{}
 	c.suspicions = map[tracker.ExecutorKey]*suspicion{}
+	c.waiting = map[string]*waitingStep{}
 	c.closing = nil
 	c.removed = nil
 	c.published = map[string]wire.JobState{}
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -91,7 +91,7 @@
 		return
 	}
 	if err := proto.Unmarshal(record.GetValue(), claim); err != nil {
-		log.Error().Int64("offset", record.GetOffset()).Err(err).Msg("leader record ignored: it can't be decoded")
+		log.Error().Int64("offset", record.GetOffset()).Err(err).Msg("leader record ignored: it cannot be decoded")
 		return
 	}
 	e.mu.Lock()
--- a/errors.go
+++ b/errors.go
@@ -36,6 +36,8 @@
 	ReasonNotOwner           Reason = "not_owner"
 	ReasonInvalid            Reason = "invalid"
 	ReasonNotFound           Reason = "not_found"
+	// ReasonNoQueue: no queue is configured for the host and path.
+	ReasonNoQueue Reason = "no_queue"
 )
 
 // RefusalError says why work has no result and whether it may have run.
--- /dev/null
+++ b/explainer/explainer_test.go
@@ -0,0 +1,215 @@
+package explainer_test
+
+import (
+	"bytes"
+	"compress/gzip"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	"damaskspread.example/damaskspread/explainer"
+	"damaskspread.example/damaskspread/monitor"
+	"damaskspread.example/damaskspread/tracer"
+)
+
+const (
+	job  = "517f50f645ca478b"
+	task = job + ".0.0.3"
+)
+
+// written returns the lines of a process whose clock is off.
+func written(t *testing.T, process string, off time.Duration, events ...tracer.Event) string {
+	before := log.DefaultLogger
+	defer func() { log.DefaultLogger = before }()
+	var text strings.Builder
+	for i, event := range events {
+		var line bytes.Buffer
+		log.DefaultLogger = *monitor.NewLogger(monitor.LoggerConfig{
+			Writer:  &line,
+			Level:   "info",
+			Process: process,
+		})
+		tracer.Write(event)
+		// The time of the test is replaced by one that depends on the line.
+		at := time.Date(2026, 1, 2, 3, 4, i, 0, time.UTC).Add(off)
+		_, rest, found := strings.Cut(line.String(), `"level"`)
+		assert.Assert(t, found, line.String())
+		fmt.Fprintf(&text, `{"time":%q,"level"%s`, at.Format("2006-01-02T15:04:05.000Z"), rest)
+	}
+	return text.String()
+}
+
+func explain(t *testing.T, id string, logs ...string) *explainer.Explanation {
+	t.Helper()
+	g := &explainer.Gatherer{Job: explainer.JobOf(id)}
+	for i, text := range logs {
+		assert.NilError(t, g.Read(fmt.Sprint(i), strings.NewReader(text)))
+	}
+	explanation, err := g.Explain()
+	assert.NilError(t, err)
+	return explanation
+}
+
+func messages(e *explainer.Explanation) []string {
+	var all []string
+	for _, line := range e.Lines() {
+		all = append(all, line.Process()+": "+line.Message())
+	}
+	return all
+}
+
+// Guards against a story in the order of clocks that differ by minutes.
+func TestOrderFollowsCauses(t *testing.T) {
+	entry := written(t, "entry", 5*time.Minute,
+		&tracer.JobAccepted{Job: job, Offset: 7})
+	leader := written(t, "leader", 0,
+		&tracer.TaskAssigned{Job: job, Task: task, Run: 1, Host: "side-1"},
+		&tracer.RunEnded{Job: job, Task: task, Run: 1, Host: "side-1", Cause: "END_CAUSE_FAILED", Failures: 1},
+		&tracer.TaskAssigned{Job: job, Task: task, Run: 2, Host: "side-2"},
+		&tracer.RunEnded{Job: job, Task: task, Run: 2, Host: "side-2", Cause: "END_CAUSE_DONE", Failures: 1},
+		&tracer.JobState{Job: job, State: "JOB_STATE_SUCCEEDED"})
+	first := written(t, "side-1", -5*time.Minute, &tracer.TaskStarted{Job: job, Task: task, Run: 1})
+	second := written(t, "side-2", 10*time.Minute, &tracer.TaskStarted{Job: job, Task: task, Run: 2})
+	want := []string{
+		"entry: job accepted",
+		"leader: task assigned", "side-1: task started", "leader: run ended",
+		"leader: task assigned", "side-2: task started", "leader: run ended",
+		"leader: job state changed",
+	}
+	for _, logs := range [][]string{
+		{entry, leader, first, second},
+		{second, first, leader, entry},
+		{leader + second + first + entry},
+	} {
+		assert.DeepEqual(t, messages(explain(t, task, logs...)), want)
+	}
+	// An incomplete set of logs is told as far as it goes.
+	assert.Equal(t, len(explain(t, job, leader, second).Lines()), 6)
+}
+
+// Guards against a cause that stands in the logs and is not named.
+func TestFindings(t *testing.T) {
+	for name, c := range map[string]struct {
+		events  []tracer.Event
+		kind    explainer.FindingKind
+		subject string
+		detail  string
+	}{
+		"refused": {
+			events: []tracer.Event{&tracer.RequestRefused{
+				Job: job, Method: "POST", Status: 503, Outcome: "not_run", Reason: "log_unavailable", Error: "down",
+				ConfigVersion: 4, ConfigAge: tracer.Milliseconds(2 * time.Second),
+			}},
+			kind: explainer.FindingRefused, subject: "p",
+			detail: "POST 503 log_unavailable (not_run): down; configuration 4 was up to 2s old",
+		},
+		"slow log": {
+			events: []tracer.Event{&tracer.JobAccepted{Job: job, Offset: 3, Append: tracer.Milliseconds(time.Second)}},
+			kind:   explainer.FindingSlowAppend, subject: "p", detail: "the log took 1s for offset 3",
+		},
+		"no room": {
+			events: []tracer.Event{&tracer.TasksWaiting{
+				Job: job, Step: job + ".0.0", Tasks: 2, Waited: tracer.Milliseconds(time.Second), Epoch: 9,
+				Obstacles: map[string]int{"memory": 1, "processors": 3},
+			}},
+			kind: explainer.FindingWaited, subject: job + ".0.0",
+			detail: "2 tasks for 1s at the leader of epoch 9; hosts: 3 processors, 1 memory",
+		},
+		"late order": {
+			events: []tracer.Event{&tracer.TaskStarted{Job: job, Task: task, Run: 1, Age: tracer.Milliseconds(time.Second)}},
+			kind:   explainer.FindingSlowOrder, subject: "p", detail: task + " run 1 started 1s after its decision",
+		},
+		"lost": {
+			events: []tracer.Event{&tracer.RunLost{Job: job, Task: task, Run: 1, Executor: "i-1"}},
+			kind:   explainer.FindingRunLost, subject: "i-1", detail: task + " run 1 ended with its executor",
+		},
+		"lease": {
+			events: []tracer.Event{&tracer.RunEnded{Job: job, Task: task, Run: 1, Host: "h", Cause: "END_CAUSE_LEASE_EXPIRED"}},
+			kind:   explainer.FindingRunLost, subject: "h", detail: task + " run 1: its lease expired",
+		},
+		"stopped": {
+			events: []tracer.Event{&tracer.StopOrdered{Job: job, Task: task, Run: 1, Host: "h", Reason: tracer.StopForRoom, For: "x.0.0.1"}},
+			kind:   explainer.FindingRunStopped, subject: "h", detail: task + " run 1: room_for_urgent x.0.0.1",
+		},
+		"paced": {
+			events: []tracer.Event{&tracer.TaskPaced{Job: job, Task: task, Run: 1, Percent: 40, Load: 1.5}},
+			kind:   explainer.FindingPaced, subject: "p", detail: task + " run 1 to 40%; a serving task was at 150% of its target",
+		},
+		"unfinished": {
+			events: []tracer.Event{&tracer.JobAccepted{Job: job}},
+			kind:   explainer.FindingUnfinished, subject: "job", detail: "the logs end before the job does",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			findings := explain(t, job, written(t, "p", 0, c.events...)).Findings()
+			last := findings[len(findings)-1]
+			for _, f := range findings {
+				if f.Kind() == c.kind {
+					last = f
+				}
+			}
+			assert.Equal(t, last.Kind(), c.kind)
+			assert.Equal(t, last.Subject(), c.subject)
+			assert.Equal(t, last.Detail(), c.detail)
+		})
+	}
+}
+
+// Guards against findings on a job that was served at once.
+func TestNothingToFind(t *testing.T) {
+	e := explain(t, job, written(t, "p", 0,
+		&tracer.JobAccepted{Job: job},
+		&tracer.TaskPaced{Job: job, Task: task, Run: 1, Percent: 100},
+		&tracer.RunEnded{Job: job, Task: task, Run: 1, Cause: "END_CAUSE_DONE"},
+		&tracer.JobState{Job: job, State: "JOB_STATE_SUCCEEDED"}))
+	assert.Equal(t, len(e.Findings()), 0, "%+v", e.Findings())
+}
+
+// Guards against a story without the changes of state that explain it, and
+// against one that drowns in repeats of them.
+func TestContext(t *testing.T) {
+	lost := `{"time":"2026-01-02T03:04:00.000Z","level":"warn","process":"entry","topic":"jobs","message":"log lost"}` + "\n"
+	other := `{"time":"2026-01-02T03:04:00.000Z","level":"info","process":"entry","job":"00000000000000ff","message":"job accepted"}` + "\n"
+	refused := written(t, "entry", 0, &tracer.RequestRefused{Job: job, Status: 503})
+	e := explain(t, job, strings.Repeat(lost, 5)+other+refused)
+	assert.DeepEqual(t, messages(e), []string{"entry: log lost", "entry: request refused"})
+}
+
+// Guards against compressed logs that are taken for empty ones, and against
+// text of other programs that ends the reading.
+func TestRead(t *testing.T) {
+	var zipped bytes.Buffer
+	w := gzip.NewWriter(&zipped)
+	_, err := w.Write([]byte(written(t, "entry", 0, &tracer.JobAccepted{Job: job})))
+	assert.NilError(t, err)
+	assert.NilError(t, w.Close())
+	noise := "panic: " + job + "\n" + strings.Repeat("x", 2<<20) + job + "\n"
+	e := explain(t, job, zipped.String(), noise)
+	assert.DeepEqual(t, messages(e), []string{"entry: job accepted"})
+	assert.Assert(t, e.Skipped() >= 2)
+
+	g := &explainer.Gatherer{Job: job}
+	var unreadable *explainer.UnreadableError
+	assert.Assert(t, errors.As(g.Read("cut", bytes.NewReader(zipped.Bytes()[:20])), &unreadable))
+	_, err = g.Explain()
+	var none *explainer.NoTraceError
+	assert.Assert(t, errors.As(err, &none))
+}
+
+// BenchmarkRead reads logs that hardly mention the job.
+func BenchmarkRead(b *testing.B) {
+	line := `{"time":"2026-01-02T03:04:00.000Z","level":"info","process":"leader","role":"job_entry","job":"00000000000000ff","task":"00000000000000ff.0.0.1","run":1,"host":"side-1","message":"task assigned"}` + "\n"
+	text := []byte(strings.Repeat(line, 100_000))
+	b.SetBytes(int64(len(text)))
+	for b.Loop() {
+		g := &explainer.Gatherer{Job: job}
+		if err := g.Read("log", bytes.NewReader(text)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/indexer/indexer.go
+++ b/indexer/indexer.go
@@ -164,7 +164,7 @@
 func (e *Entry) applyStatus(id string, value []byte) {
 	status := &wire.JobStatus{}
 	if err := proto.Unmarshal(value, status); err != nil {
-		log.Error().Str("job", id).Err(err).Msg("status record ignored: it can't be decoded")
+		log.Error().Str("job", id).Err(err).Msg("status record ignored: it cannot be decoded")
 		return
 	}
 	// A late record of an earlier status doesn't take back a final one.
@@ -180,7 +180,7 @@
 	}
 	job := &wire.Job{}
 	if err := proto.Unmarshal(value, job); err != nil {
-		log.Error().Str("job", id).Err(err).Msg("job record ignored: it can't be decoded")
+		log.Error().Str("job", id).Err(err).Msg("job record ignored: it cannot be decoded")
 		return
 	}
 	e.job = job
--- a/launcher/agent.go
+++ b/launcher/agent.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/connector"
 	"damaskspread.example/damaskspread/locator"
@@ -82,7 +80,7 @@
 		Sink: a.runner,
 	}
 	m := &monitor.Monitor{
-		Metrics: metrics.NewSet(),
+		Metrics: a.process.set,
 	}
 	return a.process.serveAll([]site{
 		{name: "executor", address: l.Executors(), handler: announcements.Handler()},
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -71,7 +71,6 @@
 	elector     *elector.Elector
 	coordinator *coordinator.Coordinator
 	submitter   *submitter.Submitter
-	set         *metrics.Set
 	inFlight    atomic.Int64
 }
 
@@ -101,7 +100,6 @@
 
 func (e *Entry) assemble() {
 	s := e.Settings
-	e.set = metrics.NewSet()
 	e.store = &platform.Store{
 		Address: s.Peers().Log(),
 		HTTP:    connector.NewHTTPClient(),
@@ -239,9 +237,9 @@
 }
 
 func (e *Entry) observe(method string, status int, elapsed time.Duration) {
-	e.set.GetOrCreateCounter(monitor.Name("damaskspread_caller_requests_total",
+	e.process.set.GetOrCreateCounter(monitor.Name("damaskspread_caller_requests_total",
 		"method", method, "status", http.StatusText(status))).Inc()
-	e.set.GetOrCreateHistogram(monitor.Name("damaskspread_caller_request_seconds", "method", method)).Update(elapsed.Seconds())
+	e.process.set.GetOrCreateHistogram(monitor.Name("damaskspread_caller_request_seconds", "method", method)).Update(elapsed.Seconds())
 }
 
 func (e *Entry) checks() []monitor.Check {
@@ -281,12 +279,15 @@
 	age := func(tail *tailer.Tailer) func() float64 {
 		return func() float64 { return min(tail.Age(), time.Hour).Seconds() }
 	}
-	e.set.NewGauge("damaskspread_configuration_age_seconds", age(e.operations))
-	e.set.NewGauge("damaskspread_jobs_age_seconds", age(e.jobs))
-	e.set.NewGauge("damaskspread_leader_epoch", func() float64 { return float64(e.elector.Epoch()) })
-	e.set.NewGauge("damaskspread_log_calls_relayed_total", func() float64 { return float64(e.relay.Relayed()) })
-	e.set.NewGauge("damaskspread_requests_in_flight", func() float64 { return float64(e.inFlight.Load()) })
-	return e.set
+	e.process.set.NewGauge("damaskspread_configuration_age_seconds", age(e.operations))
+	e.process.set.NewGauge("damaskspread_jobs_age_seconds", age(e.jobs))
+	e.process.set.NewGauge("damaskspread_leader_epoch", func() float64 { return float64(e.elector.Epoch()) })
+	e.process.set.NewGauge("damaskspread_open_jobs", func() float64 { return float64(e.coordinator.OpenJobs()) })
+	e.process.set.NewGauge("damaskspread_agent_sessions", func() float64 { return float64(e.coordinator.Sessions()) })
+	e.process.set.NewGauge("damaskspread_waiting_steps", func() float64 { return float64(e.coordinator.WaitingSteps()) })
+	e.process.set.NewGauge("damaskspread_log_calls_relayed_total", func() float64 { return float64(e.relay.Relayed()) })
+	e.process.set.NewGauge("damaskspread_requests_in_flight", func() float64 { return float64(e.inFlight.Load()) })
+	return e.process.set
 }
 
 // announce publishes the address for agents once the log takes it.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -20,6 +20,7 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 	"golang.org/x/sys/unix"
 	"gopkg.in/tomb.v2"
@@ -27,6 +28,7 @@
 	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/connector"
 	"damaskspread.example/damaskspread/monitor"
+	"damaskspread.example/damaskspread/tracer"
 	"damaskspread.example/damaskspread/validator"
 )
 
@@ -77,6 +79,7 @@
 	clock    damaskspread.Clock
 	elapsed  damaskspread.ElapsedClock
 	lines    *monitor.LineWriter
+	set      *metrics.Set
 	tomb     *tomb.Tomb
 	servers  []*http.Server
 	stopping atomic.Bool
@@ -96,6 +99,14 @@
 		Role:    role,
 		Zone:    s.Zone(),
 	})
+	p.set = metrics.NewSet()
+	p.set.NewGauge("damaskspread_log_lines_dropped_total", func() float64 { return float64(p.lines.Dropped()) })
+	tracer.Install(&tracer.Tracer{
+		Clock: p.clock,
+		Counters: &tracer.Counters{
+			Set: p.set,
+		},
+	})
 	debug.SetGCPercent(collectPercent)
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes()) * memoryShare))
 	p.tomb = &tomb.Tomb{}
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -46,6 +46,8 @@
 	failures int
 	foundAt  time.Duration
 	entries  []string
+	// logLost is set while the log does not tell the leader.
+	logLost bool
 }
 
 // NoLeaderError means that no leader is known.
@@ -77,7 +79,7 @@
 	for _, record := range records {
 		presence := &wire.EntryPresence{}
 		if err := proto.Unmarshal(record.GetValue(), presence); err != nil {
-			log.Warn().Str("key", record.GetKey()).Err(err).Msg("entry process ignored: its record can't be decoded")
+			log.Warn().Str("key", record.GetKey()).Err(err).Msg("entry process ignored: its record cannot be decoded")
 			continue
 		}
 		presences = append(presences, presence)
@@ -156,12 +158,27 @@
 func (l *Locator) find(ctx context.Context) (*wire.Leadership, error) {
 	leader, err := l.findInLog(ctx)
 	if err == nil {
+		l.noteLog(nil)
 		return leader, nil
 	}
-	log.Info().Err(err).Msg("the log doesn't tell the leader; asking entry processes")
+	l.noteLog(err)
 	return l.findAtEntries(ctx), err
 }
 
+// noteLog tells when the log is lost and regained.
+func (l *Locator) noteLog(err error) {
+	l.mu.Lock()
+	changed := l.logLost != (err != nil)
+	l.logLost = err != nil
+	l.mu.Unlock()
+	switch {
+	case changed && err != nil:
+		log.Warn().Err(err).Msg("log lost: asking entry processes for the leader")
+	case changed:
+		log.Info().Msg("log regained")
+	}
+}
+
 func (l *Locator) findInLog(ctx context.Context) (*wire.Leadership, error) {
 	limited, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
@@ -184,7 +201,7 @@
 func (l *Locator) loadEntries(ctx context.Context) {
 	page, err := l.Log.Newest(ctx, EntriesTopic, "")
 	if err != nil {
-		log.Info().Err(err).Msg("the log doesn't tell the entry processes")
+		log.Info().Err(err).Msg("the log does not tell the entry processes")
 		return
 	}
 	var addresses []string
@@ -207,7 +224,7 @@
 		response, err := l.client(address).FindLeader(limited, connect.NewRequest(&wire.FindLeaderRequest{}))
 		cancel()
 		if err != nil {
-			log.Debug().Str("entry", address).Err(err).Msg("entry process doesn't tell the leader")
+			log.Debug().Str("entry", address).Err(err).Msg("entry process does not tell the leader")
 			continue
 		}
 		if leader := response.Msg.GetLeader(); leader.GetEpoch() > newest.GetEpoch() {
--- a/monitor/line_writer.go
+++ b/monitor/line_writer.go
@@ -26,6 +26,8 @@
 	mu      sync.Mutex
 	buffer  []byte
 	dropped int
+	// total is the lines left out since the start.
+	total int
 }
 
 // Write implements io.Writer.
@@ -34,12 +36,20 @@
 	defer w.mu.Unlock()
 	if len(w.buffer)+len(line) > maxBufferedBytes {
 		w.dropped++
+		w.total++
 		return len(line), nil
 	}
 	w.buffer = append(w.buffer, line...)
 	return len(line), nil
 }
 
+// Dropped is the number of lines left out since the start.
+func (w *LineWriter) Dropped() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.total
+}
+
 // Run writes the lines out until the tomb dies.
 func (w *LineWriter) Run(tb *tomb.Tomb) error {
 	ticker := w.Clock.NewTicker(flushInterval)
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -52,6 +52,8 @@
 	Task    string
 	Run     int32
 	Percent int
+	// Load is the largest latency as a share of its target that led to it.
+	Load float64
 }
 
 // Pair names a disturbing and a serving image.
@@ -88,6 +90,7 @@
 			p.relieve(s, samples, paces)
 		}
 	}
+	load := worst(samples)
 	var changes []Change
 	for i, s := range samples {
 		percent := rounded(paces[i])
@@ -96,6 +99,7 @@
 				Task:    s.Task,
 				Run:     s.Run,
 				Percent: percent,
+				Load:    load,
 			})
 		}
 	}
--- a/planner/host.go
+++ b/planner/host.go
@@ -42,8 +42,9 @@
 	fillByImage    map[string]int64
 	// probes are the tasks that try a suspect host.
 	probes int
-	// kept hosts leave room that comes free to a large task.
-	kept bool
+	// kept hosts leave room that comes free to a large task; keptMemory ones
+	// leave memory too, which filling tasks also take.
+	kept, keptMemory bool
 }
 
 // Rack is the label that names the host's rack. Executors list their kind
@@ -90,28 +91,26 @@
 	(*byImage)[step.GetImage()] += step.GetResources().GetMillicores()
 }
 
-// fits reports whether the task stays within what the host has.
-func (h *Host) fits(step *wire.JobStep) bool {
+// full is the resource that the host lacks for a task.
+func (h *Host) full(step *wire.JobStep) Obstacle {
 	resources := step.GetResources()
-	if h.reserved.MemoryBytes+resources.GetMemoryBytes() > h.Capacity.GetMemoryBytes() {
-		return false
+	switch {
+	case h.reserved.MemoryBytes+resources.GetMemoryBytes() > h.Capacity.GetMemoryBytes():
+		return ObstacleMemory
+	case h.reserved.Accelerators+resources.GetAccelerators() > h.Capacity.GetAccelerators():
+		return ObstacleAccelerators
+	case !step.GetFillsIdle() && h.reserved.Millicores+resources.GetMillicores() > h.Capacity.GetMillicores():
+		return ObstacleProcessors
+	default:
+		return NoObstacle
 	}
-	if h.reserved.Accelerators+resources.GetAccelerators() > h.Capacity.GetAccelerators() {
-		return false
-	}
-	if step.GetFillsIdle() {
-		return true
-	}
-	return h.reserved.Millicores+resources.GetMillicores() <= h.Capacity.GetMillicores()
 }
 
-// allows reports whether the step's constraints admit the host.
-func (h *Host) allows(group string, step *wire.JobStep) bool {
-	if limit := step.GetAntiAffinity(); limit > 0 && h.tasksByStep[group] >= int(limit) {
-		return false
-	}
-	label := step.GetRequiredLabel()
-	return label == "" || slices.Contains(h.Labels, label)
+// crowded reports whether the host has as many tasks of a step as the step
+// allows.
+func (h *Host) crowded(group string, step *wire.JobStep) bool {
+	limit := step.GetAntiAffinity()
+	return limit > 0 && h.tasksByStep[group] >= int(limit)
 }
 
 // idleMilli estimates the processors that no task uses; it is negative where
@@ -139,7 +138,6 @@
 		Usable:   h.Usable,
 		Strained: h.Strained,
 		Suspect:  h.Suspect,
-		kept:     h.kept,
 		reserved: wire.Resources{
 			Millicores:   h.reserved.Millicores,
 			MemoryBytes:  h.reserved.MemoryBytes,
@@ -151,5 +149,7 @@
 		servingByImage: maps.Clone(h.servingByImage),
 		fillByImage:    maps.Clone(h.fillByImage),
 		probes:         h.probes,
+		kept:           h.kept,
+		keptMemory:     h.keptMemory,
 	}
 }
--- a/planner/interference.go
+++ b/planner/interference.go
@@ -77,14 +77,12 @@
 // Better reports whether another host promises a speed for a running task.
 func (p *Planner) Better(task *tracker.Task, current *Host, hosts []*Host, speed float64) bool {
 	step := task.Step()
+	group := task.Group()
 	for _, host := range hosts {
-		if host == current || !host.Usable || host.Strained || host.Suspect || host.Service != task.Job().Spec().GetService() {
+		if host == current || host.Suspect || task.FailedOn(host.Key.ID) || !host.near(step) {
 			continue
 		}
-		if !host.fits(step) || !host.allows(task.GroupName(), step) || task.FailedOn(host.Key.ID) {
-			continue
-		}
-		if host.near(step) && p.speed(host, step) >= speed {
+		if p.obstacle(host, group, task) == NoObstacle && p.speed(host, step) >= speed {
 			return true
 		}
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -133,7 +133,7 @@
 	var best *Host
 	var bestScore float64
 	for _, host := range hosts {
-		if !p.admits(host, group, task) {
+		if p.obstacle(host, group, task) != NoObstacle {
 			continue
 		}
 		score := p.score(host, step, task, name)
@@ -148,17 +148,6 @@
 	return best
 }
 
-// open reports whether the task may run on the host, if there is room.
-func (p *Planner) open(host *Host, group *tracker.Group, task *tracker.Task) bool {
-	if !host.Usable || host.Service != group.Job().Spec().GetService() {
-		return false
-	}
-	if host.Suspect && !host.admitsTrial(group, task) {
-		return false
-	}
-	return p.advised(host, group) && host.allows(group.Name(), group.Step())
-}
-
 // advised reports whether the host has a ticket, if the step needs one.
 func (p *Planner) advised(host *Host, group *tracker.Group) bool {
 	if !group.Job().Spec().GetNeedsAdvice() {
@@ -171,14 +160,6 @@
 	return granted
 }
 
-func (p *Planner) admits(host *Host, group *tracker.Group, task *tracker.Task) bool {
-	step := group.Step()
-	if host.kept || !p.open(host, group, task) || !host.fits(step) {
-		return false
-	}
-	return !step.GetFillsIdle() || (!host.Strained && p.speed(host, step) >= leastSpeed)
-}
-
 // leastSpeed is the predicted share of its processors below which a filling
 // task rather waits.
 const leastSpeed = 0.5
--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -52,7 +52,7 @@
 func (p *Planner) Preempt(group *tracker.Group, task *tracker.Task, hosts []*Host) []*tracker.Task {
 	var best []*tracker.Task
 	for _, host := range hosts {
-		if !p.open(host, group, task) {
+		if p.closed(host, group, task) != NoObstacle {
 			continue
 		}
 		victims, possible := host.victims(group)
--- a/planner/reserve.go
+++ b/planner/reserve.go
@@ -28,7 +28,7 @@
 			kept++
 			continue
 		}
-		if !p.open(host, group, task) || !host.large(step) || !host.couldHold(step) {
+		if p.closed(host, group, task) != NoObstacle || !host.large(step) || !host.couldHold(step) {
 			continue
 		}
 		if best == nil || host.freeMilli() > best.freeMilli() {
@@ -37,6 +37,7 @@
 	}
 	if best != nil && kept < maxKept {
 		best.kept = true
+		best.keptMemory = best.full(step) == ObstacleMemory
 	}
 }
 
--- a/planner/reserve_test.go
+++ b/planner/reserve_test.go
@@ -107,3 +107,18 @@
 	assert.Equal(t, len(plan), 1)
 	assert.Equal(t, plan[0].Task.ID().Job, "small")
 }
+
+// Guards against kept processors that stand idle: filling tasks use what others
+// leave unused and are in nobody's way, unless memory is what lacks.
+func TestKeptHostIsFilled(t *testing.T) {
+	plan := func(large *wire.JobStep) int {
+		host := newHost("a", 8)
+		host.Occupy("busy", plain(1, 4000))
+		groups := ready(newJob("large", 0, large), newJob("batch", 2, filling(1, "quiet")))
+		return len((&planner.Planner{}).Plan(groups, []*planner.Host{host}))
+	}
+	assert.Equal(t, plan(plain(1, 6000)), 1)
+	wide := plain(1, 1000)
+	wide.Resources.MemoryBytes = 64 * gigabyte
+	assert.Equal(t, plan(wide), 0)
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -114,7 +114,7 @@
 	for tb.Alive() {
 		pause := listInterval
 		if err := r.list(ctx); err != nil {
-			log.Info().Err(err).Msg("the list of entry processes can't be read")
+			log.Info().Err(err).Msg("the list of entry processes cannot be read")
 			pause = listRetry
 		}
 		timer := r.Clock.NewTimer(pause)
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -15,7 +15,7 @@
 const maxPeerWait = 2 * time.Second
 
 // errAway is the refusal of a process that the log doesn't serve either.
-var errAway = errors.New("the log doesn't serve this process")
+var errAway = errors.New("the log does not serve this process")
 
 // Server calls the log for peers. Its fields are set before use.
 type Server struct {
--- a/runner/drain.go
+++ b/runner/drain.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/phuslu/log"
-
+	"damaskspread.example/damaskspread/tracer"
+	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
 )
 
@@ -20,7 +20,13 @@
 func (r *Runner) drainLoop(ctx context.Context) {
 	r.pause(ctx, drainTick)
 	for _, run := range r.drainDue() {
-		log.Info().Str("task", run.GetTask()).Int32("run", run.GetRun()).Msg("task stopped before its executor leaves")
+		tracer.Write(&tracer.StopOrdered{
+			Job:    tracker.JobOf(run.GetTask()),
+			Task:   run.GetTask(),
+			Run:    run.GetRun(),
+			Host:   r.Host,
+			Reason: tracer.StopDraining,
+		})
 		r.orders.Go(func() {
 			r.stop(ctx, &wire.StopOrder{
 				Task: run.GetTask(),
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -8,6 +8,8 @@
 	"github.com/phuslu/log"
 
 	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/tracer"
+	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
 )
 
@@ -98,8 +100,14 @@
 		}
 		err := r.callStart(ctx, order, &a)
 		if err == nil {
-			log.Info().Str("task", key.task).Int32("run", key.run).Int64("token", a.lease.Token).
-				Int64("deadline_ms", a.lease.DeadlineMs).Dur("age", r.Elapsed.Elapsed()-decidedAt).Msg("task started")
+			tracer.Write(&tracer.TaskStarted{
+				Job:        tracker.JobOf(key.task),
+				Task:       key.task,
+				Run:        key.run,
+				Token:      a.lease.Token,
+				DeadlineMs: a.lease.DeadlineMs,
+				Age:        tracer.Milliseconds(r.Elapsed.Elapsed() - decidedAt),
+			})
 			return
 		}
 		var unknown *damaskspread.WorkerUnknownError
@@ -150,7 +158,13 @@
 	r.mu.Lock()
 	r.refuse(key, reason)
 	r.mu.Unlock()
-	log.Info().Str("task", key.task).Int32("run", key.run).Str("reason", string(reason)).Msg("start not carried out")
+	tracer.Write(&tracer.StartRefused{
+		Job:    tracker.JobOf(key.task),
+		Task:   key.task,
+		Run:    key.run,
+		Host:   r.Host,
+		Reason: string(reason),
+	})
 	signal(r.reportWake)
 }
 
@@ -179,7 +193,11 @@
 		var fenced *damaskspread.FencedError
 		switch {
 		case err == nil:
-			log.Info().Str("task", key.task).Int32("run", key.run).Msg("task stopped")
+			tracer.Write(&tracer.TaskStopped{
+				Job:  tracker.JobOf(key.task),
+				Task: key.task,
+				Run:  key.run,
+			})
 			r.check(key, r.StopWithin)
 			return
 		case errors.As(err, &wrong) || errors.As(err, &fenced):
--- a/runner/pace.go
+++ b/runner/pace.go
@@ -6,6 +6,8 @@
 	"github.com/phuslu/log"
 
 	"damaskspread.example/damaskspread/pacer"
+	"damaskspread.example/damaskspread/tracer"
+	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
 )
 
@@ -21,6 +23,13 @@
 			log.Debug().Str("task", change.Task).Int("percent", change.Percent).Err(err).Msg("pace not set")
 			continue
 		}
+		tracer.Write(&tracer.TaskPaced{
+			Job:     tracker.JobOf(change.Task),
+			Task:    change.Task,
+			Run:     change.Run,
+			Percent: change.Percent,
+			Load:    change.Load,
+		})
 		r.mu.Lock()
 		r.paces[runKey{change.Task, change.Run}] = change.Percent
 		r.mu.Unlock()
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -10,12 +10,12 @@
 	"context"
 	"time"
 
-	"github.com/phuslu/log"
 	"gopkg.in/tomb.v2"
 
 	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/indexer"
 	"damaskspread.example/damaskspread/tailer"
+	"damaskspread.example/damaskspread/tracer"
 	"damaskspread.example/damaskspread/wire"
 )
 
@@ -57,7 +57,9 @@
 		return err
 	}
 	if _, known := s.Index.Lookup(job.GetId()); known {
-		log.Info().Str("job", job.GetId()).Msg("job was accepted before")
+		tracer.Write(&tracer.JobRepeated{
+			Job: job.GetId(),
+		})
 		return nil
 	}
 	s.applyPolicy(queue, job)
@@ -70,8 +72,13 @@
 	if err != nil {
 		return err
 	}
-	log.Info().Str("job", job.GetId()).Str("queue", queue.GetName()).Int64("offset", offset).
-		Int("steps", len(job.GetSteps())).Dur("append", s.Clock.Since(started)).Msg("job accepted")
+	tracer.Write(&tracer.JobAccepted{
+		Job:    job.GetId(),
+		Queue:  queue.GetName(),
+		Offset: offset,
+		Steps:  len(job.GetSteps()),
+		Append: tracer.Milliseconds(s.Clock.Since(started)),
+	})
 	return nil
 }
 
@@ -165,7 +172,10 @@
 	if err != nil {
 		return err
 	}
-	log.Info().Str("job", id).Int64("offset", offset).Msg("job canceled")
+	tracer.Write(&tracer.JobCanceled{
+		Job:    id,
+		Offset: offset,
+	})
 	return nil
 }
 
--- /dev/null
+++ b/tracer/counters.go
@@ -0,0 +1,45 @@
+package tracer
+
+import (
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"damaskspread.example/damaskspread/monitor"
+)
+
+// Counters counts events for the metrics address, also those whose lines are
+// left out. Its field is set before use.
+type Counters struct {
+	Set *metrics.Set
+}
+
+// Observe counts one event.
+func (c *Counters) Observe(event Event) {
+	c.count("damaskspread_events_total", "kind", strings.ReplaceAll(string(event.kind()), " ", "_"))
+	switch e := event.(type) {
+	case *JobAccepted:
+		c.observe("damaskspread_append_seconds", e.Append)
+	case *TaskStarted:
+		c.observe("damaskspread_start_order_seconds", e.Age)
+	case *RequestRefused:
+		c.count("damaskspread_refusals_total", "reason", e.Reason)
+	case *StartRefused:
+		c.count("damaskspread_start_refusals_total", "reason", e.Reason)
+	case *StopOrdered:
+		c.count("damaskspread_stops_total", "reason", string(e.Reason))
+	case *RunEnded:
+		c.count("damaskspread_runs_ended_total", "cause", strings.ToLower(strings.TrimPrefix(e.Cause, "END_CAUSE_")))
+	case *TasksWaiting:
+		c.observe("damaskspread_task_wait_seconds", e.Waited)
+	}
+}
+
+func (c *Counters) count(name, label, value string) {
+	c.Set.GetOrCreateCounter(monitor.Name(name, label, value)).Inc()
+}
+
+func (c *Counters) observe(name string, duration Milliseconds) {
+	c.Set.GetOrCreateHistogram(name).Update(time.Duration(duration).Seconds())
+}
--- a/tracker/names.go
+++ b/tracker/names.go
@@ -24,6 +24,12 @@
 
 func (e *BadTaskNameError) Error() string { return fmt.Sprintf("%q is not the name of a task", e.Name) }
 
+// JobOf is the job of a task's name.
+func JobOf(task string) string {
+	job, _, _ := strings.Cut(task, ".")
+	return job
+}
+
 // ParseTaskID reads the name of a task.
 func ParseTaskID(name string) (TaskID, error) {
 	parts := strings.Split(name, ".")
--- a/tracker/ready.go
+++ b/tracker/ready.go
@@ -35,6 +35,18 @@
 	return run + 1
 }
 
+// Group returns the step of the task's occurrence, with the task as the only
+// one that waits.
+func (t *Task) Group() *Group {
+	return &Group{
+		job:        t.job,
+		occurrence: t.id.Occurrence,
+		step:       t.id.Step,
+		tasks:      []*Task{t},
+		all:        t.job.occurrences[t.id.Occurrence].steps[t.id.Step],
+	}
+}
+
 // Ready returns the tasks that may start at a time of day.
 func (j *Job) Ready(nowUnixMs int64) []*Group {
 	if j.Over() {
