Pack serving tasks on few hosts and order waiting jobs by what they can reach

A disturbing pair of images puts the serving task at 5 to 15 times its target with a tenth of a host's processors, a harmless pair does nothing with the whole host, and serving tasks stood on every host. Queues under overload began with jobs that were late anyway, and later occurrences of a job counted from its acceptance.

Change: serving tasks go to the host with the most reserved processors, so that others have none and can be filled freely; a pair that was never observed counts as one that disturbs (weight 2) when a filling task is placed. Jobs that can still be in time go first, then those that are late, then those that are worth nothing more; occurrences count from their own time.

The pace of disturbing tasks stays the largest loss.

--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -17,7 +17,7 @@
 	}
 	r.hosts = c.hosts(r)
 	groups := c.readyGroups()
-	planner.Order(groups)
+	planner.Order(groups, c.Clock.Now().UnixMilli())
 	c.advices.prepare(groups, r.hosts)
 	for _, assignment := range c.Planner.Plan(groups, r.hosts) {
 		view := r.byKey[assignment.Host.Key]
--- a/estimator/pressure.go
+++ b/estimator/pressure.go
@@ -23,6 +23,9 @@
 	// evidence is the sum of squared changes of processor use, as a share of
 	// the host, from which a pair counts as known.
 	evidence = 0.05
+	// unobservedWeight is the effect that a pair is taken to have before it was
+	// observed.
+	unobservedWeight = 2.0
 	// solveInterval bounds the cost of solving.
 	solveInterval = 500 * time.Millisecond
 	// maxImages bounds the images that a model tells apart.
@@ -227,19 +230,21 @@
 	}
 }
 
-// Weight is the effect of a disturbing image on a serving one.
+// Weight is the effect of a disturbing image on a serving one. Without evidence
+// a pair counts as one that disturbs.
 func (p *Pressure) Weight(disturbing, serving string) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.models[serving]
 	if m == nil {
-		return 0
+		return unobservedWeight
 	}
 	i, known := m.index[disturbing]
 	if !known {
-		return 0
+		return unobservedWeight
 	}
-	return m.weights[i]
+	doubt := max(0, 1-m.squares[i][i]/evidence)
+	return max(doubt*unobservedWeight, m.weights[i])
 }
 
 // Weights are the effects of the pairs that were observed enough to tell.
--- a/planner/host.go
+++ b/planner/host.go
@@ -120,6 +120,16 @@
 	return h.Capacity.GetMillicores() - busy - h.fillMilli
 }
 
+// idleShare is the idle part of the host's processors.
+func (h *Host) idleShare() float64 {
+	return float64(h.idleMilli()) / float64(max(h.Capacity.GetMillicores(), 1))
+}
+
+// reservedShare is the part of the host's processors that tasks have reserved.
+func (h *Host) reservedShare() float64 {
+	return float64(h.reserved.GetMillicores()) / float64(max(h.Capacity.GetMillicores(), 1))
+}
+
 // near reports whether the host is in the rack that holds the step's data.
 func (h *Host) near(step *wire.JobStep) bool {
 	rack := step.GetAffinityRack()
--- a/planner/interference.go
+++ b/planner/interference.go
@@ -65,11 +65,11 @@
 	return sum
 }
 
-// affinity is the share of a host's serving tasks that have an image. Hosts of
-// one serving image disturb fewer pairs; an empty host is as good as half.
+// affinity is the share of a host's serving tasks that have an image. On hosts
+// of few serving images fewer filling images disturb one.
 func affinity(host *Host, image string) float64 {
 	if host.servingMilli == 0 {
-		return 0.5
+		return 0
 	}
 	return float64(host.servingByImage[image]) / float64(host.servingMilli)
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -5,9 +5,7 @@
 package planner
 
 import (
-	"cmp"
 	"slices"
-	"time"
 
 	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
@@ -30,39 +28,6 @@
 	Ticket func(step, executor string) (string, bool)
 }
 
-// Order sorts groups by which should start first: the priority of the queue,
-// then the earliest deadline.
-func Order(groups []*tracker.Group) {
-	slices.SortStableFunc(groups, func(a, b *tracker.Group) int {
-		if c := cmp.Compare(a.Job().Spec().GetPriority(), b.Job().Spec().GetPriority()); c != 0 {
-			return c
-		}
-		return cmp.Compare(deadlineMs(a), deadlineMs(b))
-	})
-}
-
-// deadlineMs is when the job should be done by its objective.
-func deadlineMs(g *tracker.Group) int64 {
-	job := g.Job().Spec()
-	chain := float64(Chain(job).Milliseconds())
-	return job.GetAcceptedUnixMs() + int64(chain*job.GetStretch()) + job.GetObjectiveMs()
-}
-
-// Chain is the longest chain of estimated work in a job.
-func Chain(job *wire.Job) time.Duration {
-	longest := int64(0)
-	ends := make([]int64, len(job.GetSteps()))
-	for i, step := range job.GetSteps() {
-		start := int64(0)
-		for _, earlier := range step.GetAfter() {
-			start = max(start, ends[earlier])
-		}
-		ends[i] = start + step.GetEstimateMs()
-		longest = max(longest, ends[i])
-	}
-	return time.Duration(longest) * time.Millisecond
-}
-
 // Plan assigns what can start now. Groups are in the order of Order.
 func (p *Planner) Plan(groups []*tracker.Group, hosts []*Host) []Assignment {
 	var plan []Assignment
@@ -171,18 +136,22 @@
 	scoreFailedOn  = 8.0
 	scoreSuspect   = 16.0
 	scoreSpeed     = 3.0
-	scoreSameImage = 2.0
+	scoreSameImage = 0.5
 	// scoreCrowded spreads the tasks of a step.
 	scoreCrowded = 0.02
 )
 
 func (p *Planner) score(host *Host, step *wire.JobStep, task *tracker.Task, name string) float64 {
-	score := float64(host.idleMilli()) / float64(max(host.Capacity.GetMillicores(), 1))
+	score := 0.0
 	switch {
 	case step.GetFillsIdle():
-		score += scoreSpeed * p.speed(host, step)
+		score = host.idleShare() + scoreSpeed*p.speed(host, step)
 	case step.GetTargetLatencyMs() > 0:
-		score += scoreSameImage*affinity(host, step.GetImage()) - p.disturbance(host, step.GetImage())
+		// Serving tasks share few hosts, so that the others can be filled without
+		// disturbing any.
+		score = host.reservedShare() + scoreSameImage*affinity(host, step.GetImage()) - p.disturbance(host, step.GetImage())
+	default:
+		score = host.idleShare()
 	}
 	score -= scoreCrowded * float64(host.tasksByStep[name])
 	if !host.near(step) {
--- a/tracker/ready.go
+++ b/tracker/ready.go
@@ -17,6 +17,12 @@
 // Step describes the tasks.
 func (g *Group) Step() *wire.JobStep { return g.job.job.GetSteps()[g.step] }
 
+// StepIndex is the position of the step in the job.
+func (g *Group) StepIndex() int { return g.step }
+
+// Occurrence is the repetition of the job that the tasks belong to.
+func (g *Group) Occurrence() int { return g.occurrence }
+
 // Tasks are the waiting tasks.
 func (g *Group) Tasks() []*Task { return g.tasks }
 
