Keep the pause that watches a context and the order of certainty in one place

Cause: the pause stood in six places and the choice of the less certain of two append errors in two; Submitter.Elapsed was set and never read.

Ruled out: one HTTP client for server.peerClient and connector.NewHTTPClient: the latter closes silent connections sooner, which the older daemons' tests do not cover.

Change: damaskspread.Pause and damaskspread.LessCertain.

--- a/coordinator/advice.go
+++ b/coordinator/advice.go
@@ -139,11 +139,7 @@
 	tickets, validFor, err := a.service.Advise(limited, request.step, request.executors)
 	if err != nil {
 		log.Info().Str("step", request.step).Err(err).Msg("no advice")
-		timer := a.clock.NewTimer(adviceRetry)
-		select {
-		case <-timer.Chan():
-		case <-ctx.Done():
-		}
+		damaskspread.Pause(ctx, a.clock, adviceRetry)
 	} else {
 		log.Info().Str("step", request.step).Int("asked", len(request.executors)).Int("granted", len(tickets)).
 			Dur("valid", validFor).Msg("advice")
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -192,7 +192,7 @@
 	defer cancel()
 	if err := c.takeOver(term, epoch); err != nil {
 		log.Warn().Int64("epoch", epoch).Err(err).Msg("taking over failed")
-		c.pause(ctx, maxCycle)
+		damaskspread.Pause(ctx, c.Clock, maxCycle)
 		return
 	}
 	var duties sync.WaitGroup
@@ -204,7 +204,7 @@
 			c.abandon(epoch)
 			break
 		}
-		c.pause(ctx, minCycle)
+		damaskspread.Pause(ctx, c.Clock, minCycle)
 		c.await(ctx)
 	}
 	cancel()
@@ -220,15 +220,6 @@
 	}
 }
 
-func (c *Coordinator) pause(ctx context.Context, duration time.Duration) {
-	timer := c.Clock.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.Chan():
-	case <-ctx.Done():
-	}
-}
-
 // await waits for news or for the next timed event.
 func (c *Coordinator) await(ctx context.Context) {
 	timer := c.Clock.NewTimer(maxCycle)
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -179,7 +179,6 @@
 		Index:         index,
 		Tail:          jobs,
 		Clock:         w.clock,
-		Elapsed:       w.elapsed,
 		VisibleWithin: 3 * time.Second,
 	}
 	e.submitter.Init()
--- a/coordinator/writer.go
+++ b/coordinator/writer.go
@@ -51,7 +51,7 @@
 			continue
 		}
 		log.Debug().Str("topic", w.topic).Int64("sequence", w.sequence).Err(err).Msg("append repeated")
-		w.wait(ctx, pause)
+		damaskspread.Pause(ctx, w.clock, pause)
 		pause = min(2*pause, appendLimit)
 	}
 }
@@ -68,12 +68,3 @@
 	})
 	return err
 }
-
-func (w *writer) wait(ctx context.Context, pause time.Duration) {
-	timer := w.clock.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.Chan():
-	case <-ctx.Done():
-	}
-}
--- a/errors.go
+++ b/errors.go
@@ -1,6 +1,7 @@
 package damaskspread
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -133,3 +134,13 @@
 	return fmt.Sprintf("section [%s] was changed by %s at offset %d; publish again from that version",
 		e.Section, e.Actor, e.Current.GetOffset())
 }
+
+// LessCertain returns the error of two tries of an append that leaves its effect
+// open, or else the later one.
+func LessCertain(a, b error) error {
+	var unknown *AppendUnknownError
+	if errors.As(a, &unknown) || b == nil {
+		return a
+	}
+	return b
+}
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -124,7 +124,6 @@
 		Index:         e.index,
 		Tail:          e.jobs,
 		Clock:         e.Clock,
-		Elapsed:       e.process.elapsed,
 		VisibleWithin: s.Bounds().VisibleWithin(),
 	}
 	e.submitter.Init()
@@ -306,12 +305,7 @@
 			return nil
 		}
 		log.Info().Err(err).Msg("address not announced yet")
-		timer := e.Clock.NewTimer(announceRetry)
-		select {
-		case <-timer.Chan():
-		case <-tb.Dying():
-		}
-		timer.Stop()
+		damaskspread.Pause(ctx, e.Clock, announceRetry)
 	}
 	return nil
 }
--- a/relayer/attempts.go
+++ b/relayer/attempts.go
@@ -68,7 +68,7 @@
 				a.relayer.noteServed(got.direct, a.silent)
 				return got.value, got.err
 			}
-			a.failure = lessCertain(a.failure, got.err)
+			a.failure = damaskspread.LessCertain(a.failure, got.err)
 			a.startPeers(ctx)
 			a.startDirect(ctx)
 			if a.running == 0 {
@@ -129,7 +129,7 @@
 			return value, err
 		}
 		a.relayer.skipPeer()
-		failure = lessCertain(failure, err)
+		failure = damaskspread.LessCertain(failure, err)
 		if ctx.Err() != nil {
 			break
 		}
@@ -137,15 +137,6 @@
 	return value, failure
 }
 
-// lessCertain keeps the failure that leaves an effect open.
-func lessCertain(a, b error) error {
-	var unknown *damaskspread.AppendUnknownError
-	if a != nil && !errors.As(b, &unknown) {
-		return a
-	}
-	return b
-}
-
 // unserved reports whether an error says nothing about the contents of the log.
 func unserved(err error) bool {
 	var unavailable *damaskspread.LogUnavailableError
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -117,12 +117,7 @@
 			log.Info().Err(err).Msg("the list of entry processes cannot be read")
 			pause = listRetry
 		}
-		timer := r.Clock.NewTimer(pause)
-		select {
-		case <-timer.Chan():
-		case <-tb.Dying():
-		}
-		timer.Stop()
+		damaskspread.Pause(ctx, r.Clock, pause)
 	}
 	return nil
 }
--- a/submitter/committer.go
+++ b/submitter/committer.go
@@ -110,7 +110,7 @@
 			pause = retryPause
 			continue
 		}
-		c.sleep(ctx, pause)
+		damaskspread.Pause(ctx, c.clock, pause)
 		pause = min(2*pause, retryLimit)
 	}
 	return nil
@@ -177,7 +177,7 @@
 			failed++
 			var unknown *damaskspread.AppendUnknownError
 			certain = certain && !errors.As(answer.err, &unknown)
-			err = preferUnknown(err, answer.err)
+			err = damaskspread.LessCertain(err, answer.err)
 			if failed == sent {
 				return nil, certain, err
 			}
@@ -189,21 +189,3 @@
 		}
 	}
 }
-
-// preferUnknown keeps the error that leaves the effect open.
-func preferUnknown(a, b error) error {
-	var unknown *damaskspread.AppendUnknownError
-	if errors.As(a, &unknown) {
-		return a
-	}
-	return b
-}
-
-func (c *committer) sleep(ctx context.Context, pause time.Duration) {
-	timer := c.clock.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.Chan():
-	case <-ctx.Done():
-	}
-}
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -29,11 +29,10 @@
 
 // Submitter implements damaskspread.JobService. Its fields are set before use.
 type Submitter struct {
-	Log     damaskspread.KeyedLog
-	Index   *indexer.Index
-	Tail    *tailer.Tailer
-	Clock   damaskspread.Clock
-	Elapsed damaskspread.ElapsedClock
+	Log   damaskspread.KeyedLog
+	Index *indexer.Index
+	Tail  *tailer.Tailer
+	Clock damaskspread.Clock
 	// VisibleWithin is how soon after its acceptance each entry must know a
 	// job.
 	VisibleWithin time.Duration
