--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 	"gopkg.in/tomb.v2"
 
@@ -235,60 +234,6 @@
 	})
 }
 
-func (e *Entry) observe(method string, status int, elapsed time.Duration) {
-	e.process.set.GetOrCreateCounter(monitor.Name("damaskspread_caller_requests_total",
-		"method", method, "status", http.StatusText(status))).Inc()
-	e.process.set.GetOrCreateHistogram(monitor.Name("damaskspread_caller_request_seconds", "method", method)).Update(elapsed.Seconds())
-}
-
-func (e *Entry) checks() []monitor.Check {
-	return []monitor.Check{
-		{
-			Name: "configuration_current",
-			Failing: func() string {
-				config, age := e.config.Config()
-				if config == nil || age > e.currencyLimit() {
-					return "the configuration is " + damaskspread.AgeText(age)
-				}
-				return ""
-			},
-		},
-		{
-			Name: "jobs_current",
-			Failing: func() string {
-				if age := e.jobs.Age(); age > e.Settings.Bounds().VisibleWithin() {
-					return "the list of jobs is " + damaskspread.AgeText(age)
-				}
-				return ""
-			},
-		},
-		{
-			Name: "accepting",
-			Failing: func() string {
-				if e.process.stopping.Load() {
-					return "the process is stopping"
-				}
-				return ""
-			},
-		},
-	}
-}
-
-func (e *Entry) metrics() *metrics.Set {
-	age := func(tail *tailer.Tailer) func() float64 {
-		return func() float64 { return min(tail.Age(), time.Hour).Seconds() }
-	}
-	e.process.set.NewGauge("damaskspread_configuration_age_seconds", age(e.operations))
-	e.process.set.NewGauge("damaskspread_jobs_age_seconds", age(e.jobs))
-	e.process.set.NewGauge("damaskspread_leader_epoch", func() float64 { return float64(e.elector.Epoch()) })
-	e.process.set.NewGauge("damaskspread_open_jobs", func() float64 { return float64(e.coordinator.OpenJobs()) })
-	e.process.set.NewGauge("damaskspread_agent_sessions", func() float64 { return float64(e.coordinator.Sessions()) })
-	e.process.set.NewGauge("damaskspread_waiting_steps", func() float64 { return float64(e.coordinator.WaitingSteps()) })
-	e.process.set.NewGauge("damaskspread_log_calls_relayed_total", func() float64 { return float64(e.relay.Relayed()) })
-	e.process.set.NewGauge("damaskspread_requests_in_flight", func() float64 { return float64(e.inFlight.Load()) })
-	return e.process.set
-}
-
 // announce publishes the address for agents once the log takes it.
 func (e *Entry) announce(tb *tomb.Tomb) error {
 	ctx := tb.Context(context.Background())
--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -11,19 +11,19 @@
 
 // Obstacles, in the order in which they are looked for.
 const (
-	NoObstacle            Obstacle = ""
-	ObstacleService       Obstacle = "other_service"
-	ObstacleUnusable      Obstacle = "not_usable"
-	ObstacleSetAside      Obstacle = "set_aside"
-	ObstacleTicket        Obstacle = "no_ticket"
-	ObstacleAntiAffinity  Obstacle = "anti_affinity"
-	ObstacleLabel         Obstacle = "label"
-	ObstacleMemory        Obstacle = "memory"
-	ObstacleAccelerators  Obstacle = "accelerators"
-	ObstacleProcessors    Obstacle = "processors"
-	ObstacleKept          Obstacle = "kept_for_large_task"
-	ObstacleStrained      Obstacle = "serving_task_near_target"
-	ObstacleNoIdleProcess Obstacle = "no_idle_processors"
+	NoObstacle               Obstacle = ""
+	ObstacleService          Obstacle = "other_service"
+	ObstacleUnusable         Obstacle = "not_usable"
+	ObstacleSetAside         Obstacle = "set_aside"
+	ObstacleTicket           Obstacle = "no_ticket"
+	ObstacleAntiAffinity     Obstacle = "anti_affinity"
+	ObstacleLabel            Obstacle = "label"
+	ObstacleMemory           Obstacle = "memory"
+	ObstacleAccelerators     Obstacle = "accelerators"
+	ObstacleProcessors       Obstacle = "processors"
+	ObstacleKept             Obstacle = "kept_for_large_task"
+	ObstacleStrained         Obstacle = "serving_task_near_target"
+	ObstacleNoIdleProcessors Obstacle = "no_idle_processors"
 )
 
 // Obstacles counts the hosts by what keeps them from taking a waiting task.
@@ -50,7 +50,7 @@
 	case step.GetFillsIdle() && host.Strained:
 		return ObstacleStrained
 	case step.GetFillsIdle() && p.speed(host, step) < leastSpeed:
-		return ObstacleNoIdleProcess
+		return ObstacleNoIdleProcessors
 	default:
 		return NoObstacle
 	}
