Tell the answers of long requests in the test of planned stops

The test kept its answer for later and ended before it told it, so the cause is open.

Change: the test logs each long request that is not answered with 200; its check and bound stay.

--- a/e2e/graceful_test.go
+++ b/e2e/graceful_test.go
@@ -220,7 +220,11 @@
 		go func() {
 			caller := protocolClient(i%2 == 1)
 			defer caller.CloseIdleConnections()
-			answers <- e.post(caller, fmt.Sprintf("%s-%d", name, i), "", 15*time.Second)
+			answer := e.post(caller, fmt.Sprintf("%s-%d", name, i), "", 15*time.Second)
+			if answer.status != http.StatusOK {
+				c.t.Logf("long request %s-%d: status %d, %s %s, error %v", name, i, answer.status, answer.outcome, answer.reason, answer.err)
+			}
+			answers <- answer
 		}()
 	}
 	waitFor(c.t, readyWithin, "long requests are running", func() bool {
