Keep one account of shortages, positions and pending tasks, and drop dead hooks

Whether a task fits stood three times (Host.full, lacks, couldHold); the order of waiting groups computed each job's chains in every comparison, after another sort of the same groups; pending tasks were looked for in three loops; explainer had its own JobOf and final states; Configurer.Changed, Tailer.Advanced and OperatorView.ZoneOut had no user, so that the coordinator declared an interface of its own for ZonesOut; the pacer looked for the worst load twice; runner had its own pause.

Ruled out: one HTTP client for server.peerClient and connector.NewHTTPClient, and one listener for server and launcher: their time-outs differ, so behavior would. Generated code and the shape of setters in the stand-ins stay alike.

Change: Host.shortage, position (one per group and round, with the acceptance as last criterion in place of the first sort), pending, indexer.Final, tracker.JobOf and damaskspread.Pause serve all; the unused hooks are gone.

--- a/commander/explain.go
+++ b/commander/explain.go
@@ -11,6 +11,7 @@
 
 	"damaskspread.example/damaskspread/explainer"
 	"damaskspread.example/damaskspread/tracer"
+	"damaskspread.example/damaskspread/tracker"
 )
 
 // explainBody is the JSON form of an explanation.
@@ -55,7 +56,7 @@
 			if len(logs) == 0 {
 				return usage("--logs is required: the logs of all entries and agents")
 			}
-			explanation, err := c.explain(explainer.JobOf(args[0]), logs)
+			explanation, err := c.explain(tracker.JobOf(args[0]), logs)
 			if err != nil {
 				return err
 			}
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -22,8 +22,6 @@
 	Decode func(record *wire.KeyedRecord) (*damaskspread.Operation, error)
 	// Age is an upper bound on the age of what was applied.
 	Age func() time.Duration
-	// Changed is told of each change; it may be nil.
-	Changed func()
 
 	mu       sync.RWMutex
 	config   *wire.FleetConfig
@@ -33,16 +31,13 @@
 // Apply takes records in order.
 func (c *Configurer) Apply(records []*wire.KeyedRecord, reset bool) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if reset || c.zonesOut == nil {
 		c.zonesOut = map[string]bool{}
 	}
 	for _, record := range records {
 		c.applyRecord(record)
 	}
-	c.mu.Unlock()
-	if c.Changed != nil {
-		c.Changed()
-	}
 }
 
 func (c *Configurer) applyRecord(record *wire.KeyedRecord) {
@@ -86,14 +81,7 @@
 	return c.config, c.Age()
 }
 
-// ZoneOut implements damaskspread.OperatorView.
-func (c *Configurer) ZoneOut(zone string) bool {
-	c.mu.RLock()
-	defer c.mu.RUnlock()
-	return c.zonesOut[zone]
-}
-
-// ZonesOut returns the zones that are out of service.
+// ZonesOut implements damaskspread.OperatorView.
 func (c *Configurer) ZonesOut() map[string]bool {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -43,12 +43,6 @@
 	leaseSlack = 200 * time.Millisecond
 )
 
-// FleetView is what operators published.
-type FleetView interface {
-	damaskspread.OperatorView
-	ZonesOut() map[string]bool
-}
-
 // orphan is an executor with tasks of an earlier leader and no session yet.
 type orphan struct {
 	host string
@@ -61,7 +55,7 @@
 	Log        damaskspread.KeyedLog
 	Index      *indexer.Index
 	JobsTail   *tailer.Tailer
-	Operations FleetView
+	Operations damaskspread.OperatorView
 	Election   *elector.Elector
 	Planner    *planner.Planner
 	Pressure   *estimator.Pressure
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -46,10 +46,7 @@
 		if group.Step().GetFillsIdle() {
 			continue
 		}
-		for _, t := range group.Tasks() {
-			if !t.Pending() {
-				continue
-			}
+		for _, t := range pending(group) {
 			victims := c.Planner.Preempt(group, t, r.hosts)
 			for _, victim := range victims {
 				c.stopForRoom(r, victim, t)
@@ -79,9 +76,6 @@
 	for _, job := range c.jobs {
 		groups = append(groups, job.Ready(now)...)
 	}
-	slices.SortFunc(groups, func(a, b *tracker.Group) int {
-		return int(a.Job().Spec().GetAcceptedUnixMs() - b.Job().Spec().GetAcceptedUnixMs())
-	})
 	return groups
 }
 
--- a/coordinator/waiting.go
+++ b/coordinator/waiting.go
@@ -19,23 +19,23 @@
 
 // waitingStep is a step with tasks that wait for a host.
 type waitingStep struct {
-	since   time.Duration
-	toldAt  time.Duration
-	present bool
+	since, toldAt time.Duration
 }
 
 // noteWaiting tells what keeps tasks waiting that are due for a while.
 func (c *Coordinator) noteWaiting(groups []*tracker.Group, r *round, epoch int64) {
-	for _, step := range c.waiting {
-		step.present = false
-	}
+	waiting := map[string]*waitingStep{}
 	accounts := 0
 	for _, group := range groups {
-		first := firstPending(group)
-		if first == nil {
+		tasks := pending(group)
+		if len(tasks) == 0 {
 			continue
 		}
-		step := c.waitingStep(group.Name(), r.now)
+		step := c.waiting[group.Name()]
+		if step == nil {
+			step = &waitingStep{since: r.now}
+		}
+		waiting[group.Name()] = step
 		if accounts == maxAccounts || r.now-step.since < waitingAfter || r.now-step.toldAt < waitingEvery {
 			continue
 		}
@@ -44,46 +44,24 @@
 		tracer.Write(&tracer.TasksWaiting{
 			Job:       group.Job().Spec().GetId(),
 			Step:      group.Name(),
-			Tasks:     pending(group),
+			Tasks:     len(tasks),
 			Waited:    tracer.Milliseconds(r.now - step.since),
 			Epoch:     epoch,
-			Obstacles: named(c.Planner.Obstacles(group, first, r.hosts)),
+			Obstacles: named(c.Planner.Obstacles(group, tasks[0], r.hosts)),
 		})
 	}
-	for name, step := range c.waiting {
-		if !step.present {
-			delete(c.waiting, name)
-		}
-	}
-}
-
-func (c *Coordinator) waitingStep(name string, now time.Duration) *waitingStep {
-	step := c.waiting[name]
-	if step == nil {
-		step = &waitingStep{since: now}
-		c.waiting[name] = step
-	}
-	step.present = true
-	return step
-}
-
-func firstPending(group *tracker.Group) *tracker.Task {
-	for _, t := range group.Tasks() {
-		if t.Pending() {
-			return t
-		}
-	}
-	return nil
+	c.waiting = waiting
 }
 
-func pending(group *tracker.Group) int {
-	count := 0
+// pending are the tasks of a group that still wait after the round's plan.
+func pending(group *tracker.Group) []*tracker.Task {
+	var tasks []*tracker.Task
 	for _, t := range group.Tasks() {
 		if t.Pending() {
-			count++
+			tasks = append(tasks, t)
 		}
 	}
-	return count
+	return tasks
 }
 
 func named(obstacles map[planner.Obstacle]int) map[string]int {
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -47,7 +47,6 @@
 func (operations) Config() (*wire.FleetConfig, time.Duration) {
 	return &wire.FleetConfig{Version: 1}, 0
 }
-func (operations) ZoneOut(string) bool       { return false }
 func (operations) ZonesOut() map[string]bool { return nil }
 
 // advisor grants every step to executors of one host only.
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -31,8 +31,8 @@
 
 const (
 	leaderKey = "leader"
-	// RenewInterval is the time between two renewals.
-	RenewInterval = 200 * time.Millisecond
+	// renewInterval is the time between two renewals.
+	renewInterval = 200 * time.Millisecond
 	// takeoverAfter is the silence after which another process claims.
 	takeoverAfter = 900 * time.Millisecond
 	// takeoverSpread keeps the candidates from claiming together.
@@ -206,7 +206,7 @@
 	e.end = result.GetEnd()
 	e.heardAt = started
 	e.confirmedAt = started
-	e.nextRenewal = started + RenewInterval
+	e.nextRenewal = started + renewInterval
 	e.mu.Unlock()
 	log.Info().Int64("epoch", claim.GetEpoch()).Int64("offset", result.GetOffset()).Msg("leadership won")
 	e.Won(claim.GetEpoch())
@@ -227,7 +227,7 @@
 	result, err := e.append(ctx, renewal, end)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.nextRenewal = started + RenewInterval
+	e.nextRenewal = started + renewInterval
 	if err != nil {
 		var moved *damaskspread.ConditionFailedError
 		if !errors.As(err, &moved) {
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -13,7 +13,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"strings"
 
 	"damaskspread.example/damaskspread/tracer"
 )
@@ -76,12 +75,6 @@
 	recent []*tracer.Line
 }
 
-// JobOf is the job that an id of a job or of a task names.
-func JobOf(id string) string {
-	job, _, _ := strings.Cut(id, ".")
-	return job
-}
-
 // Read takes one log, which may be compressed and may hold the lines of several
 // processes.
 func (g *Gatherer) Read(name string, log io.Reader) error {
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -15,6 +15,7 @@
 	"damaskspread.example/damaskspread/explainer"
 	"damaskspread.example/damaskspread/monitor"
 	"damaskspread.example/damaskspread/tracer"
+	"damaskspread.example/damaskspread/tracker"
 )
 
 const (
@@ -46,7 +47,7 @@
 
 func explain(t *testing.T, id string, logs ...string) *explainer.Explanation {
 	t.Helper()
-	g := &explainer.Gatherer{Job: explainer.JobOf(id)}
+	g := &explainer.Gatherer{Job: tracker.JobOf(id)}
 	for i, text := range logs {
 		assert.NilError(t, g.Read(fmt.Sprint(i), strings.NewReader(text)))
 	}
--- a/explainer/findings.go
+++ b/explainer/findings.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"damaskspread.example/damaskspread/indexer"
 	"damaskspread.example/damaskspread/tracer"
 	"damaskspread.example/damaskspread/wire"
 )
@@ -114,7 +115,7 @@
 	case *tracer.JobCanceled:
 		f.add(FindingCanceled, "job", "by a caller, offset %d", e.Offset)
 	case *tracer.JobState:
-		f.final = f.final || finalState(e.State)
+		f.final = f.final || indexer.Final(wire.JobState(wire.JobState_value[e.State]))
 	case *tracer.RequestRefused:
 		f.add(FindingRefused, line.Process(), "%s %d %s (%s): %s; configuration %d was up to %s old",
 			e.Method, e.Status, e.Reason, e.Outcome, e.Error, e.ConfigVersion, e.ConfigAge)
@@ -173,15 +174,6 @@
 	}
 }
 
-func finalState(state string) bool {
-	switch state {
-	case wire.JobState_JOB_STATE_SUCCEEDED.String(), wire.JobState_JOB_STATE_FAILED.String(), wire.JobState_JOB_STATE_CANCELED.String():
-		return true
-	default:
-		return false
-	}
-}
-
 // obstacles lists hosts by obstacle, the most frequent first.
 func obstacles(counts map[string]int) string {
 	names := make([]string, 0, len(counts))
--- a/jobs.go
+++ b/jobs.go
@@ -69,8 +69,8 @@
 	// Config returns the configuration and an upper bound on its age; nil
 	// before the first one.
 	Config() (*wire.FleetConfig, time.Duration)
-	// ZoneOut reports whether operators took a zone out of service.
-	ZoneOut(zone string) bool
+	// ZonesOut are the zones that operators took out of service.
+	ZonesOut() map[string]bool
 }
 
 // Operation is one decoded publication of operators. At most one field is set.
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -79,7 +79,8 @@
 	if room <= 0 {
 		return nil
 	}
-	p.noteStrain(samples, now)
+	load := worst(samples)
+	p.noteStrain(load, now)
 	paces := make([]float64, len(samples))
 	for i := range paces {
 		paces[i] = 1
@@ -90,7 +91,6 @@
 			p.relieve(s, samples, paces)
 		}
 	}
-	load := worst(samples)
 	var changes []Change
 	for i, s := range samples {
 		percent := rounded(paces[i])
@@ -106,12 +106,12 @@
 	return changes
 }
 
-func (p *Pacer) noteStrain(samples []Sample, now time.Duration) {
+func (p *Pacer) noteStrain(load float64, now time.Duration) {
 	if now-p.strainedAt < window {
 		return
 	}
 	p.strainedAt = now
-	switch load := worst(samples); {
+	switch {
 	case load > strainAt:
 		p.strain = min(p.strain+strainUp, maxStrain)
 	case load < calmAt:
--- a/planner/host.go
+++ b/planner/host.go
@@ -91,15 +91,18 @@
 	(*byImage)[step.GetImage()] += step.GetResources().GetMillicores()
 }
 
-// full is the resource that the host lacks for a task.
-func (h *Host) full(step *wire.JobStep) Obstacle {
-	resources := step.GetResources()
+// shortage is the resource that the host lacks for a task once others free what
+// they hold. Filling tasks need no processors of their own.
+func (h *Host) shortage(step *wire.JobStep, freed *wire.Resources) Obstacle {
+	need := step.GetResources()
+	lacks := func(reserved, freed, need, capacity int64) bool { return reserved-freed+need > capacity }
 	switch {
-	case h.reserved.MemoryBytes+resources.GetMemoryBytes() > h.Capacity.GetMemoryBytes():
+	case lacks(h.reserved.GetMemoryBytes(), freed.GetMemoryBytes(), need.GetMemoryBytes(), h.Capacity.GetMemoryBytes()):
 		return ObstacleMemory
-	case h.reserved.Accelerators+resources.GetAccelerators() > h.Capacity.GetAccelerators():
+	case lacks(h.reserved.GetAccelerators(), freed.GetAccelerators(), need.GetAccelerators(), h.Capacity.GetAccelerators()):
 		return ObstacleAccelerators
-	case !step.GetFillsIdle() && h.reserved.Millicores+resources.GetMillicores() > h.Capacity.GetMillicores():
+	case !step.GetFillsIdle() &&
+		lacks(h.reserved.GetMillicores(), freed.GetMillicores(), need.GetMillicores(), h.Capacity.GetMillicores()):
 		return ObstacleProcessors
 	default:
 		return NoObstacle
--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -41,8 +41,8 @@
 		return closed
 	}
 	step := group.Step()
-	if full := host.full(step); full != NoObstacle {
-		return full
+	if shortage := host.shortage(step, nil); shortage != NoObstacle {
+		return shortage
 	}
 	switch {
 	case host.keptMemory || (host.kept && !step.GetFillsIdle()):
--- a/planner/order.go
+++ b/planner/order.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
@@ -22,34 +21,57 @@
 	overdue
 )
 
+// position is what orders a group.
+type position struct {
+	group      *tracker.Group
+	prospect   prospect
+	deadlineMs int64
+}
+
 // Order sorts groups by which should start first. The priority of the queue
 // decides, then whether the job can still be in time: under overload, jobs that
-// are late anyway would make all others late. Last is the earliest deadline.
+// are late anyway would make all others late. Then the earliest deadline goes
+// first, and last the earliest acceptance.
 func Order(groups []*tracker.Group, nowUnixMs int64) {
-	slices.SortStableFunc(groups, func(a, b *tracker.Group) int {
+	positions := make([]position, len(groups))
+	for i, group := range groups {
+		positions[i] = positionOf(group, nowUnixMs)
+	}
+	slices.SortStableFunc(positions, func(a, b position) int {
+		jobA, jobB := a.group.Job().Spec(), b.group.Job().Spec()
 		return cmp.Or(
-			cmp.Compare(a.Job().Spec().GetPriority(), b.Job().Spec().GetPriority()),
-			cmp.Compare(prospectOf(a, nowUnixMs), prospectOf(b, nowUnixMs)),
-			cmp.Compare(dueMs(a)+objectiveMs(a), dueMs(b)+objectiveMs(b)),
+			cmp.Compare(jobA.GetPriority(), jobB.GetPriority()),
+			cmp.Compare(a.prospect, b.prospect),
+			cmp.Compare(a.deadlineMs, b.deadlineMs),
+			cmp.Compare(jobA.GetAcceptedUnixMs(), jobB.GetAcceptedUnixMs()),
 		)
 	})
+	for i := range positions {
+		groups[i] = positions[i].group
+	}
 }
 
-// prospectOf tells whether the rest of a job fits into its objective. Steps that
+// positionOf tells whether the rest of a job fits into its objective. Steps that
 // last have no end that could be late.
-func prospectOf(g *tracker.Group, nowUnixMs int64) prospect {
-	if g.Step().GetLongRunning() {
-		return inTime
+func positionOf(g *tracker.Group, nowUnixMs int64) position {
+	job := g.Job().Spec()
+	rest := restMs(job)
+	objective := int64(float64(slices.Max(rest))*job.GetStretch()) + job.GetObjectiveMs()
+	due := dueMs(g)
+	p := position{
+		group:      g,
+		deadlineMs: due + objective,
 	}
-	end := nowUnixMs + chainFrom(g.Job().Spec(), g.StepIndex()).Milliseconds()
+	end := nowUnixMs + rest[g.StepIndex()]
 	switch {
-	case end <= dueMs(g)+objectiveMs(g):
-		return inTime
-	case end <= dueMs(g)+lateFactor*objectiveMs(g):
-		return late
+	case g.Step().GetLongRunning() || end <= p.deadlineMs:
+		p.prospect = inTime
+	case end <= due+lateFactor*objective:
+		p.prospect = late
 	default:
-		return overdue
+		p.prospect = overdue
 	}
+	return p
 }
 
 // dueMs is when the occurrence of a group could begin.
@@ -61,31 +83,17 @@
 	return max(job.GetAcceptedUnixMs(), job.GetFirstStartUnixMs()+int64(g.Occurrence())*job.GetIntervalMs())
 }
 
-// objectiveMs is the time within which the occurrence should be done.
-func objectiveMs(g *tracker.Group) int64 {
-	job := g.Job().Spec()
-	return int64(float64(Chain(job).Milliseconds())*job.GetStretch()) + job.GetObjectiveMs()
-}
-
-// Chain is the longest chain of estimated work in a job.
-func Chain(job *wire.Job) time.Duration {
-	longest := time.Duration(0)
-	for step := range job.GetSteps() {
-		longest = max(longest, chainFrom(job, step))
-	}
-	return longest
-}
-
-// chainFrom is the longest chain of estimated work that begins with a step.
-func chainFrom(job *wire.Job, from int) time.Duration {
+// restMs is, for each step of a job, the longest chain of estimated work that
+// begins with it.
+func restMs(job *wire.Job) []int64 {
 	steps := job.GetSteps()
-	// Steps follow earlier ones, so the rest of each later step is known.
 	rest := make([]int64, len(steps))
-	for i := len(steps) - 1; i >= from; i-- {
+	// Steps follow earlier ones, so the rest of each later step is known.
+	for i := len(steps) - 1; i >= 0; i-- {
 		rest[i] += steps[i].GetEstimateMs()
 		for _, earlier := range steps[i].GetAfter() {
 			rest[earlier] = max(rest[earlier], rest[i])
 		}
 	}
-	return time.Duration(rest[from]) * time.Millisecond
+	return rest
 }
--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -33,20 +33,6 @@
 	}
 }
 
-// lacks is what the host lacks for a task once the given resources are free.
-func (h *Host) lacks(step *wire.JobStep, freed *wire.Resources) bool {
-	resources := step.GetResources()
-	over := func(reserved, free, need, capacity int64) bool { return reserved-free+need > capacity }
-	if over(h.reserved.GetMemoryBytes(), freed.GetMemoryBytes(), resources.GetMemoryBytes(), h.Capacity.GetMemoryBytes()) {
-		return true
-	}
-	if over(h.reserved.GetAccelerators(), freed.GetAccelerators(), resources.GetAccelerators(), h.Capacity.GetAccelerators()) {
-		return true
-	}
-	return !step.GetFillsIdle() &&
-		over(h.reserved.GetMillicores(), freed.GetMillicores(), resources.GetMillicores(), h.Capacity.GetMillicores())
-}
-
 // Preempt chooses tasks of less urgent queues whose stop makes room for a task
 // that fits nowhere. It chooses none while earlier stops already make room.
 func (p *Planner) Preempt(group *tracker.Group, task *tracker.Task, hosts []*Host) []*tracker.Task {
@@ -74,7 +60,7 @@
 		MemoryBytes:  h.leaving.GetMemoryBytes(),
 		Accelerators: h.leaving.GetAccelerators(),
 	}
-	if !h.lacks(step, freed) {
+	if h.shortage(step, freed) == NoObstacle {
 		return nil, true
 	}
 	priority := group.Job().Spec().GetPriority()
@@ -84,7 +70,7 @@
 		}
 		victims = append(victims, candidate)
 		add(freed, candidate.Step())
-		if !h.lacks(step, freed) {
+		if h.shortage(step, freed) == NoObstacle {
 			return victims, true
 		}
 	}
--- a/planner/reserve.go
+++ b/planner/reserve.go
@@ -37,7 +37,7 @@
 	}
 	if best != nil && kept < maxKept {
 		best.kept = true
-		best.keptMemory = best.full(step) == ObstacleMemory
+		best.keptMemory = best.shortage(step, nil) == ObstacleMemory
 	}
 }
 
@@ -49,14 +49,7 @@
 }
 
 // couldHold reports whether the task would fit on the empty host.
-func (h *Host) couldHold(step *wire.JobStep) bool {
-	empty := &wire.Resources{
-		Millicores:   h.reserved.GetMillicores(),
-		MemoryBytes:  h.reserved.GetMemoryBytes(),
-		Accelerators: h.reserved.GetAccelerators(),
-	}
-	return !h.lacks(step, empty)
-}
+func (h *Host) couldHold(step *wire.JobStep) bool { return h.shortage(step, &h.reserved) == NoObstacle }
 
 func (h *Host) freeMilli() int64 { return h.Capacity.GetMillicores() - h.reserved.GetMillicores() }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -237,5 +237,5 @@
 
 // pause waits without being woken.
 func (r *Runner) pause(ctx context.Context, duration time.Duration) {
-	r.await(ctx, nil, duration)
+	damaskspread.Pause(ctx, r.Clock, duration)
 }
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -39,8 +39,6 @@
 	// Apply receives records in order. With reset it receives the newest
 	// record of every key, and keys that are missing no longer exist.
 	Apply func(records []*wire.KeyedRecord, reset bool)
-	// Advanced is told when the head was reached; it may be nil.
-	Advanced func()
 
 	mu        sync.Mutex
 	next      int64
@@ -224,9 +222,6 @@
 	if regained {
 		log.Info().Str("topic", t.Topic).Int64("next", next).Msg("log regained")
 	}
-	if head && t.Advanced != nil {
-		t.Advanced()
-	}
 }
 
 func (t *Tailer) noteLost(err error) {
--- a/tracker/names.go
+++ b/tracker/names.go
@@ -24,7 +24,7 @@
 
 func (e *BadTaskNameError) Error() string { return fmt.Sprintf("%q is not the name of a task", e.Name) }
 
-// JobOf is the job of a task's name.
+// JobOf is the job of a task's name. The id of a job names itself.
 func JobOf(task string) string {
 	job, _, _ := strings.Cut(task, ".")
 	return job
--- a/tracker/ready.go
+++ b/tracker/ready.go
@@ -49,7 +49,7 @@
 		occurrence: t.id.Occurrence,
 		step:       t.id.Step,
 		tasks:      []*Task{t},
-		all:        t.job.occurrences[t.id.Occurrence].steps[t.id.Step],
+		all:        t.siblings(),
 	}
 }
 
