Give kept room to lasting tasks and keep it only where it comes free

Ruled out: lost orders and constraints (the hosts are counted by what closes them).

Change: tasks that last are never kept out, and room is kept only on hosts where the task will fit once the tasks that end have ended.

Before/after: TestKeptRoomAdmitsLastingTasks and TestRoomIsKeptWhereItComesFree failed before; all tests of planner and coordinator pass.

--- a/planner/host.go
+++ b/planner/host.go
@@ -32,6 +32,8 @@
 	TriedFrom time.Duration
 
 	reserved wire.Resources
+	// ending is what tasks have reserved that don't last.
+	ending wire.Resources
 	// leaving is what tasks hold that were ordered to stop.
 	leaving        wire.Resources
 	held           []*tracker.Task
@@ -65,17 +67,16 @@
 }
 
 func (h *Host) reserve(group string, step *wire.JobStep) {
-	resources := step.GetResources()
-	h.reserved.MemoryBytes += resources.GetMemoryBytes()
-	h.reserved.Accelerators += resources.GetAccelerators()
+	add(&h.reserved, step)
+	if !step.GetLongRunning() {
+		add(&h.ending, step)
+	}
 	if step.GetFillsIdle() {
-		h.fillMilli += resources.GetMillicores()
+		h.fillMilli += step.GetResources().GetMillicores()
 		addMilli(&h.fillByImage, step)
-	} else {
-		h.reserved.Millicores += resources.GetMillicores()
 	}
 	if step.GetTargetLatencyMs() > 0 {
-		h.servingMilli += resources.GetMillicores()
+		h.servingMilli += step.GetResources().GetMillicores()
 		addMilli(&h.servingByImage, step)
 	}
 	if h.tasksByStep == nil {
@@ -156,6 +157,11 @@
 			MemoryBytes:  h.reserved.MemoryBytes,
 			Accelerators: h.reserved.Accelerators,
 		},
+		ending: wire.Resources{
+			Millicores:   h.ending.Millicores,
+			MemoryBytes:  h.ending.MemoryBytes,
+			Accelerators: h.ending.Accelerators,
+		},
 		servingMilli:   h.servingMilli,
 		fillMilli:      h.fillMilli,
 		tasksByStep:    maps.Clone(h.tasksByStep),
--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -45,7 +45,7 @@
 		return shortage
 	}
 	switch {
-	case host.keptMemory || (host.kept && !step.GetFillsIdle()):
+	case host.keeps(step):
 		return ObstacleKept
 	case step.GetFillsIdle() && host.Strained:
 		return ObstacleStrained
--- a/planner/reserve.go
+++ b/planner/reserve.go
@@ -15,6 +15,7 @@
 
 // keepRoom leaves the room of a host to a large task that fits nowhere yet, so
 // that small tasks of the same priority don't take each bit that comes free.
+// Tasks that last take it if they fit: they may have nowhere else to go.
 // Rounds choose the same host as long as it is the emptiest.
 func (p *Planner) keepRoom(group *tracker.Group, task *tracker.Task, hosts []*Host) {
 	step := group.Step()
@@ -41,6 +42,15 @@
 	}
 }
 
+// keeps reports whether the host keeps its room from a task. Filling tasks take
+// memory only.
+func (h *Host) keeps(step *wire.JobStep) bool {
+	if !h.kept || step.GetLongRunning() {
+		return false
+	}
+	return h.keptMemory || !step.GetFillsIdle()
+}
+
 // large reports whether a task takes a large part of the host.
 func (h *Host) large(step *wire.JobStep) bool {
 	resources := step.GetResources()
@@ -48,8 +58,9 @@
 		float64(resources.GetMemoryBytes()) >= largeShare*float64(h.Capacity.GetMemoryBytes())
 }
 
-// couldHold reports whether the task would fit on the empty host.
-func (h *Host) couldHold(step *wire.JobStep) bool { return h.shortage(step, &h.reserved) == NoObstacle }
+// couldHold reports whether the task will fit once all tasks have ended that
+// don't last.
+func (h *Host) couldHold(step *wire.JobStep) bool { return h.shortage(step, &h.ending) == NoObstacle }
 
 func (h *Host) freeMilli() int64 { return h.Capacity.GetMillicores() - h.reserved.GetMillicores() }
 
--- a/planner/reserve_test.go
+++ b/planner/reserve_test.go
@@ -122,3 +122,28 @@
 	wide.Resources.MemoryBytes = 64 * gigabyte
 	assert.Equal(t, plan(wide), 0)
 }
+
+// Guards against a lasting task that waits beside room which is kept for a
+// larger one.
+func TestKeptRoomAdmitsLastingTasks(t *testing.T) {
+	host := newHost("a", 8)
+	host.Occupy("small", plain(1, 4000))
+	lasting := plain(1, 3000)
+	lasting.LongRunning = true
+	groups := ready(newJob("larger", 0, plain(1, 6000)), newJob("lasting", 0, lasting), newJob("small", 0, plain(1, 500)))
+	plan := (&planner.Planner{}).Plan(groups, []*planner.Host{host})
+	assert.Equal(t, len(plan), 1)
+	assert.Equal(t, plan[0].Task.ID().Job, "lasting")
+}
+
+// Guards against room that is kept where lasting tasks never let enough of it
+// come free.
+func TestRoomIsKeptWhereItComesFree(t *testing.T) {
+	lasting := newHost("a", 8)
+	lasting.Occupy("lasting", serving("im"))
+	ending := newHost("b", 8)
+	ending.Occupy("ending", plain(1, 7000))
+	groups := ready(newJob("large", 0, plain(1, 6000)), newJob("small", 0, plain(5, 500)))
+	plan := (&planner.Planner{}).Plan(groups, []*planner.Host{lasting, ending})
+	assert.DeepEqual(t, counts(plan), map[string]int{"a": 5})
+}
