Let the executor stand-in end its runs whether or not anybody calls

Cause: TestSilentExecutor failed once: two tasks on two hosts at a time. The stand-in ended runs only when it was called, and nobody calls a silent executor, so a run whose lease was over was still observed as running when its successor started.

Ruled out: a second run within the lease: with the change the judge still sees each start and the executor's own lease, and no run overlaps.

Change: announcing itself, which an executor does all the time, also ends what is over. No check, bound or load of a test changes.

--- a/emulator/job_executor.go
+++ b/emulator/job_executor.go
@@ -73,10 +73,12 @@
 	e.signal()
 }
 
-// Info is what the executor announces of itself.
+// Info is what the executor announces of itself. It also ends what is over: runs
+// end at their time, whether or not anybody calls.
 func (e *JobExecutor) Info(service, zone string, capacity *wire.Resources, labels ...string) *wire.ExecutorInfo {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.advance()
 	return &wire.ExecutorInfo{
 		Id:         e.id,
 		BornUnixMs: e.born,
