A refusal is confirmed as long as the caller can wait; canceled is not deadline_exceeded

Cause: TestAnswersAreWhole got 'unknown overloaded' where nothing was broken. An agent that refuses a repeatable key asks the secondary whether the key may have run, but waited 100 ms for it whatever time the caller had left; on a busy machine the secondary takes longer, and the refusal became unknown. The limiter answered deadline_exceeded to callers that had canceled.

Ruled out: the other source of an unknown overload, the memory limit of keys: 120 requests are far below it.

Change: the wait is half of the caller's remaining time, from 100 ms to 1 s; the limiter tells cancellation (reason canceled) from the deadline.

Before/after: TestSlowConfirmation (secondary answers after 300 ms, 8 s left) got unknown, now not_run; TestCanceledWhileQueued got deadline_exceeded, now canceled.

--- a/deduplicator/deduplicator_test.go
+++ b/deduplicator/deduplicator_test.go
@@ -21,7 +21,8 @@
 	clock         *clockwork.FakeClock
 	agents        map[string]*deduplicator.Deduplicator
 	currencyAge   time.Duration
-	afterDelivery func() // runs once, between the next message and its response
+	afterDelivery func()        // runs once, between the next message and its response
+	delay         time.Duration // of each message
 	readyAppends  int
 }
 
@@ -32,7 +33,14 @@
 	return 0, nil
 }
 
-func (cluster *fakeCluster) Replicate(_ context.Context, address string, request *wire.ReplicateRequest) (*wire.ReplicateResponse, error) {
+func (cluster *fakeCluster) Replicate(ctx context.Context, address string, request *wire.ReplicateRequest) (*wire.ReplicateResponse, error) {
+	if cluster.delay > 0 {
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(cluster.delay):
+		}
+	}
 	response := cluster.agents[address].HandleReplicate(request)
 	if afterDelivery := cluster.afterDelivery; afterDelivery != nil {
 		cluster.afterDelivery = nil
@@ -201,6 +209,29 @@
 	assert.Assert(t, ran)
 }
 
+// Guards against an outcome that is unknown only because a busy secondary took
+// longer than usual to confirm it, although the caller has seconds left.
+func TestSlowConfirmation(t *testing.T) {
+	cluster := newFakeCluster("a", "b")
+	cluster.assign(0, 1, "a", "b", true, "a", "b")
+	cluster.synchronize(t, "a")
+	cluster.currencyAge = time.Hour
+	cluster.delay = 300 * time.Millisecond
+	for _, test := range []struct {
+		left    time.Duration
+		outcome wire.Outcome
+	}{
+		{left: 8 * time.Second, outcome: notRun},
+		{left: 200 * time.Millisecond, outcome: unknown},
+	} {
+		ctx, cancel := context.WithTimeout(t.Context(), test.left)
+		reservation, _, _ := cluster.agents["a"].Begin(ctx, call(1, "k"))
+		refusal := reservation.Refuse(ctx, damaskspread.NotRun(damaskspread.ReasonOverloaded, "the queue is full"))
+		cancel()
+		assertRefusal(t, refusal, test.outcome, damaskspread.ReasonOverloaded)
+	}
+}
+
 // Guards against a key that a new secondary does not have because the epoch
 // changed while the former secondary accepted the key.
 func TestEpochChangesDuringCommit(t *testing.T) {
--- a/deduplicator/request.go
+++ b/deduplicator/request.go
@@ -11,9 +11,12 @@
 )
 
 const (
-	// confirmTimeout limits how long a refusal waits for proof that the key has
-	// not run. A round trip between zones takes 3 ms.
-	confirmTimeout = 100 * time.Millisecond
+	// A refusal waits for proof that the key has not run: for half of the time
+	// that the caller has left, between these limits. A round trip between zones
+	// takes 3 ms, but a busy agent may respond much later, and an outcome that is
+	// unknown keeps the caller from sending the request elsewhere.
+	minConfirmTimeout = 100 * time.Millisecond
+	maxConfirmTimeout = time.Second
 	// A secondary may learn of a new epoch one Sync later than the primary. The
 	// retries take about that long.
 	maxEpochTries   = 5
@@ -193,7 +196,7 @@
 }
 
 func (d *Deduplicator) confirmNotRun(ctx context.Context, call Request) bool {
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout(ctx))
 	defer cancel()
 	since := d.Clock.Now()
 	address, request, ok := d.epochCheck(call)
@@ -209,6 +212,14 @@
 	return d.waitUntilCurrent(ctx, since) && d.provesNotRun(call)
 }
 
+func confirmTimeout(ctx context.Context) time.Duration {
+	deadline, limited := ctx.Deadline()
+	if !limited {
+		return maxConfirmTimeout
+	}
+	return min(max(time.Until(deadline)/2, minConfirmTimeout), maxConfirmTimeout)
+}
+
 // provesNotRun reports whether this agent is the primary in the call's epoch, has
 // the complete history and doesn't have the key.
 func (d *Deduplicator) provesNotRun(call Request) bool {
--- a/errors.go
+++ b/errors.go
@@ -18,6 +18,7 @@
 	ReasonNoEndpoint         Reason = "no_endpoint"
 	ReasonOverloaded         Reason = "overloaded"
 	ReasonDeadline           Reason = "deadline_exceeded"
+	ReasonCanceled           Reason = "canceled"
 	ReasonStaleConfiguration Reason = "stale_configuration"
 	ReasonZoneOut            Reason = "zone_out_of_service"
 	ReasonLeaving            Reason = "leaving"
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -91,9 +92,13 @@
 	select {
 	case <-w.ready:
 	case <-timer.Chan():
-		l.cancel(w)
+		l.cancel(w, damaskspread.ReasonDeadline, "the deadline passed while the request was queued")
 	case <-ctx.Done():
-		l.cancel(w)
+		if errors.Is(ctx.Err(), context.Canceled) {
+			l.cancel(w, damaskspread.ReasonCanceled, "the caller canceled the request while it was queued")
+		} else {
+			l.cancel(w, damaskspread.ReasonDeadline, "the deadline passed while the request was queued")
+		}
 	}
 	if w.refusal != nil {
 		return nil, w.refusal
@@ -252,13 +257,13 @@
 }
 
 // cancel refuses a waiter that is still queued; an admitted one keeps its slot.
-func (l *Limiter) cancel(w *Waiter) {
+func (l *Limiter) cancel(w *Waiter, reason damaskspread.Reason, message string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for i, other := range l.waiting {
 		if other == w {
 			l.removeAt(i)
-			w.refuse(damaskspread.ReasonDeadline, "the request was canceled or its deadline passed while it was queued", 0)
+			w.refuse(reason, message, 0)
 			return
 		}
 	}
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -251,6 +251,21 @@
 	assert.Equal(t, l.Load().GetQueued(), int32(0))
 }
 
+// Guards against telling a caller that canceled its request that the deadline
+// passed, and against a canceled waiter that stays in the queue.
+func TestCanceledWhileQueued(t *testing.T) {
+	l, clock := newLimiter(4)
+	for range 8 {
+		_, refusal := l.Acquire(context.Background(), 0, clock.Now().Add(time.Hour))
+		assert.Assert(t, refusal == nil)
+	}
+	canceled, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, refusal := l.Acquire(canceled, 0, clock.Now().Add(time.Hour))
+	assert.Equal(t, refusal.Reason, damaskspread.ReasonCanceled)
+	assert.Equal(t, l.Load().GetQueued(), int32(0))
+}
+
 // Guards against an estimate that, after one slow request, refuses all requests
 // that could correct it.
 func TestRecoversFromOneSlowRequest(t *testing.T) {
