--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -215,6 +216,23 @@
 	assert.Equal(t, (<-responses).GetOutcome(), wire.Outcome_OUTCOME_RAN)
 }
 
+// Guards against a leave that is not recorded and leaves the operator without the
+// reason.
+func TestLeaveNotRecorded(t *testing.T) {
+	b := newTestAgent(t)
+	b.OnLeave = func(context.Context) error { return &damaskspread.LogUnavailableError{Cause: context.DeadlineExceeded} }
+	local := httptest.NewServer(b.LeaveHandler())
+	defer local.Close()
+	response, err := http.Post(local.URL+"/leave", "", nil)
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, strings.Contains(string(body), "log unavailable"), "%s", body)
+	assert.Assert(t, b.Admitter.Leaving())
+}
+
 // Guards against requests to an endpoint that fails its health checks, and
 // against an endpoint that gets none after it has recovered.
 func TestHealth(t *testing.T) {
--- a/admitter/leave.go
+++ b/admitter/leave.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/phuslu/log"
 	"gopkg.in/tomb.v2"
 )
 
@@ -73,8 +74,8 @@
 func (a *Admitter) Healthy() bool { return !a.unhealthy.Load() }
 
 // LeaveHandler serves POST /leave, with which the endpoint announces its leave.
-// It responds 403 to callers that are not on a loopback address, and 503 if
-// OnLeave fails; new requests are refused even if it fails.
+// It responds 403 to callers that are not on a loopback address, and 503 with the
+// error if OnLeave fails; new requests are refused even if it fails.
 func (a *Admitter) LeaveHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /leave", func(w http.ResponseWriter, r *http.Request) {
@@ -85,8 +86,9 @@
 		a.draining.Store(true)
 		ctx, cancel := context.WithTimeout(r.Context(), leaveTimeout)
 		defer cancel()
-		if a.OnLeave != nil && a.OnLeave(ctx) != nil {
-			w.WriteHeader(http.StatusServiceUnavailable)
+		if err := a.recordLeave(ctx); err != nil {
+			log.Warn().Err(err).Msg("leave not recorded; new requests are refused all the same")
+			http.Error(w, "the leave is not recorded: "+err.Error(), http.StatusServiceUnavailable)
 			return
 		}
 		w.WriteHeader(http.StatusAccepted)
@@ -94,6 +96,13 @@
 	return mux
 }
 
+func (a *Admitter) recordLeave(ctx context.Context) error {
+	if a.OnLeave == nil {
+		return nil
+	}
+	return a.OnLeave(ctx)
+}
+
 func isFromLoopback(r *http.Request) bool {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
--- a/coordinator/interference.go
+++ b/coordinator/interference.go
@@ -87,6 +87,7 @@
 	pairs := c.InterferenceModel.Weights()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.InterferenceModel.RetainHosts(func(host string) bool { return c.sessions[host] != nil })
 	if !c.pressuresChanged(pairs) {
 		return
 	}
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -49,7 +49,7 @@
 			continue
 		}
 		for _, t := range pendingTasks(group) {
-			victims := c.Planner.Preempt(group, t, cycle.hosts)
+			victims := c.Planner.Preempt(group, t, cycle.hosts, cycle.now)
 			for _, victim := range victims {
 				c.preemptTask(cycle, victim, t)
 			}
--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -41,7 +41,7 @@
 		return
 	}
 	firstFailure := t.Failures() == 0
-	if !t.End(end) {
+	if !t.End(end, view.key.ID) {
 		return
 	}
 	c.recordEnd(view.key, end.GetCause(), firstFailure)
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -307,5 +307,9 @@
 		// A concurrent renewal moved the end of the topic.
 		_, err = e.append(ctx, resignation, conflict.End)
 	}
-	log.Info().Int64("epoch", epoch).Err(err).Msg("leadership resigned")
+	if err != nil {
+		log.Warn().Int64("epoch", epoch).Err(err).Msg("resignation not recorded: other processes wait for the takeover timeout")
+		return
+	}
+	log.Info().Int64("epoch", epoch).Msg("leadership resigned")
 }
--- a/emulator/job_executor.go
+++ b/emulator/job_executor.go
@@ -189,7 +189,7 @@
 	}
 	e.advance()
 	if token < e.highestToken {
-		return &damaskspread.FencedError{Token: e.highestToken}
+		return &damaskspread.FencedError{Refused: token}
 	}
 	e.highestToken = token
 	return nil
--- a/emulator/keyed_log.go
+++ b/emulator/keyed_log.go
@@ -196,7 +196,7 @@
 	}
 	switch {
 	case producer.GetEpoch() < state.epoch:
-		return nil, nil, &damaskspread.FencedError{Token: state.epoch}
+		return nil, nil, &damaskspread.FencedError{Refused: producer.GetEpoch()}
 	case empty:
 		return state, nil, nil
 	case producer.GetSequence() == state.sequence && state.lastResult != nil:
--- a/estimator/pressure.go
+++ b/estimator/pressure.go
@@ -113,6 +113,7 @@
 	if capacity.GetMillicores() <= 0 || slices.Equal(p.last[host], samples) {
 		return
 	}
+	p.forgetEnded(p.last[host], samples)
 	p.last[host] = samples
 	use := map[string]float64{}
 	for _, s := range samples {
@@ -127,6 +128,42 @@
 	}
 }
 
+// forgetEnded drops the baselines of serving tasks that a host no longer runs.
+func (p *InterferenceModel) forgetEnded(before, now []RunSample) {
+	for _, s := range before {
+		if !s.Serving || slices.ContainsFunc(now, func(other RunSample) bool { return other.Task == s.Task }) {
+			continue
+		}
+		if m := p.models[s.Image]; m != nil {
+			delete(m.baselines, s.Task)
+		}
+	}
+}
+
+// RetainHosts forgets the hosts for which present returns false, with the
+// baselines of their serving tasks.
+func (p *InterferenceModel) RetainHosts(present func(host string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for host, samples := range p.last {
+		if !present(host) {
+			p.forgetEnded(samples, nil)
+			delete(p.last, host)
+		}
+	}
+}
+
+// Baselines returns the number of serving tasks that the model remembers.
+func (p *InterferenceModel) Baselines() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := 0
+	for _, m := range p.models {
+		count += len(m.baselines)
+	}
+	return count
+}
+
 func (p *InterferenceModel) modelOrNew(serving string) *pressureModel {
 	m := p.models[serving]
 	if m == nil {
--- a/estimator/pressure_test.go
+++ b/estimator/pressure_test.go
@@ -88,3 +88,21 @@
 	}
 	assert.Equal(t, len(p.Weights()), 0)
 }
+
+// Guards against memory that grows with each serving task that ever ran, also of
+// hosts that were replaced.
+func TestEndedTasksAreForgotten(t *testing.T) {
+	p := &estimator.InterferenceModel{}
+	capacity := &wire.Resources{Millicores: 16000}
+	for run := range 100 {
+		for _, host := range []string{"a", "b"} {
+			p.Observe(host, capacity, []estimator.RunSample{
+				{Task: fmt.Sprint(host, run), Image: "web", Serving: true, LatencyMs: 40},
+				{Task: host, Image: "web", Serving: true, LatencyMs: int64(40 + run)},
+			}, time.Duration(run)*time.Second)
+		}
+	}
+	assert.Equal(t, p.Baselines(), 4)
+	p.RetainHosts(func(host string) bool { return host == "a" })
+	assert.Equal(t, p.Baselines(), 2)
+}
--- a/follower/deflate_test.go
+++ b/follower/deflate_test.go
@@ -108,6 +108,21 @@
 	}
 }
 
+// Guards against a repeated chunk of a complete snapshot that counts as the
+// beginning of another one, which would delay the next snapshot.
+func TestRepeatedChunkLeavesNothingUnfinished(t *testing.T) {
+	chunks, err := follower.Chunks("s1", &wire.Snapshot{Offset: 1})
+	assert.NilError(t, err)
+	data, err := proto.Marshal(chunks[0])
+	assert.NilError(t, err)
+	assembler := &follower.Assembler{}
+	for offset := range int64(3) {
+		snapshot, _ := assembler.Add(&wire.LogEntry{Offset: offset, Data: data})
+		assert.Equal(t, snapshot != nil, offset == 0)
+		assert.Assert(t, !assembler.Unfinished())
+	}
+}
+
 func checksum(data []byte) []byte {
 	sum := sha256.Sum256(data)
 	return sum[:]
--- a/follower/snapshots.go
+++ b/follower/snapshots.go
@@ -58,6 +58,9 @@
 // snapshots. It is not safe for concurrent use.
 type Assembler struct {
 	partial []*partialSnapshot
+	// unfinished is set if the last entry belongs to a snapshot that is not
+	// complete yet.
+	unfinished bool
 }
 
 type partialSnapshot struct {
@@ -65,6 +68,7 @@
 	// firstOffset is the stream offset of the first chunk that was read.
 	firstOffset int64
 	chunks      map[int32]*wire.SnapshotChunk
+	complete    bool
 }
 
 // Add adds an entry of the snapshot stream. If the entry completes a valid
@@ -76,13 +80,25 @@
 		return nil, 0
 	}
 	partial := a.findOrAdd(chunk.GetId(), entry.GetOffset())
+	if partial.complete {
+		// Repeated chunks of a complete snapshot must not complete it again.
+		a.unfinished = false
+		return nil, 0
+	}
 	partial.chunks[chunk.GetIndex()] = chunk
+	a.unfinished = true
 	if len(partial.chunks) < int(chunk.GetCount()) {
 		return nil, 0
 	}
-	return partial.assemble(chunk), partial.firstOffset
+	snapshot := partial.assemble(chunk)
+	a.unfinished = snapshot == nil
+	return snapshot, partial.firstOffset
 }
 
+// Unfinished reports whether the last added chunk belongs to a snapshot that is
+// not complete, so that another process may still be writing it.
+func (a *Assembler) Unfinished() bool { return a.unfinished }
+
 func (a *Assembler) findOrAdd(id string, offset int64) *partialSnapshot {
 	for _, partial := range a.partial {
 		if partial.id == id {
@@ -112,8 +128,8 @@
 		log.Error().Str("snapshot", p.id).Msg("damaged snapshot ignored")
 		return nil
 	}
-	// Repeated chunks of a complete snapshot must not complete it again.
-	p.chunks = map[int32]*wire.SnapshotChunk{}
+	p.complete = true
+	p.chunks = nil
 	return snapshot
 }
 
@@ -190,7 +206,7 @@
 	for _, entry := range response.GetEntries() {
 		c.next = entry.GetOffset() + 1
 		snapshot, firstOffset := c.assembler.Add(entry)
-		c.unfinished = snapshot == nil
+		c.unfinished = c.assembler.Unfinished()
 		if snapshot == nil {
 			continue
 		}
--- a/jobs.go
+++ b/jobs.go
@@ -119,12 +119,12 @@
 // FencedError means that a call was refused because another process holds a
 // higher epoch or token.
 type FencedError struct {
-	// Token is the refused epoch or token, or the one in force; 0 if not known.
-	Token int64
+	// Refused is the epoch or token of the call.
+	Refused int64
 }
 
 func (e *FencedError) Error() string {
-	return fmt.Sprintf("fenced: an epoch or token above %d is in use", e.Token)
+	return fmt.Sprintf("fenced: an epoch or token above %d is in use", e.Refused)
 }
 
 // SequenceError means that an append was refused because its sequence number is
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -64,7 +64,12 @@
 	Cause error
 }
 
-func (e *NoLeaderError) Error() string { return fmt.Sprintf("no scheduling leader found: %v", e.Cause) }
+func (e *NoLeaderError) Error() string {
+	if e.Cause == nil {
+		return "no scheduling leader found: the log holds none"
+	}
+	return fmt.Sprintf("no scheduling leader found: %v", e.Cause)
+}
 
 func (e *NoLeaderError) Unwrap() error { return e.Cause }
 
--- a/operator/hosts.go
+++ b/operator/hosts.go
@@ -144,13 +144,27 @@
 	}
 	var described client.Host
 	h.State.View(func(state *replayer.State) {
-		if host, exists := state.Host(name); exists {
+		var host *wire.HostState
+		if host, exists = state.Host(name); exists {
 			described = toClientHost(state, host)
 		}
 	})
+	if !exists {
+		return hostGone(name)
+	}
 	return writeOK(w, described)
 }
 
+// hostGone is the error for a host that was removed after the change of the
+// request took effect.
+func hostGone(name string) error {
+	return &damaskspread.RefusalError{
+		Outcome: wire.Outcome_OUTCOME_RAN,
+		Reason:  damaskspread.ReasonNotFound,
+		Message: "the change took effect, but host " + name + " is no longer a member",
+	}
+}
+
 func (h *Handler) getEndpoints(w http.ResponseWriter, _ bunrouter.Request) error {
 	list := []client.Endpoint{}
 	h.State.View(func(state *replayer.State) {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -173,14 +173,20 @@
 	decoder := json.NewDecoder(r.Body)
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(target)
+	if err != nil {
+		return bodyError(err, "is not the expected JSON")
+	}
+	return nil
+}
+
+// bodyError returns the refusal for a body that could not be read or decoded.
+// problem is what is wrong with it unless it is too large.
+func bodyError(err error, problem string) error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return damaskspread.NotRun(damaskspread.ReasonTooLarge, "the body is longer than %d bytes", tooLarge.Limit)
 	}
-	if err != nil {
-		return damaskspread.NotRun(damaskspread.ReasonBadRequest, "the body is not the expected JSON: %v", err)
-	}
-	return nil
+	return damaskspread.NotRun(damaskspread.ReasonBadRequest, "the body %s: %v", problem, err)
 }
 
 // param returns a path parameter without its percent encoding.
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -37,6 +37,8 @@
 	// beforeAppend runs once before the next append. Tests use it for the call
 	// of a concurrent operator.
 	beforeAppend func()
+	// afterAppend runs once, after the next append was applied.
+	afterAppend func()
 	// appendOutcome, if set, decides whether an append applies its records and
 	// which error it returns.
 	appendOutcome func() (apply bool, err error)
@@ -97,7 +99,12 @@
 	if apply {
 		f.apply(records)
 	}
-	return f.next - 1, err
+	last := f.next - 1
+	if after := f.afterAppend; after != nil {
+		f.afterAppend = nil
+		after()
+	}
+	return last, err
 }
 
 func (f *fixture) apply(records []*wire.Record) {
--- a/operator/tasks.go
+++ b/operator/tasks.go
@@ -158,7 +158,7 @@
 func (h *Handler) submitTask(w http.ResponseWriter, r bunrouter.Request) error {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		return damaskspread.NotRun(damaskspread.ReasonTooLarge, "the body cannot be read: %v", err)
+		return bodyError(err, "cannot be read completely")
 	}
 	r.Body = io.NopCloser(bytesReader(body))
 	var request client.TaskRequest
--- a/operator/tasks_test.go
+++ b/operator/tasks_test.go
@@ -1,7 +1,10 @@
 package operator_test
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -202,3 +205,38 @@
 	assert.Equal(t, audit.Entries[0].To, "declared_lost")
 	assert.Equal(t, audit.Entries[0].Actor, "ops")
 }
+
+// Guards against a body that ends early and is reported as too large, and against
+// an empty description of a host that is gone.
+func TestBodyAndHostErrors(t *testing.T) {
+	f := newFixture(t)
+	f.publish("ops", renderKindSection, nil)
+	connection, err := net.Dial("tcp", f.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	_, err = io.WriteString(connection, "POST /v1/tasks HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nbroken\r\n")
+	assert.NilError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusBadRequest)
+	assert.NilError(t, connection.Close())
+
+	join := &wire.Record{Id: "join", Body: &wire.Record_HostJoined{HostJoined: &wire.HostJoined{
+		Entry: "entry-1",
+		Spec:  &wire.HostSpec{Host: "host-01", Incarnation: "i1", Zone: "gaspe"},
+	}}}
+	f.apply([]*wire.Record{join})
+	f.afterAppend = func() {
+		host, _ := f.state.Host("host-01")
+		ref := &wire.HostRef{Host: "host-01", Incarnation: "i1"}
+		f.apply([]*wire.Record{{Id: "expired", Body: &wire.Record_HostExpired{HostExpired: &wire.HostExpired{
+			Host: ref, Alive: host.GetAlive(),
+		}}}})
+		f.apply([]*wire.Record{{Id: "forgotten", Body: &wire.Record_HostForgotten{HostForgotten: &wire.HostForgotten{
+			Host: ref, Alive: host.GetAlive(),
+		}}}})
+	}
+	var refused client.ErrorResponse
+	status := f.call(http.MethodPost, "/v1/hosts/host-01/drain", client.TeamRequest{Team: "ops"}, &refused)
+	assert.Equal(t, status, http.StatusNotFound)
+	assert.Equal(t, refused.Error.Outcome, client.OutcomeRan)
+}
--- a/planner/host.go
+++ b/planner/host.go
@@ -50,8 +50,8 @@
 	// tasksByGroup counts tasks by the name of their group.
 	tasksByGroup map[string]int
 	// Requested millicores by image.
-	servingByImage    map[string]int64
-	bestEffortByImage map[string]int64
+	servingByImage    imageUses
+	bestEffortByImage imageUses
 	// probes counts the tasks that probe the host while it is suspect.
 	probes int
 	// reserved means that capacity that comes free on the host is reserved for a
@@ -85,11 +85,11 @@
 	}
 	if step.GetFillsIdle() {
 		h.bestEffortMillicores += step.GetResources().GetMillicores()
-		addImageMillicores(&h.bestEffortByImage, step)
+		h.bestEffortByImage.add(step.GetImage(), step.GetResources().GetMillicores())
 	}
 	if step.GetTargetLatencyMs() > 0 {
 		h.servingMillicores += step.GetResources().GetMillicores()
-		addImageMillicores(&h.servingByImage, step)
+		h.servingByImage.add(step.GetImage(), step.GetResources().GetMillicores())
 	}
 	if h.tasksByGroup == nil {
 		h.tasksByGroup = map[string]int{}
@@ -97,13 +97,6 @@
 	h.tasksByGroup[group]++
 }
 
-func addImageMillicores(byImage *map[string]int64, step *wire.JobStep) {
-	if *byImage == nil {
-		*byImage = map[string]int64{}
-	}
-	(*byImage)[step.GetImage()] += step.GetResources().GetMillicores()
-}
-
 // shortage returns the resource that the host would lack for a task of the step
 // if the resources in freed, which may be nil, were free. Best-effort tasks need
 // no processors of their own.
@@ -178,8 +171,8 @@
 		servingMillicores:    h.servingMillicores,
 		bestEffortMillicores: h.bestEffortMillicores,
 		tasksByGroup:         maps.Clone(h.tasksByGroup),
-		servingByImage:       maps.Clone(h.servingByImage),
-		bestEffortByImage:    maps.Clone(h.bestEffortByImage),
+		servingByImage:       slices.Clone(h.servingByImage),
+		bestEffortByImage:    slices.Clone(h.bestEffortByImage),
 		probes:               h.probes,
 		reserved:             h.reserved,
 		reservedMemory:       h.reservedMemory,
--- a/planner/interference.go
+++ b/planner/interference.go
@@ -23,15 +23,15 @@
 	}
 	pace := 1.0
 	capacity := float64(max(host.Capacity.GetMillicores(), 1))
-	for serving := range host.servingByImage {
-		imageWeight := p.Weight(image, serving)
+	for _, serving := range host.servingByImage {
+		imageWeight := p.Weight(image, serving.image)
 		if imageWeight < minWeight {
 			continue
 		}
 		logIncrease := imageWeight * float64(addedMillicores) / capacity
-		for interfering, millicores := range host.bestEffortByImage {
-			if weight := p.Weight(interfering, serving); weight >= minWeight {
-				logIncrease += weight * float64(millicores) / capacity
+		for _, interfering := range host.bestEffortByImage {
+			if weight := p.Weight(interfering.image, serving.image); weight >= minWeight {
+				logIncrease += weight * float64(interfering.millicores) / capacity
 			}
 		}
 		if logIncrease > typicalHeadroom {
@@ -61,9 +61,9 @@
 		return 0
 	}
 	sum := 0.0
-	for interfering, millicores := range host.bestEffortByImage {
-		if weight := p.Weight(interfering, serving); weight >= minWeight {
-			sum += weight * float64(millicores) / float64(max(host.Capacity.GetMillicores(), 1))
+	for _, interfering := range host.bestEffortByImage {
+		if weight := p.Weight(interfering.image, serving); weight >= minWeight {
+			sum += weight * float64(interfering.millicores) / float64(max(host.Capacity.GetMillicores(), 1))
 		}
 	}
 	return sum
@@ -76,7 +76,7 @@
 	if host.servingMillicores == 0 {
 		return 0
 	}
-	return float64(host.servingByImage[image]) / float64(host.servingMillicores)
+	return float64(host.servingByImage.millicores(image)) / float64(host.servingMillicores)
 }
 
 // HasFasterHost reports whether a host other than current can take the running task
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -162,10 +163,10 @@
 		host.AddAssigned(task)
 	}
 	urgent := readyGroups(newJob("urgent", 0, serving("im")))[0]
-	victims := p.Preempt(urgent, urgent.Tasks()[0], []*planner.Host{host})
+	victims := p.Preempt(urgent, urgent.Tasks()[0], []*planner.Host{host}, 0)
 	assert.Equal(t, len(victims), 2)
 	equal := readyGroups(newJob("equal", 2, serving("im")))[0]
-	assert.Equal(t, len(p.Preempt(equal, equal.Tasks()[0], []*planner.Host{host})), 0)
+	assert.Equal(t, len(p.Preempt(equal, equal.Tasks()[0], []*planner.Host{host}, 0)), 0)
 
 	stopping := newHost("a", 8)
 	for i, task := range readyGroups(newJob("again", 2, ordinary(6, 1000)))[0].Tasks() {
@@ -175,7 +176,7 @@
 		}
 		stopping.AddAssigned(task)
 	}
-	assert.Equal(t, len(p.Preempt(urgent, urgent.Tasks()[0], []*planner.Host{stopping})), 0)
+	assert.Equal(t, len(p.Preempt(urgent, urgent.Tasks()[0], []*planner.Host{stopping}, 0)), 0)
 }
 
 // Guards against a suspect host that gets more than one probe.
@@ -246,3 +247,57 @@
 	assert.Equal(t, len(placed), 8)
 	assert.Equal(t, countByHost(placed)[plan[0].Host.Name], 0, "%v", countByHost(placed))
 }
+
+// Guards against preempting tasks of a step that limits how many of its tasks may
+// be unavailable, beyond that limit.
+func TestPreemptKeepsTasksAvailable(t *testing.T) {
+	for name, test := range map[string]struct {
+		limit                int32
+		assigned             int
+		urgentCores, victims int
+		assignedAgo          time.Duration
+	}{
+		"no limit":                    {assigned: 3, urgentCores: 4, victims: 2},
+		"one may be stopped":          {limit: 1, assigned: 3, urgentCores: 2, victims: 1},
+		"two would have to be":        {limit: 1, assigned: 3, urgentCores: 4, victims: 0},
+		"another one waits":           {limit: 1, assigned: 2, urgentCores: 4, victims: 0},
+		"another one waits, two may":  {limit: 2, assigned: 2, urgentCores: 4, victims: 1},
+		"the others are just started": {limit: 1, assigned: 3, urgentCores: 2, assignedAgo: time.Second, victims: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			step := serving("web")
+			step.Count = 3
+			step.Resources.Millicores = 2000
+			step.MaxUnavailable = test.limit
+			host := newHost("a", 6)
+			now := time.Hour
+			for _, task := range newJob("lasting", 5, step).Ready(0)[0].Tasks()[:test.assigned] {
+				task.Assign(host.Key, host.Name, 1, now-cmp.Or(test.assignedAgo, time.Minute))
+				host.AddAssigned(task)
+			}
+			group := newJob("urgent", 0, ordinary(1, int64(test.urgentCores)*1000)).Ready(0)[0]
+			victims := (&planner.Planner{}).Preempt(group, group.Tasks()[0], []*planner.Host{host}, now)
+			assert.Equal(t, len(victims), test.victims)
+		})
+	}
+}
+
+// Guards against placements that differ between equal hosts and between leaders,
+// because sums of floating-point terms follow the random order of a map.
+func TestEqualHostsHaveEqualScores(t *testing.T) {
+	p := &planner.Planner{Weight: func(interfering, _ string) float64 { return 1 + 1/float64(interfering[0]) }}
+	for range 50 {
+		var hosts []*planner.Host
+		for _, name := range []string{"a", "b"} {
+			host := newHost(name, 64)
+			for image := range 8 {
+				step := bestEffort(1, fmt.Sprintf("%c", '3'+7*image))
+				step.Resources.Millicores = int64(100 + 37*image)
+				host.AddPlanned("g", step)
+			}
+			hosts = append(hosts, host)
+		}
+		plan := p.Plan(readyGroups(newJob("1", 0, serving("web"))), hosts)
+		assert.DeepEqual(t, countByHost(plan), map[string]int{"a": 1})
+	}
+}
--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -3,13 +3,18 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
 )
 
-// maxVictims bounds the tasks that are preempted for one task.
-const maxVictims = 4
+const (
+	// maxVictims bounds the tasks that are preempted for one task.
+	maxVictims = 4
+	// startupTime is how long after its assignment a task may not be at work yet.
+	startupTime = 3 * time.Second
+)
 
 // AddAssigned adds a task that was assigned to the host in an earlier cycle. Unless
 // it is stopping, Preempt may choose it.
@@ -36,14 +41,14 @@
 // Preempt chooses tasks of less urgent queues to stop, so that the given task of
 // the group, which fits on no host, fits on one. It returns nil if no host can be
 // cleared with maxVictims stops, or if the task fits somewhere once the tasks that
-// were ordered to stop have ended.
-func (p *Planner) Preempt(group *tracker.Group, task *tracker.Task, hosts []*Host) []*tracker.Task {
+// were ordered to stop have ended. now is a reading of the leader's clock.
+func (p *Planner) Preempt(group *tracker.Group, task *tracker.Task, hosts []*Host, now time.Duration) []*tracker.Task {
 	var best []*tracker.Task
 	for _, host := range hosts {
 		if p.constraintObstacle(host, group, task) != NoObstacle {
 			continue
 		}
-		victims, possible := host.victims(group)
+		victims, possible := host.victims(group, now)
 		if possible && len(victims) == 0 {
 			return nil
 		}
@@ -57,7 +62,7 @@
 // victims returns the tasks to stop so that a task of the group fits on the host,
 // and whether that is possible. None are needed if the tasks that are stopping
 // free enough.
-func (h *Host) victims(group *tracker.Group) (victims []*tracker.Task, possible bool) {
+func (h *Host) victims(group *tracker.Group, now time.Duration) (victims []*tracker.Task, possible bool) {
 	step := group.Step()
 	freed := &wire.Resources{
 		Millicores:   h.stoppingRequested.GetMillicores(),
@@ -68,10 +73,13 @@
 		return nil, true
 	}
 	priority := group.Job().Spec().GetPriority()
-	for _, candidate := range h.preemptible(priority) {
+	for _, candidate := range h.preemptible(priority, now) {
 		if len(victims) == maxVictims {
 			return nil, false
 		}
+		if limitsUnavailability(candidate) && containsSibling(victims, candidate) {
+			continue
+		}
 		victims = append(victims, candidate)
 		addRequest(freed, candidate.Step())
 		if h.shortage(step, freed) == NoObstacle {
@@ -84,11 +92,12 @@
 // preemptible returns the tasks that may be stopped for a task of the given
 // priority, in the order in which to stop them: the least urgent queue first,
 // then tasks that can checkpoint, then the latest assigned. These lose the least
-// work. Gangs are never preempted.
-func (h *Host) preemptible(priority int32) []*tracker.Task {
+// work. Gangs are never preempted, nor are tasks whose step would have too few at
+// work.
+func (h *Host) preemptible(priority int32, now time.Duration) []*tracker.Task {
 	var candidates []*tracker.Task
 	for _, t := range h.assigned {
-		if t.Job().Spec().GetPriority() > priority && !t.Step().GetGang() {
+		if t.Job().Spec().GetPriority() > priority && !t.Step().GetGang() && t.MayBeStopped(now, startupTime) {
 			candidates = append(candidates, t)
 		}
 	}
@@ -106,3 +115,9 @@
 	})
 	return candidates
 }
+
+func limitsUnavailability(t *tracker.Task) bool { return t.Step().GetMaxUnavailable() > 0 }
+
+func containsSibling(tasks []*tracker.Task, t *tracker.Task) bool {
+	return slices.ContainsFunc(tasks, func(other *tracker.Task) bool { return other.GroupName() == t.GroupName() })
+}
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -20,9 +20,6 @@
 	Burst float64
 	// Base and Max bound the backoff before a retry.
 	Base, Max time.Duration
-	// Tries is not read; dispatcher.Dispatcher.MaxTries bounds the tries of a
-	// request.
-	Tries int
 	// MinTry is the shortest timeout of a try while more time remains.
 	MinTry time.Duration
 	// Random is the injected source of the jitter.
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -68,8 +68,8 @@
 	switch {
 	case r.isRunning(key) || r.hasEnded(key):
 		decision.handled = true
-	case r.refusedRuns[key] != "":
-		decision.refusal = r.refusedRuns[key]
+	case r.refusedRuns[key].reason != "":
+		decision.refusal = r.refusedRuns[key].reason
 	case owner != nil && owner != order:
 		decision.handled = true
 	case r.info.GetDraining():
@@ -82,7 +82,7 @@
 		r.startOwners[key] = order
 	}
 	if decision.refusal != "" && owner == nil {
-		r.refusedRuns[key] = decision.refusal
+		r.rememberRefusal(key, decision.refusal)
 	}
 	return decision
 }
@@ -144,7 +144,7 @@
 		r.reportRefusal(key, damaskspread.RefusedOrderExpired)
 		return true
 	case !errors.As(err, &refused):
-		log.Debug().Str("task", key.task).Int32("run", key.run).Err(err).Msg("start repeated")
+		log.Debug().Str("task", key.task).Int32("run", key.run).Err(err).Msg("start call failed; retrying")
 		return false
 	case refused.Reason == damaskspread.RefusedOldRun:
 		// The run may have ended on this executor; its next lists show it.
--- a/runner/pace.go
+++ b/runner/pace.go
@@ -72,6 +72,9 @@
 		return
 	}
 	r.pressureVersion = response.GetPressureVersion()
+	if r.Pacer == nil {
+		return
+	}
 	weights := map[pacer.Pair]float64{}
 	for _, pressure := range response.GetPressures() {
 		weights[pacer.Pair{
--- a/runner/renew.go
+++ b/runner/renew.go
@@ -27,6 +27,10 @@
 	// executor is reported as unreachable and the leader stops extending its
 	// lease.
 	unreachableAfter = 2 * time.Second
+	// defaultRefusalRetention is how long a refused run stays refused. It exceeds
+	// the time in which a leader or its successor can repeat an order: the
+	// takeover and a few repetitions of the order.
+	defaultRefusalRetention = time.Minute
 )
 
 // renewOnce extends the executor's lease and reads its lists of running and
@@ -210,7 +214,7 @@
 // gives the task to another executor, so repeated orders for the run are refused
 // too.
 func (r *Runner) addRefusal(key runKey, reason damaskspread.StartRefusal) {
-	r.refusedRuns[key] = reason
+	r.rememberRefusal(key, reason)
 	r.pendingRefusals = append(r.pendingRefusals, &wire.StartRefusal{
 		Task:   key.task,
 		Run:    key.run,
@@ -218,17 +222,52 @@
 	})
 }
 
-// forgetEndedRuns deletes the steps, paces and start orders of ended runs.
+func (r *Runner) rememberRefusal(key runKey, reason damaskspread.StartRefusal) {
+	r.refusedRuns[key] = refusedRun{
+		reason: reason,
+		at:     r.Elapsed.Elapsed(),
+	}
+	r.forgetRun(key)
+}
+
+// forgetEndedRuns deletes what the runner holds of ended runs and of refusals
+// that no order can concern any more.
 func (r *Runner) forgetEndedRuns() {
-	for key := range r.steps {
-		if r.hasEnded(key) {
-			delete(r.steps, key)
-			delete(r.paces, key)
-			delete(r.startOwners, key)
+	for _, end := range r.unrecordedEnds {
+		key := runKey{end.GetTask(), end.GetRun()}
+		r.forgetRun(key)
+		delete(r.drainStops, key)
+	}
+	now := r.Elapsed.Elapsed()
+	for key, refused := range r.refusedRuns {
+		if now-refused.at > r.refusalRetention() {
+			delete(r.refusedRuns, key)
 		}
 	}
 }
 
+// forgetRun deletes the step, the pace and the start order of a run.
+func (r *Runner) forgetRun(key runKey) {
+	delete(r.steps, key)
+	delete(r.paces, key)
+	delete(r.startOwners, key)
+}
+
+func (r *Runner) refusalRetention() time.Duration {
+	if r.RefusalRetention > 0 {
+		return r.RefusalRetention
+	}
+	return defaultRefusalRetention
+}
+
+// RememberedRuns returns the number of runs that the runner holds in memory: those
+// in progress and those refused lately.
+func (r *Runner) RememberedRuns() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.steps) + len(r.refusedRuns) + len(r.drainStops)
+}
+
 // waitForRecording gives the leader time to store the reported ends before the
 // next renewal, which would otherwise return at once with the same list.
 func (r *Runner) waitForRecording(ctx context.Context) {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -67,6 +67,9 @@
 	// announced that it is draining.
 	DrainFor time.Duration
 
+	// RefusalRetention is how long a refused run stays refused; one minute if 0.
+	RefusalRetention time.Duration
+
 	// mu guards the fields down to pressureVersion. Times are elapsed times.
 	mu sync.Mutex
 	// info is the present executor, or nil.
@@ -96,8 +99,8 @@
 	checksDue map[runKey]time.Duration
 	// startOwners holds the one order of each run that may start it.
 	startOwners map[runKey]*wire.StartOrder
-	// refusedRuns holds the runs that were reported to the leader as refused.
-	refusedRuns map[runKey]damaskspread.StartRefusal
+	// refusedRuns holds the runs that were refused within refusalRetention.
+	refusedRuns map[runKey]refusedRun
 	steps       map[runKey]*wire.JobStep
 	paces       map[runKey]int
 	// drainStops holds the runs that drainOnce has ordered to stop.
@@ -117,6 +120,12 @@
 	run  int32
 }
 
+// refusedRun is why and when the start of a run was refused.
+type refusedRun struct {
+	reason damaskspread.StartRefusal
+	at     time.Duration
+}
+
 // clockReading is a reading of the executor's clock and the elapsed time of
 // this process when it was received.
 type clockReading struct {
@@ -178,7 +187,7 @@
 	r.renewFailures = 0
 	r.unrecordedEnds = map[int64]*wire.RunEnd{}
 	r.running = nil
-	r.refusedRuns = map[runKey]damaskspread.StartRefusal{}
+	r.refusedRuns = map[runKey]refusedRun{}
 	r.startOwners = map[runKey]*wire.StartOrder{}
 	r.steps = map[runKey]*wire.JobStep{}
 	r.paces = map[runKey]int{}
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -84,6 +84,11 @@
 // startRunner runs a runner until the test ends. Its calls go to taskExecutor,
 // which may wrap the executor that it announces.
 func startRunner(t *testing.T, l *fakeLeader, executor *emulator.JobExecutor, taskExecutor damaskspread.TaskExecutor) *runner.Runner {
+	return startRunnerWith(t, l, executor, taskExecutor, func(*runner.Runner) {})
+}
+
+// startRunnerWith is startRunner with fields that set changes.
+func startRunnerWith(t *testing.T, l *fakeLeader, executor *emulator.JobExecutor, taskExecutor damaskspread.TaskExecutor, set func(*runner.Runner)) *runner.Runner {
 	clock := clockwork.NewRealClock()
 	r := &runner.Runner{
 		Executor:   taskExecutor,
@@ -93,6 +98,7 @@
 		Host:       "host-1",
 		StopWithin: 20 * time.Millisecond,
 	}
+	set(r)
 	r.Init()
 	tb := &tomb.Tomb{}
 	tb.Go(func() error { return r.Run(tb) })
@@ -274,6 +280,38 @@
 	assert.Equal(t, executor.Running(), 0)
 }
 
+// Guards against an agent whose memory grows with each refused start until its
+// executor restarts.
+func TestRefusedRunsAreForgotten(t *testing.T) {
+	l := &fakeLeader{}
+	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
+		time.Sleep(time.Millisecond)
+		response := &wire.ExchangeResponse{}
+		for number := request.GetOrdersReceived() + 1; number <= 50; number++ {
+			response.Orders = append(response.Orders, expiredOrder(number, fmt.Sprintf("a.0.0.%d", number)))
+		}
+		return response
+	}
+	executor := newExecutor()
+	r := startRunnerWith(t, l, executor, executor, func(r *runner.Runner) { r.RefusalRetention = 100 * time.Millisecond })
+	waitFor(t, "refusals", func() bool { return r.RememberedRuns() > 0 })
+	waitFor(t, "no remembered run", func() bool { return r.RememberedRuns() == 0 })
+}
+
+// Guards against interference weights that end an agent which sets no paces.
+func TestWeightsWithoutPacer(t *testing.T) {
+	l := &fakeLeader{}
+	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
+		time.Sleep(time.Millisecond)
+		return &wire.ExchangeResponse{PressureVersion: 1, Pressures: []*wire.ImagePressure{{Disturbing: "a", Serving: "b", Weight: 1}}}
+	}
+	executor := newExecutor()
+	startRunnerWith(t, l, executor, executor, func(r *runner.Runner) { r.Pacer = nil })
+	waitFor(t, "new version", func() bool {
+		return l.received(func(r *wire.ExchangeRequest) bool { return r.GetPressureVersion() == 1 })
+	})
+}
+
 // Guards against two orders for the same run, of which one starts the run and
 // the other, which has expired, reports it as refused.
 func TestOrdersForOneRun(t *testing.T) {
--- a/server/entry_parts.go
+++ b/server/entry_parts.go
@@ -133,7 +133,6 @@
 			Burst:            retryBurst,
 			Base:             backoffBase,
 			Max:              backoffMax,
-			Tries:            maxTries,
 			MinTry:           minTryTimeout,
 			Random:           newRandom(e.random.Uint64()),
 		},
--- a/tracker/ends.go
+++ b/tracker/ends.go
@@ -2,16 +2,17 @@
 
 import "damaskspread.example/damaskspread/wire"
 
-// End applies the end of a run and reports whether the task changed. Ends of
-// runs before the latest one are ignored, except failures: each failed run counts
-// as an attempt. Repeated reports of the same failure count once.
-func (t *Task) End(end *wire.RunEnd) bool {
+// End applies the end of a run on the executor with the given id and reports
+// whether the task changed. Ends of runs before the latest one are ignored, except
+// failures: each failed run counts as an attempt. Repeated reports of the same
+// failure count once.
+func (t *Task) End(end *wire.RunEnd, executor string) bool {
 	if t.Done() || end.GetRun() > t.run {
 		return false
 	}
 	failed := end.GetCause() == wire.EndCause_END_CAUSE_FAILED && end.GetRun() > t.failedRun
 	if failed {
-		t.recordFailure(end.GetRun())
+		t.recordFailure(end.GetRun(), executor)
 	}
 	if end.GetRun() < t.run {
 		return failed
@@ -59,14 +60,14 @@
 
 // recordFailure counts a failed run. It fails the job once its attempts are used
 // up, unless the step is long-running.
-func (t *Task) recordFailure(run int32) {
+func (t *Task) recordFailure(run int32, executor string) {
 	t.failedRun = run
 	t.failures++
 	t.job.markChanged()
 	if t.failedOn == nil {
 		t.failedOn = map[string]bool{}
 	}
-	t.failedOn[t.executor.ID] = true
+	t.failedOn[executor] = true
 	if t.Step().GetLongRunning() || t.job.spec.GetMaxAttempts() <= 0 {
 		return
 	}
--- a/tracker/ready.go
+++ b/tracker/ready.go
@@ -1,6 +1,10 @@
 package tracker
 
-import "damaskspread.example/damaskspread/wire"
+import (
+	"time"
+
+	"damaskspread.example/damaskspread/wire"
+)
 
 // Group holds the tasks of one step in one occurrence that wait for a run. It is
 // a snapshot: later changes of the tasks don't change the group.
@@ -56,6 +60,24 @@
 	}
 }
 
+// MayBeStopped reports whether the step of a running task tolerates that it is
+// stopped at now. A step with max_unavailable does while fewer of its other tasks
+// are not at work. A task that was assigned less than startup ago may not be yet.
+func (t *Task) MayBeStopped(now, startup time.Duration) bool {
+	limit := int(t.Step().GetMaxUnavailable())
+	if limit <= 0 {
+		return true
+	}
+	unavailable := 0
+	for _, other := range t.siblings() {
+		starting := other.assignedAt > 0 && now-other.assignedAt < startup
+		if other != t && (!other.Assigned() || other.Stopping() || starting) {
+			unavailable++
+		}
+	}
+	return unavailable < limit
+}
+
 // Ready returns the tasks that may start at nowUnixMs: their occurrence is due
 // and the steps before theirs are done.
 func (j *Job) Ready(nowUnixMs int64) []*Group {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -99,9 +99,11 @@
 func (t *Task) AssignedAt() time.Duration { return t.assignedAt }
 
 // SlowFor records whether the current run is slow at now, and reports whether it has
-// been slow without interruption for atLeast.
+// been slow without interruption for atLeast. After Restore the first call starts
+// the measurement.
 func (t *Task) SlowFor(slow bool, now, atLeast time.Duration) bool {
-	if !slow {
+	measured := t.assignedAt > 0 || t.lastNotSlowAt > 0
+	if !slow || !measured {
 		t.lastNotSlowAt = now
 		return false
 	}
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -37,12 +38,12 @@
 		assert.Equal(t, task.ID().Step, 0)
 		task.Assign(executorKey, "host", 1, 0)
 		assert.Equal(t, j.State(), wire.JobState_JOB_STATE_RUNNING)
-		task.End(runEnd(1, wire.EndCause_END_CAUSE_DONE, ""))
+		task.End(runEnd(1, wire.EndCause_END_CAUSE_DONE, ""), executorKey.ID)
 	}
 	task := firstReady(t, j)
 	assert.Equal(t, task.ID().String(), "a1.0.1.0")
 	task.Assign(executorKey, "host", 1, 0)
-	task.End(runEnd(1, wire.EndCause_END_CAUSE_DONE, ""))
+	task.End(runEnd(1, wire.EndCause_END_CAUSE_DONE, ""), executorKey.ID)
 	assert.Equal(t, j.State(), wire.JobState_JOB_STATE_SUCCEEDED)
 	assert.Equal(t, len(j.Ready(0)), 0)
 }
@@ -53,15 +54,15 @@
 	j := tracker.New(jobWith(&wire.JobStep{Count: 1}))
 	task := firstReady(t, j)
 	task.Assign(executorKey, "host", 1, 0)
-	task.End(runEnd(1, wire.EndCause_END_CAUSE_LEASE_EXPIRED, ""))
+	task.End(runEnd(1, wire.EndCause_END_CAUSE_LEASE_EXPIRED, ""), executorKey.ID)
 	task.Assign(executorKey, "host", 2, 0)
-	task.End(runEnd(2, wire.EndCause_END_CAUSE_FAILED, ""))
-	task.End(runEnd(2, wire.EndCause_END_CAUSE_FAILED, ""))
+	task.End(runEnd(2, wire.EndCause_END_CAUSE_FAILED, ""), executorKey.ID)
+	task.End(runEnd(2, wire.EndCause_END_CAUSE_FAILED, ""), executorKey.ID)
 	assert.Equal(t, task.Failures(), int32(1))
 	assert.Assert(t, task.FailedOn("i-1"))
 	task.Assign(executorKey, "host", 3, 0)
 	assert.Equal(t, j.State(), wire.JobState_JOB_STATE_RUNNING)
-	task.End(runEnd(3, wire.EndCause_END_CAUSE_FAILED, ""))
+	task.End(runEnd(3, wire.EndCause_END_CAUSE_FAILED, ""), executorKey.ID)
 	assert.Equal(t, j.State(), wire.JobState_JOB_STATE_FAILED)
 	assert.Equal(t, len(j.Ready(0)), 0)
 }
@@ -74,12 +75,36 @@
 	task.Assign(executorKey, "host", 1, 0)
 	task.Release()
 	task.Assign(executorKey, "host", 2, 0)
-	assert.Assert(t, task.End(runEnd(1, wire.EndCause_END_CAUSE_FAILED, "")))
+	assert.Assert(t, task.End(runEnd(1, wire.EndCause_END_CAUSE_FAILED, ""), executorKey.ID))
 	assert.Equal(t, task.Failures(), int32(1))
 	assert.Assert(t, task.Assigned())
 	assert.Equal(t, task.Run(), int32(2))
 }
 
+// Guards against blaming the executor of the present run for a failure of an
+// earlier run on another executor.
+func TestLateFailureBlamesItsExecutor(t *testing.T) {
+	task := firstReady(t, tracker.New(jobWith(&wire.JobStep{Count: 1})))
+	task.Assign(executorKey, "host", 1, 0)
+	task.Release()
+	task.Assign(tracker.ExecutorKey{ID: "i-2"}, "host-2", 2, 0)
+	task.End(runEnd(1, wire.EndCause_END_CAUSE_FAILED, ""), executorKey.ID)
+	assert.Assert(t, task.FailedOn(executorKey.ID))
+	assert.Assert(t, !task.FailedOn("i-2"))
+}
+
+// Guards against a new leader that considers a run slow, and moves it, before it
+// has measured the run for the required time.
+func TestSlowForAfterRestore(t *testing.T) {
+	spec := jobWith(&wire.JobStep{Count: 1})
+	before := tracker.New(spec)
+	firstReady(t, before).Assign(executorKey, "host", 1, time.Hour)
+	task := tracker.Restore(spec, before.Progress()).Task(tracker.TaskID{})
+	assert.Assert(t, !task.SlowFor(true, time.Hour, time.Second))
+	assert.Assert(t, !task.SlowFor(true, time.Hour+900*time.Millisecond, time.Second))
+	assert.Assert(t, task.SlowFor(true, time.Hour+time.Second, time.Second))
+}
+
 // Guards against a checkpoint lost between runs, and against progress lost when
 // another leader restores the job.
 func TestProgressIsRestored(t *testing.T) {
@@ -87,7 +112,7 @@
 	j := tracker.New(spec)
 	task := firstReady(t, j)
 	task.Assign(executorKey, "host", 1, 0)
-	task.End(runEnd(1, wire.EndCause_END_CAUSE_STOPPED, "cp"))
+	task.End(runEnd(1, wire.EndCause_END_CAUSE_STOPPED, "cp"), executorKey.ID)
 	assert.Equal(t, task.Checkpoint(), "cp")
 	task.Assign(executorKey, "host", 2, 0)
 	restored := tracker.Restore(spec, j.Progress())
@@ -108,7 +133,7 @@
 	task := firstReady(t, j)
 	for run, cause := range []wire.EndCause{wire.EndCause_END_CAUSE_DONE, wire.EndCause_END_CAUSE_FAILED, wire.EndCause_END_CAUSE_FAILED, wire.EndCause_END_CAUSE_FAILED} {
 		task.Assign(executorKey, "host", int32(run+1), 0)
-		task.End(runEnd(int32(run+1), cause, ""))
+		task.End(runEnd(int32(run+1), cause, ""), executorKey.ID)
 		assert.Assert(t, task.Pending())
 	}
 	assert.Equal(t, j.State(), wire.JobState_JOB_STATE_RUNNING)
@@ -127,17 +152,17 @@
 		task.Assign(executorKey, "host", 1, 0)
 	}
 	tasks := group.Tasks()
-	tasks[0].End(runEnd(1, wire.EndCause_END_CAUSE_FAILED, "cp"))
-	tasks[1].End(runEnd(1, wire.EndCause_END_CAUSE_GANG_BROKEN, ""))
+	tasks[0].End(runEnd(1, wire.EndCause_END_CAUSE_FAILED, "cp"), executorKey.ID)
+	tasks[1].End(runEnd(1, wire.EndCause_END_CAUSE_GANG_BROKEN, ""), executorKey.ID)
 	assert.Equal(t, len(j.Ready(0)[0].Tasks()), 2)
-	tasks[2].End(runEnd(1, wire.EndCause_END_CAUSE_GANG_BROKEN, ""))
+	tasks[2].End(runEnd(1, wire.EndCause_END_CAUSE_GANG_BROKEN, ""), executorKey.ID)
 	group = j.Ready(0)[0]
 	assert.Equal(t, group.NextRun(), int32(2))
 	for _, task := range group.Tasks() {
 		assert.Equal(t, task.Checkpoint(), "cp")
 		task.Assign(executorKey, "host", 2, 0)
 	}
-	tasks[1].End(runEnd(2, wire.EndCause_END_CAUSE_DONE, ""))
+	tasks[1].End(runEnd(2, wire.EndCause_END_CAUSE_DONE, ""), executorKey.ID)
 	assert.Equal(t, j.State(), wire.JobState_JOB_STATE_SUCCEEDED)
 }
 
