Reads of the log are bounded by their progress, not by their duration

A read of the log had 0.9 s for the whole response. A page of the newest records takes several seconds there, so each read was aborted and begun anew, which kept the link full; after 0.3 s a copy was fetched through a peer over the same link as well.

Ruled out: processor time (the leader used at most 0.016 of its 0.069 cores); the store (it answered small calls all the while).

Change: damaskspread.Progress bounds a call by the time until its response begins and the time without a further part; connector's transport enforces it. The relayer asks no peer while a response arrives, and Refresh does not cancel such a read.

--- a/connector/http.go
+++ b/connector/http.go
@@ -33,7 +33,8 @@
 }
 
 // NewHTTPClient returns a client that closes connections whose peer stops
-// responding: see KeepAliveConfig and SetTCPUserTimeout.
+// responding: see KeepAliveConfig and SetTCPUserTimeout. It bounds calls with a
+// damaskspread.Progress by their progress.
 func NewHTTPClient() *http.Client {
 	dialer := &net.Dialer{
 		Timeout:         dialTimeout,
@@ -41,11 +42,13 @@
 		Control:         SetTCPUserTimeout,
 	}
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			IdleConnTimeout:     idleConnTimeout,
-			MaxIdleConnsPerHost: maxIdleConnsPerHost,
-			DisableCompression:  true,
+		Transport: &progressTransport{
+			base: &http.Transport{
+				DialContext:         dialer.DialContext,
+				IdleConnTimeout:     idleConnTimeout,
+				MaxIdleConnsPerHost: maxIdleConnsPerHost,
+				DisableCompression:  true,
+			},
 		},
 	}
 }
--- a/connector/keyed_log.go
+++ b/connector/keyed_log.go
@@ -20,8 +20,9 @@
 	Address string
 	// HTTP defaults to http.DefaultClient.
 	HTTP *http.Client
-	// Timeout bounds each call; a read may take its wait in addition. It
-	// defaults to two seconds.
+	// Timeout bounds each call; a read may take its wait in addition. It bounds
+	// only the beginning of the response if the context has a
+	// damaskspread.Progress. It defaults to two seconds.
 	Timeout time.Duration
 }
 
@@ -57,9 +58,22 @@
 	}
 }
 
+// beginRead bounds a read by its progress if the caller asked for that, and
+// otherwise by its duration.
+func (l *KeyedLog) beginRead(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
+	timeout := wait + timeoutOrDefault(l.Timeout)
+	if p := damaskspread.ProgressOf(ctx); p != nil {
+		part := p.Part()
+		part.Response = timeout
+		return damaskspread.WithProgress(ctx, part), func() {}
+	}
+	ctx, cancel, _ := beginCall(ctx, timeout)
+	return ctx, cancel
+}
+
 // Read implements damaskspread.KeyedLog.
 func (l *KeyedLog) Read(ctx context.Context, topic string, from int64, wait time.Duration) (*wire.KeyedPage, error) {
-	ctx, cancel, _ := beginCall(ctx, wait+timeoutOrDefault(l.Timeout))
+	ctx, cancel := l.beginRead(ctx, wait)
 	defer cancel()
 	response, err := l.client().Read(ctx, connect.NewRequest(&wire.KeyedReadRequest{
 		Topic:  topic,
@@ -80,7 +94,7 @@
 
 // Newest implements damaskspread.KeyedLog.
 func (l *KeyedLog) Newest(ctx context.Context, topic, after string) (*wire.KeyedPage, error) {
-	ctx, cancel, _ := beginCall(ctx, timeoutOrDefault(l.Timeout))
+	ctx, cancel := l.beginRead(ctx, 0)
 	defer cancel()
 	response, err := l.client().Newest(ctx, connect.NewRequest(&wire.KeyedNewestRequest{
 		Topic: topic,
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -7,6 +7,7 @@
 	"github.com/phuslu/log"
 	"google.golang.org/protobuf/proto"
 
+	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/elector"
 	"damaskspread.example/damaskspread/indexer"
 	"damaskspread.example/damaskspread/tracker"
@@ -81,7 +82,7 @@
 }
 
 func (c *Coordinator) progressPage(ctx context.Context, after string) (*wire.KeyedPage, error) {
-	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+	callCtx, cancel, _ := damaskspread.BeginRead(ctx, 0)
 	defer cancel()
 	return c.Log.Newest(callCtx, progressTopic, after)
 }
--- a/emulator/keyed_log.go
+++ b/emulator/keyed_log.go
@@ -92,8 +92,7 @@
 	down, unresponsive := c.down, c.unresponsive
 	c.mu.Unlock()
 	if unresponsive {
-		<-ctx.Done()
-		return &damaskspread.AppendUnknownError{Cause: ctx.Err()}
+		return &damaskspread.AppendUnknownError{Cause: c.awaitTimeout(ctx)}
 	}
 	if down {
 		return &damaskspread.LogUnavailableError{Cause: errInjected}
@@ -101,6 +100,22 @@
 	return nil
 }
 
+// awaitTimeout waits until a call without a response times out and returns the
+// error.
+func (c *KeyedLogClient) awaitTimeout(ctx context.Context) error {
+	progress := damaskspread.ProgressOf(ctx)
+	if progress == nil {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-c.Log.Clock.After(progress.Response):
+		return context.DeadlineExceeded
+	}
+}
+
 // recordAppend counts an append and reports whether its response is to be lost.
 func (c *KeyedLogClient) recordAppend() bool {
 	c.mu.Lock()
--- a/relayer/attempts.go
+++ b/relayer/attempts.go
@@ -30,6 +30,9 @@
 	results chan hedgeResult[T]
 	running int
 
+	// progress is that of the direct call; nil if the call has none.
+	progress *damaskspread.Progress
+
 	triedDirect, triedPeers bool
 	// directTimedOut is set once the log has not responded within hedgeDelay.
 	directTimedOut bool
@@ -37,7 +40,7 @@
 	failure error
 }
 
-// callHedged calls the log, and a peer if the log fails or does not respond
+// callHedged calls the log, and a peer if the log fails or does not begin to respond
 // within hedgeDelay. While the log is unreachable, a peer is called at once. The
 // first response is returned and the other call is canceled.
 func callHedged[T any](ctx context.Context, r *Relayer, wait time.Duration, call callFunc[T]) (T, error) {
@@ -49,6 +52,8 @@
 		wait:    wait,
 		started: r.Elapsed.Elapsed(),
 		results: make(chan hedgeResult[T], 2),
+
+		progress: damaskspread.ProgressOf(ctx).Part(),
 	}
 	direct, peers := r.firstTargets()
 	if direct {
@@ -80,6 +85,11 @@
 				return result.value, h.failure
 			}
 		case <-timeout.Chan():
+			if h.progress.Begun() {
+				// The response is large or the link slow. A second copy of it
+				// would take the same link.
+				continue
+			}
 			h.directTimedOut = h.triedDirect
 			h.startPeers(ctx)
 		}
@@ -93,6 +103,9 @@
 	h.triedDirect = true
 	h.running++
 	wait := h.remainingWait()
+	if h.progress != nil {
+		ctx = damaskspread.WithProgress(ctx, h.progress)
+	}
 	go func() {
 		value, err := h.call(ctx, h.relayer.Direct, wait)
 		if noLogResponse(err) && !errors.Is(ctx.Err(), context.Canceled) {
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -23,10 +23,8 @@
 )
 
 const (
-	// readTimeout is how long a read may take beyond its wait.
-	readTimeout = 900 * time.Millisecond
-	retryMin    = 50 * time.Millisecond
-	retryMax    = 400 * time.Millisecond
+	retryMin = 50 * time.Millisecond
+	retryMax = 400 * time.Millisecond
 )
 
 // Tailer follows a topic. Set the exported fields before Run. Age, Next and Refresh
@@ -60,7 +58,9 @@
 	// cancelRead cancels a read that waits for new records; nil if there is none
 	// or Refresh has canceled it.
 	cancelRead context.CancelFunc
-	waiters    []chan struct{}
+	// readProgress is that of the read that cancelRead cancels.
+	readProgress *damaskspread.Progress
+	waiters      []chan struct{}
 }
 
 // Run follows the topic until the tomb dies.
@@ -116,8 +116,9 @@
 		}
 		waiter := make(chan struct{})
 		t.waiters = append(t.waiters, waiter)
-		if t.cancelRead != nil {
-			// This read began before the call and may wait long.
+		if t.cancelRead != nil && !t.readProgress.Begun() {
+			// This read began before the call and may wait long. One that receives
+			// records already is not repeated.
 			t.cancelRead()
 			t.cancelRead = nil
 		}
@@ -148,11 +149,12 @@
 	if hasWaiters {
 		wait = 0
 	}
-	readCtx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	readCtx, cancel, progress := damaskspread.BeginRead(ctx, wait)
 	defer cancel()
 	t.mu.Lock()
 	if wait > 0 && len(t.waiters) == 0 {
 		t.cancelRead = cancel
+		t.readProgress = progress
 	}
 	t.mu.Unlock()
 	page, err := t.Log.Read(readCtx, t.Topic, next, wait)
@@ -220,7 +222,7 @@
 
 // page reads one page of newest records, starting after a key.
 func (t *Tailer) page(ctx context.Context, after string) (*wire.KeyedPage, error) {
-	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	readCtx, cancel, _ := damaskspread.BeginRead(ctx, 0)
 	defer cancel()
 	return t.Log.Newest(readCtx, t.Topic, after)
 }
