Withdraw a proposed key that did not run; an unsent request has not run

The primary proposes a key to the secondary before it runs the request. If the epoch changes between the secondary's acceptance and the commit, the primary refuses with stale_epoch and forgets the key, but the former secondary, now primary, keeps it as possibly running: the entry's next try goes there and waits for an end that never comes. Found on the way (TestTries failed once beside load): a request on a connection that the agent had just closed was 'unknown connection_lost', although its write had failed.

Ruled out: a slow endpoint (10 ms service time) and the queue (16 slots, the estimate refuses at once).

Change: proposals are numbered; Refuse withdraws the last one at the secondary, which drops the key if it was not proposed again since. A failed write counts as not_run like a failed dial.

--- a/deduplicator/accept.go
+++ b/deduplicator/accept.go
@@ -24,6 +24,7 @@
 		return rejected(damaskspread.ReasonStaleEpoch)
 	}
 	now := d.Clock.Now()
+	request.Entries = d.withdraw(sh, request)
 	if sh.role != roleSecondary || !damaskspread.SamePosition(sh.state.GetEpoch(), request.GetEpoch()) ||
 		!proto.Equal(sh.state.GetPrimary(), request.GetFrom()) {
 		d.storeResults(sh, request.GetEntries(), now)
@@ -44,6 +45,24 @@
 	}
 }
 
+// withdraw removes the keys whose proposals the message withdraws, also those of an
+// earlier epoch, and returns the other entries. A key stays if the primary has
+// proposed it again since.
+func (d *Deduplicator) withdraw(sh *shard, request *wire.ReplicateRequest) []*wire.KeyEntry {
+	var others []*wire.KeyEntry
+	for _, item := range request.GetEntries() {
+		if !item.GetWithdrawn() {
+			others = append(others, item)
+			continue
+		}
+		e := sh.keys[item.GetKey()]
+		if e != nil && e.phase == phaseRemote && e.proposal == item.GetProposal() && damaskspread.SamePosition(e.epoch, request.GetEpoch()) {
+			d.remove(sh, e)
+		}
+	}
+	return others
+}
+
 func rejected(reason damaskspread.Reason) *wire.ReplicateResponse {
 	return &wire.ReplicateResponse{
 		Reason: string(reason),
@@ -78,6 +97,8 @@
 			// epoch a proposal may be repeated, because the primary repeats it
 			// only if the earlier attempt did not run.
 			return damaskspread.ReasonInProgress
+		case isProposal(item):
+			e.proposal = item.GetProposal()
 		}
 		return ""
 	}
@@ -88,6 +109,7 @@
 		requestHash:  item.GetBodyHash(),
 		phase:        phaseRemote,
 		epoch:        epoch,
+		proposal:     item.GetProposal(),
 		lifetimeFrom: now.Add(-time.Duration(item.GetAgeMs()) * time.Millisecond),
 		settled:      make(chan struct{}),
 	}
--- a/deduplicator/deduplicator.go
+++ b/deduplicator/deduplicator.go
@@ -82,6 +82,7 @@
 	wake             chan struct{} // wakes Run
 	results          chan result
 	lastRecordNumber uint64 // last number used in the id of an appended record
+	lastProposal     uint64 // number of the last proposal to a secondary
 }
 
 type shardID struct {
@@ -143,8 +144,10 @@
 	response     *wire.ExecuteResponse
 	settled      chan struct{} // closed when the key is done or removed
 	memoryBytes  int64
-	// For phaseRemote: the epoch in which the primary replicated the key here.
-	epoch *wire.Position
+	// For phaseRemote: the epoch in which the primary replicated the key here, and
+	// the number of its latest proposal.
+	epoch    *wire.Position
+	proposal uint64
 }
 
 // initialize creates the maps and channels on first use. The caller holds d.mu.
--- a/deduplicator/deduplicator_test.go
+++ b/deduplicator/deduplicator_test.go
@@ -209,6 +209,49 @@
 	assert.Assert(t, ran)
 }
 
+// Guards against an attempt that waits until its deadline for one that did not run:
+// the secondary accepted a key and became primary before the former primary could
+// run the request.
+func TestProposedKeyIsWithdrawn(t *testing.T) {
+	cluster := newFakeCluster("a", "b", "c")
+	cluster.assign(0, 1, "a", "b", true, "a", "b")
+	cluster.synchronize(t, "a", "b")
+	cluster.afterDelivery = func() {
+		cluster.assign(1, 2, "b", "c", false, "a", "b", "c")
+	}
+	first := call(1, "k")
+	first.FirstAttempt = true
+	ran, refusal := cluster.run("a", first, 0)
+	assert.Assert(t, !ran)
+	assertRefusal(t, refusal, notRun, damaskspread.ReasonStaleEpoch)
+	first.Epoch = epochAt(2)
+	ran, refusal = cluster.run("b", first, 0)
+	assert.Assert(t, ran, "%v", refusal)
+}
+
+// Guards against a withdrawal that arrives late and removes a key that the primary
+// has proposed again and runs.
+func TestLateWithdrawal(t *testing.T) {
+	cluster := newFakeCluster("a", "b")
+	cluster.assign(0, 1, "a", "b", true, "a", "b")
+	cluster.synchronize(t, "a", "b")
+	for range 2 {
+		reservation, _, _ := cluster.agents["a"].Begin(t.Context(), call(1, "k"))
+		assert.Assert(t, reservation.Commit(t.Context()) == nil)
+		if cluster.readyAppends++; cluster.readyAppends == 2 {
+			reservation.Refuse(t.Context(), damaskspread.NotRun(damaskspread.ReasonZoneOut, "zone out"))
+		}
+	}
+	late := &wire.ReplicateRequest{
+		Service: service, Epoch: epochAt(1), From: hostRef("a"),
+		Entries: []*wire.KeyEntry{{Key: "k", BodyHash: []byte("h"), Proposal: 1, Withdrawn: true}},
+	}
+	assert.Assert(t, cluster.agents["b"].HandleReplicate(late).GetAccepted())
+	cluster.assign(1, 2, "b", "a", false, "a", "b")
+	_, refusal := cluster.run("b", call(2, "k"), 0)
+	assertRefusal(t, refusal, unknown, damaskspread.ReasonInProgress)
+}
+
 // Guards against an outcome that is unknown only because a busy secondary took
 // longer than usual to confirm it, although the caller has seconds left.
 func TestSlowConfirmation(t *testing.T) {
--- a/deduplicator/request.go
+++ b/deduplicator/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/phuslu/log"
 	"google.golang.org/protobuf/proto"
 
 	"damaskspread.example/damaskspread"
@@ -43,6 +44,10 @@
 	shard        *shard
 	keyState     *keyState
 	call         Request
+	// proposal is the latest message that proposed the key to the secondary at
+	// proposedTo, or nil.
+	proposal   *wire.ReplicateRequest
+	proposedTo string
 }
 
 // Begin returns one of a ticket for a new key, the stored response of an earlier
@@ -304,13 +309,16 @@
 	if !t.shard.complete && !t.call.FirstAttempt {
 		return "", nil, damaskspread.Unknown(damaskspread.ReasonHistoryLost, "this agent no longer has the complete history of the key's shard")
 	}
+	d.lastProposal++
 	request := d.newMessage(t.shard, &wire.KeyEntry{
 		Key:      t.keyState.key,
 		BodyHash: t.keyState.requestHash,
+		Proposal: d.lastProposal,
 	})
 	if request == nil {
 		t.keyState.phase = phaseCommitted
 	}
+	t.proposal, t.proposedTo = request, t.shard.peer
 	return t.shard.peer, request, nil
 }
 
@@ -328,15 +336,36 @@
 }
 
 // Refuse ends the ticket of a request that did not run and will not run, and
-// releases the key. The returned refusal has outcome unknown if an earlier
+// releases the key, also at the secondary to which it was proposed: that agent may
+// be primary by now, and an attempt there would wait for this one. The returned refusal has outcome unknown if an earlier
 // attempt with the key may have run.
 func (t *KeyReservation) Refuse(ctx context.Context, refusal *damaskspread.RefusalError) *damaskspread.RefusalError {
 	t.deduplicator.mu.Lock()
 	t.deduplicator.remove(t.shard, t.keyState)
 	t.deduplicator.mu.Unlock()
+	t.withdraw(ctx)
 	return t.deduplicator.downgradeNotRun(ctx, t.call, refusal)
 }
 
+// withdraw tells the secondary that the proposed request did not run. If that
+// fails, the secondary keeps answering unknown for the key.
+func (t *KeyReservation) withdraw(ctx context.Context) {
+	if t.proposal == nil {
+		return
+	}
+	message := proto.CloneOf(t.proposal)
+	for _, item := range message.GetEntries() {
+		item.Withdrawn = true
+	}
+	// The caller of the request may have gone, but others may send its key.
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), confirmTimeout(ctx))
+	defer cancel()
+	if _, err := t.deduplicator.Peers.Replicate(limited, t.proposedTo, message); err != nil {
+		log.Warn().Str("service", t.call.Service).Int32("shard", t.call.Shard).Str("secondary", t.proposedTo).Err(err).
+			Msg("proposed key not withdrawn: its outcome stays unknown at the secondary")
+	}
+}
+
 // Finish ends the ticket of a request that ran or may have run. It stores the
 // response and queues it for the secondary.
 func (t *KeyReservation) Finish(response *wire.ExecuteResponse) {
--- a/dispatcher/tries.go
+++ b/dispatcher/tries.go
@@ -58,16 +58,32 @@
 }
 
 // transportRefusal returns the refusal for a failed call of an agent. Its outcome
-// is not_run only if no connection could be opened.
+// is not_run only if the agent can't have received the whole request.
 func transportRefusal(ctx context.Context, err error) *damaskspread.RefusalError {
-	var dial *net.OpError
-	if errors.As(err, &dial) && dial.Op == "dial" {
+	switch {
+	case failedIn(err, "dial"):
 		return damaskspread.NotRun(damaskspread.ReasonEndpointFailed, "no connection to the agent could be opened")
-	}
-	if ctx.Err() != nil {
+	case failedIn(err, "write"):
+		// A stopping agent closes a connection that was idle until now.
+		return damaskspread.NotRun(damaskspread.ReasonEndpointFailed, "the connection to the agent closed before the request was sent")
+	case ctx.Err() != nil:
 		return damaskspread.Unknown(damaskspread.ReasonDeadline, "the agent did not respond before the deadline")
+	default:
+		return damaskspread.Unknown(damaskspread.ReasonConnectionLost, "the connection to the agent failed: %v", err)
+	}
+}
+
+// failedIn reports whether an operation of package net with this name failed. The
+// error of a write is often wrapped in one of the operation "readfrom".
+func failedIn(err error, operation string) bool {
+	var op *net.OpError
+	for errors.As(err, &op) {
+		if op.Op == operation {
+			return true
+		}
+		err = op.Err
 	}
-	return damaskspread.Unknown(damaskspread.ReasonConnectionLost, "the connection to the agent failed: %v", err)
+	return false
 }
 
 // dispatchPlain sends a request without a key to endpoints until one responds.
