The leader sends and stores what changed: compact progress, steps once, lists on change

The progress of a job was stored whole at each start and end, with 45 to 60 bytes of names a task; each start order carried the job's specification and step; each poll carried the list of all runs. Found on the way: the progress of one cycle went out in one append, and one above the 2 MB that the log takes in a call would have been refused again with each repetition, for good; a submission batch likewise.

Change: progress names each executor once and leaves out done, unstarted and ended parts (the form of the version before is still read); an order refers to a step that the agent has from the same session; lists of runs are sent when they are new, at most each 0.5 s; appends are split at 1 MiB.

--- a/coordinator/closing.go
+++ b/coordinator/closing.go
@@ -58,9 +58,21 @@
 	if busy {
 		return false
 	}
+	c.forgetSentSteps(job)
 	delete(c.jobs, id)
 	delete(c.publishedStates, id)
 	c.closed[id] = now
 	c.tombstones = append(c.tombstones, &wire.KeyedRecord{Key: id})
 	return true
 }
+
+// forgetSentSteps frees what the sessions remember of a closed job.
+func (c *Coordinator) forgetSentSteps(job *tracker.Job) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, group := range job.GroupNames() {
+		for _, s := range c.sessions {
+			delete(s.sentSteps, group)
+		}
+	}
+}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -76,6 +76,8 @@
 	// LeaseDuration is the duration of the lease that each report of an agent
 	// renews.
 	LeaseDuration time.Duration
+	// MaxAppendBytes bounds one append to the log; damaskspread.MaxAppendBytes if 0.
+	MaxAppendBytes int
 	// StatusRetention is how long the status of a finished job is kept in the log.
 	StatusRetention time.Duration
 
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -246,3 +247,22 @@
 	f.leader()
 	assert.Assert(t, time.Since(started) < 600*time.Millisecond, "%s", time.Since(started))
 }
+
+// Guards against progress that is never stored because one append is larger than
+// the log takes: the leader would repeat it for good and start nothing more.
+func TestAppendsFitTheLog(t *testing.T) {
+	f := newTestFleet(t, 0, 0, fixedRunTime(20*time.Millisecond))
+	f.log.MaxCallBytes = 2000
+	f.maxAppendBytes = f.log.MaxCallBytes
+	f.entries = []*entry{{name: "entry-0"}}
+	f.startEntry(f.entries[0])
+	for i := range 30 {
+		step := &wire.JobStep{Count: 8, Resources: &wire.Resources{Millicores: 10}}
+		f.submit(f.entries[0], &wire.Job{Id: fmt.Sprintf("%016x", i), Steps: []*wire.JobStep{step}})
+	}
+	f.hosts = []*host{f.newHost("host-0")}
+	f.startAgent(f.hosts[0])
+	for i := range 30 {
+		f.waitSucceeded(f.entries[0], fmt.Sprintf("%016x", i))
+	}
+}
--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -71,6 +71,9 @@
 		info:    report.GetExecutor(),
 		key:     keyOf(report.GetExecutor()),
 		opening: true,
+
+		sentSteps: map[string]bool{},
+
 		updated: make(chan struct{}),
 	}
 	if previous != nil {
--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -5,6 +5,7 @@
 
 	"github.com/phuslu/log"
 
+	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/tracer"
 	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
@@ -76,6 +77,9 @@
 		return
 	}
 	t.Release()
+	if refusal.GetReason() == string(damaskspread.RefusedUnknownStep) {
+		c.forgetSentStep(view.session, t.GroupName())
+	}
 	c.adviceCache.dropRefusedTickets(t, refusal.GetReason())
 	c.recordRefusal(view.key, refusal.GetReason())
 	tracer.Write(&tracer.StartRefused{
@@ -87,6 +91,13 @@
 	})
 }
 
+// forgetSentStep makes the next order for the step carry its specification again.
+func (c *Coordinator) forgetSentStep(s *session, group string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(s.sentSteps, group)
+}
+
 // takeReplacedOrphans removes and returns the orphans on the session's host, which
 // the session's executor has replaced.
 func (c *Coordinator) takeReplacedOrphans(view *sessionView) []tracker.ExecutorKey {
--- a/coordinator/session.go
+++ b/coordinator/session.go
@@ -32,6 +32,12 @@
 	lastEnd  int64
 	refusals []*wire.StartRefusal
 
+	// keepsSteps is set if the agent keeps the steps that it receives, so that
+	// later orders need not repeat them. sentSteps are those of the open jobs that
+	// it has, by Group.Name.
+	keepsSteps bool
+	sentSteps  map[string]bool
+
 	// orders are those that the agent has not acknowledged.
 	orders    []queuedOrder
 	lastOrder int64
@@ -52,7 +58,16 @@
 	s.updated = make(chan struct{})
 }
 
+// addStart queues a start order. It leaves out the specification of a step that the
+// agent has from an earlier order of the session, which is most of the order.
 func (s *session) addStart(order *wire.StartOrder, now time.Duration) {
+	group := tracker.GroupOf(order.GetTask())
+	if s.keepsSteps && s.sentSteps[group] {
+		order.Spec = ""
+		order.Step = nil
+		order.StepKnown = true
+	}
+	s.sentSteps[group] = true
 	s.add(&wire.Order{Kind: &wire.Order_Start{Start: order}}, now)
 }
 
@@ -81,6 +96,7 @@
 func (s *session) applyReport(request *wire.ExchangeRequest, now time.Duration) bool {
 	s.lastReportAt = now
 	s.reachable = request.GetExecutorReachable()
+	s.keepsSteps = request.GetKeepsSteps()
 	updated := s.info.GetDraining() != request.GetExecutor().GetDraining()
 	s.info = request.GetExecutor()
 	s.acknowledge(request.GetOrdersReceived())
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -55,6 +56,8 @@
 		clock: c.Clock,
 		topic: topic,
 		epoch: epoch,
+
+		maxBytes: cmp.Or(c.MaxAppendBytes, damaskspread.MaxAppendBytes),
 	}
 }
 
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -79,6 +79,8 @@
 	hosts        []*host
 	runTime      func(task string) time.Duration
 	advisor      *advisor
+	// maxAppendBytes is that of the coordinators started later; 0 is the default.
+	maxAppendBytes int
 
 	mu            sync.Mutex
 	events        []emulator.RunEvent
@@ -162,6 +164,7 @@
 		Elapsed:         f.elapsedClock,
 		LeaseDuration:   lease,
 		StatusRetention: time.Minute,
+		MaxAppendBytes:  f.maxAppendBytes,
 	}
 	c.Init()
 	e.elector.OnLeadershipWon, e.elector.OnLeadershipLost, index.OnChange = c.StartLeading, c.StopLeading, c.JobsChanged
--- a/coordinator/writer.go
+++ b/coordinator/writer.go
@@ -26,15 +26,28 @@
 	clock    damaskspread.Clock
 	topic    string
 	epoch    int64
+	maxBytes int // of one append
 	sequence int64
 }
 
 // fence makes the log reject all later appends of earlier epochs.
-func (w *writer) fence(ctx context.Context) error { return w.append(ctx, nil) }
+func (w *writer) fence(ctx context.Context) error { return w.appendPart(ctx, nil) }
 
-// append retries until the log has accepted the records. It fails if the epoch is
-// fenced or the context ends.
+// append retries until the log has accepted the records, in several appends if they
+// are large. It fails if the epoch is fenced or the context ends; the first of the
+// records may then be in the log.
 func (w *writer) append(ctx context.Context, records []*wire.KeyedRecord) error {
+	for len(records) > 0 {
+		count := damaskspread.CountWithin(len(records), w.maxBytes, func(i int) int { return damaskspread.RecordBytes(records[i]) })
+		if err := w.appendPart(ctx, records[:count]); err != nil {
+			return err
+		}
+		records = records[count:]
+	}
+	return nil
+}
+
+func (w *writer) appendPart(ctx context.Context, records []*wire.KeyedRecord) error {
 	pause := minRetryPause
 	for {
 		err := w.appendOnce(ctx, records)
--- a/emulator/keyed_log.go
+++ b/emulator/keyed_log.go
@@ -15,6 +15,8 @@
 // errInjected is the cause of errors that a test asked for.
 var errInjected = errors.New("injected fault")
 
+var errTooLarge = errors.New("append is larger than the log takes in one call")
+
 // newestPageSize is the largest number of records in a response of Newest.
 const newestPageSize = 50
 
@@ -25,6 +27,9 @@
 	// RetainRecords is the number of records that a topic retains besides the
 	// newest of each key; 0 retains all.
 	RetainRecords int
+	// MaxCallBytes is the size of the records from which an append is refused; 0
+	// takes any.
+	MaxCallBytes int
 
 	mu     sync.Mutex
 	topics map[string]*keyedTopic
@@ -133,6 +138,9 @@
 	if err := c.injectFault(ctx); err != nil {
 		return nil, err
 	}
+	if c.Log.tooLarge(records) {
+		return nil, &damaskspread.LogUnavailableError{Cause: errTooLarge}
+	}
 	result, err := c.Log.append(topic, records, condition)
 	if err == nil && c.recordAppend() {
 		return nil, &damaskspread.AppendUnknownError{Cause: errInjected}
@@ -140,6 +148,14 @@
 	return result, err
 }
 
+func (l *KeyedLog) tooLarge(records []*wire.KeyedRecord) bool {
+	size := 0
+	for _, record := range records {
+		size += damaskspread.RecordBytes(record)
+	}
+	return l.MaxCallBytes > 0 && size > l.MaxCallBytes
+}
+
 // Read implements damaskspread.KeyedLog.
 func (c *KeyedLogClient) Read(ctx context.Context, topic string, from int64, wait time.Duration) (*wire.KeyedPage, error) {
 	if err := c.injectFault(ctx); err != nil {
--- a/jobs.go
+++ b/jobs.go
@@ -26,6 +26,25 @@
 	Newest(ctx context.Context, topic, after string) (*wire.KeyedPage, error)
 }
 
+// MaxAppendBytes bounds the records of one append well below what a log takes in
+// one call. A larger append would be refused, again with each repetition.
+const MaxAppendBytes = 1 << 20
+
+// RecordBytes returns the size of a record without its framing.
+func RecordBytes(record *wire.KeyedRecord) int { return len(record.GetKey()) + len(record.GetValue()) }
+
+// CountWithin returns how many of the first n items have at most limit bytes
+// together: at least 1 unless n is 0.
+func CountWithin(n, limit int, size func(i int) int) int {
+	sum := 0
+	for i := range n {
+		if sum += size(i); sum > limit && i > 0 {
+			return i
+		}
+	}
+	return n
+}
+
 // TaskExecutor calls the executor that runs the tasks of one host. id is that of
 // the expected executor incarnation; a WrongIncarnationError means that another
 // one responded. A run is one start of a task, numbered from 1. Deadlines are
@@ -167,6 +186,9 @@
 	RefusedInvalid StartRefusal = "invalid_order"
 	// RefusedDraining means that the executor is about to leave.
 	RefusedDraining StartRefusal = "executor_draining"
+	// RefusedUnknownStep means that the agent no longer has the step to which the
+	// order refers.
+	RefusedUnknownStep StartRefusal = "unknown_step"
 	// RefusedOrderExpired means that the order reached the agent too late.
 	RefusedOrderExpired StartRefusal = "order_expired"
 	// RefusedExecutorGone means that the executor that the order names has ended.
--- a/runner/exchange.go
+++ b/runner/exchange.go
@@ -17,6 +17,9 @@
 	pollTimeoutMargin = 900 * time.Millisecond
 	reportTimeout     = 800 * time.Millisecond
 	exchangeRetry     = 120 * time.Millisecond
+	// reportInterval is the shortest time between two lists of runs. Executors
+	// measure the use of processors over windows of that length.
+	reportInterval = 500 * time.Millisecond
 )
 
 // pollOnce opens the session or, once it is open, waits at the leader for orders.
@@ -73,21 +76,36 @@
 		Refusals:          slices.Clone(r.pendingRefusals),
 		PressureVersion:   r.pressureVersion,
 		Opening:           poll && !r.sessionOpen,
+		KeepsSteps:        true,
 	}
 	for _, end := range r.unrecordedEnds {
 		request.Ends = append(request.Ends, end)
 	}
 	slices.SortFunc(request.Ends, func(a, b *wire.RunEnd) int { return int(a.GetNumber() - b.GetNumber()) })
 	if poll && r.epoch != 0 {
-		request.Running = r.running
-		request.HasRunning = true
 		if r.sessionOpen {
 			request.WaitMs = pollWait.Milliseconds()
 		}
+		r.addRunning(request)
 	}
 	return request
 }
 
+// addRunning adds the list of runs to a request that opens the session, and later
+// when the list is new, at most once in reportInterval: ends and refusals are
+// reported on their own, and the list is large.
+func (r *Runner) addRunning(request *wire.ExchangeRequest) {
+	now := r.Elapsed.Elapsed()
+	due := r.listsVersion != r.reportedVersion && now-r.reportedAt >= reportInterval
+	if !request.GetOpening() && !due {
+		return
+	}
+	request.Running = r.running
+	request.HasRunning = true
+	r.reportedVersion = r.listsVersion
+	r.reportedAt = now
+}
+
 // departureRequest returns the request that reports the executor as left, or
 // nil if the executor may still be running.
 func (r *Runner) departureRequest(poll bool) *wire.ExchangeRequest {
@@ -110,6 +128,7 @@
 	sentAt := r.Elapsed.Elapsed()
 	response, err := r.Leader.Exchange(callCtx, request)
 	if err != nil {
+		r.forgetReport(request)
 		if ctx.Err() == nil {
 			log.Debug().Err(err).Msg("exchange with leader failed")
 			r.pause(ctx, exchangeRetry)
@@ -121,6 +140,17 @@
 	}
 }
 
+// forgetReport makes the next poll repeat the list of runs of a failed request.
+func (r *Runner) forgetReport(request *wire.ExchangeRequest) {
+	if !request.GetHasRunning() {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reportedVersion = 0
+	r.reportedAt = 0
+}
+
 // applyResponse applies a response. It returns false if the process that
 // responded is not the leader, so the caller waits before the next request.
 func (r *Runner) applyResponse(ctx context.Context, request *wire.ExchangeRequest, response *wire.ExchangeResponse, sentAt time.Duration) bool {
@@ -198,6 +228,10 @@
 			continue
 		}
 		r.ordersReceived = order.GetNumber()
+		if start := order.GetStart(); start != nil && !r.completeOrder(start) {
+			r.refuseUnknownStep(start)
+			continue
+		}
 		decidedAt := sentAt + held - time.Duration(order.GetAgeMs())*time.Millisecond
 		r.activeOrders.Go(func() { r.executeOrder(ctx, order, decidedAt) })
 	}
--- a/runner/renew.go
+++ b/runner/renew.go
@@ -140,6 +140,7 @@
 		at:      now,
 	}
 	r.running = state.GetRunning()
+	r.listsVersion++
 	if call.epoch == r.epoch {
 		r.listsRead = true
 	}
@@ -238,6 +239,7 @@
 		r.forgetRun(key)
 		delete(r.drainStops, key)
 	}
+	r.forgetUnusedSteps()
 	now := r.Elapsed.Elapsed()
 	for key, refused := range r.refusedRuns {
 		if now-refused.at > r.refusalRetention() {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -87,14 +87,18 @@
 	sessionCount int
 	epoch        int64
 	// listsRead is set once the executor's lists were read in this session.
-	listsRead       bool
-	sessionOpen     bool
-	leaseUntil      time.Duration
-	ordersReceived  int64
-	endsRecorded    int64
-	unrecordedEnds  map[int64]*wire.RunEnd
-	running         []*wire.TaskRun
-	pendingRefusals []*wire.StartRefusal
+	listsRead      bool
+	sessionOpen    bool
+	leaseUntil     time.Duration
+	ordersReceived int64
+	endsRecorded   int64
+	unrecordedEnds map[int64]*wire.RunEnd
+	running        []*wire.TaskRun
+	// listsVersion counts the lists read; reportedVersion is that of the list of
+	// runs that the leader has, reportedAt when it was sent.
+	listsVersion, reportedVersion int64
+	reportedAt                    time.Duration
+	pendingRefusals               []*wire.StartRefusal
 	// checksDue holds the runs to look up in the executor's lists, and from when.
 	checksDue map[runKey]time.Duration
 	// startOwners holds the one order of each run that may start it.
@@ -102,7 +106,9 @@
 	// refusedRuns holds the runs that were refused within refusalRetention.
 	refusedRuns map[runKey]refusedRun
 	steps       map[runKey]*wire.JobStep
-	paces       map[runKey]int
+	// keptSteps holds the steps received in this session, by Group.Name.
+	keptSteps map[string]*keptStep
+	paces     map[runKey]int
 	// drainStops holds the runs that drainOnce has ordered to stop.
 	drainStops map[runKey]bool
 	// pressureVersion is the version of the pacer's interference weights.
@@ -173,6 +179,7 @@
 	r.ordersReceived = 0
 	r.pendingRefusals = nil
 	r.checksDue = map[runKey]time.Duration{}
+	r.keptSteps = map[string]*keptStep{}
 }
 
 // resetExecutor clears the state of the last incarnation of the executor and
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -347,3 +347,51 @@
 	time.Sleep(200 * time.Millisecond)
 	assert.Equal(t, executor.Running()+refusals(), tasks)
 }
+
+// recordingExecutor records the specifications of the starts.
+type recordingExecutor struct {
+	*emulator.JobExecutor
+
+	mu    sync.Mutex
+	specs map[string]string
+}
+
+func (e *recordingExecutor) Start(ctx context.Context, id string, order *wire.StartOrder, lease *damaskspread.Lease) error {
+	e.mu.Lock()
+	e.specs[order.GetTask()] = order.GetSpec()
+	e.mu.Unlock()
+	return e.JobExecutor.Start(ctx, id, order, lease)
+}
+
+// Guards against starting a task without its specification: orders that refer to a
+// step of the session get it, others are refused.
+func TestOrdersThatReferToAStep(t *testing.T) {
+	l := &fakeLeader{}
+	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
+		if request.GetWaitMs() > 0 {
+			time.Sleep(5 * time.Millisecond)
+		}
+		response := &wire.ExchangeResponse{}
+		if request.GetOrdersReceived() > 0 {
+			return response
+		}
+		for number, order := range []*wire.StartOrder{
+			{Task: "a.0.0.0", Run: 1, Spec: "spec", Step: &wire.JobStep{Image: "web"}},
+			{Task: "a.0.0.1", Run: 1, StepKnown: true},
+			{Task: "b.0.0.0", Run: 1, StepKnown: true},
+		} {
+			response.Orders = append(response.Orders, &wire.Order{Number: int64(number + 1), Kind: &wire.Order_Start{Start: order}})
+		}
+		return response
+	}
+	executor := newExecutor()
+	recording := &recordingExecutor{JobExecutor: executor, specs: map[string]string{}}
+	startRunner(t, l, executor, recording)
+	waitFor(t, "two runs", func() bool { return executor.Running() == 2 })
+	waitFor(t, "refusal of the third", func() bool {
+		return l.received(func(r *wire.ExchangeRequest) bool { return refuses(r, "b.0.0.0") })
+	})
+	recording.mu.Lock()
+	defer recording.mu.Unlock()
+	assert.DeepEqual(t, recording.specs, map[string]string{"a.0.0.0": "spec", "a.0.0.1": "spec"})
+}
--- a/submitter/committer.go
+++ b/submitter/committer.go
@@ -92,7 +92,9 @@
 func (c *batchAppender) nextBatch() []*queuedRecord {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	batch := c.pending[:min(len(c.pending), maxBatchRecords)]
+	count := damaskspread.CountWithin(min(len(c.pending), maxBatchRecords), damaskspread.MaxAppendBytes,
+		func(i int) int { return damaskspread.RecordBytes(c.pending[i].record) })
+	batch := c.pending[:count]
 	for _, queued := range batch {
 		// The record may reach the log from now on.
 		queued.maybeAppended = true
--- a/tracker/names.go
+++ b/tracker/names.go
@@ -35,6 +35,12 @@
 	return job
 }
 
+// GroupOf returns the name of the group in a task's name: all but its index.
+func GroupOf(task string) string {
+	i := strings.LastIndexByte(task, '.')
+	return task[:max(i, 0)]
+}
+
 // ParseTaskID is the inverse of TaskID.String. The error is a
 // *BadTaskNameError.
 func ParseTaskID(name string) (TaskID, error) {
--- a/tracker/progress.go
+++ b/tracker/progress.go
@@ -1,6 +1,10 @@
 package tracker
 
-import "damaskspread.example/damaskspread/wire"
+import (
+	"slices"
+
+	"damaskspread.example/damaskspread/wire"
+)
 
 // Restore returns a job with the progress that Progress returned earlier.
 // Progress of occurrences, steps or tasks that the job doesn't have is ignored.
@@ -12,23 +16,36 @@
 		if int(stored.GetIndex()) >= len(j.occurrences) {
 			continue
 		}
-		j.occurrences[stored.GetIndex()].restore(stored)
+		j.occurrences[stored.GetIndex()].restore(stored, progress.GetExecutors())
 	}
 	return j
 }
 
-func (o *Occurrence) restore(stored *wire.OccurrenceProgress) {
+func (o *Occurrence) restore(stored *wire.OccurrenceProgress, executors []*wire.ExecutorRef) {
 	for s, step := range stored.GetSteps() {
+		if s >= len(o.steps) {
+			return
+		}
+		if step.GetAllDone() {
+			o.restoreDone(s)
+			continue
+		}
 		for i, progress := range step.GetTasks() {
-			if s >= len(o.steps) || i >= len(o.steps[s]) {
-				continue
+			if i < len(o.steps[s]) {
+				o.steps[s][i].restore(progress, executors)
 			}
-			o.steps[s][i].restore(progress)
 		}
 	}
 }
 
-func (t *Task) restore(progress *wire.TaskProgress) {
+func (o *Occurrence) restoreDone(step int) {
+	for _, t := range o.steps[step] {
+		t.state = wire.JobTaskState_JOB_TASK_STATE_DONE
+		t.job.started = true
+	}
+}
+
+func (t *Task) restore(progress *wire.TaskProgress, executors []*wire.ExecutorRef) {
 	t.state = progress.GetState()
 	t.run = progress.GetRun()
 	t.executor = ExecutorKey{
@@ -36,6 +53,14 @@
 		BornUnixMs: progress.GetExecutorBornUnixMs(),
 	}
 	t.host = progress.GetHost()
+	if index := int(progress.GetExecutorIndex()); index > 0 && index <= len(executors) {
+		ref := executors[index-1]
+		t.executor = ExecutorKey{
+			ID:         ref.GetId(),
+			BornUnixMs: ref.GetBornUnixMs(),
+		}
+		t.host = ref.GetHost()
+	}
 	t.failures = progress.GetFailures()
 	t.failedRun = progress.GetLastFailedRun()
 	t.checkpoint = progress.GetCheckpoint()
@@ -44,41 +69,85 @@
 	}
 }
 
-// Progress returns the state of the job to store, for Restore. Occurrences of
-// which no task has started are left out.
+// Progress returns the state of the job to store, for Restore. It leaves out what
+// Restore does not need: occurrences and steps of which no task has started, the
+// tasks of steps that are done, and where tasks ran that have ended. Each executor
+// is described once, since it may run many tasks of the job.
 func (j *Job) Progress() *wire.JobProgress {
-	progress := &wire.JobProgress{State: j.State()}
+	w := progressWriter{
+		progress:  &wire.JobProgress{State: j.State()},
+		executors: map[ExecutorKey]int32{},
+	}
 	for _, o := range j.occurrences {
-		if stored := o.progress(); stored != nil {
-			progress.Occurrences = append(progress.Occurrences, stored)
-		}
+		w.addOccurrence(o)
 	}
-	return progress
+	return w.progress
+}
+
+// progressWriter builds the progress of one job.
+type progressWriter struct {
+	progress *wire.JobProgress
+	// executors has the index in the progress, plus one, of each executor.
+	executors map[ExecutorKey]int32
 }
 
-// progress returns nil if no task of the occurrence has started.
-func (o *Occurrence) progress() *wire.OccurrenceProgress {
+func (w *progressWriter) addOccurrence(o *Occurrence) {
 	stored := &wire.OccurrenceProgress{Index: int32(o.index)}
 	started := false
-	for _, tasks := range o.steps {
-		step := &wire.StepProgress{}
-		for _, t := range tasks {
-			started = started || t.run > 0
-			step.Tasks = append(step.Tasks, &wire.TaskProgress{
-				State:              t.state,
-				Run:                t.run,
-				Executor:           t.executor.ID,
-				Host:               t.host,
-				ExecutorBornUnixMs: t.executor.BornUnixMs,
-				Failures:           t.failures,
-				Checkpoint:         t.checkpoint,
-				LastFailedRun:      t.failedRun,
-			})
-		}
+	for s := range o.steps {
+		step, stepStarted := w.step(o, s)
+		started = started || stepStarted
 		stored.Steps = append(stored.Steps, step)
 	}
-	if !started {
-		return nil
+	if started {
+		w.progress.Occurrences = append(w.progress.Occurrences, stored)
+	}
+}
+
+// step returns the progress of a step and whether any of its tasks has started.
+func (w *progressWriter) step(o *Occurrence, s int) (*wire.StepProgress, bool) {
+	tasks := o.steps[s]
+	if o.stepDone(s) {
+		return &wire.StepProgress{AllDone: true}, len(tasks) > 0
+	}
+	step := &wire.StepProgress{}
+	if !slices.ContainsFunc(tasks, func(t *Task) bool { return t.run > 0 || t.Done() }) {
+		return step, false
+	}
+	for _, t := range tasks {
+		step.Tasks = append(step.Tasks, w.task(t))
+	}
+	return step, true
+}
+
+func (w *progressWriter) task(t *Task) *wire.TaskProgress {
+	progress := &wire.TaskProgress{
+		State: t.state,
+		Run:   t.run,
+	}
+	if t.Done() {
+		return progress
+	}
+	progress.Failures = t.failures
+	progress.LastFailedRun = t.failedRun
+	progress.Checkpoint = t.checkpoint
+	if t.Assigned() {
+		progress.ExecutorIndex = w.executorIndex(t)
+	}
+	return progress
+}
+
+func (w *progressWriter) executorIndex(t *Task) int32 {
+	index := w.executors[t.executor]
+	if index > 0 {
+		return index
 	}
-	return stored
+	w.progress.Executors = append(w.progress.Executors, &wire.ExecutorRef{
+		Id:         t.executor.ID,
+		BornUnixMs: t.executor.BornUnixMs,
+		Host:       t.host,
+	})
+	index = int32(len(w.progress.Executors))
+	w.executors[t.executor] = index
+	return index
 }
--- a/tracker/ready.go
+++ b/tracker/ready.go
@@ -48,6 +48,19 @@
 	return run + 1
 }
 
+// GroupNames returns the names of all groups of the job.
+func (j *Job) GroupNames() []string {
+	var names []string
+	for _, o := range j.occurrences {
+		for _, tasks := range o.steps {
+			if len(tasks) > 0 {
+				names = append(names, tasks[0].groupName)
+			}
+		}
+	}
+	return names
+}
+
 // Group returns the group of the task. Its Tasks returns this task only, whatever
 // the task's state.
 func (t *Task) Group() *Group {
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -1,10 +1,13 @@
 package tracker_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
@@ -188,3 +191,71 @@
 		assert.ErrorType(t, err, &tracker.BadTaskNameError{})
 	}
 }
+
+// Guards against progress that a new leader restores differently: rapid assigns,
+// ends and releases tasks of a job with two steps at random.
+func TestRestoredProgressIsTheSame(t *testing.T) {
+	causes := []wire.EndCause{
+		wire.EndCause_END_CAUSE_DONE, wire.EndCause_END_CAUSE_DONE, wire.EndCause_END_CAUSE_FAILED, wire.EndCause_END_CAUSE_STOPPED,
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		spec := jobWith(&wire.JobStep{Count: 5}, &wire.JobStep{Count: 3, After: []int32{0}})
+		spec.MaxAttempts = 100
+		j := tracker.New(spec)
+		var all []*tracker.Task
+		j.EachTask(func(task *tracker.Task) { all = append(all, task) })
+		for range rapid.IntRange(0, 60).Draw(t, "steps") {
+			task := all[rapid.IntRange(0, len(all)-1).Draw(t, "task")]
+			switch {
+			case task.Pending():
+				key := tracker.ExecutorKey{ID: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "executor"), BornUnixMs: 1}
+				task.Assign(key, "host-"+key.ID, task.Run()+1, time.Hour)
+			case task.Assigned():
+				task.End(runEnd(task.Run(), rapid.SampledFrom(causes).Draw(t, "cause"), "cp"), task.Executor().ID)
+			}
+		}
+		restored := tracker.Restore(spec, j.Progress())
+		assert.Equal(t, restored.State(), j.State())
+		for _, task := range all {
+			other := restored.Task(task.ID())
+			assert.Equal(t, other.Done(), task.Done())
+			assert.Equal(t, other.Assigned(), task.Assigned())
+			assert.Equal(t, other.Executor(), task.Executor())
+			if task.Done() {
+				continue
+			}
+			assert.Equal(t, other.Run(), task.Run())
+			assert.Equal(t, other.Failures(), task.Failures())
+			assert.Equal(t, other.Checkpoint(), task.Checkpoint())
+		}
+	})
+}
+
+// Guards against a leader that does not understand the progress of the version
+// before, which described the executor with each task.
+func TestProgressOfTheVersionBefore(t *testing.T) {
+	stored := &wire.JobProgress{Occurrences: []*wire.OccurrenceProgress{{Steps: []*wire.StepProgress{{Tasks: []*wire.TaskProgress{{
+		State: wire.JobTaskState_JOB_TASK_STATE_ASSIGNED, Run: 3, Executor: "i-1", ExecutorBornUnixMs: 7, Host: "host-1",
+	}}}}}}}
+	task := tracker.Restore(jobWith(&wire.JobStep{Count: 2}), stored).Task(tracker.TaskID{})
+	assert.Equal(t, task.Executor(), tracker.ExecutorKey{ID: "i-1", BornUnixMs: 7})
+	assert.Equal(t, task.Host(), "host-1")
+	assert.Equal(t, task.Run(), int32(3))
+}
+
+// Guards against progress whose size is dominated by repeated names: a job of 80
+// tasks on 20 executors is stored again with each start and end.
+func TestProgressIsCompact(t *testing.T) {
+	j := tracker.New(jobWith(&wire.JobStep{Count: 40}, &wire.JobStep{Count: 40, After: []int32{0}}))
+	for i, task := range j.Ready(0)[0].Tasks() {
+		name := strconv.Itoa(i % 20)
+		task.Assign(tracker.ExecutorKey{ID: "i-1c87246b5" + name, BornUnixMs: 1_800_000_000_000}, "side-qc-est-a-"+name, 1, time.Hour)
+	}
+	assert.Assert(t, proto.Size(j.Progress()) < 1300, "%d bytes", proto.Size(j.Progress()))
+	j.EachTask(func(task *tracker.Task) {
+		if task.Assigned() {
+			task.End(runEnd(1, wire.EndCause_END_CAUSE_DONE, ""), task.Executor().ID)
+		}
+	})
+	assert.Assert(t, proto.Size(j.Progress()) < 30, "%d bytes", proto.Size(j.Progress()))
+}
