The leader's cycle costs what changed: counts and indexes instead of walks

Cause: each cycle of the leader walked all tasks of all jobs to build the hosts, to find finished jobs, ready steps and states, and once for each agent that sent a new list; each waiting task was tried on each host although the tasks of a step are alike. A backlog cost waiting x hosts x cycles when the leader was busiest.

Change: tracker counts the tasks of a step by state and keeps the assigned tasks by executor (Assignments); critical paths are computed once a job; when a host is found for no task of a step, the others are not tried; preemption and reports of waiting look at one task a step; the pause after a cycle is as long as the cycle computed.

--- a/coordinator/closing.go
+++ b/coordinator/closing.go
@@ -53,9 +53,7 @@
 	if job == nil {
 		return true
 	}
-	busy := false
-	job.EachTask(func(t *tracker.Task) { busy = busy || t.Assigned() })
-	if busy {
+	if job.AssignedTasks() > 0 {
 		return false
 	}
 	c.forgetSentSteps(job)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -99,6 +99,8 @@
 	// jobs has each job until its final status is recorded and no task of it is
 	// assigned.
 	jobs map[string]*tracker.Job
+	// assignments has the assigned tasks of jobs by executor.
+	assignments *tracker.Assignments
 	// closed is when each finished job was dropped from jobs.
 	closed  map[string]time.Duration
 	orphans map[tracker.ExecutorKey]orphan
@@ -116,6 +118,8 @@
 	// openJobs and waitingSteps are the sizes of jobs and waiting, for readers on
 	// other goroutines.
 	openJobs, waitingSteps atomic.Int64
+	// cycleTime is how long the last cycle took without its append.
+	cycleTime time.Duration
 
 	progress    *writer
 	adviceCache *adviceCache
@@ -225,7 +229,7 @@
 			c.stepDown(epoch)
 			break
 		}
-		damaskspread.Pause(ctx, c.Clock, minCycleInterval)
+		damaskspread.Pause(ctx, c.Clock, c.pauseAfterCycle())
 		c.waitForSignal(ctx)
 	}
 	cancel()
@@ -234,6 +238,13 @@
 	c.waitingSteps.Store(0)
 }
 
+// pauseAfterCycle is at least as long as the last cycle computed. Half of the time is
+// then left for reports, renewals and callers where processors are scarce, and
+// more changes share a cycle.
+func (c *Coordinator) pauseAfterCycle() time.Duration {
+	return max(minCycleInterval, min(c.cycleTime, maxCycleInterval))
+}
+
 // stepDown ends the leadership of an epoch, unless a later one has begun.
 func (c *Coordinator) stepDown(epoch int64) {
 	if c.currentEpoch() == epoch {
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -54,6 +54,7 @@
 // runCycle applies reports and job changes, plans, stores the progress and then
 // publishes orders. It fails if the progress can't be stored.
 func (c *Coordinator) runCycle(ctx context.Context, epoch int64) error {
+	started := c.Elapsed.Elapsed()
 	cycle := c.takeInputs()
 	c.applyJobs(cycle.changedJobs)
 	c.applyReports(cycle)
@@ -62,9 +63,12 @@
 	c.observeUsage(cycle)
 	c.plan(cycle, epoch)
 	c.migrate(cycle)
+	storing := c.Elapsed.Elapsed()
 	if err := c.storeProgress(ctx); err != nil {
 		return err
 	}
+	stored := c.Elapsed.Elapsed()
+	defer func() { c.cycleTime = c.Elapsed.Elapsed() - started - (stored - storing) }()
 	c.publish(cycle, epoch)
 	c.openJobs.Store(int64(len(c.jobs)))
 	c.waitingSteps.Store(int64(len(c.waiting)))
@@ -133,6 +137,7 @@
 		_, over := c.closed[id]
 		if job == nil && !over && !indexer.Final(entry.RecordedState()) {
 			job = tracker.New(entry.Job())
+			c.assignments.Add(job)
 			c.jobs[id] = job
 		}
 		if job != nil && entry.Canceled() {
@@ -171,7 +176,7 @@
 // stopFinishedJobs orders the stop of runs that belong to finished jobs.
 func (c *Coordinator) stopFinishedJobs(cycle *cycleState) {
 	for _, job := range c.jobs {
-		if !job.Over() {
+		if job.AssignedTasks() == 0 || !job.Over() {
 			continue
 		}
 		job.EachTask(func(t *tracker.Task) {
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -48,14 +48,18 @@
 		if group.Step().GetFillsIdle() {
 			continue
 		}
-		for _, t := range pendingTasks(group) {
-			victims := c.Planner.Preempt(group, t, cycle.hosts, cycle.now)
-			for _, victim := range victims {
-				c.preemptTask(cycle, victim, t)
-			}
-			if len(victims) > 0 {
-				return
-			}
+		// The tasks of a step are alike: what fits for none of them need not be
+		// tried with each.
+		t := firstPending(group)
+		if t == nil {
+			continue
+		}
+		victims := c.Planner.Preempt(group, t, cycle.hosts, cycle.now)
+		for _, victim := range victims {
+			c.preemptTask(cycle, victim, t)
+		}
+		if len(victims) > 0 {
+			return
 		}
 	}
 }
@@ -85,8 +89,7 @@
 // assigned to them.
 func (c *Coordinator) hosts(cycle *cycleState) []*planner.Host {
 	zonesOut := c.Operations.ZonesOut()
-	byKey := map[tracker.ExecutorKey]*planner.Host{}
-	var hosts []*planner.Host
+	hosts := make([]*planner.Host, 0, len(cycle.views))
 	for _, view := range cycle.views {
 		host := &planner.Host{
 			Key:      view.key,
@@ -99,7 +102,9 @@
 		}
 		host.NearTarget = c.nearTarget(view)
 		c.markSuspect(host, cycle.now)
-		byKey[view.key] = host
+		for _, t := range c.assignments.On(view.key) {
+			host.AddAssigned(t)
+		}
 		hosts = append(hosts, host)
 	}
 	slices.SortFunc(hosts, func(a, b *planner.Host) int {
@@ -108,13 +113,6 @@
 		}
 		return 1
 	})
-	for _, job := range c.jobs {
-		job.EachTask(func(t *tracker.Task) {
-			if host := byKey[t.Executor()]; host != nil && t.Assigned() {
-				host.AddAssigned(t)
-			}
-		})
-	}
 	c.clearSuspicions(hosts, cycle.now)
 	return hosts
 }
--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -160,12 +161,9 @@
 }
 
 func (c *Coordinator) eachAssigned(key tracker.ExecutorKey, visit func(*tracker.Task)) {
-	for _, job := range c.jobs {
-		job.EachTask(func(t *tracker.Task) {
-			if t.Assigned() && t.Executor() == key {
-				visit(t)
-			}
-		})
+	// visit may release the task, which changes the original.
+	for _, t := range slices.Clone(c.assignments.On(key)) {
+		visit(t)
 	}
 }
 
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -95,6 +95,7 @@
 // lease that an earlier leader may have granted it.
 func (c *Coordinator) restore(stored map[string]*wire.JobProgress) {
 	c.jobs = map[string]*tracker.Job{}
+	c.assignments = &tracker.Assignments{}
 	c.closed = map[string]time.Duration{}
 	c.orphans = map[tracker.ExecutorKey]orphan{}
 	c.suspicions = map[tracker.ExecutorKey]*suspicion{}
@@ -132,6 +133,7 @@
 	if entry.Canceled() {
 		job.Cancel()
 	}
+	c.assignments.Add(job)
 	c.jobs[id] = job
 	c.publishedStates[id] = entry.RecordedState()
 }
--- a/coordinator/waiting.go
+++ b/coordinator/waiting.go
@@ -28,8 +28,8 @@
 	waiting := map[string]*waitingStep{}
 	reports := 0
 	for _, group := range groups {
-		tasks := pendingTasks(group)
-		if len(tasks) == 0 {
+		first := firstPending(group)
+		if first == nil {
 			continue
 		}
 		step := c.waiting[group.Name()]
@@ -45,24 +45,33 @@
 		tracer.Write(&tracer.TasksWaiting{
 			Job:       group.Job().Spec().GetId(),
 			Step:      group.Name(),
-			Tasks:     len(tasks),
+			Tasks:     countPending(group),
 			Waited:    tracer.Milliseconds(cycle.now - step.since),
 			Epoch:     epoch,
-			Obstacles: obstacleCounts(c.Planner.Obstacles(group, tasks[0], cycle.hosts)),
+			Obstacles: obstacleCounts(c.Planner.Obstacles(group, first, cycle.hosts)),
 		})
 	}
 	c.waiting = waiting
 }
 
-// pendingTasks returns the tasks of a group that are not assigned.
-func pendingTasks(group *tracker.Group) []*tracker.Task {
-	var tasks []*tracker.Task
+// firstPending returns the first task of a group that is not assigned, or nil.
+func firstPending(group *tracker.Group) *tracker.Task {
 	for _, t := range group.Tasks() {
 		if t.Pending() {
-			tasks = append(tasks, t)
+			return t
 		}
 	}
-	return tasks
+	return nil
+}
+
+func countPending(group *tracker.Group) int {
+	count := 0
+	for _, t := range group.Tasks() {
+		if t.Pending() {
+			count++
+		}
+	}
+	return count
 }
 
 // obstacleCounts converts the counts for the trace, which needs a name for hosts
--- a/planner/order.go
+++ b/planner/order.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"damaskspread.example/damaskspread/tracker"
-	"damaskspread.example/damaskspread/wire"
 )
 
 // overdueFactor times the objective is the response time beyond which a job is
@@ -56,14 +55,13 @@
 // long-running step has no end and is therefore never late.
 func sortKeyOf(g *tracker.Group, nowUnixMs int64) sortKey {
 	job := g.Job().Spec()
-	remaining := remainingMs(job)
-	objective := int64(float64(slices.Max(remaining))*job.GetStretch()) + job.GetObjectiveMs()
+	objective := int64(float64(g.Job().LongestPathMs())*job.GetStretch()) + job.GetObjectiveMs()
 	start := earliestStartMs(g)
 	key := sortKey{
 		group:      g,
 		deadlineMs: start + objective,
 	}
-	end := nowUnixMs + remaining[g.StepIndex()]
+	end := nowUnixMs + g.Job().CriticalPathMs(g.StepIndex())
 	switch {
 	case g.Step().GetLongRunning() || end <= key.deadlineMs:
 		key.lateness = onTime
@@ -84,19 +82,3 @@
 	}
 	return max(job.GetAcceptedUnixMs(), job.GetFirstStartUnixMs()+int64(g.Occurrence())*job.GetIntervalMs())
 }
-
-// remainingMs returns for each step the estimated length, in milliseconds, of
-// the longest chain of steps that begins with it (its critical path).
-func remainingMs(job *wire.Job) []int64 {
-	steps := job.GetSteps()
-	remaining := make([]int64, len(steps))
-	// Steps depend only on steps with lower indexes, so going backward the values
-	// of all dependent steps are final.
-	for i := len(steps) - 1; i >= 0; i-- {
-		remaining[i] += steps[i].GetEstimateMs()
-		for _, earlier := range steps[i].GetAfter() {
-			remaining[earlier] = max(remaining[earlier], remaining[i])
-		}
-	}
-	return remaining
-}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -59,10 +59,19 @@
 	var plan []Assignment
 	groupName := group.Name()
 	rack := ""
+	fits := true
 	for _, task := range group.Tasks() {
-		host := p.chooseHost(group, task, groupName, hosts, rack)
+		var host *Host
+		if fits {
+			host = p.chooseHost(group, task, groupName, hosts, rack)
+		}
 		if host == nil {
-			p.reserveForLarge(group, task, hosts)
+			// The other tasks of the step have the same needs. Only a task that
+			// failed before has fewer hosts than they.
+			fits = fits && task.Failures() > 0
+			if !p.reserveForLarge(group, task, hosts) && !fits {
+				break
+			}
 			continue
 		}
 		host.AddPlanned(groupName, group.Step())
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -301,3 +301,29 @@
 		assert.DeepEqual(t, countByHost(plan), map[string]int{"a": 1})
 	}
 }
+
+// BenchmarkBacklog measures one scheduling cycle in which nothing fits: jobs of 40
+// tasks wait for 240 full hosts.
+func BenchmarkBacklog(b *testing.B) {
+	for _, jobs := range []int{10, 100, 900} {
+		b.Run(fmt.Sprintf("tasks=%d", 40*jobs), func(b *testing.B) {
+			p := &planner.Planner{}
+			var hosts []*planner.Host
+			for i := range 240 {
+				host := newHost(fmt.Sprint(i), 16)
+				host.AddPlanned("busy", ordinary(1, 16000))
+				hosts = append(hosts, host)
+			}
+			var all []*tracker.Job
+			for i := range jobs {
+				all = append(all, newJob(fmt.Sprint(i), 1, ordinary(40, 1800)))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				groups := readyGroups(all...)
+				planner.Order(groups, 0)
+				p.Plan(groups, hosts)
+			}
+		})
+	}
+}
--- a/planner/reserve.go
+++ b/planner/reserve.go
@@ -19,11 +19,12 @@
 // take the capacity piece by piece as it comes free, and the large task would
 // never start. Long-running tasks ignore the reservation, because they may fit
 // nowhere else. Reservations last one cycle; successive cycles choose the same
-// host as long as it has the most free processors.
-func (p *Planner) reserveForLarge(group *tracker.Group, task *tracker.Task, hosts []*Host) {
+// host as long as it has the most free processors. It reports whether it reserved
+// one.
+func (p *Planner) reserveForLarge(group *tracker.Group, task *tracker.Task, hosts []*Host) bool {
 	step := group.Step()
 	if step.GetFillsIdle() || step.GetGang() {
-		return
+		return false
 	}
 	reserved := 0
 	var best *Host
@@ -39,10 +40,12 @@
 			best = host
 		}
 	}
-	if best != nil && reserved < maxReservedHosts {
-		best.reserved = true
-		best.reservedMemory = best.shortage(step, nil) == ObstacleMemory
+	if best == nil || reserved >= maxReservedHosts {
+		return false
 	}
+	best.reserved = true
+	best.reservedMemory = best.shortage(step, nil) == ObstacleMemory
+	return true
 }
 
 // reservationExcludes reports whether a reservation for a large task excludes a
--- a/tracker/ends.go
+++ b/tracker/ends.go
@@ -51,8 +51,7 @@
 		done = t.siblings()
 	}
 	for _, member := range done {
-		member.state = wire.JobTaskState_JOB_TASK_STATE_DONE
-		member.executor = ExecutorKey{}
+		member.setState(wire.JobTaskState_JOB_TASK_STATE_DONE, ExecutorKey{})
 		member.stopping = false
 	}
 	t.job.markChanged()
--- a/tracker/progress.go
+++ b/tracker/progress.go
@@ -40,27 +40,27 @@
 
 func (o *Occurrence) restoreDone(step int) {
 	for _, t := range o.steps[step] {
-		t.state = wire.JobTaskState_JOB_TASK_STATE_DONE
+		t.setState(wire.JobTaskState_JOB_TASK_STATE_DONE, ExecutorKey{})
 		t.job.started = true
 	}
 }
 
 func (t *Task) restore(progress *wire.TaskProgress, executors []*wire.ExecutorRef) {
-	t.state = progress.GetState()
-	t.run = progress.GetRun()
-	t.executor = ExecutorKey{
+	executor := ExecutorKey{
 		ID:         progress.GetExecutor(),
 		BornUnixMs: progress.GetExecutorBornUnixMs(),
 	}
 	t.host = progress.GetHost()
 	if index := int(progress.GetExecutorIndex()); index > 0 && index <= len(executors) {
 		ref := executors[index-1]
-		t.executor = ExecutorKey{
+		executor = ExecutorKey{
 			ID:         ref.GetId(),
 			BornUnixMs: ref.GetBornUnixMs(),
 		}
 		t.host = ref.GetHost()
 	}
+	t.setState(progress.GetState(), executor)
+	t.run = progress.GetRun()
 	t.failures = progress.GetFailures()
 	t.failedRun = progress.GetLastFailedRun()
 	t.checkpoint = progress.GetCheckpoint()
--- a/tracker/ready.go
+++ b/tracker/ready.go
@@ -117,7 +117,7 @@
 // appendReady appends the groups of an occurrence that have tasks to start.
 func (j *Job) appendReady(o *Occurrence, groups []*Group) []*Group {
 	for s, tasks := range o.steps {
-		if !o.dependenciesDone(j.spec.GetSteps()[s]) {
+		if o.pending(s) == 0 || !o.dependenciesDone(j.spec.GetSteps()[s]) {
 			continue
 		}
 		group := &Group{
@@ -125,19 +125,22 @@
 			occurrence: o.index,
 			step:       s,
 			allTasks:   tasks,
+			tasks:      make([]*Task, 0, o.pending(s)),
 		}
 		for _, t := range tasks {
 			if t.Pending() {
 				group.tasks = append(group.tasks, t)
 			}
 		}
-		if len(group.tasks) > 0 {
-			groups = append(groups, group)
-		}
+		groups = append(groups, group)
 	}
 	return groups
 }
 
+func (o *Occurrence) pending(step int) int {
+	return len(o.steps[step]) - o.counts[step].assigned - o.counts[step].done
+}
+
 func (o *Occurrence) dependenciesDone(step *wire.JobStep) bool {
 	for _, earlier := range step.GetAfter() {
 		if !o.stepDone(int(earlier)) {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -12,6 +12,7 @@
 package tracker
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -42,6 +43,8 @@
 	failedOn   map[string]bool
 	stopping   bool
 	assignedAt time.Duration
+	// position is the task's index in Assignments.On while it is assigned.
+	position int
 	// lastNotSlowAt and lastOverdueAt are the times of the latest calls of Slow
 	// with false and of Overdue that returned true.
 	lastNotSlowAt time.Duration
@@ -122,9 +125,8 @@
 
 // Assign assigns a run with the given number to an executor at now.
 func (t *Task) Assign(executor ExecutorKey, host string, run int32, now time.Duration) {
-	t.state = wire.JobTaskState_JOB_TASK_STATE_ASSIGNED
+	t.setState(wire.JobTaskState_JOB_TASK_STATE_ASSIGNED, executor)
 	t.run = run
-	t.executor = executor
 	t.host = host
 	t.stopping = false
 	t.assignedAt = now
@@ -141,8 +143,7 @@
 // Release makes the task wait for its next run. Callers have to be sure that the
 // current run did not start or has ended.
 func (t *Task) Release() {
-	t.state = wire.JobTaskState_JOB_TASK_STATE_PENDING
-	t.executor = ExecutorKey{}
+	t.setState(wire.JobTaskState_JOB_TASK_STATE_PENDING, ExecutorKey{})
 	t.stopping = false
 	t.job.markChanged()
 }
@@ -151,6 +152,12 @@
 type Job struct {
 	spec        *wire.Job
 	occurrences []*Occurrence
+	// remainingMs is the result of CriticalPathMs.
+	remainingMs []int64
+	// assigned is the number of assigned tasks; assignments is nil if no index
+	// holds them.
+	assigned    int
+	assignments *Assignments
 	canceled    bool
 	failed      bool
 	started     bool
@@ -160,13 +167,17 @@
 // Occurrence is one scheduled repetition of a job, with tasks of its own.
 type Occurrence struct {
 	index int
-	// Tasks by step.
-	steps [][]*Task
+	// Tasks by step, and their numbers by state.
+	steps  [][]*Task
+	counts []stepCounts
 }
 
 // New returns a job of which no task has started.
 func New(job *wire.Job) *Job {
-	j := &Job{spec: job}
+	j := &Job{
+		spec:        job,
+		remainingMs: criticalPathMs(job.GetSteps()),
+	}
 	for k := range occurrenceCount(job) {
 		j.occurrences = append(j.occurrences, j.newOccurrence(k))
 	}
@@ -176,9 +187,13 @@
 func occurrenceCount(job *wire.Job) int { return max(1, int(job.GetRepeatCount())) }
 
 func (j *Job) newOccurrence(index int) *Occurrence {
-	o := &Occurrence{index: index}
+	o := &Occurrence{
+		index:  index,
+		counts: make([]stepCounts, len(j.spec.GetSteps())),
+	}
 	for s, step := range j.spec.GetSteps() {
 		tasks := make([]*Task, step.GetCount())
+		groupName := j.spec.GetId() + "." + strconv.Itoa(index) + "." + strconv.Itoa(s)
 		for i := range tasks {
 			tasks[i] = &Task{
 				id: TaskID{
@@ -187,7 +202,7 @@
 					Step:       s,
 					Index:      i,
 				},
-				groupName: j.spec.GetId() + "." + strconv.Itoa(index) + "." + strconv.Itoa(s),
+				groupName: groupName,
 				job:       j,
 			}
 		}
@@ -250,13 +265,31 @@
 	}
 }
 
-func (o *Occurrence) stepDone(step int) bool {
-	for _, t := range o.steps[step] {
-		if !t.Done() {
-			return false
+func (o *Occurrence) stepDone(step int) bool { return o.counts[step].done == len(o.steps[step]) }
+
+// AssignedTasks returns the number of tasks that are assigned.
+func (j *Job) AssignedTasks() int { return j.assigned }
+
+// CriticalPathMs returns the estimated length, in milliseconds, of the longest
+// chain of steps that begins with the given step.
+func (j *Job) CriticalPathMs(step int) int64 { return j.remainingMs[step] }
+
+// LongestPathMs returns the estimated length, in milliseconds, of the job's longest
+// chain of steps.
+func (j *Job) LongestPathMs() int64 { return slices.Max(j.remainingMs) }
+
+// criticalPathMs returns the length of the longest chain for each step.
+func criticalPathMs(steps []*wire.JobStep) []int64 {
+	remaining := make([]int64, len(steps))
+	// Steps depend only on steps with lower indexes, so going backward the values
+	// of all dependent steps are final.
+	for i := len(steps) - 1; i >= 0; i-- {
+		remaining[i] += steps[i].GetEstimateMs()
+		for _, earlier := range steps[i].GetAfter() {
+			remaining[earlier] = max(remaining[earlier], remaining[i])
 		}
 	}
-	return true
+	return remaining
 }
 
 // Task returns the task with the given indexes, or nil if there is none. It
