Hosts serve one image each where serving tasks take most hosts anyway

Change: planner/layout.go decides for each plan whether serving images are kept on hosts of their own: if that needs at most 1.4 times the hosts of the tightest packing. Few serving tasks are packed on few hosts as before.

TestServingTasksShareHosts still holds.

--- a/planner/host.go
+++ b/planner/host.go
@@ -52,6 +52,9 @@
 	// Requested millicores by image.
 	servingByImage    imageUses
 	bestEffortByImage imageUses
+	// oneServingImage is set if serving images are kept on hosts of their own; see
+	// setServingLayout.
+	oneServingImage bool
 	// probes counts the tasks that probe the host while it is suspect.
 	probes int
 	// reserved means that capacity that comes free on the host is reserved for a
@@ -173,6 +176,7 @@
 		tasksByGroup:         maps.Clone(h.tasksByGroup),
 		servingByImage:       slices.Clone(h.servingByImage),
 		bestEffortByImage:    slices.Clone(h.bestEffortByImage),
+		oneServingImage:      h.oneServingImage,
 		probes:               h.probes,
 		reserved:             h.reserved,
 		reservedMemory:       h.reservedMemory,
--- a/planner/interference.go
+++ b/planner/interference.go
@@ -69,16 +69,6 @@
 	return sum
 }
 
-// servingImageShare returns the share of the processors requested by the host's
-// serving tasks that belongs to an image. The fewer serving images a host has,
-// the fewer best-effort images interfere with one of them.
-func servingImageShare(host *Host, image string) float64 {
-	if host.servingMillicores == 0 {
-		return 0
-	}
-	return float64(host.servingByImage.millicores(image)) / float64(host.servingMillicores)
-}
-
 // HasFasterHost reports whether a host other than current can take the running task
 // and is predicted to run it at least at the given speed: the share of its
 // requested processors that the task gets. Suspect hosts, hosts on which the task
--- /dev/null
+++ b/planner/layout.go
@@ -0,0 +1,71 @@
+package planner
+
+import (
+	"math"
+
+	"damaskspread.example/damaskspread/tracker"
+)
+
+const (
+	// maxApartFactor is how many more hosts may serve if each serves one image
+	// only. A best-effort image usually interferes with most serving images, so a
+	// host that serves several of them is of as little use to it as any other,
+	// while one that serves none is always of use.
+	maxApartFactor = 1.4
+	// Weights of the image in the score of a host for a serving task, when images
+	// are kept apart and otherwise. The first outweighs all that speaks for a host
+	// with another image.
+	weightImageApart  = 3.0
+	weightImagePacked = 0.5
+)
+
+// setServingLayout decides how serving tasks are placed in this plan. They are
+// always packed, so that best-effort tasks on the hosts without any interfere with
+// none. If serving tasks take most hosts anyway, it is better that each host serves
+// one image: a best-effort task then finds hosts whose image it does not interfere
+// with. With few serving tasks that would spread them over more hosts.
+func setServingLayout(groups []*tracker.Group, hosts []*Host) {
+	apart := servesApart(groups, hosts)
+	for _, host := range hosts {
+		host.oneServingImage = apart
+	}
+}
+
+func servesApart(groups []*tracker.Group, hosts []*Host) bool {
+	capacity := 0.0
+	byImage := map[string]float64{}
+	for _, host := range hosts {
+		capacity += float64(host.Capacity.GetMillicores())
+		for _, use := range host.servingByImage {
+			byImage[use.image] += float64(use.millicores)
+		}
+	}
+	for _, group := range groups {
+		if step := group.Step(); step.GetTargetLatencyMs() > 0 {
+			byImage[step.GetImage()] += float64(len(group.Tasks())) * float64(step.GetResources().GetMillicores())
+		}
+	}
+	if capacity <= 0 {
+		return false
+	}
+	typical := capacity / float64(len(hosts))
+	total, hostsApart := 0.0, 0.0
+	for _, millicores := range byImage {
+		total += millicores
+		hostsApart += math.Ceil(millicores / typical)
+	}
+	return hostsApart <= maxApartFactor*math.Ceil(total/typical)
+}
+
+// servingImageScore says how well a task of a serving image goes with the serving
+// tasks on the host, by the share of them that has the same image.
+func (h *Host) servingImageScore(image string) float64 {
+	if h.servingMillicores == 0 {
+		return 0
+	}
+	same := float64(h.servingByImage.millicores(image)) / float64(h.servingMillicores)
+	if !h.oneServingImage {
+		return weightImagePacked * same
+	}
+	return weightImageApart * (2*same - 1)
+}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -45,6 +45,7 @@
 // groups have to be sorted by Order.
 func (p *Planner) Plan(groups []*tracker.Group, hosts []*Host) []Assignment {
 	var plan []Assignment
+	setServingLayout(groups, hosts)
 	for _, group := range groups {
 		if group.Step().GetGang() {
 			plan = append(plan, p.planGang(group, hosts)...)
@@ -164,7 +165,6 @@
 	penaltyFailedOn            = 8.0
 	penaltySuspect             = 16.0
 	weightSpeed                = 3.0
-	weightSameImage            = 0.5
 	// penaltySameGroup applies to each task of the group that is already on the
 	// host, so that the tasks of a group spread over hosts.
 	penaltySameGroup = 0.02
@@ -176,9 +176,7 @@
 	case step.GetFillsIdle():
 		score = host.idleShare() + weightSpeed*p.speed(host, step)
 	case step.GetTargetLatencyMs() > 0:
-		// Serving tasks are packed onto few hosts, so that best-effort tasks on
-		// the other hosts interfere with none.
-		score = host.requestedShare() + weightSameImage*servingImageShare(host, step.GetImage()) - p.interference(host, step.GetImage())
+		score = host.requestedShare() + host.servingImageScore(step.GetImage()) - p.interference(host, step.GetImage())
 	default:
 		score = host.idleShare()
 	}
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -327,3 +328,62 @@
 		})
 	}
 }
+
+// Guards, on the load of a fleet whose hosts are mostly requested by serving tasks,
+// against best-effort tasks that find no host without interference. Two thirds of
+// the pairs of images interfere, so that a host that serves three images is harmless
+// to few best-effort images.
+func TestServingImagesAreKeptApart(t *testing.T) {
+	const hostCount, servingImages, bestEffortImages = 70, 8, 15
+	random := rand.New(rand.NewPCG(11, 11))
+	heavy := map[string]bool{}
+	for interfering := range bestEffortImages {
+		for image := range servingImages {
+			heavy[fmt.Sprintf("fill-%d>web-%d", interfering, image)] = random.Float64() < 0.65
+		}
+	}
+	p := &planner.Planner{Weight: func(interfering, image string) float64 {
+		if heavy[interfering+">"+image] {
+			return 5
+		}
+		return 0
+	}}
+	var hosts []*planner.Host
+	for i := range hostCount {
+		hosts = append(hosts, newHost(fmt.Sprintf("%02d", i), 16))
+	}
+	images := map[string]map[string]bool{}
+	for job := range 60 {
+		step := serving(fmt.Sprintf("web-%d", random.IntN(servingImages)))
+		step.Count = 6
+		step.Resources.Millicores = int64(1500 + random.IntN(1500))
+		for _, a := range p.Plan(readyGroups(newJob(fmt.Sprint("serving-", job), 0, step)), hosts) {
+			if images[a.Host.Name] == nil {
+				images[a.Host.Name] = map[string]bool{}
+			}
+			images[a.Host.Name][step.Image] = true
+		}
+	}
+	mixed := 0
+	for _, served := range images {
+		if len(served) > 1 {
+			mixed++
+		}
+	}
+	assert.Assert(t, mixed <= servingImages, "%d of %d hosts serve more than one image", mixed, len(images))
+	placed, disturbed := 0, 0
+	for job := range 30 {
+		step := bestEffort(8, fmt.Sprintf("fill-%d", random.IntN(bestEffortImages)))
+		for _, a := range p.Plan(readyGroups(newJob(fmt.Sprint("fill-", job), 2, step)), hosts) {
+			placed++
+			for image := range images[a.Host.Name] {
+				if heavy[step.Image+">"+image] {
+					disturbed++
+					break
+				}
+			}
+		}
+	}
+	t.Logf("%d hosts serve, %d more than one image; %d of 240 best-effort tasks placed, %d disturb", len(images), mixed, placed, disturbed)
+	assert.Assert(t, placed-disturbed >= 216, "%d of 240 best-effort tasks run without interference, want 216", placed-disturbed)
+}
