Malformed jobs and progress neither end the leader nor keep a new one from taking over

Cause: looked for what operators of similar systems told us (one malformed message takes a process down). A job record with a negative count, a step that runs after a later one, or a billion repetitions ended the leader with a panic or out of memory, and each successor after it: the submitter checked counts of one repetition only, and records were not checked when they were read. One progress record that can't be decoded failed each takeover, so that nothing was scheduled any more.

Ruled out: HTTP handlers (net/http recovers their panics).

Change: tracker.Validate checks a job when it is accepted and when its record is read; a job whose progress can't be decoded waits until no lease of an earlier leader can be in force, the others go on.

Before/after: TestMalformedRecords ended the test process with 'makeslice: len out of range'; passes now.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -110,6 +110,9 @@
 	publishedStates map[string]wire.JobState
 	// waiting are the steps with tasks that wait for a host, by Group.Name.
 	waiting map[string]*waitingStep
+	// heldUntil are jobs whose progress could not be decoded. None of their tasks
+	// starts before the leases of the runs that an earlier leader started are over.
+	heldUntil map[string]time.Duration
 	// closing are jobs whose final status is recorded but which still have runs
 	// that are stopping.
 	closing []string
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -7,8 +7,11 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"damaskspread.example/damaskspread/emulator"
+	"damaskspread.example/damaskspread/indexer"
 	"damaskspread.example/damaskspread/wire"
 )
 
@@ -266,3 +269,37 @@
 		f.waitSucceeded(f.entries[0], fmt.Sprintf("%016x", i))
 	}
 }
+
+// Guards against one malformed record that ends the leader, or keeps each new one
+// from taking over: jobs that can't be scheduled, and progress that can't be
+// decoded.
+func TestMalformedRecords(t *testing.T) {
+	f := newTestFleet(t, 1, 1, fixedRunTime(20*time.Millisecond))
+	leader := f.leader()
+	for _, job := range []*wire.Job{
+		{Id: "a", Steps: []*wire.JobStep{{Count: -1}}},
+		{Id: "b", Steps: []*wire.JobStep{{Count: 1, After: []int32{7}}}},
+		{Id: "c", RepeatCount: 1 << 30, Steps: steps(4000)},
+		{Id: "d"},
+	} {
+		value, err := proto.Marshal(job)
+		assert.NilError(t, err)
+		record := &wire.KeyedRecord{Key: job.GetId(), Value: value}
+		_, err = leader.client.Append(t.Context(), indexer.Topic, []*wire.KeyedRecord{record}, nil)
+		assert.NilError(t, err)
+	}
+	f.submit(leader, &wire.Job{Id: jobID, Steps: steps(2)})
+	f.waitSucceeded(leader, jobID)
+
+	const held = "00000000000000b2"
+	f.killEntry(leader)
+	writer := &emulator.KeyedLogClient{Log: f.log}
+	progress := &wire.KeyedRecord{Key: held, Value: []byte{0xff, 0xff, 0xff}}
+	_, err := writer.Append(t.Context(), "progress", []*wire.KeyedRecord{progress}, nil)
+	assert.NilError(t, err)
+	f.startEntry(leader)
+	const other = "00000000000000c3"
+	f.submit(f.leader(), &wire.Job{Id: held, Steps: steps(1)})
+	f.submit(f.leader(), &wire.Job{Id: other, Steps: steps(1)})
+	f.waitSucceeded(f.leader(), other)
+}
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -17,7 +17,7 @@
 		return
 	}
 	cycle.hosts = c.hosts(cycle)
-	groups := c.readyGroups()
+	groups := c.readyGroups(cycle)
 	planner.Order(groups, c.Clock.Now().UnixMilli())
 	c.adviceCache.requestMissing(groups, cycle.hosts)
 	for _, assignment := range c.Planner.Plan(groups, cycle.hosts) {
@@ -76,10 +76,13 @@
 	})
 }
 
-func (c *Coordinator) readyGroups() []*tracker.Group {
+func (c *Coordinator) readyGroups(cycle *cycleState) []*tracker.Group {
 	now := c.Clock.Now().UnixMilli()
 	var groups []*tracker.Group
-	for _, job := range c.jobs {
+	for id, job := range c.jobs {
+		if until, held := c.heldUntil[id]; held && cycle.now < until {
+			continue
+		}
 		groups = append(groups, job.Ready(now)...)
 	}
 	return groups
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -61,7 +61,8 @@
 	}
 }
 
-// loadProgress returns the stored progress by job id.
+// loadProgress returns the stored progress by job id, nil for a record that can't be
+// decoded.
 func (c *Coordinator) loadProgress(ctx context.Context) (map[string]*wire.JobProgress, error) {
 	stored := map[string]*wire.JobProgress{}
 	after := ""
@@ -74,7 +75,9 @@
 			after = record.GetKey()
 			progress := &wire.JobProgress{}
 			if err := proto.Unmarshal(record.GetValue(), progress); err != nil {
-				return nil, err
+				log.Error().Str("job", record.GetKey()).Int64("offset", record.GetOffset()).Err(err).
+					Msg("job progress cannot be decoded; the job waits until none of its runs can be in progress")
+				progress = nil
 			}
 			stored[record.GetKey()] = progress
 		}
@@ -100,6 +103,7 @@
 	c.orphans = map[tracker.ExecutorKey]orphan{}
 	c.suspicions = map[tracker.ExecutorKey]*suspicion{}
 	c.waiting = map[string]*waitingStep{}
+	c.heldUntil = map[string]time.Duration{}
 	c.closing = nil
 	c.tombstones = nil
 	c.publishedStates = map[string]wire.JobState{}
@@ -121,7 +125,10 @@
 // restoreJob rebuilds one job. A finished job without stored progress is closed.
 func (c *Coordinator) restoreJob(entry indexer.JobEntry, stored map[string]*wire.JobProgress, now time.Duration) {
 	id := entry.Job().GetId()
-	progress := stored[id]
+	progress, known := stored[id]
+	if known && progress == nil {
+		c.heldUntil[id] = now + elector.LeaseGrantWindow + c.leaseBound()
+	}
 	if progress == nil && indexer.Final(entry.RecordedState()) {
 		c.closed[id] = now
 		return
--- a/indexer/indexer.go
+++ b/indexer/indexer.go
@@ -12,6 +12,7 @@
 	"github.com/phuslu/log"
 	"google.golang.org/protobuf/proto"
 
+	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
 )
 
@@ -193,6 +194,10 @@
 		log.Error().Str("job", id).Err(err).Msg("job record ignored: it cannot be decoded")
 		return
 	}
+	if err := tracker.Validate(job); err != nil {
+		log.Error().Str("job", id).Err(err).Msg("job record ignored: the job is invalid")
+		return
+	}
 	e.job = job
 }
 
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -20,15 +20,13 @@
 	"damaskspread.example/damaskspread/indexer"
 	"damaskspread.example/damaskspread/tailer"
 	"damaskspread.example/damaskspread/tracer"
+	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
 )
 
 const (
 	// retryAfter is when callers are told to retry while the log is unavailable.
 	retryAfter = 2 * time.Second
-	maxSteps   = 64
-	// maxTasks limits the tasks of a job so that its progress fits in one record.
-	maxTasks = 4000
 )
 
 // Submitter implements damaskspread.JobService. Set its fields and call Init
@@ -58,8 +56,8 @@
 // Submit returns nil once the job is in the log, or if it was accepted before.
 // It sets the queue and the queue's policy in job. Errors are RefusalErrors.
 func (s *Submitter) Submit(ctx context.Context, queue *wire.Queue, job *wire.Job) error {
-	if err := validateJob(job); err != nil {
-		return err
+	if err := tracker.Validate(job); err != nil {
+		return damaskspread.NotRun(damaskspread.ReasonBadRequest, "%v", err)
 	}
 	if _, known := s.Index.Lookup(job.GetId()); known {
 		tracer.Write(&tracer.JobRepeated{
@@ -98,33 +96,6 @@
 	job.AcceptedUnixMs = s.Clock.Now().UnixMilli()
 }
 
-func validateJob(job *wire.Job) error {
-	steps := job.GetSteps()
-	if len(steps) == 0 || len(steps) > maxSteps {
-		return badRequest("job must have 1 to %d steps, got %d", maxSteps, len(steps))
-	}
-	tasks := 0
-	for i, step := range steps {
-		if step.GetCount() <= 0 {
-			return badRequest("step %d has no tasks; its count must be at least 1", i)
-		}
-		tasks += int(step.GetCount())
-		for _, earlier := range step.GetAfter() {
-			if earlier < 0 || int(earlier) >= i {
-				return badRequest("step %d runs after step %d, which is not an earlier step", i, earlier)
-			}
-		}
-	}
-	if tasks > maxTasks {
-		return badRequest("job has %d tasks, allowed are at most %d", tasks, maxTasks)
-	}
-	return nil
-}
-
-func badRequest(format string, args ...any) error {
-	return damaskspread.NotRun(damaskspread.ReasonBadRequest, format, args...)
-}
-
 // append returns the offset of the record once it is in the log. If ctx ends
 // first, the outcome of the refusal is not_run if no append can have taken effect,
 // otherwise unknown.
