--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -121,8 +121,8 @@
 	// openJobs and waitingSteps are the sizes of jobs and waiting, for readers on
 	// other goroutines.
 	openJobs, waitingSteps atomic.Int64
-	// cycleTime is how long the last cycle took without its append.
-	cycleTime time.Duration
+	// cycleTime is how long the last cycle took without its append, in nanoseconds.
+	cycleTime atomic.Int64
 
 	progress    *writer
 	adviceCache *adviceCache
@@ -245,9 +245,13 @@
 // then left for reports, renewals and callers where processors are scarce, and
 // more changes share a cycle.
 func (c *Coordinator) pauseAfterCycle() time.Duration {
-	return max(minCycleInterval, min(c.cycleTime, maxCycleInterval))
+	return max(minCycleInterval, min(c.CycleTime(), maxCycleInterval))
 }
 
+// CycleTime is how long the last scheduling cycle of this process computed. A
+// leader falls behind when it nears maxCycleInterval.
+func (c *Coordinator) CycleTime() time.Duration { return time.Duration(c.cycleTime.Load()) }
+
 // stepDown ends the leadership of an epoch, unless a later one has begun.
 func (c *Coordinator) stepDown(epoch int64) {
 	if c.currentEpoch() == epoch {
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -68,7 +68,7 @@
 		return err
 	}
 	stored := c.Elapsed.Elapsed()
-	defer func() { c.cycleTime = c.Elapsed.Elapsed() - started - (stored - storing) }()
+	defer func() { c.cycleTime.Store(int64(c.Elapsed.Elapsed() - started - (stored - storing))) }()
 	c.publish(cycle, epoch)
 	c.openJobs.Store(int64(len(c.jobs)))
 	c.waitingSteps.Store(int64(len(c.waiting)))
--- a/deduplicator/deduplicator_test.go
+++ b/deduplicator/deduplicator_test.go
@@ -235,20 +235,23 @@
 	cluster := newFakeCluster("a", "b")
 	cluster.assign(0, 1, "a", "b", true, "a", "b")
 	cluster.synchronize(t, "a", "b")
-	for range 2 {
-		reservation, _, _ := cluster.agents["a"].Begin(t.Context(), call(1, "k"))
-		assert.Assert(t, reservation.Commit(t.Context()) == nil)
-		if cluster.readyAppends++; cluster.readyAppends == 2 {
-			reservation.Refuse(t.Context(), damaskspread.NotRun(damaskspread.ReasonZoneOut, "zone out"))
-		}
-	}
+	reservation, _, _ := cluster.agents["a"].Begin(t.Context(), call(1, "k"))
+	assert.Assert(t, reservation.Commit(t.Context()) == nil)
+	cluster.delay = time.Hour // the withdrawal is held up
+	refused, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	refusal := reservation.Refuse(refused, damaskspread.NotRun(damaskspread.ReasonZoneOut, "zone out"))
+	cancel()
+	assertRefusal(t, refusal, notRun, damaskspread.ReasonZoneOut)
+	cluster.delay = 0
+	reservation, _, _ = cluster.agents["a"].Begin(t.Context(), call(1, "k"))
+	assert.Assert(t, reservation.Commit(t.Context()) == nil)
 	late := &wire.ReplicateRequest{
 		Service: service, Epoch: epochAt(1), From: hostRef("a"),
 		Entries: []*wire.KeyEntry{{Key: "k", BodyHash: []byte("h"), Proposal: 1, Withdrawn: true}},
 	}
 	assert.Assert(t, cluster.agents["b"].HandleReplicate(late).GetAccepted())
 	cluster.assign(1, 2, "b", "a", false, "a", "b")
-	_, refusal := cluster.run("b", call(2, "k"), 0)
+	_, refusal = cluster.run("b", call(2, "k"), 0)
 	assertRefusal(t, refusal, unknown, damaskspread.ReasonInProgress)
 }
 
--- a/launcher/health.go
+++ b/launcher/health.go
@@ -58,6 +58,7 @@
 	e.process.metricsSet.NewGauge("damaskspread_jobs_age_seconds", age(e.jobsTail))
 	e.process.metricsSet.NewGauge("damaskspread_leader_epoch", func() float64 { return float64(e.elector.Epoch()) })
 	e.process.metricsSet.NewGauge("damaskspread_open_jobs", func() float64 { return float64(e.coordinator.OpenJobs()) })
+	e.process.metricsSet.NewGauge("damaskspread_cycle_seconds", func() float64 { return e.coordinator.CycleTime().Seconds() })
 	e.process.metricsSet.NewGauge("damaskspread_agent_sessions", func() float64 { return float64(e.coordinator.Sessions()) })
 	e.process.metricsSet.NewGauge("damaskspread_waiting_steps", func() float64 { return float64(e.coordinator.WaitingSteps()) })
 	e.process.metricsSet.NewGauge("damaskspread_log_calls_relayed_total", func() float64 { return float64(e.logRelayer.RelayedCalls()) })
--- a/operator/tasks_test.go
+++ b/operator/tasks_test.go
@@ -217,6 +217,7 @@
 	assert.NilError(t, err)
 	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
 	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
 	assert.Equal(t, response.StatusCode, http.StatusBadRequest)
 	assert.NilError(t, connection.Close())
 
--- a/planner/layout.go
+++ b/planner/layout.go
@@ -12,11 +12,17 @@
 	// host that serves several of them is of as little use to it as any other,
 	// while one that serves none is always of use.
 	maxApartFactor = 1.4
-	// Weights of the image in the score of a host for a serving task, when images
-	// are kept apart and otherwise. The first outweighs all that speaks for a host
-	// with another image.
-	weightImageApart  = 3.0
+	// weightImagePacked is the weight of the image in the score of a host for a
+	// serving task, when images are not kept apart.
 	weightImagePacked = 0.5
+	// Scores of a host for a serving task when images are kept apart. They differ
+	// by more than all that speaks for a host otherwise. A host that serves several
+	// images already loses nothing by one more; a host that serves none is left
+	// free if possible, but taken before one that serves one other image.
+	scoreSameImage     = 6.0
+	scoreSeveralImages = 3.0
+	scoreNoImage       = 0.0
+	scoreOtherImage    = -3.0
 )
 
 // setServingLayout decides how serving tasks are placed in this plan. They are
@@ -58,14 +64,21 @@
 }
 
 // servingImageScore says how well a task of a serving image goes with the serving
-// tasks on the host, by the share of them that has the same image.
+// tasks on the host.
 func (h *Host) servingImageScore(image string) float64 {
 	if h.servingMillicores == 0 {
-		return 0
+		return scoreNoImage
 	}
-	same := float64(h.servingByImage.millicores(image)) / float64(h.servingMillicores)
+	same := h.servingByImage.millicores(image)
 	if !h.oneServingImage {
-		return weightImagePacked * same
+		return weightImagePacked * float64(same) / float64(h.servingMillicores)
+	}
+	switch {
+	case len(h.servingByImage) > 1:
+		return scoreSeveralImages
+	case same > 0:
+		return scoreSameImage
+	default:
+		return scoreOtherImage
 	}
-	return weightImageApart * (2*same - 1)
 }
