Serving images are kept apart on at most nine tenths of the hosts

Change: apart only while the images need, with the room that is lost, at most 0.9 of the hosts; further serving tasks take the room left on hosts that serve.

Before/after: TestServingTasksLeaveHostsFree: 69 of 70 hosts served, now 66.

--- a/planner/layout.go
+++ b/planner/layout.go
@@ -12,6 +12,13 @@
 	// host that serves several of them is of as little use to it as any other,
 	// while one that serves none is always of use.
 	maxApartFactor = 1.4
+	// fragmentFactor is how many more hosts serving images take apart than their
+	// tasks would fill: the room that is left on a host is often too small for
+	// another task of its image.
+	fragmentFactor = 1.1
+	// maxServingShare is the share of the hosts that may serve when images are kept
+	// apart. The others stay free for images that interfere with most.
+	maxServingShare = 0.9
 	// weightImagePacked is the weight of the image in the score of a host for a
 	// serving task, when images are not kept apart.
 	weightImagePacked = 0.5
@@ -29,7 +36,9 @@
 // always packed, so that best-effort tasks on the hosts without any interfere with
 // none. If serving tasks take most hosts anyway, it is better that each host serves
 // one image: a best-effort task then finds hosts whose image it does not interfere
-// with. With few serving tasks that would spread them over more hosts.
+// with. With few serving tasks that would spread them over more hosts. Once the
+// images don't fit apart on maxServingShare of the hosts, further serving tasks take
+// the room that is left on those that serve.
 func setServingLayout(groups []*tracker.Group, hosts []*Host) {
 	apart := servesApart(groups, hosts)
 	for _, host := range hosts {
@@ -60,7 +69,8 @@
 		total += millicores
 		hostsApart += math.Ceil(millicores / typical)
 	}
-	return hostsApart <= maxApartFactor*math.Ceil(total/typical)
+	fits := fragmentFactor*hostsApart <= maxServingShare*float64(len(hosts))
+	return fits && hostsApart <= maxApartFactor*math.Ceil(total/typical)
 }
 
 // servingImageScore says how well a task of a serving image goes with the serving
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -387,3 +387,29 @@
 	t.Logf("%d hosts serve, %d more than one image; %d of 240 best-effort tasks placed, %d disturb", len(images), mixed, placed, disturbed)
 	assert.Assert(t, placed-disturbed >= 216, "%d of 240 best-effort tasks run without interference, want 216", placed-disturbed)
 }
+
+// Guards against serving tasks on every host when they need most of them: no host is
+// then left for best-effort images that interfere with all serving images.
+func TestServingTasksLeaveHostsFree(t *testing.T) {
+	const hostCount, servingImages = 70, 8
+	random := rand.New(rand.NewPCG(12, 12))
+	p := &planner.Planner{}
+	var hosts []*planner.Host
+	for i := range hostCount {
+		hosts = append(hosts, newHost(fmt.Sprintf("%02d", i), 16))
+	}
+	serves := map[string]bool{}
+	placed := 0
+	for job := range 29 {
+		step := serving(fmt.Sprintf("web-%d", random.IntN(servingImages)))
+		step.Count = 14
+		step.Resources.Millicores = int64(1500 + random.IntN(1800))
+		for _, a := range p.Plan(readyGroups(newJob(fmt.Sprint(job), 0, step)), hosts) {
+			placed++
+			serves[a.Host.Name] = true
+		}
+	}
+	assert.Equal(t, placed, 29*14)
+	t.Logf("%d hosts serve", len(serves))
+	assert.Assert(t, len(serves) <= hostCount-4, "%d of %d hosts serve", len(serves), hostCount)
+}
