Validate names the first negative field; comments

Change: a slice in place of a map, TestValidate for each rule, wording.

Before/after: go test ./tracker ./deduplicator: ok.

--- a/deduplicator/request.go
+++ b/deduplicator/request.go
@@ -335,10 +335,11 @@
 	return true
 }
 
-// Refuse ends the ticket of a request that did not run and will not run, and
-// releases the key, also at the secondary to which it was proposed: that agent may
-// be primary by now, and an attempt there would wait for this one. The returned refusal has outcome unknown if an earlier
-// attempt with the key may have run.
+// Refuse ends the ticket of a request that did not run and will not run. It
+// releases the key here and at the secondary to which it was proposed: that agent
+// may be primary by now, and another attempt there would wait for this one. The
+// returned refusal has outcome unknown if an earlier attempt with the key may have
+// run.
 func (t *KeyReservation) Refuse(ctx context.Context, refusal *damaskspread.RefusalError) *damaskspread.RefusalError {
 	t.deduplicator.mu.Lock()
 	t.deduplicator.remove(t.shard, t.keyState)
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -1,6 +1,7 @@
 package tracker_test
 
 import (
+	"errors"
 	"strconv"
 	"testing"
 	"time"
@@ -259,3 +260,30 @@
 	})
 	assert.Assert(t, proto.Size(j.Progress()) < 30, "%d bytes", proto.Size(j.Progress()))
 }
+
+// Guards against jobs that would end the leader or make room for others on a full
+// host.
+func TestValidate(t *testing.T) {
+	valid := func() *wire.Job { return jobWith(&wire.JobStep{Count: 2}, &wire.JobStep{Count: 1, After: []int32{0}}) }
+	assert.NilError(t, tracker.Validate(valid()))
+	for name, change := range map[string]func(*wire.Job){
+		"no steps":               func(j *wire.Job) { j.Steps = nil },
+		"too many steps":         func(j *wire.Job) { j.Steps = make([]*wire.JobStep, tracker.MaxSteps+1) },
+		"no tasks":               func(j *wire.Job) { j.Steps[0].Count = 0 },
+		"negative count":         func(j *wire.Job) { j.Steps[0].Count = -1 },
+		"too many tasks":         func(j *wire.Job) { j.Steps[0].Count = tracker.MaxTasks },
+		"after itself":           func(j *wire.Job) { j.Steps[1].After = []int32{1} },
+		"after a negative step":  func(j *wire.Job) { j.Steps[1].After = []int32{-1} },
+		"negative processors":    func(j *wire.Job) { j.Steps[0].Resources = &wire.Resources{Millicores: -1} },
+		"negative memory":        func(j *wire.Job) { j.Steps[0].Resources = &wire.Resources{MemoryBytes: -1} },
+		"negative repetitions":   func(j *wire.Job) { j.RepeatCount = -1 },
+		"too many repetitions":   func(j *wire.Job) { j.RepeatCount = tracker.MaxOccurrences + 1 },
+		"too many tasks in all":  func(j *wire.Job) { j.Steps[0].Count = 1000; j.RepeatCount = 1000 },
+		"negative anti-affinity": func(j *wire.Job) { j.Steps[0].AntiAffinity = -1 },
+	} {
+		job := valid()
+		change(job)
+		var invalid *tracker.InvalidJobError
+		assert.Assert(t, errors.As(tracker.Validate(job), &invalid), name)
+	}
+}
--- a/tracker/validate.go
+++ b/tracker/validate.go
@@ -65,16 +65,19 @@
 		}
 	}
 	resources := step.GetResources()
-	for name, amount := range map[string]int64{
-		"processors":    resources.GetMillicores(),
-		"memory":        resources.GetMemoryBytes(),
-		"accelerators":  resources.GetAccelerators(),
-		"estimate":      step.GetEstimateMs(),
-		"anti-affinity": int64(step.GetAntiAffinity()),
-		"target":        step.GetTargetLatencyMs(),
+	for _, field := range []struct {
+		name  string
+		value int64
+	}{
+		{name: "processors", value: resources.GetMillicores()},
+		{name: "memory", value: resources.GetMemoryBytes()},
+		{name: "accelerators", value: resources.GetAccelerators()},
+		{name: "estimate", value: step.GetEstimateMs()},
+		{name: "anti-affinity", value: int64(step.GetAntiAffinity())},
+		{name: "target", value: step.GetTargetLatencyMs()},
 	} {
-		if amount < 0 {
-			return invalid("step %d has a negative value for %s", index, name)
+		if field.value < 0 {
+			return invalid("step %d has a negative value for %s", index, field.name)
 		}
 	}
 	return nil
