A request is checked once more immediately before it is sent to the endpoint

The agent checked zone, age and leave, then waited for a connection slot or dialed, and wrote the request without another look.

Ruled out: the check itself (the age counts the pause).

Change: forwarder.Request.MayStart is called when the connection is there, right before the first byte; the admitter passes the same check.

Before/after: TestChecksAgainBeforeSending: a request that waited for the connection while the configuration became stale ran; now it is refused with not_run. Between that check and the write a pause can still fall; only the endpoint could close that.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -162,7 +162,7 @@
 // admitAndForward admits a request and forwards it to the endpoint. It ends the
 // ticket, which is nil for a request without a key.
 func (a *Admitter) admitAndForward(ctx context.Context, request *wire.ExecuteRequest, ticket *deduplicator.KeyReservation) (*wire.ExecuteResponse, *damaskspread.RefusalError) {
-	slot, refusal := a.admit(ctx, request, ticket)
+	slot, mayStart, refusal := a.admit(ctx, request, ticket)
 	if refusal != nil {
 		if ticket != nil {
 			refusal = ticket.Refuse(ctx, refusal)
@@ -182,6 +182,8 @@
 		Path:    request.GetPath(),
 		Headers: request.GetHeaders(),
 		Body:    request.GetBody(),
+
+		MayStart: mayStart,
 	})
 	slot.Release(refusal == nil || refusal.Outcome != wire.Outcome_OUTCOME_NOT_RUN)
 	if refusal != nil {
@@ -211,12 +213,13 @@
 	return refusal
 }
 
-// admit waits for a slot and returns it if the request may run. The key is
-// replicated after the slot is acquired, so that requests that are shed cost no
-// message and leave no key at the secondary.
-func (a *Admitter) admit(ctx context.Context, request *wire.ExecuteRequest, ticket *deduplicator.KeyReservation) (*limiter.Waiter, *damaskspread.RefusalError) {
+// admit waits for a slot and returns it if the request may run, with the check to
+// repeat immediately before it starts. The key is replicated after the slot is
+// acquired, so that requests that are shed cost no message and leave no key at the
+// secondary.
+func (a *Admitter) admit(ctx context.Context, request *wire.ExecuteRequest, ticket *deduplicator.KeyReservation) (*limiter.Waiter, func() *damaskspread.RefusalError, *damaskspread.RefusalError) {
 	if refusal := a.checkAdmission(); refusal != nil {
-		return nil, refusal
+		return nil, nil, refusal
 	}
 	remaining := time.Duration(request.GetTimeoutUs()) * time.Microsecond
 	if deadline, ok := ctx.Deadline(); ok {
@@ -224,14 +227,14 @@
 	}
 	slot, refusal := a.Limiter.Acquire(ctx, request.GetPriority(), a.Clock.Now().Add(remaining))
 	if refusal != nil {
-		return nil, refusal
+		return nil, nil, refusal
 	}
 	checkAdmission := a.checkAdmission
 	if ticket != nil {
 		admittedAt := a.Clock.Now()
 		if refusal := ticket.Commit(ctx); refusal != nil {
 			slot.Release(false)
-			return nil, refusal
+			return nil, nil, refusal
 		}
 		if a.Clock.Since(admittedAt) <= admittedGrace {
 			checkAdmission = a.checkIgnoringLeave
@@ -239,9 +242,9 @@
 	}
 	if refusal := checkAdmission(); refusal != nil {
 		slot.Release(false)
-		return nil, refusal
+		return nil, nil, refusal
 	}
-	return slot, nil
+	return slot, checkAdmission, nil
 }
 
 // checkAdmission returns a refusal if no request may start now.
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -134,6 +134,34 @@
 	}
 }
 
+// Guards against a permission that runs out while an admitted request waits for a
+// connection to the endpoint, as in an agent that was paused there.
+func TestChecksAgainBeforeSending(t *testing.T) {
+	b := newTestAgent(t)
+	b.Limiter.Slots = 2
+	b.Forwarder.MaxConnections = 1
+	responses := make(chan *wire.ExecuteResponse, 2)
+	go func() { responses <- b.execute(t, "") }()
+	<-b.started
+	go func() { responses <- b.execute(t, "") }()
+	for b.Load().GetRunning() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond) // the second request waits for the connection
+	b.age.Store(int64(time.Minute))
+	close(b.proceed)
+	got := map[wire.Outcome]string{}
+	for range 2 {
+		response := <-responses
+		got[response.GetOutcome()] = response.GetReason()
+	}
+	assert.DeepEqual(t, got, map[wire.Outcome]string{
+		wire.Outcome_OUTCOME_RAN:     "",
+		wire.Outcome_OUTCOME_NOT_RUN: string(damaskspread.ReasonStaleConfiguration),
+	})
+	assert.Equal(t, b.executed.Load(), int32(1))
+}
+
 type peersFunc func()
 
 func (f peersFunc) Replicate(context.Context, string, *wire.ReplicateRequest) (*wire.ReplicateResponse, error) {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -52,6 +52,10 @@
 	Path    string
 	Headers []*wire.Header
 	Body    []byte
+	// MayStart, unless nil, is called immediately before the request is written and
+	// returns a refusal if it must not start any more. The wait for a connection may
+	// have outlasted the permission, most of all in a process that was paused.
+	MayStart func() *damaskspread.RefusalError
 }
 
 // Response is a complete response of the endpoint, without hop-by-hop headers.
@@ -116,6 +120,12 @@
 	if err != nil {
 		return nil, damaskspread.NotRun(damaskspread.ReasonEndpointFailed, "cannot connect to the endpoint: %v", err)
 	}
+	if request.MayStart != nil {
+		if refusal := request.MayStart(); refusal != nil {
+			f.addIdle(c)
+			return nil, refusal
+		}
+	}
 	response, reusable, refusal := roundTrip(ctx, c, httpRequest)
 	if refusal != nil || !reusable {
 		_ = c.Close()
