--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -99,6 +99,16 @@
 	return response.Msg
 }
 
+// receiveReasons waits for responses and returns their reasons by outcome.
+func receiveReasons(responses <-chan *wire.ExecuteResponse, count int) map[wire.Outcome]string {
+	reasons := map[wire.Outcome]string{}
+	for range count {
+		response := <-responses
+		reasons[response.GetOutcome()] = response.GetReason()
+	}
+	return reasons
+}
+
 // Guards against starting a queued request after the zone went out of service,
 // the host began to leave, or the configuration became stale.
 func TestChecksAgainBeforeRunning(t *testing.T) {
@@ -118,12 +128,7 @@
 			}
 			change(b)
 			close(b.proceed)
-			got := map[wire.Outcome]string{}
-			for range 2 {
-				response := <-responses
-				got[response.GetOutcome()] = response.GetReason()
-			}
-			assert.DeepEqual(t, got, map[wire.Outcome]string{
+			assert.DeepEqual(t, receiveReasons(responses, 2), map[wire.Outcome]string{
 				wire.Outcome_OUTCOME_RAN:     "",
 				wire.Outcome_OUTCOME_NOT_RUN: string(reason),
 			})
@@ -150,12 +155,7 @@
 	time.Sleep(20 * time.Millisecond) // the second request waits for the connection
 	b.age.Store(int64(time.Minute))
 	close(b.proceed)
-	got := map[wire.Outcome]string{}
-	for range 2 {
-		response := <-responses
-		got[response.GetOutcome()] = response.GetReason()
-	}
-	assert.DeepEqual(t, got, map[wire.Outcome]string{
+	assert.DeepEqual(t, receiveReasons(responses, 2), map[wire.Outcome]string{
 		wire.Outcome_OUTCOME_RAN:     "",
 		wire.Outcome_OUTCOME_NOT_RUN: string(damaskspread.ReasonStaleConfiguration),
 	})
