Stand-in executor starts a higher run while a lower one is in progress

Cause: the stand-in refused a second run of a task as old while the first was in progress. Ruled out: a check in the tests only; the refusal also changed what the agent did next. Change: runs are kept by task and run number; a start is refused as old only if a run with the same or a higher number was stopped or has ended.

--- a/emulator/job_executor.go
+++ b/emulator/job_executor.go
@@ -11,7 +11,9 @@
 )
 
 // JobExecutor is an in-memory executor of one host: it runs tasks under a lease
-// by its own clock and lists the runs that ended until Renew acknowledges them. It
+// by its own clock and lists the runs that ended until Renew acknowledges them. Like
+// the platform's executors, it starts a higher run of a task while a lower one is
+// still in progress. It
 // implements damaskspread.TaskExecutor. Call Boot before any other method; all
 // methods are safe for concurrent use.
 type JobExecutor struct {
@@ -23,14 +25,15 @@
 	// held; it may be nil.
 	Observe func(event RunEvent)
 
-	mu                  sync.Mutex
-	id                  string
-	bornUnixMs          int64
-	startedAt           time.Time
-	highestToken        int64
-	leaseEnd            time.Time
-	runs                map[string]*jobRun
-	latestRun           map[string]int32
+	mu           sync.Mutex
+	id           string
+	bornUnixMs   int64
+	startedAt    time.Time
+	highestToken int64
+	leaseEnd     time.Time
+	runs         map[runID]*jobRun
+	// endedRun has the highest run of each task that was stopped or has ended.
+	endedRun            map[string]int32
 	ended               []*wire.RunEnd
 	lastEndNumber       int64
 	unresponsive        bool
@@ -48,8 +51,13 @@
 	Cause wire.EndCause
 }
 
+// runID identifies one run of a task.
+type runID struct {
+	task string
+	run  int32
+}
+
 type jobRun struct {
-	number      int32
 	endsAt      time.Time
 	longRunning bool
 	fails       bool
@@ -62,16 +70,16 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.advance()
-	for task, run := range e.runs {
-		e.observe(task, run.number, wire.EndCause_END_CAUSE_LEASE_EXPIRED)
+	for id := range e.runs {
+		e.observe(id, wire.EndCause_END_CAUSE_LEASE_EXPIRED)
 	}
 	e.startedAt = e.Clock.Now()
 	e.id = id
 	e.bornUnixMs = max(e.bornUnixMs+1, e.startedAt.UnixMilli())
 	e.highestToken = 0
 	e.leaseEnd = time.Time{}
-	e.runs = map[string]*jobRun{}
-	e.latestRun = map[string]int32{}
+	e.runs = map[runID]*jobRun{}
+	e.endedRun = map[string]int32{}
 	e.ended = nil
 	e.lastEndNumber = 0
 	e.signal()
@@ -134,9 +142,9 @@
 	e.changed = make(chan struct{})
 }
 
-func (e *JobExecutor) observe(task string, run int32, cause wire.EndCause) {
+func (e *JobExecutor) observe(id runID, cause wire.EndCause) {
 	if e.Observe != nil {
-		e.Observe(RunEvent{Executor: e.id, Task: task, Run: run, Cause: cause})
+		e.Observe(RunEvent{Executor: e.id, Task: id.task, Run: id.run, Cause: cause})
 	}
 }
 
@@ -144,31 +152,32 @@
 // requires the lock.
 func (e *JobExecutor) advance() {
 	now := e.Clock.Now()
-	for task, run := range e.runs {
+	for id, run := range e.runs {
 		switch {
 		case !run.longRunning && !now.Before(run.endsAt) && !run.endsAt.After(e.leaseEnd):
 			cause := wire.EndCause_END_CAUSE_DONE
 			if run.fails {
 				cause = wire.EndCause_END_CAUSE_FAILED
 			}
-			e.endRun(task, run, cause)
+			e.endRun(id, run, cause)
 		case now.After(e.leaseEnd):
-			e.endRun(task, run, wire.EndCause_END_CAUSE_LEASE_EXPIRED)
+			e.endRun(id, run, wire.EndCause_END_CAUSE_LEASE_EXPIRED)
 		}
 	}
 }
 
-func (e *JobExecutor) endRun(task string, run *jobRun, cause wire.EndCause) {
-	delete(e.runs, task)
+func (e *JobExecutor) endRun(id runID, run *jobRun, cause wire.EndCause) {
+	delete(e.runs, id)
+	e.endedRun[id.task] = max(e.endedRun[id.task], id.run)
 	e.lastEndNumber++
 	e.ended = append(e.ended, &wire.RunEnd{
 		Number:     e.lastEndNumber,
-		Task:       task,
-		Run:        run.number,
+		Task:       id.task,
+		Run:        id.run,
 		Cause:      cause,
 		Checkpoint: run.checkpoint,
 	})
-	e.observe(task, run.number, cause)
+	e.observe(id, cause)
 	e.signal()
 }
 
@@ -222,10 +231,10 @@
 		ClockMs:    e.clockMs(),
 		Ended:      slices.Clone(e.ended),
 	}
-	for task, run := range e.runs {
+	for id, run := range e.runs {
 		state.Running = append(state.Running, &wire.TaskRun{
-			Task:       task,
-			Run:        run.number,
+			Task:       id.task,
+			Run:        id.run,
 			Checkpoint: run.checkpoint,
 		})
 	}
@@ -257,27 +266,26 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.extendLease(lease.DeadlineMs)
-	task := order.GetTask()
-	if run := e.runs[task]; run != nil && run.number == order.GetRun() {
+	run := runID{task: order.GetTask(), run: order.GetRun()}
+	if e.runs[run] != nil {
 		return nil
 	}
-	if order.GetRun() <= e.latestRun[task] || e.runs[task] != nil {
+	if run.run <= e.endedRun[run.task] {
 		return &damaskspread.StartRefusedError{Reason: damaskspread.RefusedOldRun}
 	}
 	if lease.DeadlineMs <= e.clockMs() {
 		return &damaskspread.StartRefusedError{Reason: damaskspread.RefusedLeaseOver}
 	}
-	e.startRun(order)
+	e.startRun(run, order)
 	if e.losesStartResponses {
 		return &damaskspread.WorkerUnknownError{Cause: errInjected}
 	}
 	return nil
 }
 
-func (e *JobExecutor) startRun(order *wire.StartOrder) {
-	work := e.TaskDuration(order.GetTask())
+func (e *JobExecutor) startRun(id runID, order *wire.StartOrder) {
+	work := e.TaskDuration(id.task)
 	run := &jobRun{
-		number:      order.GetRun(),
 		longRunning: work < 0,
 		fails:       e.failsTasks,
 		checkpoint:  order.GetCheckpoint(),
@@ -287,9 +295,8 @@
 		run.endsAt = e.Clock.Now()
 		run.longRunning = false
 	}
-	e.runs[order.GetTask()] = run
-	e.latestRun[order.GetTask()] = order.GetRun()
-	e.observe(order.GetTask(), order.GetRun(), wire.EndCause_END_CAUSE_UNSPECIFIED)
+	e.runs[id] = run
+	e.observe(id, wire.EndCause_END_CAUSE_UNSPECIFIED)
 }
 
 // Stop implements damaskspread.TaskExecutor.
@@ -299,11 +306,11 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	task := order.GetTask()
-	e.latestRun[task] = max(e.latestRun[task], order.GetRun())
-	if run := e.runs[task]; run != nil && run.number <= order.GetRun() {
-		run.checkpoint = "saved-" + task
-		e.endRun(task, run, wire.EndCause_END_CAUSE_STOPPED)
+	stopped := runID{task: order.GetTask(), run: order.GetRun()}
+	e.endedRun[stopped.task] = max(e.endedRun[stopped.task], stopped.run)
+	if run := e.runs[stopped]; run != nil {
+		run.checkpoint = "saved-" + stopped.task
+		e.endRun(stopped, run, wire.EndCause_END_CAUSE_STOPPED)
 	}
 	return nil
 }
