Failing test: an order outlives its executor and starts a run on the next one

The stand-in breaks off a held renewal when another incarnation replaces its executor, as a real one does; without that the new session opens too late for the fault to show.

--- a/emulator/job_executor.go
+++ b/emulator/job_executor.go
@@ -223,9 +223,12 @@
 	e.extendLease(lease.DeadlineMs)
 	e.ended = slices.DeleteFunc(e.ended, func(end *wire.RunEnd) bool { return end.GetNumber() <= seen })
 	e.mu.Unlock()
-	e.awaitEnd(ctx, wait)
+	e.awaitEnd(ctx, id, wait)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.id != id {
+		return nil, &damaskspread.WorkerUnknownError{Cause: errInjected}
+	}
 	state := &wire.ExecutorState{
 		BornUnixMs: e.bornUnixMs,
 		ClockMs:    e.clockMs(),
@@ -241,17 +244,18 @@
 	return state, nil
 }
 
-// awaitEnd waits until an ended run is listed. It polls, because only advance
-// detects the end of a run.
-func (e *JobExecutor) awaitEnd(ctx context.Context, wait time.Duration) {
+// awaitEnd waits until an ended run is listed or another incarnation has replaced
+// the one with the given id. It polls, because only advance detects the end of a
+// run.
+func (e *JobExecutor) awaitEnd(ctx context.Context, id string, wait time.Duration) {
 	const pollInterval = 5 * time.Millisecond
 	deadline := e.Clock.Now().Add(wait)
 	for e.Clock.Now().Before(deadline) && ctx.Err() == nil {
 		e.mu.Lock()
 		e.advance()
-		ended := len(e.ended) > 0
+		over := len(e.ended) > 0 || e.id != id
 		e.mu.Unlock()
-		if ended {
+		if over {
 			return
 		}
 		e.Clock.Sleep(pollInterval)
--- /dev/null
+++ b/runner/incarnation_test.go
@@ -0,0 +1,148 @@
+package runner_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/emulator"
+	"damaskspread.example/damaskspread/wire"
+)
+
+var errConnectionRefused = errors.New("connection refused")
+
+// crashingExecutor is an executor that can go down: it then breaks off renewals and
+// refuses all calls, each after a different delay, so that the repeated calls of
+// several orders are spread over time.
+type crashingExecutor struct {
+	*emulator.JobExecutor
+
+	mu            sync.Mutex
+	down          bool
+	refusedStarts int
+	refusedRenews int
+}
+
+func (e *crashingExecutor) setDown(down bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down = down
+}
+
+// refusals returns how many starts and renewals were refused.
+func (e *crashingExecutor) refusals() (starts, renews int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.refusedStarts, e.refusedRenews
+}
+
+func (e *crashingExecutor) Start(ctx context.Context, id string, order *wire.StartOrder, lease *damaskspread.Lease) error {
+	e.mu.Lock()
+	down := e.down
+	if down {
+		e.refusedStarts++
+	}
+	delay := time.Duration(e.refusedStarts%10) * 9 * time.Millisecond
+	e.mu.Unlock()
+	if down {
+		time.Sleep(delay)
+		return errConnectionRefused
+	}
+	return e.JobExecutor.Start(ctx, id, order, lease)
+}
+
+func (e *crashingExecutor) Renew(ctx context.Context, id string, lease *damaskspread.Lease, seen int64, _ time.Duration) (*wire.ExecutorState, error) {
+	e.mu.Lock()
+	down := e.down
+	if down {
+		e.refusedRenews++
+	}
+	e.mu.Unlock()
+	if down {
+		return nil, errConnectionRefused
+	}
+	return e.JobExecutor.Renew(ctx, id, lease, seen, 10*time.Millisecond)
+}
+
+// startsByExecutor records which runs each executor incarnation started.
+type startsByExecutor struct {
+	mu     sync.Mutex
+	starts map[string][]string
+}
+
+func (s *startsByExecutor) observe(event emulator.RunEvent) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if event.Cause == wire.EndCause_END_CAUSE_UNSPECIFIED {
+		s.starts[event.Executor] = append(s.starts[event.Executor], fmt.Sprintf("%s run %d", event.Task, event.Run))
+	}
+}
+
+func (s *startsByExecutor) on(executor string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.starts[executor]
+}
+
+// Guards against two runs of one task: an order for an executor that went down
+// must not be carried out on the executor that replaces it, because the leader
+// releases the run with the old one and orders the next run.
+func TestOrderEndsWithItsExecutor(t *testing.T) {
+	for _, downtime := range []time.Duration{100 * time.Millisecond, 250 * time.Millisecond, 280 * time.Millisecond, 440 * time.Millisecond, 590 * time.Millisecond} {
+		t.Run(downtime.String(), func(t *testing.T) { testOrderEndsWithItsExecutor(t, downtime) })
+	}
+}
+
+// testOrderEndsWithItsExecutor replaces an executor that has been down for a time,
+// with orders for it in progress.
+func testOrderEndsWithItsExecutor(t *testing.T, downtime time.Duration) {
+	const tasks = 8
+	starts := &startsByExecutor{starts: map[string][]string{}}
+	executor := &emulator.JobExecutor{
+		Clock:        clockwork.NewRealClock(),
+		TaskDuration: func(string) time.Duration { return -1 },
+		Observe:      starts.observe,
+	}
+	executor.Boot("executor-1")
+	crashing := &crashingExecutor{JobExecutor: executor}
+	l := &fakeLeader{}
+	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
+		response := &wire.ExchangeResponse{}
+		if request.GetWaitMs() > 0 {
+			time.Sleep(5 * time.Millisecond)
+		}
+		if request.GetOrdersReceived() > 0 || request.GetOpening() || request.GetExecutor().GetId() != "executor-1" {
+			return response
+		}
+		crashing.setDown(true)
+		for number := int64(1); number <= tasks; number++ {
+			order := &wire.StartOrder{Task: fmt.Sprintf("a.0.0.%d", number), Run: 1}
+			response.Orders = append(response.Orders, &wire.Order{Number: number, Kind: &wire.Order_Start{Start: order}})
+		}
+		return response
+	}
+	r := startRunner(t, l, executor, crashing)
+	waitFor(t, "refused call for each order", func() bool {
+		refusedStarts, refusedRenews := crashing.refusals()
+		return refusedStarts >= tasks && refusedRenews > 0
+	})
+	time.Sleep(downtime)
+	executor.Boot("executor-2")
+	crashing.setDown(false)
+	r.ExecutorAnnounced(executor.Info("planning", "zone", &wire.Resources{Millicores: 8000}))
+	waitFor(t, "session for the second executor", func() bool {
+		return l.received(func(request *wire.ExchangeRequest) bool {
+			return request.GetExecutor().GetId() == "executor-2" && request.GetWaitMs() > 0
+		})
+	})
+	// Longer than the pause between two calls for an order.
+	time.Sleep(300 * time.Millisecond)
+	assert.DeepEqual(t, starts.on("executor-2"), []string(nil))
+}
