An order ends with the executor incarnation for which it was given

Cause: an order's loop in the agent read the present executor anew for each repeated call. An order that was given for an executor that had gone down was therefore carried out on the incarnation that replaced it, once the new session had brought a lease. The leader had released the run with the old incarnation and ordered the next run. Class of fault: an order that is not bound to the life of its addressee. Ruled out: two runs ordered in one session (both would be younger than the discovery), a call carried out late by the executor (the agent logs the start). Change: acceptOrders passes the executor of the session on to start and stop. Both end without a call, refusal or check when another incarnation is present; stops of a draining executor are bound in the same way. The leader needs no refusal, it releases the runs of an executor that has ended by itself.

--- a/jobs.go
+++ b/jobs.go
@@ -191,8 +191,6 @@
 	RefusedUnknownStep StartRefusal = "unknown_step"
 	// RefusedOrderExpired means that the order reached the agent too late.
 	RefusedOrderExpired StartRefusal = "order_expired"
-	// RefusedExecutorGone means that the executor that the order names has ended.
-	RefusedExecutorGone StartRefusal = "executor_gone"
 )
 
 // WrongIncarnationError means that another incarnation of an executor responds
--- a/runner/drain.go
+++ b/runner/drain.go
@@ -19,7 +19,8 @@
 // so that their progress is saved and they can resume on another executor.
 func (r *Runner) drainOnce(ctx context.Context) {
 	r.pause(ctx, drainInterval)
-	for _, run := range r.runsToDrain() {
+	info, runs := r.runsToDrain()
+	for _, run := range runs {
 		tracer.Write(&tracer.StopOrdered{
 			Job:    tracker.JobOf(run.GetTask()),
 			Task:   run.GetTask(),
@@ -28,7 +29,7 @@
 			Reason: tracer.StopDraining,
 		})
 		r.activeOrders.Go(func() {
-			r.stop(ctx, &wire.StopOrder{
+			r.stop(ctx, info, &wire.StopOrder{
 				Task: run.GetTask(),
 				Run:  run.GetRun(),
 			})
@@ -36,13 +37,13 @@
 	}
 }
 
-// runsToDrain returns the runs that must be stopped now and were not ordered to
-// stop before.
-func (r *Runner) runsToDrain() []*wire.TaskRun {
+// runsToDrain returns the draining executor and the runs that must be stopped now
+// and were not ordered to stop before.
+func (r *Runner) runsToDrain() (*wire.ExecutorInfo, []*wire.TaskRun) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.drainAt == 0 || r.info == nil || r.Elapsed.Elapsed() < r.drainAt-r.StopWithin-drainMargin {
-		return nil
+		return nil, nil
 	}
 	var due []*wire.TaskRun
 	for _, run := range r.running {
@@ -53,5 +54,5 @@
 		r.drainStops[key] = true
 		due = append(due, run)
 	}
-	return due
+	return r.info, due
 }
--- a/runner/exchange.go
+++ b/runner/exchange.go
@@ -220,7 +220,8 @@
 	})
 }
 
-// acceptOrders starts a goroutine for each order that was not received before.
+// acceptOrders starts a goroutine for each order that was not received before. The
+// orders of a session are for the executor for which it was opened.
 func (r *Runner) acceptOrders(ctx context.Context, response *wire.ExchangeResponse, sentAt time.Duration) {
 	held := time.Duration(response.GetHeldMs()) * time.Millisecond
 	for _, order := range response.GetOrders() {
@@ -233,6 +234,7 @@
 			continue
 		}
 		decidedAt := sentAt + held - time.Duration(order.GetAgeMs())*time.Millisecond
-		r.activeOrders.Go(func() { r.executeOrder(ctx, order, decidedAt) })
+		info := r.info
+		r.activeOrders.Go(func() { r.executeOrder(ctx, info, order, decidedAt) })
 	}
 }
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -21,9 +21,9 @@
 	orderRetry   = 100 * time.Millisecond
 )
 
-// executeOrder waits for one of the order slots and carries out the order. The
-// caller does not hold the mutex.
-func (r *Runner) executeOrder(ctx context.Context, order *wire.Order, decidedAt time.Duration) {
+// executeOrder waits for one of the order slots and carries out the order on the
+// executor for which it was given. The caller does not hold the mutex.
+func (r *Runner) executeOrder(ctx context.Context, info *wire.ExecutorInfo, order *wire.Order, decidedAt time.Duration) {
 	select {
 	case r.orderSlots <- struct{}{}:
 	case <-ctx.Done():
@@ -32,35 +32,33 @@
 	defer func() { <-r.orderSlots }()
 	switch kind := order.GetKind().(type) {
 	case *wire.Order_Start:
-		r.start(ctx, kind.Start, decidedAt)
+		r.start(ctx, info, kind.Start, decidedAt)
 	case *wire.Order_Stop:
-		r.stop(ctx, kind.Stop)
+		r.stop(ctx, info, kind.Stop)
 	}
 }
 
 // startDecision says whether a start order may be sent to the executor now.
 type startDecision struct {
-	info  *wire.ExecutorInfo
 	lease damaskspread.Lease
 	// handled means that the run is running, has ended or belongs to another
-	// order.
+	// order, or that the executor for which the order was given has ended.
 	handled bool
 	refusal damaskspread.StartRefusal
 }
 
 // decideStart checks whether a start is still allowed. The first order for a run
 // that reaches this point either starts the run or refuses it for good; other
-// orders for the same run are skipped.
-func (r *Runner) decideStart(order *wire.StartOrder, decidedAt time.Duration) startDecision {
+// orders for the same run are skipped. An order ends with its executor: the leader
+// releases the runs of an executor that was replaced or has left, and orders their
+// next runs.
+func (r *Runner) decideStart(info *wire.ExecutorInfo, order *wire.StartOrder, decidedAt time.Duration) startDecision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	key := runKey{order.GetTask(), order.GetRun()}
-	decision := startDecision{
-		info:  r.info,
-		lease: r.executorLease(),
-	}
-	if r.info == nil {
-		decision.refusal = damaskspread.RefusedExecutorGone
+	decision := startDecision{lease: r.executorLease()}
+	if !r.isPresent(info) {
+		decision.handled = true
 		return decision
 	}
 	r.steps[key] = order.GetStep()
@@ -87,22 +85,22 @@
 	return decision
 }
 
-func (r *Runner) start(ctx context.Context, order *wire.StartOrder, decidedAt time.Duration) {
+func (r *Runner) start(ctx context.Context, info *wire.ExecutorInfo, order *wire.StartOrder, decidedAt time.Duration) {
 	key := runKey{order.GetTask(), order.GetRun()}
 	mayHaveStarted := false
 	for ctx.Err() == nil {
-		decision := r.decideStart(order, decidedAt)
+		decision := r.decideStart(info, order, decidedAt)
 		switch {
 		case decision.handled:
 			return
 		case decision.refusal != "" && mayHaveStarted:
-			r.stop(ctx, &wire.StopOrder{Task: order.GetTask(), Run: order.GetRun()})
+			r.stop(ctx, info, &wire.StopOrder{Task: order.GetTask(), Run: order.GetRun()})
 			return
 		case decision.refusal != "":
-			r.reportRefusal(key, decision.refusal)
+			r.reportRefusal(info, key, decision.refusal)
 			return
 		}
-		err := r.callStart(ctx, order, &decision)
+		err := r.callStart(ctx, info, order, &decision.lease)
 		if err == nil {
 			tracer.Write(&tracer.TaskStarted{
 				Job:        tracker.JobOf(key.task),
@@ -116,24 +114,24 @@
 		}
 		var unknown *damaskspread.WorkerUnknownError
 		mayHaveStarted = mayHaveStarted || errors.As(err, &unknown)
-		if r.handleStartError(key, err, mayHaveStarted) {
+		if r.handleStartError(info, key, err, mayHaveStarted) {
 			return
 		}
 		r.pause(ctx, orderRetry)
 	}
 }
 
-func (r *Runner) callStart(ctx context.Context, order *wire.StartOrder, decision *startDecision) error {
+func (r *Runner) callStart(ctx context.Context, info *wire.ExecutorInfo, order *wire.StartOrder, lease *damaskspread.Lease) error {
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	return r.Executor.Start(callCtx, decision.info.GetId(), order, &decision.lease)
+	return r.Executor.Start(callCtx, info.GetId(), order, lease)
 }
 
 // handleStartError reports definite refusals to the leader and returns whether
 // the order is finished. If an earlier call got no response, the refusal of a
 // repeated call does not show whether the run started; the executor's lists or
 // a stop order show it.
-func (r *Runner) handleStartError(key runKey, err error, mayHaveStarted bool) bool {
+func (r *Runner) handleStartError(info *wire.ExecutorInfo, key runKey, err error, mayHaveStarted bool) bool {
 	var refused *damaskspread.StartRefusedError
 	var fenced *damaskspread.FencedError
 	var wrong *damaskspread.WrongIncarnationError
@@ -141,28 +139,36 @@
 	case errors.As(err, &wrong):
 		return true
 	case errors.As(err, &fenced) && !mayHaveStarted:
-		r.reportRefusal(key, damaskspread.RefusedOrderExpired)
+		r.reportRefusal(info, key, damaskspread.RefusedOrderExpired)
 		return true
 	case !errors.As(err, &refused):
 		log.Debug().Str("task", key.task).Int32("run", key.run).Err(err).Msg("start call failed; retrying")
 		return false
 	case refused.Reason == damaskspread.RefusedOldRun:
 		// The run may have ended on this executor; its next lists show it.
-		r.scheduleCheck(key, 0)
+		r.scheduleCheck(info, key, 0)
 		return true
 	case mayHaveStarted:
 		log.Info().Str("task", key.task).Int32("run", key.run).Err(err).Msg("repeated start refused; an earlier call may have started the run")
 		return false
 	default:
-		r.reportRefusal(key, refused.Reason)
+		r.reportRefusal(info, key, refused.Reason)
 		return true
 	}
 }
 
-func (r *Runner) reportRefusal(key runKey, reason damaskspread.StartRefusal) {
+// reportRefusal reports that a run does not start on an executor, unless that
+// executor has ended meanwhile.
+func (r *Runner) reportRefusal(info *wire.ExecutorInfo, key runKey, reason damaskspread.StartRefusal) {
 	r.mu.Lock()
-	r.addRefusal(key, reason)
+	present := r.isPresent(info)
+	if present {
+		r.addRefusal(key, reason)
+	}
 	r.mu.Unlock()
+	if !present {
+		return
+	}
 	tracer.Write(&tracer.StartRefused{
 		Job:    tracker.JobOf(key.task),
 		Task:   key.task,
@@ -174,23 +180,25 @@
 }
 
 // scheduleCheck looks the run up in the first lists that are requested from the
-// executor after a delay.
-func (r *Runner) scheduleCheck(key runKey, delay time.Duration) {
+// executor after a delay, unless the executor has ended meanwhile.
+func (r *Runner) scheduleCheck(info *wire.ExecutorInfo, key runKey, delay time.Duration) {
 	r.mu.Lock()
-	r.checksDue[key] = r.Elapsed.Elapsed() + delay
+	if r.isPresent(info) {
+		r.checksDue[key] = r.Elapsed.Elapsed() + delay
+	}
 	r.mu.Unlock()
 	signal(r.renewWake)
 }
 
 // stop repeats the order until the executor accepts it, has left or has been
 // replaced, or rejects the epoch.
-func (r *Runner) stop(ctx context.Context, order *wire.StopOrder) {
+func (r *Runner) stop(ctx context.Context, info *wire.ExecutorInfo, order *wire.StopOrder) {
 	key := runKey{order.GetTask(), order.GetRun()}
 	for ctx.Err() == nil {
 		r.mu.Lock()
-		info, token := r.info, r.epoch
+		present, token := r.isPresent(info), r.epoch
 		r.mu.Unlock()
-		if info == nil {
+		if !present {
 			return
 		}
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -205,7 +213,7 @@
 				Task: key.task,
 				Run:  key.run,
 			})
-			r.scheduleCheck(key, r.StopWithin)
+			r.scheduleCheck(info, key, r.StopWithin)
 			return
 		case errors.As(err, &wrong) || errors.As(err, &fenced):
 			return
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -258,6 +258,12 @@
 	r.resetSession()
 }
 
+// isPresent reports whether an incarnation is still the present executor. The caller
+// holds the mutex.
+func (r *Runner) isPresent(info *wire.ExecutorInfo) bool {
+	return r.info != nil && sameIncarnation(r.info, info)
+}
+
 func sameIncarnation(a, b *wire.ExecutorInfo) bool {
 	return a.GetId() == b.GetId() && a.GetBornUnixMs() == b.GetBornUnixMs()
 }
