A late deregistration does not end the session of a restarted executor

A deregistration names the executor's id only. An executor may restart under its id; a deregistration of the incarnation before that arrives late made the agent report the running executor as left, and the leader started its tasks elsewhere at once, while they ran on. Callers could see two runs of one task. Ruled out: comparing incarnations, the call has no body. Change: a deregistration counts only after the executor has announced that it is draining, which precedes each planned end. Result: TestLateDeregistration fails before (the executor was reported as left) and passes; TestDeregistrationAfterDraining passes before and after.

--- a/runner/runner.go
+++ b/runner/runner.go
@@ -244,13 +244,19 @@
 }
 
 // ExecutorLeft implements damaskspread.ExecutorObserver. It has no effect unless
-// the id is that of the present executor.
+// the id is that of the present executor and that one has announced that it is
+// draining: the call names no incarnation, so a late one may come from the
+// incarnation before.
 func (r *Runner) ExecutorLeft(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.info.GetId() != id {
 		return
 	}
+	if !r.info.GetDraining() {
+		log.Warn().Str("executor", id).Int64("born", r.info.GetBornUnixMs()).Msg("deregistration ignored: the executor is not draining")
+		return
+	}
 	log.Info().Str("executor", id).Msg("executor left")
 	r.left = r.info
 	r.leftAt = r.Elapsed.Elapsed()
