Starts without a response are stopped after the executor restarted under its id

Calls name an executor by its id, and an executor may restart under the id that it had. A start that was sent to the incarnation before, and got no response, can take effect in the new one after the agent has read its lists and opened the session. The leader has released the run by then and ordered the next one. Ruled out: the fencing token (the new incarnation has seen none), the deadline (its clock starts anew, so the old deadline is far ahead), the binding of orders (the call is already sent). Change: the agent remembers starts without a definite response. If the executor restarts under its id, it stops these runs there before it reads the lists for the next session; the executor then refuses the start.

--- a/runner/orders.go
+++ b/runner/orders.go
@@ -78,6 +78,7 @@
 		decision.refusal = damaskspread.RefusedLeaseOver
 	default:
 		r.startOwners[key] = order
+		r.unsettled[key] = true
 	}
 	if decision.refusal != "" && owner == nil {
 		r.rememberRefusal(key, decision.refusal)
@@ -101,6 +102,11 @@
 			return
 		}
 		err := r.callStart(ctx, info, order, &decision.lease)
+		var unknown *damaskspread.WorkerUnknownError
+		mayHaveStarted = mayHaveStarted || errors.As(err, &unknown)
+		if !mayHaveStarted {
+			r.markSettled(info, key)
+		}
 		if err == nil {
 			tracer.Write(&tracer.TaskStarted{
 				Job:        tracker.JobOf(key.task),
@@ -112,8 +118,6 @@
 			})
 			return
 		}
-		var unknown *damaskspread.WorkerUnknownError
-		mayHaveStarted = mayHaveStarted || errors.As(err, &unknown)
 		if r.handleStartError(info, key, err, mayHaveStarted) {
 			return
 		}
--- a/runner/renew.go
+++ b/runner/renew.go
@@ -41,6 +41,10 @@
 		r.waitForSignal(ctx, r.renewWake, idleWait)
 		return
 	}
+	if err := r.settleStarts(ctx, call); err != nil {
+		r.handleRenewError(ctx, call, err)
+		return
+	}
 	callCtx, cancel := context.WithTimeout(ctx, call.wait+renewTimeoutMargin)
 	defer cancel()
 	state, err := r.Executor.Renew(callCtx, call.info.GetId(), &call.lease, call.dropUpTo, call.wait)
@@ -248,11 +252,13 @@
 	}
 }
 
-// forgetRun deletes the step, the pace and the start order of a run.
+// forgetRun deletes the step, the pace and the start order of a run that has ended
+// or does not start.
 func (r *Runner) forgetRun(key runKey) {
 	delete(r.steps, key)
 	delete(r.paces, key)
 	delete(r.startOwners, key)
+	delete(r.unsettled, key)
 }
 
 func (r *Runner) refusalRetention() time.Duration {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -109,6 +109,12 @@
 	// keptSteps holds the steps received in this session, by Group.Name.
 	keptSteps map[string]*keptStep
 	paces     map[runKey]int
+	// unsettled holds the runs whose start was called without a definite response:
+	// the call is in progress, or its response was lost.
+	unsettled map[runKey]bool
+	// restarted holds the runs that were unsettled when the executor restarted
+	// under its id. They are stopped before the next session opens.
+	restarted []runKey
 	// drainStops holds the runs that drainOnce has ordered to stop.
 	drainStops map[runKey]bool
 	// pressureVersion is the version of the pacer's interference weights.
@@ -186,6 +192,7 @@
 // begins with a new one. The caller holds the mutex.
 func (r *Runner) resetExecutor(info *wire.ExecutorInfo) {
 	r.resetSession()
+	r.keepUnsettled(info)
 	r.info = info
 	r.left = nil
 	r.drainAt = 0
@@ -199,6 +206,7 @@
 	r.steps = map[runKey]*wire.JobStep{}
 	r.paces = map[runKey]int{}
 	r.drainStops = map[runKey]bool{}
+	r.unsettled = map[runKey]bool{}
 	r.executorClock = clockReading{
 		clockMs: info.GetClockMs(),
 		at:      r.Elapsed.Elapsed(),
