The leader adopts the latest run of a task where it finds it in progress

When a session opened, the leader stopped each listed run that was not assigned to this incarnation and started the next run of its task in the same cycle. If the start took effect in the incarnation that replaced its addressee under the same id, both runs were in progress until the stop took effect. Ruled out: waiting for the end of the stop; that loses the work for nothing. Change: a listed run that is the latest of its task, while the task waits or is assigned to another incarnation with that id, is assigned to the executor that lists it. The event "run adopted" tells it.

--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -112,11 +112,14 @@
 	return keys
 }
 
-// reconcile stops runs that are not assigned to the executor, and sends starts
-// for those that are.
+// reconcile adopts or stops runs that are not assigned to the executor, and sends
+// starts for those that are.
 func (c *Coordinator) reconcile(view *sessionView) {
 	for _, run := range view.running {
 		t := c.task(run.GetTask())
+		if t != nil && mayAdopt(t, run.GetRun(), view.key) {
+			c.adopt(view, t)
+		}
 		if t == nil || !t.Assigned() || t.Run() != run.GetRun() || t.Executor() != view.key {
 			view.addStopOrder(run.GetTask(), run.GetRun(), tracer.StopOrdered{
 				Reason: tracer.StopNotAssigned,
@@ -138,6 +141,30 @@
 	})
 }
 
+// mayAdopt reports whether a run that is in progress on an executor is the latest
+// one of its task although the task is not assigned to that executor: it waits for
+// a host, or is assigned to another incarnation with the same id. The start took
+// effect late, or in the incarnation that replaced the one it was sent to.
+func mayAdopt(t *tracker.Task, run int32, executor tracker.ExecutorKey) bool {
+	if t.Run() != run || t.Job().Over() || t.Executor() == executor {
+		return false
+	}
+	return t.Pending() || (t.Assigned() && t.Executor().ID == executor.ID)
+}
+
+// adopt assigns the task's latest run to the executor on which it is in progress.
+// Otherwise the next run would start beside it.
+func (c *Coordinator) adopt(view *sessionView, t *tracker.Task) {
+	t.Adopt(view.key, view.host)
+	tracer.Write(&tracer.RunAdopted{
+		Job:      t.ID().Job,
+		Task:     t.ID().String(),
+		Run:      t.Run(),
+		Host:     view.host,
+		Executor: view.key.ID,
+	})
+}
+
 // repeatStarts resends the start of each assigned run that the agent does not list
 // as running. The agent ignores starts of runs that are in progress or have ended.
 func (c *Coordinator) repeatStarts(view *sessionView, now time.Duration) {
--- a/tracer/events.go
+++ b/tracer/events.go
@@ -63,6 +63,7 @@
 	KindTaskStopped    Kind = "task stopped"
 	KindRunEnded       Kind = "run ended"
 	KindRunLost        Kind = "run lost with its executor"
+	KindRunAdopted     Kind = "run adopted"
 )
 
 // JobAccepted means that the record of a new job is in the log.
@@ -231,6 +232,16 @@
 	Executor string `json:"executor"`
 }
 
+// RunAdopted means that the leader found the latest run of a task in progress on an
+// executor to which it was not assigned, and assigned it.
+type RunAdopted struct {
+	Job      string `json:"job"`
+	Task     string `json:"task"`
+	Run      int32  `json:"run"`
+	Host     string `json:"host"`
+	Executor string `json:"executor"`
+}
+
 func (*JobAccepted) kind() Kind    { return KindJobAccepted }
 func (*JobRepeated) kind() Kind    { return KindJobRepeated }
 func (*JobCanceled) kind() Kind    { return KindJobCanceled }
@@ -246,6 +257,7 @@
 func (*TaskStopped) kind() Kind    { return KindTaskStopped }
 func (*RunEnded) kind() Kind       { return KindRunEnded }
 func (*RunLost) kind() Kind        { return KindRunLost }
+func (*RunAdopted) kind() Kind     { return KindRunAdopted }
 
 func (e *JobAccepted) job() string    { return e.Job }
 func (e *JobRepeated) job() string    { return e.Job }
@@ -262,6 +274,7 @@
 func (e *TaskStopped) job() string    { return e.Job }
 func (e *RunEnded) job() string       { return e.Job }
 func (e *RunLost) job() string        { return e.Job }
+func (e *RunAdopted) job() string     { return e.Job }
 
 // newEventByKind maps each kind to the constructor of an empty event.
 var newEventByKind = map[Kind]func() Event{
@@ -280,6 +293,7 @@
 	KindTaskStopped:    func() Event { return &TaskStopped{} },
 	KindRunEnded:       func() Event { return &RunEnded{} },
 	KindRunLost:        func() Event { return &RunLost{} },
+	KindRunAdopted:     func() Event { return &RunAdopted{} },
 }
 
 // Kinds returns all kinds of events, in no particular order.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -136,6 +136,14 @@
 	}
 }
 
+// Adopt assigns the latest run, which is in progress on an executor, to that
+// executor.
+func (t *Task) Adopt(executor ExecutorKey, host string) {
+	t.setState(wire.JobTaskState_JOB_TASK_STATE_ASSIGNED, executor)
+	t.host = host
+	t.job.markChanged()
+}
+
 // MarkStopping records that the current run was ordered to stop. The task stays
 // assigned until the run ends.
 func (t *Task) MarkStopping() { t.stopping = true }
