A server closes no unused connection that a client may still use

Cause: the transport of net/http opens a connection for a request and sends the request on another one that became idle first. The new connection then waits in the pool without a request. net/http's server counts ReadHeaderTimeout from its acceptance and closed it after 10 s (5 s in the launcher), while clients keep idle connections for 2 minutes or 90 s. A request on it at that moment failed with EOF and was answered "unknown connection_lost" although it never arrived. TestAnswersAreWhole saw one such response beside load. The launcher's idleTimeout of 60 s was also shorter than the 90 s of its clients. Ruled out: a retry by the transport. It repeats no POST and no request on a fresh connection. Change: connector.Serve applies ReadHeaderTimeout from the first byte and 5 minutes before it; server and launcher use it. The launcher keeps idle connections for 2 minutes. The header limit for slow clients is the same.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -38,7 +38,9 @@
 
 const (
 	headerTimeout = 5 * time.Second
-	idleTimeout   = 60 * time.Second
+	// idleTimeout is longer than the 90 s for which connector's HTTP client keeps
+	// an idle connection: the server must not close one that gets a request.
+	idleTimeout = 2 * time.Minute
 	// gcMemoryShare is the share of the process's memory limit that the garbage
 	// collector tries to stay below.
 	gcMemoryShare = 0.7
@@ -146,7 +148,7 @@
 	}
 	p.servers = append(p.servers, server)
 	p.tomb.Go(func() error {
-		if err := server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
+		if err := connector.Serve(server, socket); !errors.Is(err, http.ErrServerClosed) {
 			return &ListenError{
 				Name:    spec.name,
 				Address: spec.address,
--- a/server/listener.go
+++ b/server/listener.go
@@ -11,6 +11,8 @@
 
 	"connectrpc.com/connect"
 	"gopkg.in/tomb.v2"
+
+	"damaskspread.example/damaskspread/connector"
 )
 
 const (
@@ -97,7 +99,7 @@
 // run starts a goroutine that serves until the server is shut down or closed.
 func (l *listener) run(t *tomb.Tomb) {
 	t.Go(func() error {
-		err := l.http.Serve(l.net)
+		err := connector.Serve(l.http, l.net)
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
