--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -60,25 +60,6 @@
 	admissions        uint64        // number of admissions
 }
 
-// Waiter is a request that waits for a slot or holds one.
-type Waiter struct {
-	limiter  *Limiter
-	priority int32
-	deadline time.Time
-	sequence uint64
-	started  time.Time
-	ready    chan struct{}
-	refusal  *damaskspread.RefusalError
-	admitted bool // holds a slot or held one
-	released bool
-}
-
-// Ready is closed when the request is admitted or refused.
-func (w *Waiter) Ready() <-chan struct{} { return w.ready }
-
-// Refusal is nil if the request was admitted. It is valid once Ready is closed.
-func (w *Waiter) Refusal() *damaskspread.RefusalError { return w.refusal }
-
 // Acquire waits for a slot until the deadline passes or the context ends. A lower
 // number is a higher priority: admitted earlier, refused later. The caller calls
 // Release of the returned waiter after the request.
@@ -175,22 +156,6 @@
 	return time.Duration(l.recentServiceTime * (waitServiceTimes + 1))
 }
 
-// before reports whether w is admitted before other: the higher priority first,
-// then the earlier deadline.
-func (w *Waiter) before(other *Waiter) bool {
-	if w.priority != other.priority {
-		return w.priority < other.priority
-	}
-	return w.earlierDeadline(other)
-}
-
-func (w *Waiter) earlierDeadline(other *Waiter) bool {
-	if !w.deadline.Equal(other.deadline) {
-		return w.deadline.Before(other.deadline)
-	}
-	return w.sequence < other.sequence
-}
-
 // fillSlots admits waiters from the queue while slots are free.
 func (l *Limiter) fillSlots(now time.Time) {
 	l.refuseTooLate(now)
@@ -239,12 +204,6 @@
 	w.refuse(damaskspread.ReasonOverloaded, "the queue is full of requests of this or a higher priority", l.estimateEnd(len(l.waiting)))
 }
 
-func (w *Waiter) refuse(reason damaskspread.Reason, message string, retryAfter time.Duration) {
-	w.refusal = damaskspread.NotRun(reason, "%s", message)
-	w.refusal.RetryAfter = retryAfter
-	close(w.ready)
-}
-
 // refuseTooLate refuses waiters whose deadline has passed or is too close for the
 // recent service time: running them would only delay the others.
 func (l *Limiter) refuseTooLate(now time.Time) {
@@ -269,26 +228,6 @@
 	}
 }
 
-// Release returns the slot of an admitted request; further calls do nothing. Its
-// service time adapts the limit if served is set, which means that the request
-// reached the endpoint.
-func (w *Waiter) Release(served bool) {
-	l := w.limiter
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !w.admitted || w.released {
-		return
-	}
-	w.released = true
-	now := l.Clock.Now()
-	l.running--
-	if served {
-		l.adapt(float64(now.Sub(w.started)))
-	}
-	l.fillSlots(now)
-	l.signalIfIdle()
-}
-
 // adapt updates the averages with a service time in nanoseconds. It lowers the
 // limit while the endpoint is much slower than its baseline. Otherwise it raises
 // the limit by 1/limit.
--- a/placer/index.go
+++ b/placer/index.go
@@ -28,41 +28,6 @@
 	Probing
 )
 
-// amount is an amount of each resource. The memory is in bytes.
-type amount struct {
-	millicores   int64
-	memory       int64
-	accelerators int64
-}
-
-func amountOf(r *wire.Resources) amount {
-	return amount{
-		millicores:   r.GetMillicores(),
-		memory:       r.GetMemoryBytes(),
-		accelerators: r.GetAccelerators(),
-	}
-}
-
-func (a amount) plus(b amount) amount {
-	return amount{
-		millicores:   a.millicores + b.millicores,
-		memory:       a.memory + b.memory,
-		accelerators: a.accelerators + b.accelerators,
-	}
-}
-
-func (a amount) minus(b amount) amount {
-	return amount{
-		millicores:   a.millicores - b.millicores,
-		memory:       a.memory - b.memory,
-		accelerators: a.accelerators - b.accelerators,
-	}
-}
-
-func (a amount) covers(need amount) bool {
-	return need.millicores <= a.millicores && need.memory <= a.memory && need.accelerators <= a.accelerators
-}
-
 type host struct {
 	// workerBoot identifies the latest start of the host's worker.
 	id, workerBoot, rack, service string
@@ -157,14 +122,6 @@
 // their endpoints.
 func (x *Index) Total() *wire.Resources { return x.total.wire() }
 
-func (a amount) wire() *wire.Resources {
-	return &wire.Resources{
-		Millicores:   a.millicores,
-		MemoryBytes:  a.memory,
-		Accelerators: a.accelerators,
-	}
-}
-
 // SetHost adds a host or updates its membership, zone and capacity.
 func (x *Index) SetHost(state *wire.HostState) {
 	spec := state.GetSpec()
@@ -269,63 +226,6 @@
 	x.freedCount++
 }
 
-// Reserve reserves capacity on a host for one task. The capacity may still be in
-// use by other tasks. It replaces an earlier reservation of the task.
-func (x *Index) Reserve(spec *wire.TaskSpec, id string) {
-	x.Unreserve(spec.GetTask())
-	h := x.hosts[id]
-	if h == nil {
-		return
-	}
-	c := commitment{
-		host: h,
-		need: amountOf(spec.GetResources()),
-		spec: spec,
-	}
-	x.reservations[spec.GetTask()] = c
-	x.removeFromGrid(h)
-	h.reserved = h.reserved.plus(c.need)
-	if isUrgent(spec) {
-		h.urgentReserved = h.urgentReserved.plus(c.need)
-	}
-	x.addToGrid(h)
-}
-
-// Unreserve drops a task's reservation, if it has one.
-func (x *Index) Unreserve(task string) {
-	c, ok := x.reservations[task]
-	if !ok {
-		return
-	}
-	delete(x.reservations, task)
-	x.removeFromGrid(c.host)
-	c.host.reserved = c.host.reserved.minus(c.need)
-	if isUrgent(c.spec) {
-		c.host.urgentReserved = c.host.urgentReserved.minus(c.need)
-	}
-	x.addToGrid(c.host)
-	x.freedCount++
-}
-
-// Reserved returns the host and worker boot ID of a task's reservation. usable
-// reports whether the host takes new tasks, and ready whether the reserved
-// capacity is free now. All results are zero if there is no reservation.
-func (x *Index) Reserved(task string) (id, boot string, usable, ready bool) {
-	c, ok := x.reservations[task]
-	if !ok {
-		return "", "", false, false
-	}
-	h := c.host
-	usable = h.available() && h.zone.inService
-	free := h.capacity.minus(h.used)
-	// Capacity freed by evictions for an urgent task must not go to a batch task
-	// with a reservation on the same host.
-	if !isUrgent(c.spec) {
-		free = free.minus(h.urgentReserved)
-	}
-	return h.id, h.workerBoot, usable, usable && free.covers(c.need)
-}
-
 func (x *Index) countDomains(c commitment, n int) {
 	key := teamKind{
 		team: c.spec.GetTeam(),
