--- a/emulator/job_executor.go
+++ b/emulator/job_executor.go
@@ -21,6 +21,9 @@
 	// TaskDuration returns how long a task runs; if negative, it runs until
 	// stopped.
 	TaskDuration func(task string) time.Duration
+	// StopTime is how long a run takes to end after a stop order; until then it is
+	// listed as running.
+	StopTime time.Duration
 	// Observe is called at each start and end of a run, with the executor's lock
 	// held; it may be nil.
 	Observe func(event RunEvent)
@@ -39,7 +42,9 @@
 	unresponsive        bool
 	failsTasks          bool
 	losesStartResponses bool
-	changed             chan struct{}
+	// capacity replaces that of Info; nil until SetCapacity.
+	capacity *wire.Resources
+	changed  chan struct{}
 }
 
 // RunEvent is a start or an end of a run on the executor.
@@ -61,6 +66,7 @@
 	endsAt      time.Time
 	longRunning bool
 	fails       bool
+	stopping    bool
 	checkpoint  string
 }
 
@@ -85,12 +91,24 @@
 	e.signal()
 }
 
-// Info returns the executor's announcement. It also ends the runs whose time or
+// SetCapacity changes the capacity that the executor announces from now on. The
+// executor starts what it is told to whatever its capacity.
+func (e *JobExecutor) SetCapacity(capacity *wire.Resources) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.capacity = capacity
+}
+
+// Info returns the executor's announcement, with the given capacity unless
+// SetCapacity has set another. It also ends the runs whose time or
 // lease is over, so that their ends are observed even if no other call arrives.
 func (e *JobExecutor) Info(service, zone string, capacity *wire.Resources, labels ...string) *wire.ExecutorInfo {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.advance()
+	if e.capacity != nil {
+		capacity = e.capacity
+	}
 	return &wire.ExecutorInfo{
 		Id:         e.id,
 		BornUnixMs: e.bornUnixMs,
@@ -154,6 +172,8 @@
 	now := e.Clock.Now()
 	for id, run := range e.runs {
 		switch {
+		case run.stopping && !now.Before(run.endsAt):
+			e.endRun(id, run, wire.EndCause_END_CAUSE_STOPPED)
 		case !run.longRunning && !now.Before(run.endsAt) && !run.endsAt.After(e.leaseEnd):
 			cause := wire.EndCause_END_CAUSE_DONE
 			if run.fails {
@@ -308,10 +328,14 @@
 	defer e.mu.Unlock()
 	stopped := runID{task: order.GetTask(), run: order.GetRun()}
 	e.endedRun[stopped.task] = max(e.endedRun[stopped.task], stopped.run)
-	if run := e.runs[stopped]; run != nil {
-		run.checkpoint = "saved-" + stopped.task
-		e.endRun(stopped, run, wire.EndCause_END_CAUSE_STOPPED)
+	run := e.runs[stopped]
+	if run == nil || run.stopping {
+		return nil
 	}
+	run.checkpoint = "saved-" + stopped.task
+	run.stopping = true
+	run.endsAt = e.Clock.Now().Add(e.StopTime)
+	e.advance()
 	return nil
 }
 
