A best-effort task starts on no host that is over its capacity

Cause: the processors of a best-effort task were not compared with the capacity at all, so it was placed on a host whose serving tasks alone request more than a capacity that has shrunk. Change: it needs no processors of its own but fits only where the others do. AddRequest moves to tracker, for the agent to use the same sum. Before/after: TestShrunkHostGetsNoBestEffortTasks planned 1 task on 10 cores before, 0 after; on 12 cores 1 in both.

--- a/planner/host.go
+++ b/planner/host.go
@@ -82,9 +82,9 @@
 }
 
 func (h *Host) addTask(group string, step *wire.JobStep) {
-	addRequest(&h.requested, step)
+	tracker.AddRequest(&h.requested, step)
 	if !step.GetLongRunning() {
-		addRequest(&h.finiteRequested, step)
+		tracker.AddRequest(&h.finiteRequested, step)
 	}
 	if step.GetFillsIdle() {
 		h.bestEffortMillicores += step.GetResources().GetMillicores()
@@ -102,17 +102,21 @@
 
 // shortage returns the resource that the host would lack for a task of the step
 // if the resources in freed, which may be nil, were free. Best-effort tasks need
-// no processors of their own.
+// no processors of their own, but like others they don't start on a host whose
+// capacity has shrunk below what its tasks request.
 func (h *Host) shortage(step *wire.JobStep, freed *wire.Resources) Obstacle {
 	need := step.GetResources()
+	millicores := need.GetMillicores()
+	if step.GetFillsIdle() {
+		millicores = 0
+	}
 	lacks := func(used, released, more, total int64) bool { return used-released+more > total }
 	switch {
 	case lacks(h.requested.GetMemoryBytes(), freed.GetMemoryBytes(), need.GetMemoryBytes(), h.Capacity.GetMemoryBytes()):
 		return ObstacleMemory
 	case lacks(h.requested.GetAccelerators(), freed.GetAccelerators(), need.GetAccelerators(), h.Capacity.GetAccelerators()):
 		return ObstacleAccelerators
-	case !step.GetFillsIdle() &&
-		lacks(h.requested.GetMillicores(), freed.GetMillicores(), need.GetMillicores(), h.Capacity.GetMillicores()):
+	case lacks(h.requested.GetMillicores(), freed.GetMillicores(), millicores, h.Capacity.GetMillicores()):
 		return ObstacleProcessors
 	default:
 		return NoObstacle
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -88,6 +88,23 @@
 	assert.Equal(t, len(p.Plan(readyGroups(newJob("3", 0, accelerated)), []*planner.Host{newHost("a", 4)})), 0)
 }
 
+// Guards against a best-effort task on a host whose capacity has shrunk below the
+// requests of its tasks, which may leave processors idle all the same.
+func TestShrunkHostGetsNoBestEffortTasks(t *testing.T) {
+	p := &planner.Planner{}
+	for _, test := range []struct {
+		cores   int64
+		planned int
+	}{{cores: 12, planned: 1}, {cores: 10, planned: 0}} {
+		host := newHost("a", test.cores)
+		for range 3 {
+			host.AddPlanned("serving", serving("web"))
+		}
+		plan := p.Plan(readyGroups(newJob("1", 0, bestEffort(1, "render"))), []*planner.Host{host})
+		assert.Equal(t, len(plan), test.planned, "%d cores", test.cores)
+	}
+}
+
 // Guards against tasks placed on unusable hosts or hosts of another service.
 func TestIneligibleHosts(t *testing.T) {
 	unusable := newHost("a", 8)
--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -24,20 +24,12 @@
 		h.probes++
 	}
 	if task.Stopping() {
-		addRequest(&h.stoppingRequested, task.Step())
+		tracker.AddRequest(&h.stoppingRequested, task.Step())
 		return
 	}
 	h.assigned = append(h.assigned, task)
 }
 
-func addRequest(sum *wire.Resources, step *wire.JobStep) {
-	sum.MemoryBytes += step.GetResources().GetMemoryBytes()
-	sum.Accelerators += step.GetResources().GetAccelerators()
-	if !step.GetFillsIdle() {
-		sum.Millicores += step.GetResources().GetMillicores()
-	}
-}
-
 // Preempt chooses tasks of less urgent queues to stop, so that the given task of
 // the group, which fits on no host, fits on one. It returns nil if no host can be
 // cleared with maxVictims stops, or if the task fits somewhere once the tasks that
@@ -81,7 +73,7 @@
 			continue
 		}
 		victims = append(victims, candidate)
-		addRequest(freed, candidate.Step())
+		tracker.AddRequest(freed, candidate.Step())
 		if h.shortage(step, freed) == NoObstacle {
 			return victims, true
 		}
