An executor that restarts under its id has no capacity until it announces one

Cause: the agent learns of the restart from the lists of runs and kept the capacity and labels that the incarnation before had announced. Change: the agent reports the new incarnation without capacity and labels until its first announcement, so it gets no task before.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -229,7 +229,7 @@
 	f := newTestFleet(t, 1, 3, fixedRunTime(50*time.Millisecond))
 	f.advisor.host = "host-1"
 	queue := &wire.Queue{Name: "advised", Service: service, MaxAttempts: 3, Advice: &wire.AdvicePolicy{}}
-	assert.NilError(t, f.entries[0].submitter.Submit(context.Background(), queue, &wire.Job{Id: jobID, Steps: steps(8, 4)}))
+	f.submitTo(f.entries[0], queue, &wire.Job{Id: jobID, Steps: steps(8, 4)})
 	f.waitSucceeded(f.entries[0], jobID)
 	assert.Assert(t, f.advisor.calls.Load() <= 6, "%d calls", f.advisor.calls.Load())
 	f.mu.Lock()
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -25,6 +25,7 @@
 	"damaskspread.example/damaskspread/runner"
 	"damaskspread.example/damaskspread/submitter"
 	"damaskspread.example/damaskspread/tailer"
+	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
 	"damaskspread.example/damaskspread/wire/wireconnect"
 )
@@ -35,6 +36,8 @@
 	// are served again after a loss of all processes.
 	recoveryBound = 12 * time.Second
 	lease         = 3 * time.Second
+
+	defaultMillicores, taskMillicores = 8000, 500
 )
 
 type elapsedClock struct{ start time.Time }
@@ -81,11 +84,16 @@
 	advisor      *advisor
 	// maxAppendBytes is that of the coordinators started later; 0 is the default.
 	maxAppendBytes int
+	// announceInterval is the time between two heartbeats of an executor.
+	announceInterval time.Duration
+	// capacities checks that no start brings an executor over its capacity.
+	capacities *emulator.CapacityChecker
 
 	mu            sync.Mutex
 	events        []emulator.RunEvent
 	running       map[string]string
 	duplicateRuns []string
+	submitted     map[string]*wire.Job
 }
 
 type entry struct {
@@ -100,7 +108,9 @@
 }
 
 type host struct {
-	name     string
+	name string
+	// id is that of the executor's present incarnation.
+	id       string
 	executor *emulator.JobExecutor
 	client   *emulator.KeyedLogClient
 	tomb     *tomb.Tomb
@@ -117,7 +127,11 @@
 		runTime:      runTime,
 		advisor:      &advisor{},
 		running:      map[string]string{},
+		submitted:    map[string]*wire.Job{},
+
+		announceInterval: 50 * time.Millisecond,
 	}
+	f.capacities = &emulator.CapacityChecker{Clock: clock, Step: f.stepOf}
 	for i := range entries {
 		f.entries = append(f.entries, &entry{name: fmt.Sprintf("entry-%d", i)})
 		f.startEntry(f.entries[i])
@@ -229,9 +243,34 @@
 	return h
 }
 
+// boot replaces the executor of a host with a new incarnation that has the default
+// capacity.
 func (f *testFleet) boot(h *host) {
 	h.boots++
-	h.executor.Boot(fmt.Sprintf("%s-%d", h.name, h.boots))
+	h.id = fmt.Sprintf("%s-%d", h.name, h.boots)
+	f.bootWith(h, defaultCapacity())
+}
+
+// bootWith starts an incarnation with the host's present id.
+func (f *testFleet) bootWith(h *host, capacity *wire.Resources) {
+	f.capacities.Booted(h.id, capacity)
+	h.executor.SetCapacity(capacity)
+	h.executor.Boot(h.id)
+}
+
+func defaultCapacity() *wire.Resources { return capacityOf(defaultMillicores) }
+
+func capacityOf(millicores int64) *wire.Resources {
+	return &wire.Resources{Millicores: millicores, MemoryBytes: 64 << 30}
+}
+
+// stepOf returns the step of a task of a submitted job.
+func (f *testFleet) stepOf(task string) *wire.JobStep {
+	id, err := tracker.ParseTaskID(task)
+	assert.NilError(f.t, err)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.submitted[id.Job].GetSteps()[id.Step]
 }
 
 func (f *testFleet) startAgent(h *host) {
@@ -256,11 +295,10 @@
 
 // announce sends the heartbeats of the host's executor to the agent's runner.
 func (f *testFleet) announce(h *host, r *runner.Runner) error {
-	ticker := time.NewTicker(50 * time.Millisecond)
+	ticker := time.NewTicker(f.announceInterval)
 	defer ticker.Stop()
-	capacity := &wire.Resources{Millicores: 8000, MemoryBytes: 64 << 30}
 	for sequence := int64(1); ; sequence++ {
-		info := h.executor.Info(service, "zone", capacity, "kind", "rack")
+		info := h.executor.Info(service, "zone", nil, "kind", "rack")
 		info.Sequence = sequence
 		r.ExecutorAnnounced(info)
 		select {
@@ -278,6 +316,7 @@
 
 // observe records run events and tasks that run on two executors at once.
 func (f *testFleet) observe(event emulator.RunEvent) {
+	f.capacities.Observe(event)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.events = append(f.events, event)
@@ -337,9 +376,16 @@
 
 func (f *testFleet) submit(e *entry, job *wire.Job) {
 	f.t.Helper()
+	f.submitTo(e, &wire.Queue{Name: "previews", Service: service, MaxAttempts: 3, Stretch: 1.5}, job)
+}
+
+func (f *testFleet) submitTo(e *entry, queue *wire.Queue, job *wire.Job) {
+	f.t.Helper()
+	f.mu.Lock()
+	f.submitted[job.GetId()] = job
+	f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), recoveryBound)
 	defer cancel()
-	queue := &wire.Queue{Name: "previews", Service: service, MaxAttempts: 3, Stretch: 1.5}
 	assert.NilError(f.t, e.submitter.Submit(ctx, queue, job))
 }
 
@@ -381,13 +427,19 @@
 	assert.Equal(f.t, len(f.duplicateRuns), 0, "%v", f.duplicateRuns)
 }
 
+func (f *testFleet) assertWithinCapacity() {
+	f.t.Helper()
+	violations := f.capacities.Violations()
+	assert.Equal(f.t, len(violations), 0, "%v", violations)
+}
+
 // steps returns one step for each count. Each step follows the one before it.
 func steps(counts ...int32) []*wire.JobStep {
 	var all []*wire.JobStep
 	for i, count := range counts {
 		step := &wire.JobStep{
 			Count:     count,
-			Resources: &wire.Resources{Millicores: 500, MemoryBytes: 1 << 30},
+			Resources: &wire.Resources{Millicores: taskMillicores, MemoryBytes: 1 << 30},
 		}
 		if i > 0 {
 			step.After = []int32{int32(i - 1)}
--- a/runner/renew.go
+++ b/runner/renew.go
@@ -150,12 +150,15 @@
 }
 
 // handleRestart resets the state for an executor that restarted under the same
-// id.
+// id. Its capacity and labels may differ from those before, so it gets no tasks
+// until it announces them.
 func (r *Runner) handleRestart(born int64) {
 	info := proto.CloneOf(r.info)
 	info.BornUnixMs = born
 	info.ClockMs = 0
 	info.Sequence = 0
+	info.Capacity = &wire.Resources{}
+	info.Labels = nil
 	log.Info().Str("executor", info.GetId()).Int64("born", born).Msg("executor restarted")
 	r.resetExecutor(info)
 }
