The agent refuses a start that exceeds the capacity last announced

Cause: a start is decided by the leader's view of the capacity, and nothing compared it later. Ruled out: a check in the leader only. It knows the capacity of the last report. Change: the agent sums the requests of all runs from the decision to start until the listed end, runs that are being stopped included, and refuses with no_room what exceeds the latest announcement. A run whose step it does not know, as after a restart, counts as any amount; the steps of all orders of a response are known before the first is decided, so a session's repeated orders tell them. After no_room the leader gives the host no task for 0.5 s: the agent may count runs that it stops and the leader does not know.

--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -111,7 +111,7 @@
 		host:        s.host,
 		key:         s.key,
 		info:        s.info,
-		usable:      s.reachable && !s.info.GetDraining() && cycle.now-s.lastReportAt < maxReportAge,
+		usable:      s.reachable && !s.info.GetDraining() && cycle.now-s.lastReportAt < maxReportAge && cycle.now >= s.noRoomUntil,
 		opening:     s.opening,
 		running:     s.running,
 		runsUpdated: s.runsUpdated,
--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -16,6 +16,11 @@
 // does not list its run as running.
 const startRepeatInterval = 3 * time.Second
 
+// noRoomBackoff is how long a host gets no tasks after its agent refused one for
+// lack of capacity. The agent may count runs that the leader does not know, such as
+// those that it stops at the beginning of a session.
+const noRoomBackoff = 500 * time.Millisecond
+
 // applyReports applies the run ends, refusals and lists of running tasks that the
 // agents reported.
 func (c *Coordinator) applyReports(cycle *cycleState) {
@@ -78,8 +83,11 @@
 		return
 	}
 	t.Release()
-	if refusal.GetReason() == string(damaskspread.RefusedUnknownStep) {
+	switch refusal.GetReason() {
+	case string(damaskspread.RefusedUnknownStep):
 		c.forgetSentStep(view.session, t.GroupName())
+	case string(damaskspread.RefusedNoRoom):
+		c.backOffNoRoom(view)
 	}
 	c.adviceCache.dropRefusedTickets(t, refusal.GetReason())
 	c.recordRefusal(view.key, refusal.GetReason())
@@ -92,6 +100,14 @@
 	})
 }
 
+// backOffNoRoom keeps tasks from the host for noRoomBackoff.
+func (c *Coordinator) backOffNoRoom(view *sessionView) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	view.session.noRoomUntil = c.Elapsed.Elapsed() + noRoomBackoff
+	view.usable = false
+}
+
 // forgetSentStep makes the next order for the step carry its specification again.
 func (c *Coordinator) forgetSentStep(s *session, group string) {
 	c.mu.Lock()
--- a/coordinator/session.go
+++ b/coordinator/session.go
@@ -31,6 +31,9 @@
 	// lastEnd is the highest number of a received run end.
 	lastEnd  int64
 	refusals []*wire.StartRefusal
+	// noRoomUntil is when the host may get tasks again after its agent refused one
+	// for lack of capacity.
+	noRoomUntil time.Duration
 
 	// keepsSteps is set if the agent keeps the steps that it receives, so that
 	// later orders need not repeat them. sentSteps are those of the open jobs that
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -258,6 +258,13 @@
 	h.executor.Boot(h.id)
 }
 
+// setMillicores changes the processors that the host's executor announces.
+func (f *testFleet) setMillicores(h *host, millicores int64) {
+	capacity := capacityOf(millicores)
+	f.capacities.CapacityChanged(h.id, capacity)
+	h.executor.SetCapacity(capacity)
+}
+
 func defaultCapacity() *wire.Resources { return capacityOf(defaultMillicores) }
 
 func capacityOf(millicores int64) *wire.Resources {
--- /dev/null
+++ b/runner/capacity.go
@@ -0,0 +1,41 @@
+package runner
+
+import (
+	"damaskspread.example/damaskspread/tracker"
+	"damaskspread.example/damaskspread/wire"
+)
+
+// learnStep keeps the step of a run. Decisions about other orders count its request
+// even before the order for the run itself is carried out. The caller holds the
+// mutex.
+func (r *Runner) learnStep(order *wire.StartOrder) {
+	r.steps[runKey{order.GetTask(), order.GetRun()}] = order.GetStep()
+}
+
+// exceedsCapacity reports whether a run would bring the requests of the executor's
+// runs over the capacity that it announced last. The leader may have decided by an
+// older, larger capacity: a new leader and a new session repeat orders whatever
+// their age. A run counts from the decision to start it until its end is listed. A
+// run whose step is not known may need any amount; the leader either sends its step
+// at the beginning of the session or stops it. The caller holds the mutex.
+func (r *Runner) exceedsCapacity(key runKey) bool {
+	runs := map[runKey]bool{key: true}
+	for _, run := range r.running {
+		runs[runKey{run.GetTask(), run.GetRun()}] = true
+	}
+	for started := range r.startOwners {
+		runs[started] = true
+	}
+	requested := &wire.Resources{}
+	for run := range runs {
+		step, known := r.steps[run]
+		if !known {
+			return true
+		}
+		tracker.AddRequest(requested, step)
+	}
+	capacity := r.info.GetCapacity()
+	return requested.GetMillicores() > capacity.GetMillicores() ||
+		requested.GetMemoryBytes() > capacity.GetMemoryBytes() ||
+		requested.GetAccelerators() > capacity.GetAccelerators()
+}
--- a/runner/exchange.go
+++ b/runner/exchange.go
@@ -220,7 +220,8 @@
 	})
 }
 
-// acceptOrders starts a goroutine for each order that was not received before.
+// acceptOrders starts a goroutine for each order that was not received before. The
+// steps of all of them are known before the first start is decided.
 func (r *Runner) acceptOrders(ctx context.Context, response *wire.ExchangeResponse, sentAt time.Duration) {
 	held := time.Duration(response.GetHeldMs()) * time.Millisecond
 	for _, order := range response.GetOrders() {
@@ -231,6 +232,8 @@
 		if start := order.GetStart(); start != nil && !r.completeOrder(start) {
 			r.refuseUnknownStep(start)
 			continue
+		} else if start != nil {
+			r.learnStep(start)
 		}
 		decidedAt := sentAt + held - time.Duration(order.GetAgeMs())*time.Millisecond
 		r.activeOrders.Go(func() { r.executeOrder(ctx, order, decidedAt) })
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -63,7 +63,7 @@
 		decision.refusal = damaskspread.RefusedExecutorGone
 		return decision
 	}
-	r.steps[key] = order.GetStep()
+	r.learnStep(order)
 	owner := r.startOwners[key]
 	switch {
 	case r.isRunning(key) || r.hasEnded(key):
@@ -78,6 +78,8 @@
 		decision.refusal = damaskspread.RefusedOrderExpired
 	case decision.lease.DeadlineMs == 0:
 		decision.refusal = damaskspread.RefusedLeaseOver
+	case r.exceedsCapacity(key):
+		decision.refusal = damaskspread.RefusedNoRoom
 	default:
 		r.startOwners[key] = order
 	}
