--- a/coordinator/adoption_test.go
+++ b/coordinator/adoption_test.go
@@ -13,8 +13,8 @@
 	"damaskspread.example/damaskspread/wire/wireconnect"
 )
 
-// fakeAgent sends exchange requests for one host and keeps the orders that it gets.
-type fakeAgent struct {
+// scriptedAgent sends exchange requests for one host and keeps the orders that it gets.
+type scriptedAgent struct {
 	t      *testing.T
 	client wireconnect.CoordinatorServiceClient
 	epoch  int64
@@ -24,8 +24,8 @@
 	received int64
 }
 
-func newFakeAgent(f *testFleet, leader *entry) *fakeAgent {
-	return &fakeAgent{
+func newScriptedAgent(f *testFleet, leader *entry) *scriptedAgent {
+	return &scriptedAgent{
 		t:      f.t,
 		client: wireconnect.NewCoordinatorServiceClient(connector.NewHTTPClient(), leader.server.URL),
 		epoch:  leader.elector.Epoch(),
@@ -34,7 +34,7 @@
 
 // open opens a session for an incarnation of the executor on which runs are in
 // progress.
-func (a *fakeAgent) open(session string, born int64, running ...*wire.TaskRun) {
+func (a *scriptedAgent) open(session string, born int64, running ...*wire.TaskRun) {
 	a.session = session
 	a.received = 0
 	a.executor = &wire.ExecutorInfo{
@@ -52,7 +52,7 @@
 }
 
 // orders returns the orders that arrive within a time.
-func (a *fakeAgent) orders(within time.Duration) []*wire.Order {
+func (a *scriptedAgent) orders(within time.Duration) []*wire.Order {
 	var orders []*wire.Order
 	for deadline := time.Now().Add(within); time.Now().Before(deadline); {
 		orders = append(orders, a.exchange(&wire.ExchangeRequest{WaitMs: 100})...)
@@ -60,7 +60,7 @@
 	return orders
 }
 
-func (a *fakeAgent) exchange(request *wire.ExchangeRequest) []*wire.Order {
+func (a *scriptedAgent) exchange(request *wire.ExchangeRequest) []*wire.Order {
 	request.Host = "host-0"
 	request.Zone = "zone"
 	request.Session = a.session
@@ -99,7 +99,7 @@
 func TestRunOfARestartedExecutorIsAdopted(t *testing.T) {
 	f := newTestFleet(t, 1, 0, fixedRunTime(time.Minute))
 	leader := f.leader()
-	agent := newFakeAgent(f, leader)
+	agent := newScriptedAgent(f, leader)
 	f.submit(leader, &wire.Job{Id: jobID, Steps: steps(1)})
 	agent.open("a.1", 1)
 	started, _ := runsIn(agent.orders(500 * time.Millisecond))
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -61,7 +61,7 @@
 		decision.handled = true
 		return decision
 	}
-	r.steps[key] = order.GetStep()
+	r.learnStep(order)
 	owner := r.startOwners[key]
 	switch {
 	case r.isRunning(key) || r.hasEnded(key):
@@ -76,6 +76,8 @@
 		decision.refusal = damaskspread.RefusedOrderExpired
 	case decision.lease.DeadlineMs == 0:
 		decision.refusal = damaskspread.RefusedLeaseOver
+	case r.exceedsCapacity(key):
+		decision.refusal = damaskspread.RefusedNoRoom
 	default:
 		r.startOwners[key] = order
 		r.unsettled[key] = true
