Split the six longest test files by duty

Change: moves only. Harnesses, simulations, load and observers have files of their own, and so have tests of one mechanism (hedge, quarantine, drain).

--- a/router/model_test.go
+++ b/router/model_test.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -13,7 +12,6 @@
 	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/limiter"
 	"damaskspread.example/damaskspread/retrier"
-	"damaskspread.example/damaskspread/router"
 )
 
 const (
@@ -27,101 +25,6 @@
 	refreshInterval    = 200 * time.Millisecond
 )
 
-// class is a priority class of requests. A lower index is a higher class.
-type class struct {
-	name            string
-	shareOfRequests float64
-	timeout         time.Duration
-	idempotent      bool
-}
-
-// deployment has one entry per zone. The times are one-way network delays
-// between zones, within a zone, and between caller and entry.
-type deployment struct {
-	name                               string
-	zones                              int
-	betweenZones, withinZone, toCaller time.Duration
-	classes                            []class
-}
-
-var deployments = []deployment{
-	{
-		name: "atelier", zones: 4, betweenZones: 1500 * time.Microsecond, withinZone: 200 * time.Microsecond, toCaller: time.Millisecond,
-		classes: []class{{"preview", 0.5, time.Second, true}, {"render", 0.35, 2 * time.Second, false}, {"watcher", 0.15, 2 * time.Second, false}},
-	},
-	{
-		name: "association", zones: 3, betweenZones: time.Millisecond, withinZone: 200 * time.Microsecond, toCaller: 3 * time.Millisecond,
-		classes: []class{{"counter", 0.5, time.Second, true}, {"closure", 0.35, 2 * time.Second, false}, {"ledger", 0.15, 2 * time.Second, false}},
-	},
-}
-
-// scenario sets the offered load as a share of the capacity, and a fault.
-type scenario struct {
-	name string
-	load float64
-	// fault is the mode of the first endpoint while the fault lasts.
-	fault mode
-	zone  bool // the first zone leaves instead; fault is not set
-	all   bool // fault applies to all endpoints
-}
-
-// mode is how an endpoint behaves.
-type mode int
-
-const (
-	healthy mode = iota
-	slow
-	failing
-	empty
-	down
-)
-
-var scenarios = []scenario{
-	{name: "steady load", load: 0.6},
-	{name: "one slow endpoint", load: 0.6, fault: slow},
-	{name: "one failing endpoint", load: 0.6, fault: failing},
-	{name: "one endpoint returns empty", load: 0.6, fault: empty},
-	{name: "a zone leaves and returns", load: 0.6, zone: true},
-	{name: "twice the capacity", load: 2},
-	{name: "outage and recovery", load: 0.6, fault: down, all: true},
-}
-
-// call is one request. All pickers get the same calls.
-type call struct {
-	at          time.Duration
-	entry       int
-	class       int
-	serviceTime time.Duration
-	deadline    time.Duration
-	tries       int
-	mayHaveRun  bool
-}
-
-// generateCalls returns the calls of a run: Poisson arrivals with log-normal
-// service times of mean meanServiceTime.
-func generateCalls(d deployment, s scenario, seed uint64) []call {
-	random := rand.New(rand.NewPCG(seed, 5))
-	rate := s.load * modelEndpoints * modelSlots / meanServiceTime.Seconds()
-	const sigma = 0.6
-	var calls []call
-	for at := 0.0; ; {
-		at += random.ExpFloat64() / rate
-		c := call{
-			at:          time.Duration(at * float64(time.Second)),
-			entry:       random.IntN(d.zones),
-			serviceTime: time.Duration(float64(meanServiceTime) * math.Exp(sigma*random.NormFloat64()-sigma*sigma/2)),
-		}
-		if c.at >= runTime {
-			return calls
-		}
-		for share := random.Float64() - d.classes[0].shareOfRequests; share > 0 && c.class < len(d.classes)-1; c.class++ {
-			share -= d.classes[c.class+1].shareOfRequests
-		}
-		c.deadline = c.at + d.classes[c.class].timeout
-		calls = append(calls, c)
-	}
-}
-
 type event struct {
 	at  time.Duration
 	seq int
@@ -145,19 +48,6 @@
 	return v
 }
 
-type endpoint struct {
-	host    string
-	zone    int
-	limiter *limiter.Limiter
-	mode    mode
-	queued  []queuedRequest
-}
-
-type queuedRequest struct {
-	w     *limiter.Waiter
-	ready func(refusal *damaskspread.RefusalError)
-}
-
 type entry struct {
 	zone    int
 	picker  damaskspread.EndpointPicker
@@ -366,69 +256,6 @@
 	})
 }
 
-// serve runs a request at an endpoint. The last arguments of respond tell whether
-// the request ran and whether its response is good.
-func (m *model) serve(ep *endpoint, c *call, deadline time.Duration, respond func(damaskspread.PickResult, *damaskspread.RefusalError, bool, bool)) {
-	if ep.mode == down {
-		respond(damaskspread.PickResult{Failed: true}, damaskspread.NotRun(damaskspread.ReasonEndpointFailed, "down"), false, false)
-		return
-	}
-	w, refusal := ep.limiter.Enqueue(int32(c.class), m.clock.Now().Add(deadline-m.now))
-	if refusal != nil {
-		respond(refusedResult(refusal), refusal, false, false)
-		return
-	}
-	ep.queued = append(ep.queued, queuedRequest{
-		w: w,
-		ready: func(refusal *damaskspread.RefusalError) {
-			if refusal != nil {
-				respond(refusedResult(refusal), refusal, false, false)
-				return
-			}
-			m.execute(ep, c, w, deadline, respond)
-		},
-	})
-	ep.runReady()
-}
-
-func (m *model) execute(ep *endpoint, c *call, w *limiter.Waiter, deadline time.Duration, respond func(damaskspread.PickResult, *damaskspread.RefusalError, bool, bool)) {
-	serviceTime, modeAtStart := c.serviceTime, ep.mode
-	switch modeAtStart {
-	case slow:
-		serviceTime *= 10
-	case failing, empty:
-		serviceTime = time.Millisecond
-	}
-	// The forwarder gives up at the deadline.
-	late := m.now+serviceTime > deadline
-	if late {
-		serviceTime = deadline - m.now
-	}
-	m.after(serviceTime, func() {
-		w.Release(!late && modeAtStart != failing)
-		ep.runReady()
-		if !late {
-			respond(damaskspread.PickResult{Failed: modeAtStart == failing, Empty: modeAtStart == empty}, nil, true, modeAtStart != failing && modeAtStart != empty)
-		}
-	})
-}
-
-func (ep *endpoint) runReady() {
-	var ready []queuedRequest
-	ep.queued = slices.DeleteFunc(ep.queued, func(v queuedRequest) bool {
-		select {
-		case <-v.w.Ready():
-			ready = append(ready, v)
-			return true
-		default:
-			return false
-		}
-	})
-	for _, v := range ready {
-		v.ready(v.w.Refusal())
-	}
-}
-
 func (m *model) recordResult(c *call, host string, refusal *damaskspread.RefusalError, ran, good bool) {
 	if good {
 		latency := m.now - c.at + 2*m.deployment.toCaller
@@ -472,72 +299,3 @@
 		RetryAfter: refusal.RetryAfter,
 	}
 }
-
-var pickers = []struct {
-	name string
-	make func(clock damaskspread.Clock, zone string, seed uint64) damaskspread.EndpointPicker
-}{
-	{"ours", func(clock damaskspread.Clock, zone string, seed uint64) damaskspread.EndpointPicker {
-		return &router.Router{Clock: clock, Zone: zone, Seed: seed}
-	}},
-	{"random", baseline(router.Random)},
-	{"round robin", baseline(router.RoundRobin)},
-	{"least loaded", baseline(router.LeastLoaded)},
-}
-
-func baseline(rule router.Policy) func(damaskspread.Clock, string, uint64) damaskspread.EndpointPicker {
-	return func(clock damaskspread.Clock, zone string, seed uint64) damaskspread.EndpointPicker {
-		return &router.Baseline{Router: router.Router{Clock: clock, Zone: zone, Seed: seed}, Policy: rule}
-	}
-}
-
-// upperBound returns an upper bound for any picker: no queueing, the nearest
-// endpoint, and no more work than the healthy endpoints can do in each second
-// and the next.
-func upperBound(d deployment, s scenario, calls []call) *figures {
-	f := &figures{
-		good: []int{0},
-	}
-	spareSeconds, second := 0.0, -1
-	for _, c := range calls {
-		if now := int(c.at / time.Second); now != second {
-			// A request may run one second later and still meet its deadline.
-			spareSeconds = min(spareSeconds, 0) + modelSlots*float64(healthyEndpointsAt(d, s, c.at))
-			second = now
-		}
-		capacity := modelSlots * float64(healthyEndpointsAt(d, s, c.at))
-		if spareSeconds+capacity < c.serviceTime.Seconds() {
-			continue
-		}
-		spareSeconds -= c.serviceTime.Seconds()
-		f.good[0]++
-		if c.at >= faultTo && c.at < faultTo+2*time.Second {
-			f.recovered++
-		}
-		latency := c.serviceTime + 2*d.toCaller + 2*d.withinZone
-		f.latencies = append(f.latencies, latency)
-		if c.class == 0 {
-			f.firstClass = append(f.firstClass, latency)
-		}
-	}
-	slices.Sort(f.latencies)
-	slices.Sort(f.firstClass)
-	return f
-}
-
-// healthyEndpointsAt returns the number of healthy endpoints. The first zone has
-// one endpoint more than others if they don't divide evenly, hence rounded up.
-func healthyEndpointsAt(d deployment, s scenario, at time.Duration) int {
-	if at < faultFrom || at >= faultTo {
-		return modelEndpoints
-	}
-	switch {
-	case s.all:
-		return 0
-	case s.zone:
-		return modelEndpoints - (modelEndpoints+d.zones-1)/d.zones
-	case s.fault != healthy:
-		return modelEndpoints - 1
-	}
-	return modelEndpoints
-}
