TestHedgeAvoidsTheSlowHost sets the time of the hedge

Cause: the hedge delay was 2 ms of real time. On a busy machine the hedge responded before the first request had reached the slow endpoint; the response cancels that request, so the endpoint ran one request and not two. Change: a fake clock fires the hedge once the slow endpoint runs the request. All assertions are the same. With a hedge that avoids no host it fails: "504 != 200". Conclusion: that the first request had not arrived is inferred from the count.

--- a/dispatcher/hedge_test.go
+++ b/dispatcher/hedge_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
 	"damaskspread.example/damaskspread"
@@ -47,18 +48,38 @@
 // Guards against a hedge at the host that is slow to respond, which the router
 // prefers while the other one has more requests in flight.
 func TestHedgeAvoidsTheSlowHost(t *testing.T) {
+	const hedgeDelay = 2 * time.Millisecond
 	c := newTestCluster(t, 2)
+	clock := clockwork.NewFakeClock()
+	c.dispatcher.Clock = clock
 	c.dispatcher.Policies = func(string) dispatcher.Policy {
-		return dispatcher.Policy{HedgeDelay: 2 * time.Millisecond}
+		return dispatcher.Policy{HedgeDelay: hedgeDelay}
 	}
 	release := make(chan struct{})
 	defer close(release)
-	slow := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release })
+	// Holds the requests of both iterations, and a hedge at the wrong host.
+	running := make(chan struct{}, 4)
+	slow := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		running <- struct{}{}
+		<-release
+	})
 	c.agents["h0"].handler.Store(&slow)
 	for range 4 {
 		_, _ = c.dispatcher.Router.Assign("h1")
 	}
 	for range 2 {
+		// The hedge is due once the slow host runs the request: the response to an
+		// earlier hedge cancels a request that has not arrived there.
+		go func() {
+			select {
+			case <-running:
+			case <-t.Context().Done():
+				return
+			}
+			if clock.BlockUntilContext(t.Context(), 1) == nil {
+				clock.Advance(hedgeDelay)
+			}
+		}()
 		a := c.post(t, c.client, target, "", map[string]string{dispatcher.HeaderIdempotent: "true", dispatcher.HeaderTimeout: "5s"})
 		assert.Equal(t, a.StatusCode, http.StatusOK, a.body)
 		assert.Equal(t, a.Header.Get("X-Endpoint"), "h1")
