A changed capacity is reported at once and not replaced by an older one

Cause: the agent reported a changed capacity with its next poll, up to a second later, and the leader kept whatever announcement arrived last, although requests of one agent overlap and an older one may arrive after a newer one. Change: a capacity that the leader has not confirmed in the session is reported as soon as it is announced. The leader ignores announcements with a lower sequence number, and a changed capacity starts a cycle.

--- a/coordinator/capacity_test.go
+++ b/coordinator/capacity_test.go
@@ -150,6 +150,18 @@
 	return tasks
 }
 
+// Guards against a larger, older capacity that replaces a newer one because a
+// request was overtaken on its way.
+func TestOvertakenAnnouncement(t *testing.T) {
+	f := newTestFleet(t, 1, 0, nil)
+	leader := f.leader()
+	a := newFakeAgent(t, leader, defaultMillicores)
+	a.report(3, 2*taskMillicores)
+	a.report(2, defaultMillicores)
+	f.submit(leader, &wire.Job{Id: jobID, Steps: steps(4)})
+	assert.Equal(t, len(a.awaitStarts(2, defaultMillicores)), 2)
+}
+
 // Guards against a task that the leader assigns again and again to a host whose
 // agent counts more runs than the leader knows.
 func TestNoRoomBackoff(t *testing.T) {
--- a/coordinator/session.go
+++ b/coordinator/session.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
 )
@@ -100,8 +102,7 @@
 	s.lastReportAt = now
 	s.reachable = request.GetExecutorReachable()
 	s.keepsSteps = request.GetKeepsSteps()
-	updated := s.info.GetDraining() != request.GetExecutor().GetDraining()
-	s.info = request.GetExecutor()
+	updated := s.applyInfo(request.GetExecutor())
 	s.acknowledge(request.GetOrdersReceived())
 	if request.GetHasRunning() {
 		s.running = request.GetRunning()
@@ -121,6 +122,18 @@
 	return updated
 }
 
+// applyInfo stores an announcement of the executor and reports whether it needs a
+// scheduling cycle. Requests of one agent overlap and may overtake each other, so
+// an older announcement can arrive after a newer one.
+func (s *session) applyInfo(info *wire.ExecutorInfo) bool {
+	if info.GetSequence() < s.info.GetSequence() {
+		return false
+	}
+	updated := s.info.GetDraining() != info.GetDraining() || !proto.Equal(s.info.GetCapacity(), info.GetCapacity())
+	s.info = info
+	return updated
+}
+
 func keyOf(info *wire.ExecutorInfo) tracker.ExecutorKey {
 	return tracker.ExecutorKey{
 		ID:         info.GetId(),
--- a/runner/capacity.go
+++ b/runner/capacity.go
@@ -1,6 +1,8 @@
 package runner
 
 import (
+	"google.golang.org/protobuf/proto"
+
 	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
 )
@@ -39,3 +41,18 @@
 		requested.GetMemoryBytes() > capacity.GetMemoryBytes() ||
 		requested.GetAccelerators() > capacity.GetAccelerators()
 }
+
+// capacityUnreported reports whether the leader does not know the latest capacity
+// yet. The caller holds the mutex.
+func (r *Runner) capacityUnreported() bool {
+	return r.info != nil && !proto.Equal(r.info.GetCapacity(), r.reportedCapacity)
+}
+
+// confirmCapacity records that the leader has received the executor's capacity in a
+// request. The response to an older request changes nothing. The caller holds the
+// mutex.
+func (r *Runner) confirmCapacity(request *wire.ExchangeRequest) {
+	if proto.Equal(request.GetExecutor().GetCapacity(), r.info.GetCapacity()) {
+		r.reportedCapacity = r.info.GetCapacity()
+	}
+}
--- a/runner/capacity_test.go
+++ b/runner/capacity_test.go
@@ -166,6 +166,29 @@
 	q.awaitNoRoom(t, "e.0.0.0")
 }
 
+// Guards against a leader that learns of a changed capacity only with the next poll,
+// up to a second later, and plans by the old one until then.
+func TestChangedCapacityIsReportedAtOnce(t *testing.T) {
+	const reportBound = 300 * time.Millisecond
+	q := newOrderQueue()
+	executor := newExecutor()
+	a := newAnnouncer(t, q, executor)
+	knows := func(millicores int64) func() bool {
+		return func() bool {
+			return q.received(func(r *wire.ExchangeRequest) bool { return r.GetExecutor().GetCapacity().GetMillicores() == millicores })
+		}
+	}
+	a.announce(&wire.Resources{Millicores: 1000})
+	waitFor(t, "first report", knows(1000))
+	for _, millicores := range []int64{300, 900} {
+		waitFor(t, "poll", q.polls)
+		started := time.Now()
+		a.announce(&wire.Resources{Millicores: millicores})
+		waitFor(t, "report", knows(millicores))
+		assert.Assert(t, time.Since(started) < reportBound, "%s", time.Since(started))
+	}
+}
+
 // polls reports whether the last request is a poll that waits for orders.
 func (q *orderQueue) polls() bool {
 	q.fakeLeader.mu.Lock()
--- a/runner/exchange.go
+++ b/runner/exchange.go
@@ -48,7 +48,7 @@
 func (r *Runner) hasUpdates() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.sessionOpen && (len(r.unrecordedEnds) > 0 || len(r.pendingRefusals) > 0 || r.info.GetDraining())
+	return r.sessionOpen && (len(r.unrecordedEnds) > 0 || len(r.pendingRefusals) > 0 || r.info.GetDraining() || r.capacityUnreported())
 }
 
 // buildRequest returns the next request to the leader, or nil if none can be
@@ -213,6 +213,7 @@
 		}
 		signal(r.renewWake)
 	}
+	r.confirmCapacity(request)
 	// Polls and reports overlap: this response acknowledges only the refusals
 	// that its own request contained.
 	r.pendingRefusals = slices.DeleteFunc(r.pendingRefusals, func(refusal *wire.StartRefusal) bool {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -82,6 +82,9 @@
 	executorClock clockReading
 	lastContact   time.Duration
 	renewFailures int
+	// reportedCapacity is the latest capacity that the leader is known to have
+	// received in this session.
+	reportedCapacity *wire.Resources
 
 	session      string
 	sessionCount int
@@ -178,6 +181,7 @@
 	r.listsRead = false
 	r.ordersReceived = 0
 	r.pendingRefusals = nil
+	r.reportedCapacity = nil
 	r.checksDue = map[runKey]time.Duration{}
 	r.keptSteps = map[string]*keptStep{}
 }
@@ -225,6 +229,9 @@
 	r.scheduleDrain(info)
 	r.info = info
 	signal(r.renewWake)
+	if r.capacityUnreported() {
+		signal(r.reportWake)
+	}
 }
 
 // scheduleDrain sets the time at which a draining executor ends. The first
