--- a/runner/runner.go
+++ b/runner/runner.go
@@ -112,6 +112,12 @@
 	// keptSteps holds the steps received in this session, by Group.Name.
 	keptSteps map[string]*keptStep
 	paces     map[runKey]int
+	// unsettled holds the runs whose start was called without a definite response:
+	// the call is in progress, or its response was lost.
+	unsettled map[runKey]bool
+	// restarted holds the runs that were unsettled when the executor restarted
+	// under its id. They are stopped before the next session opens.
+	restarted []runKey
 	// drainStops holds the runs that drainOnce has ordered to stop.
 	drainStops map[runKey]bool
 	// pressureVersion is the version of the pacer's interference weights.
@@ -190,6 +196,7 @@
 // begins with a new one. The caller holds the mutex.
 func (r *Runner) resetExecutor(info *wire.ExecutorInfo) {
 	r.resetSession()
+	r.keepUnsettled(info)
 	r.info = info
 	r.left = nil
 	r.drainAt = 0
@@ -203,6 +210,7 @@
 	r.steps = map[runKey]*wire.JobStep{}
 	r.paces = map[runKey]int{}
 	r.drainStops = map[runKey]bool{}
+	r.unsettled = map[runKey]bool{}
 	r.executorClock = clockReading{
 		clockMs: info.GetClockMs(),
 		at:      r.Elapsed.Elapsed(),
@@ -251,13 +259,19 @@
 }
 
 // ExecutorLeft implements damaskspread.ExecutorObserver. It has no effect unless
-// the id is that of the present executor.
+// the id is that of the present executor and that one has announced that it is
+// draining: the call names no incarnation, so a late one may come from the
+// incarnation before.
 func (r *Runner) ExecutorLeft(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.info.GetId() != id {
 		return
 	}
+	if !r.info.GetDraining() {
+		log.Warn().Str("executor", id).Int64("born", r.info.GetBornUnixMs()).Msg("deregistration ignored: the executor is not draining")
+		return
+	}
 	log.Info().Str("executor", id).Msg("executor left")
 	r.left = r.info
 	r.leftAt = r.Elapsed.Elapsed()
@@ -265,6 +279,12 @@
 	r.resetSession()
 }
 
+// isPresent reports whether an incarnation is still the present executor. The caller
+// holds the mutex.
+func (r *Runner) isPresent(info *wire.ExecutorInfo) bool {
+	return r.info != nil && sameIncarnation(r.info, info)
+}
+
 func sameIncarnation(a, b *wire.ExecutorInfo) bool {
 	return a.GetId() == b.GetId() && a.GetBornUnixMs() == b.GetBornUnixMs()
 }
