A start waits while the renewal of the lease fails

Cause: an executor that restarts under its id accepts the calls meant for the incarnation before. The agent learns of the restart from the next lists of runs; until then it repeated its orders to the new incarnation each 0.1 s, by the capacity of the one before. A renewal after a failure waited up to 0.9 s for an end, which made that time longer. Ruled out: the check of the latest announcement (the new incarnation has not announced itself). Change: after a failed renewal, starts wait for a successful one, which shows whether the executor is still the same; that renewal does not wait for an end.

--- a/runner/capacity_test.go
+++ b/runner/capacity_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -196,6 +198,81 @@
 	return len(q.requests) > 0 && q.requests[len(q.requests)-1].GetWaitMs() > 0
 }
 
+// downExecutor fails calls without effect while it is down.
+type downExecutor struct {
+	*emulator.JobExecutor
+
+	down     atomic.Bool
+	failures atomic.Int64
+}
+
+var errDown = errors.New("connection refused")
+
+func (e *downExecutor) Renew(ctx context.Context, id string, lease *damaskspread.Lease, seen int64, wait time.Duration) (*wire.ExecutorState, error) {
+	if e.down.Load() {
+		e.failures.Add(1)
+		return nil, errDown
+	}
+	state, err := e.JobExecutor.Renew(ctx, id, lease, seen, wait)
+	if e.down.Load() {
+		e.failures.Add(1)
+		return nil, errDown
+	}
+	return state, err
+}
+
+func (e *downExecutor) Start(ctx context.Context, id string, order *wire.StartOrder, lease *damaskspread.Lease) error {
+	if e.down.Load() {
+		return errDown
+	}
+	return e.JobExecutor.Start(ctx, id, order, lease)
+}
+
+// Guards against orders for an executor that went down which are carried out by the
+// next incarnation with the same id, before the agent knows that it is another one
+// and how large it is.
+func TestOrdersWaitForAnExecutorThatIsDown(t *testing.T) {
+	q := newOrderQueue()
+	executor := newExecutor()
+	var starts atomic.Int64
+	executor.Observe = func(emulator.RunEvent) { starts.Add(1) }
+	down := &downExecutor{JobExecutor: executor}
+	a := &announcer{executor: executor, runner: startRunner(t, &q.fakeLeader, executor, down)}
+	a.announce(&wire.Resources{Millicores: 1000})
+	waitFor(t, "session", q.polls)
+	down.down.Store(true)
+	waitFor(t, "failed renewal", func() bool { return down.failures.Load() > 0 })
+	q.send(startOrder("a.0.0.0", requesting(400, 0)), startOrder("b.0.0.0", requesting(400, 0)))
+	executor.SetCapacity(&wire.Resources{Millicores: 400})
+	executor.Boot("executor-1")
+	born := executor.Info("planning", "zone", nil).GetBornUnixMs()
+	time.Sleep(200 * time.Millisecond)
+	down.down.Store(false)
+	waitFor(t, "report of the restart", func() bool {
+		return q.received(func(r *wire.ExchangeRequest) bool { return r.GetExecutor().GetBornUnixMs() == born })
+	})
+	assert.Equal(t, starts.Load(), int64(0))
+}
+
+// Guards against a start that waits for the next long renewal although the executor
+// is reachable again.
+func TestStartAfterAFailedRenewal(t *testing.T) {
+	const startBound = 500 * time.Millisecond
+	q := newOrderQueue()
+	executor := newExecutor()
+	down := &downExecutor{JobExecutor: executor}
+	a := &announcer{executor: executor, runner: startRunner(t, &q.fakeLeader, executor, down)}
+	a.announce(&wire.Resources{Millicores: 1000})
+	waitFor(t, "session", q.polls)
+	down.down.Store(true)
+	waitFor(t, "failed renewal", func() bool { return down.failures.Load() > 0 })
+	q.send(startOrder("a.0.0.0", requesting(400, 0)))
+	down.down.Store(false)
+	started := time.Now()
+	waitFor(t, "run", func() bool { return executor.Running() == 1 })
+	assert.Assert(t, time.Since(started) < startBound, "%s", time.Since(started))
+}
+
 // Guards against a restarted executor that is reported with the capacity and the
 // labels of the incarnation before, which had the same id.
 func TestRestartedExecutorHasNoCapacityYet(t *testing.T) {
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -44,6 +44,9 @@
 	// handled means that the run is running, has ended or belongs to another
 	// order, or that the executor for which the order was given has ended.
 	handled bool
+	// wait means that the last renewal failed. The executor may have restarted under
+	// its id, and would carry out the order of the incarnation before.
+	wait    bool
 	refusal damaskspread.StartRefusal
 }
 
@@ -76,6 +79,8 @@
 		decision.refusal = damaskspread.RefusedOrderExpired
 	case decision.lease.DeadlineMs == 0:
 		decision.refusal = damaskspread.RefusedLeaseOver
+	case r.renewFailures > 0:
+		decision.wait = true
 	case r.exceedsCapacity(key):
 		decision.refusal = damaskspread.RefusedNoRoom
 	default:
@@ -102,6 +107,9 @@
 		case decision.refusal != "":
 			r.reportRefusal(info, key, decision.refusal)
 			return
+		case decision.wait:
+			r.pause(ctx, orderRetry)
+			continue
 		}
 		err := r.callStart(ctx, info, order, &decision.lease)
 		var unknown *damaskspread.WorkerUnknownError
--- a/runner/renew.go
+++ b/runner/renew.go
@@ -84,7 +84,7 @@
 		dropUpTo:  r.endsRecorded,
 		wait:      renewWait,
 	}
-	if !r.listsRead || len(r.unrecordedEnds) > 0 || len(r.checksDue) > 0 {
+	if !r.listsRead || r.renewFailures > 0 || len(r.unrecordedEnds) > 0 || len(r.checksDue) > 0 {
 		call.wait = 0
 	}
 	return call
