Soak: executors that shrink, grow, go down and come back under their id

Change: three new faults in the random series; the checker judges each start by the capacity (LIMIT) with the requests of the jobs that it submitted. TestCheckerSeesPlantedFaults plants a start over the capacity and two runs of one task on one executor. Executors announce themselves each 1.5 s, as on the platform, and again after 0.2 s if it fails. DAMASKSPREAD_SOAK_LOGS keeps the logs.

--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"testing"
 
+	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
 	"damaskspread.example/damaskspread/emulator"
@@ -30,6 +32,7 @@
 	// its response arrives, which may be after the first start.
 	startedTask map[string]string
 	violations  []string
+	capacities  *emulator.CapacityChecker
 }
 
 func newChecker() *checker {
@@ -39,6 +42,10 @@
 		accepted:    map[string]bool{},
 		mayHaveRun:  map[string]bool{},
 		startedTask: map[string]string{},
+		capacities: &emulator.CapacityChecker{
+			Clock: clockwork.NewRealClock(),
+			Step:  func(string) *wire.JobStep { return submittedStep },
+		},
 	}
 }
 
@@ -57,6 +64,7 @@
 
 // observe records the start or end of a run as reported by an executor.
 func (c *checker) observe(event emulator.RunEvent) {
+	c.capacities.Observe(event)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	job, rest, _ := strings.Cut(event.Task, ".")
@@ -103,7 +111,7 @@
 func (c *checker) report() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	violations := c.violations
+	violations := slices.Concat(c.violations, c.capacities.Violations())
 	for job, task := range c.startedTask {
 		if mayRun, attempted := c.mayHaveRun[job]; attempted && !mayRun {
 			violations = append(violations, task+" started although every attempt to submit its job was refused")
@@ -117,10 +125,26 @@
 	start := func(task, executor string) emulator.RunEvent {
 		return emulator.RunEvent{Task: task, Executor: executor}
 	}
+	newChecker := func() *checker {
+		c := newChecker()
+		for _, executor := range []string{"x", "y"} {
+			c.capacities.Booted(executor, &wire.Resources{Millicores: submittedMillicores, MemoryBytes: defaultCapacity.GetMemoryBytes()})
+		}
+		return c
+	}
 	twice := newChecker()
 	twice.observe(start("a.0.0.0", "x"))
 	twice.observe(start("a.0.0.0", "y"))
 	assert.Equal(t, len(twice.report()), 1)
+	sameExecutor := newChecker()
+	sameExecutor.capacities.Booted("x", defaultCapacity)
+	sameExecutor.observe(start("a.0.0.0", "x"))
+	sameExecutor.observe(emulator.RunEvent{Task: "a.0.0.0", Run: 2, Executor: "x"})
+	assert.Equal(t, len(sameExecutor.report()), 1)
+	overCapacity := newChecker()
+	overCapacity.observe(start("a.0.0.0", "x"))
+	overCapacity.observe(start("a.0.0.1", "x"))
+	assert.Equal(t, len(overCapacity.report()), 1)
 	early := newChecker()
 	early.observe(start("a.0.1.0", "x"))
 	assert.Assert(t, len(early.report()) > 0)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,7 +4,8 @@
 // the test process.
 //
 // DAMASKSPREAD_SOAK_SEED sets the first seed, DAMASKSPREAD_SOAK_SEEDS the number
-// of consecutive seeds to run, DAMASKSPREAD_SOAK_SECONDS the length of each run.
+// of consecutive seeds to run, DAMASKSPREAD_SOAK_SECONDS the length of each run,
+// DAMASKSPREAD_SOAK_LOGS a directory that keeps the logs of the processes.
 package soak_test
 
 import (
@@ -23,6 +24,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -41,8 +43,16 @@
 	// last fault: recoveryS of the deployments plus the lease that a new leader
 	// may have to wait for.
 	recoveryLimit = 12*time.Second + 5*time.Second + 4*time.Second
-	pathPrefix    = "/jobs/"
-	hostHeader    = "soak.example"
+	// Requests of each submitted task.
+	submittedMillicores, submittedMegabytes = 200, 100
+	// announcementInterval is that of the platform's executors. One that is not
+	// acknowledged is repeated after announcementRetry.
+	announcementInterval = 1500 * time.Millisecond
+	announcementRetry    = 200 * time.Millisecond
+
+	megabyte   = 1 << 20
+	pathPrefix = "/jobs/"
+	hostHeader = "soak.example"
 )
 
 var (
@@ -50,8 +60,17 @@
 	loopback = fmt.Sprintf("127.%d.%d.2", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff)
 )
 
+var (
+	submittedStep = &wire.JobStep{
+		Resources: &wire.Resources{Millicores: submittedMillicores, MemoryBytes: submittedMegabytes * megabyte},
+	}
+	defaultCapacity = &wire.Resources{Millicores: 8000, MemoryBytes: 64000 * megabyte}
+)
+
 // regressions maps seeds that once failed to the cause of the failure.
-var regressions = map[uint64]string{}
+var regressions = map[uint64]string{
+	3: "starts at an executor that came back smaller under its id, before the agent noticed the restart",
+}
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "damaskspread-soak")
@@ -100,7 +119,7 @@
 	entries   []*process
 	agents    []*process
 	executors []*executorHandler
-	bootCount int
+	bootCount atomic.Int64
 	logDir    string
 }
 
@@ -144,7 +163,7 @@
 		random:  rand.New(rand.NewPCG(seed, seed)),
 		checker: newChecker(),
 		log:     &emulator.KeyedLog{Clock: clock},
-		logDir:  t.TempDir(),
+		logDir:  logDir(t, seed),
 	}
 	client := &emulator.KeyedLogClient{Log: f.log}
 	config := fmt.Sprintf(`{"version":1,"routes":[{"name":"q","host":%q,"pathPrefix":%q,"service":"s","maxAttempts":4,"stretch":2}],"services":[{"name":"s"}]}`, hostHeader, pathPrefix)
@@ -161,6 +180,18 @@
 	return f
 }
 
+// logDir returns a directory for the logs, which is kept after the test only below
+// the one that the environment names.
+func logDir(t *testing.T, seed uint64) string {
+	parent := os.Getenv("DAMASKSPREAD_SOAK_LOGS")
+	if parent == "" {
+		return t.TempDir()
+	}
+	dir := filepath.Join(parent, fmt.Sprint(seed))
+	assert.NilError(t, os.MkdirAll(dir, 0o750))
+	return dir
+}
+
 func (f *fleet) addHost(i int, clock clockwork.Clock) {
 	executor := &emulator.JobExecutor{
 		Clock:        clock,
@@ -170,45 +201,100 @@
 	handler := &executorHandler{executor: executor}
 	f.executors = append(f.executors, handler)
 	f.boot(i)
-	server := httptest.NewServer(handler)
-	f.t.Cleanup(server.Close)
-	agent := f.newProcess("job-agent", fmt.Sprintf("agent-%d", i), strings.TrimPrefix(server.URL, "http://"))
+	handler.address = freeAddress(f.t)
+	handler.listen(f.t)
+	f.t.Cleanup(handler.close)
+	agent := f.newProcess("job-agent", fmt.Sprintf("agent-%d", i), handler.address)
 	f.agents = append(f.agents, agent)
 	stop := make(chan struct{})
 	f.t.Cleanup(func() { close(stop) })
-	go announce(executor, agent.executorsAddress, stop)
+	go announce(handler, agent.executorsAddress, stop)
 }
 
 // boot restarts the executor of a host as a new incarnation without state.
 func (f *fleet) boot(i int) {
-	f.bootCount++
-	f.executors[i].executor.Boot(fmt.Sprintf("i-%d-%d", i, f.bootCount))
+	f.bootAs(i, fmt.Sprintf("i-%d-%d", i, f.bootCount.Add(1)), defaultCapacity)
+}
+
+func (f *fleet) bootAs(i int, id string, capacity *wire.Resources) {
+	f.checker.capacities.Booted(id, capacity)
+	f.executors[i].executor.SetCapacity(capacity)
+	f.executors[i].executor.Boot(id)
+}
+
+// setMillicores changes the capacity of a host's executor while it runs.
+func (f *fleet) setMillicores(i int, millicores int64) {
+	capacity := &wire.Resources{Millicores: millicores, MemoryBytes: defaultCapacity.GetMemoryBytes()}
+	executor := f.executors[i].executor
+	f.checker.capacities.CapacityChanged(executor.Info("s", "z", nil).GetId(), capacity)
+	executor.SetCapacity(capacity)
+}
+
+// shrink takes most of the capacity of a host's executor away until the duration is
+// over or ctx ends.
+func (f *fleet) shrink(ctx context.Context, i int, millicores int64, duration time.Duration) {
+	f.setMillicores(i, millicores)
+	pause(ctx, duration)
+	f.setMillicores(i, defaultCapacity.GetMillicores())
+}
+
+// crash ends the executor of a host with its runs. Connections to it are refused
+// until it starts again, under its id or a new one, with the given capacity.
+func (f *fleet) crash(i int, sameID bool, millicores int64, downtime time.Duration) {
+	h := f.executors[i]
+	id := h.executor.Info("s", "z", nil).GetId()
+	h.down.Store(true)
+	h.close()
+	h.executor.Boot(id + "-down")
+	time.Sleep(downtime)
+	if !sameID {
+		id = fmt.Sprintf("i-%d-%d", i, f.bootCount.Add(1))
+	}
+	f.bootAs(i, id, &wire.Resources{Millicores: millicores, MemoryBytes: defaultCapacity.GetMemoryBytes()})
+	h.listen(f.t)
+	h.down.Store(false)
+}
+
+// pause waits for a duration or until ctx ends.
+func pause(ctx context.Context, duration time.Duration) {
+	select {
+	case <-time.After(duration):
+	case <-ctx.Done():
+	}
 }
 
 // announce sends the periodic heartbeats of an executor to its agent until stop
 // is closed.
-func announce(executor *emulator.JobExecutor, address string, stop chan struct{}) {
+func announce(h *executorHandler, address string, stop chan struct{}) {
 	client := &http.Client{Timeout: time.Second}
-	ticker := time.NewTicker(200 * time.Millisecond)
-	defer ticker.Stop()
 	for sequence := 1; ; sequence++ {
-		info := executor.Info("s", "z", nil)
-		body, _ := json.Marshal(map[string]any{
-			"service": "s", "address": "x", "zone": "z", "state": "ready", "sequence": sequence, "clockMs": info.GetClockMs(),
-			"born": info.GetBornUnixMs(), "capacity": map[string]int{"cpu": 8000, "memMb": 64000, "gpu": 0}, "labels": []string{"a", "r"},
-		})
-		response, err := client.Post("http://"+address+"/Instances.Heartbeat/"+info.GetId(), "application/json", bytes.NewReader(body))
-		if err == nil {
-			_ = response.Body.Close()
+		interval := announcementRetry
+		if !h.down.Load() && sendAnnouncement(client, h.executor.Info("s", "z", nil), address, sequence) {
+			interval = announcementInterval
 		}
 		select {
-		case <-ticker.C:
+		case <-time.After(interval):
 		case <-stop:
 			return
 		}
 	}
 }
 
+// sendAnnouncement reports whether the agent acknowledged the announcement.
+func sendAnnouncement(client *http.Client, info *wire.ExecutorInfo, address string, sequence int) bool {
+	capacity := info.GetCapacity()
+	body, _ := json.Marshal(map[string]any{
+		"service": "s", "address": "x", "zone": "z", "state": "ready", "sequence": sequence, "clockMs": info.GetClockMs(),
+		"born": info.GetBornUnixMs(), "capacity": map[string]int64{"cpu": capacity.GetMillicores(), "memMb": capacity.GetMemoryBytes() / megabyte}, "labels": []string{"a", "r"},
+	})
+	response, err := client.Post("http://"+address+"/Instances.Heartbeat/"+info.GetId(), "application/json", bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
 func freeAddress(t *testing.T) string {
 	listener, err := net.Listen("tcp", loopback+":0")
 	assert.NilError(t, err)
@@ -295,7 +381,8 @@
 		all := append(append([]*process{}, f.entries...), f.agents...)
 		p := all[f.random.IntN(len(all))]
 		duration := time.Duration(300+f.random.IntN(2500)) * time.Millisecond
-		kind, host := f.random.IntN(9), f.random.IntN(hostCount)
+		kind, host := f.random.IntN(12), f.random.IntN(hostCount)
+		millicores := submittedMillicores * int64(1+f.random.IntN(5))
 		pause := time.Duration(200+f.random.IntN(900)) * time.Millisecond
 		if ended := busy[p]; ended != nil {
 			select {
@@ -309,15 +396,19 @@
 		busy[p] = ended
 		faults.Go(func() {
 			defer close(ended)
-			f.inject(p, kind, host, duration)
+			f.inject(ctx, p, kind, host, duration, millicores)
 		})
 		time.Sleep(pause)
 	}
 	faults.Wait()
 }
 
-func (f *fleet) inject(p *process, kind, host int, duration time.Duration) {
+func (f *fleet) inject(ctx context.Context, p *process, kind, host int, duration time.Duration, millicores int64) {
 	f.t.Logf("fault %d on %s for %s (host %d)", kind, p.name, duration, host)
+	if kind >= 9 {
+		f.injectExecutorFault(ctx, kind, host, duration, millicores)
+		return
+	}
 	switch kind {
 	case 0:
 		f.restart(p, syscall.SIGKILL, duration/4)
@@ -343,6 +434,26 @@
 	}
 }
 
+// injectExecutorFault shrinks or crashes the executor of a host, unless another such
+// fault of it is in progress.
+func (f *fleet) injectExecutorFault(ctx context.Context, kind, host int, duration time.Duration, millicores int64) {
+	h := f.executors[host]
+	if !h.faulty.TryLock() {
+		return
+	}
+	defer h.faulty.Unlock()
+	switch kind {
+	case 9:
+		// Starts are judged by the shrunk capacity only once the grace is over.
+		f.shrink(ctx, host, millicores, emulator.CapacityGrace+duration)
+	case 10:
+		f.crash(host, false, defaultCapacity.GetMillicores(), duration)
+	case 11:
+		f.crash(host, true, millicores, duration)
+		f.shrink(ctx, host, millicores, duration)
+	}
+}
+
 // heal ends all connection faults and resumes paused processes.
 func (f *fleet) heal() {
 	for _, p := range append(append([]*process{}, f.entries...), f.agents...) {
@@ -356,7 +467,8 @@
 func (f *fleet) submitJobs(ctx context.Context, caller int, seed uint64, jobs chan<- string) {
 	client := &http.Client{Timeout: 3 * time.Second}
 	random := rand.New(rand.NewPCG(seed, uint64(caller)))
-	body := fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,"cpu":200,"memMb":100},{"count":%d,"cpu":200,"memMb":100,"after":[0]}]}`, firstStepTasks, secondStepTasks)
+	request := fmt.Sprintf(`"cpu":%d,"memMb":%d`, submittedMillicores, submittedMegabytes)
+	body := fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,%s},{"count":%d,%s,"after":[0]}]}`, firstStepTasks, request, secondStepTasks, request)
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%08x%02x%06x", seed, caller, n)
 		mayRun := false
--- a/soak/stand_in_test.go
+++ b/soak/stand_in_test.go
@@ -5,11 +5,17 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"sync"
+	"sync/atomic"
+	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/emulator"
 	"damaskspread.example/damaskspread/wire"
@@ -122,6 +128,12 @@
 // executorHandler serves the HTTP calls of an agent to its executor.
 type executorHandler struct {
 	executor *emulator.JobExecutor
+	address  string
+	server   *httptest.Server
+	// down is set while the executor sends no announcements.
+	down atomic.Bool
+	// faulty is held during a fault that changes the capacity or the incarnation.
+	faulty sync.Mutex
 
 	mu sync.Mutex
 	// lostResponses is the number of further orders that take effect but get no
@@ -129,6 +141,20 @@
 	lostResponses int
 }
 
+// listen starts to serve at the handler's address.
+func (h *executorHandler) listen(t *testing.T) {
+	listener, err := net.Listen("tcp", h.address)
+	assert.NilError(t, err)
+	h.server = &httptest.Server{Listener: listener, Config: &http.Server{Handler: h}}
+	h.server.Start()
+}
+
+// close breaks off all connections and refuses further ones.
+func (h *executorHandler) close() {
+	h.server.CloseClientConnections()
+	h.server.Close()
+}
+
 type orderBody struct {
 	Task         string `json:"task"`
 	Run          int32  `json:"run"`
