Split the eight test functions of 65 to 117 lines into named steps

Cause: tables of cases, set-up and checks of several kinds in one function. Change: tables are variables or functions of their own, steps have names. All cases and assertions stay, in the same order.

--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -128,19 +129,20 @@
 	return code, stdout.String(), stderr.String()
 }
 
-// Guards against wrong exit codes: scripts must be able to distinguish a conflict,
-// an invalid text and an unknown outcome from other failures.
-func TestExitCodes(t *testing.T) {
-	s := newCLI(t)
+// exitCase is a command line, its exit code, and a part of its output.
+type exitCase struct {
+	args string
+	code int
+	want string
+}
+
+// configurationExits returns the cases of config. The later ones depend on what
+// the earlier ones published.
+func configurationExits(s *cli, settings string) []exitCase {
 	document := s.file("document.ini", "[zone gaspe]\nowner = ops\n[kind render]\nowner = ops\nprocessors = 1\n")
 	broken := s.file("broken.ini", "[zone gaspe]\nowner = ops\nin_servce = no\n")
-	settings := s.file("entry.ini", "[process]\nid = e\nrole = entry\nregion = quebec\nzone = gaspe\n")
 	conflicting := s.file("conflicting.ini", "[zone gaspe]\nowner = ops\ndrain = yes\n")
-	cases := []struct {
-		args string
-		code int
-		want string
-	}{
+	return []exitCase{
 		{"config check " + document, commander.ExitOK, "is valid"},
 		{"config check " + broken, commander.ExitInvalid, `did you mean "in_service"?`},
 		{"config check --settings " + settings, commander.ExitOK, "is valid"},
@@ -157,30 +159,42 @@
 		{"config show \"zone gapse\"", commander.ExitFailure, "did you mean zone gaspe?"},
 		{"config defaults", commander.ExitOK, "currency_limit = 3s"},
 		{"config defaults --document", commander.ExitOK, "[zone NAME]"},
-		{"zone out gapse --team ops", commander.ExitFailure, "did you mean gaspe?"},
-		{"zone out gaspe --team ops", commander.ExitOK, "gaspe  no"},
-		{"zone out gaspe --team other", commander.ExitFailure, "belongs to team ops"},
-		{"zone list", commander.ExitOK, "gaspe  no"},
-		{"status", commander.ExitOK, "zones out     gaspe"},
-		{"task submit --team cutting --kind render", commander.ExitInvalid, "class is batch"},
-		{"task submit --team cutting --kind render --class batch --processors 0.5 --memory 4GB --id t1 --key k", commander.ExitOK, "0.5 cores, 4.0GB"},
-		{"task submit --team cutting --kind render --class batch --processors 2 --key k", commander.ExitConflict, "with another body"},
-		{"task submit --team cutting --kind render --memory 4", commander.ExitUsage, "expected memory with a unit"},
-		{"task list --phase pending", commander.ExitOK, "t1"},
-		{"task show t1", commander.ExitOK, "pending"},
-		{"task explain t1", commander.ExitOK, "not known to the scheduler"},
-		{"task cancel t1 --team cutting", commander.ExitOK, "canceled"},
-		{"task show t9", commander.ExitFailure, "no task t9"},
-		{"host list", commander.ExitOK, "HOST"},
-		{"host lost host-01 --team ops", commander.ExitFailure, "no host host-01"},
-		{"host drain host-01 --team ops", commander.ExitFailure, "no host host-01"},
-		{"endpoint list", commander.ExitOK, "SERVICE"},
-		{"service list", commander.ExitOK, "SERVICE"},
-		{"audit --subject \"zone gaspe\"", commander.ExitOK, "in_service = no"},
-		{"request tags /counter", commander.ExitOK, "tag 412"},
-		{"request shed /counter --timeout 10s", commander.ExitNotRun, "not_run"},
-		{"request lost /counter", commander.ExitUnknown, "unknown"},
-		{"request broken /counter", commander.ExitFailure, "status 418"},
+	}
+}
+
+// operationExits are the cases of operators' other commands. They depend on the
+// published configuration and on each other.
+var operationExits = []exitCase{
+	{"zone out gapse --team ops", commander.ExitFailure, "did you mean gaspe?"},
+	{"zone out gaspe --team ops", commander.ExitOK, "gaspe  no"},
+	{"zone out gaspe --team other", commander.ExitFailure, "belongs to team ops"},
+	{"zone list", commander.ExitOK, "gaspe  no"},
+	{"status", commander.ExitOK, "zones out     gaspe"},
+	{"task submit --team cutting --kind render", commander.ExitInvalid, "class is batch"},
+	{"task submit --team cutting --kind render --class batch --processors 0.5 --memory 4GB --id t1 --key k", commander.ExitOK, "0.5 cores, 4.0GB"},
+	{"task submit --team cutting --kind render --class batch --processors 2 --key k", commander.ExitConflict, "with another body"},
+	{"task submit --team cutting --kind render --memory 4", commander.ExitUsage, "expected memory with a unit"},
+	{"task list --phase pending", commander.ExitOK, "t1"},
+	{"task show t1", commander.ExitOK, "pending"},
+	{"task explain t1", commander.ExitOK, "not known to the scheduler"},
+	{"task cancel t1 --team cutting", commander.ExitOK, "canceled"},
+	{"task show t9", commander.ExitFailure, "no task t9"},
+	{"host list", commander.ExitOK, "HOST"},
+	{"host lost host-01 --team ops", commander.ExitFailure, "no host host-01"},
+	{"host drain host-01 --team ops", commander.ExitFailure, "no host host-01"},
+	{"endpoint list", commander.ExitOK, "SERVICE"},
+	{"service list", commander.ExitOK, "SERVICE"},
+	{"audit --subject \"zone gaspe\"", commander.ExitOK, "in_service = no"},
+	{"request tags /counter", commander.ExitOK, "tag 412"},
+	{"request shed /counter --timeout 10s", commander.ExitNotRun, "not_run"},
+	{"request lost /counter", commander.ExitUnknown, "unknown"},
+	{"request broken /counter", commander.ExitFailure, "status 418"},
+}
+
+// processExits returns the cases of daemons, and of command lines that are not
+// valid.
+func processExits(settings string) []exitCase {
+	return []exitCase{
 		{"entry --settings " + settings, commander.ExitOK, "this build has no entry daemon"},
 		{"agent --settings " + settings, commander.ExitInvalid, "expected agent"},
 		{"entry", commander.ExitUsage, "--settings is required"},
@@ -196,7 +210,14 @@
 		{"status --entry localhost:1", commander.ExitUsage, "--entry must be ip:port"},
 		{"zone out", commander.ExitUsage, "accepts 1 arg"},
 	}
-	for _, c := range cases {
+}
+
+// Guards against wrong exit codes: scripts must be able to distinguish a conflict,
+// an invalid text and an unknown outcome from other failures.
+func TestExitCodes(t *testing.T) {
+	s := newCLI(t)
+	settings := s.file("entry.ini", "[process]\nid = e\nrole = entry\nregion = quebec\nzone = gaspe\n")
+	for _, c := range slices.Concat(configurationExits(s, settings), operationExits, processExits(settings)) {
 		code, out, errs := s.run(splitArgs(c.args)...)
 		assert.Equal(t, code, c.code, "%s\n%s%s", c.args, out, errs)
 		assert.Assert(t, strings.Contains(out+errs, c.want), "%s\n%s%s", c.args, out, errs)
--- a/e2e/once_test.go
+++ b/e2e/once_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -30,6 +31,16 @@
 	return key, j.findProcess(host)
 }
 
+// keyFailure is a failure while a request with a key runs at host-0.
+type keyFailure struct {
+	name string
+	// during is called while the first attempt runs at host-0, and undo after
+	// the second retries. during may be nil.
+	during func() (undo func())
+	// mustRun means that the last retry must get the response of the execution.
+	mustRun bool
+}
+
 // TestKeyRunsOnce guards promise 7: a key that is retried during and after
 // failures of the parts that hold its state runs at most once.
 func TestKeyRunsOnce(t *testing.T) {
@@ -40,14 +51,14 @@
 		slots:  32,
 	})
 	j := newJournal(c, "once")
-	for _, test := range []struct {
-		name string
-		// during is called while the first attempt runs at host-0, and undo after
-		// the second retries. during may be nil.
-		during func() (undo func())
-		// mustRun means that the last retry must get the response of the execution.
-		mustRun bool
-	}{
+	for _, failure := range slices.Concat(c.keyLinkFailures(), c.keyProcessFailures()) {
+		t.Run(failure.name, func(t *testing.T) { j.checkKeyRunsOnce(t, failure) })
+	}
+	j.checkAll(t)
+}
+
+func (c *cluster) keyLinkFailures() []keyFailure {
+	return []keyFailure{
 		{
 			name:    "retried at once through both entries",
 			mustRun: true,
@@ -80,6 +91,13 @@
 				return func() { c.proxies.restore("endpoint/host-0") }
 			},
 		},
+	}
+}
+
+// keyProcessFailures returns failures of which the last one loses the history of
+// the shards, so nothing may follow it.
+func (c *cluster) keyProcessFailures() []keyFailure {
+	return []keyFailure{
 		{
 			name:    "endpoint leaves",
 			during:  func() func() { return c.signalUntilUndone("host-0", syscall.SIGTERM) },
@@ -116,7 +134,6 @@
 				return func() { restart(); c.setZone("a", true) }
 			},
 		},
-		// This must be the last case, because the shards' history is lost.
 		{
 			name: "primary and secondary killed",
 			during: func() func() {
@@ -124,31 +141,33 @@
 				return func() { first(); second() }
 			},
 		},
-	} {
-		t.Run(test.name, func(t *testing.T) {
-			c.waitEndpoints(2)
-			sameShardAs, _ := j.keyWithPrimary("host-0")
-			r := j.newKeyedRequest(sameShardAs)
-			r.serviceMS, r.firstAttempt, r.timeout = 600, true, 1500*time.Millisecond
-			done := j.startRequest(0, r)
-			undo := func() {}
-			if test.during != nil {
-				undo = test.during()
-			}
-			r.firstAttempt = false
-			j.retryEverywhere(r)
-			<-done
-			time.Sleep(time.Second)
-			j.retryEverywhere(r)
-			undo()
-			last := j.retryEverywhere(r)
-			if test.mustRun {
-				assert.Equal(t, last.result(), client.OutcomeRan, "%s: %v", last.reason, last.err)
-			}
-			assert.Equal(t, len(j.executionsByPath()[r.path]), 1)
-		})
 	}
-	j.checkAll(t)
+}
+
+// checkKeyRunsOnce retries a new key during the failure, a second later and after
+// its end.
+func (j *journal) checkKeyRunsOnce(t *testing.T, failure keyFailure) {
+	t.Helper()
+	j.waitEndpoints(2)
+	sameShardAs, _ := j.keyWithPrimary("host-0")
+	r := j.newKeyedRequest(sameShardAs)
+	r.serviceMS, r.firstAttempt, r.timeout = 600, true, 1500*time.Millisecond
+	done := j.startRequest(0, r)
+	undo := func() {}
+	if failure.during != nil {
+		undo = failure.during()
+	}
+	r.firstAttempt = false
+	j.retryEverywhere(r)
+	<-done
+	time.Sleep(time.Second)
+	j.retryEverywhere(r)
+	undo()
+	last := j.retryEverywhere(r)
+	if failure.mustRun {
+		assert.Equal(t, last.result(), client.OutcomeRan, "%s: %v", last.reason, last.err)
+	}
+	assert.Equal(t, len(j.executionsByPath()[r.path]), 1)
 }
 
 // signalUntilUndone sends a signal to a process. The returned function restarts
@@ -313,44 +332,7 @@
 		},
 		signalFault("entry-0", syscall.SIGKILL),
 	} {
-		key := fmt.Sprintf("ledger-%d", i)
-		body := &client.TaskRequest{
-			Team: "board",
-			Kind: "ledger",
-			Resources: client.Resources{
-				Millicores:  100,
-				MemoryBytes: 1 << 20,
-			},
-			Parameters: map[string]string{
-				"run_ms": "20",
-			},
-		}
-		ids := map[string]bool{}
-		var mu sync.Mutex
-		submit := func(entries ...string) {
-			operator := &client.Client{
-				Entries:  entries,
-				Team:     "board",
-				HTTP:     newHTTPClient(),
-				Timeout:  4 * time.Second,
-				MaxTries: 3,
-			}
-			task, err := operator.Submit(context.Background(), body, key)
-			mu.Lock()
-			defer mu.Unlock()
-			if err == nil {
-				ids[task.Task] = true
-			}
-		}
-		var group sync.WaitGroup
-		group.Go(func() { submit(j.callers[0]) })
-		time.Sleep(2 * time.Millisecond)
-		end := f.begin(c)
-		group.Go(func() { submit(j.callers[0], j.callers[1]) })
-		group.Go(func() { submit(j.callers[1]) })
-		group.Wait()
-		end()
-		submit(j.callers[1], j.callers[0])
+		ids := j.submitDuring(f, fmt.Sprintf("ledger-%d", i))
 		assert.Equal(t, len(ids), 1, "%s: tasks %v", f.name, ids)
 	}
 	time.Sleep(settleTime)
@@ -363,3 +345,46 @@
 	assert.Equal(t, starts, 4, "one start for each key")
 	c.assertNoViolation()
 }
+
+// submitDuring submits a task with a key before, during and after a fault. It
+// returns the IDs that callers received.
+func (j *journal) submitDuring(f fault, key string) map[string]bool {
+	body := &client.TaskRequest{
+		Team: "board",
+		Kind: "ledger",
+		Resources: client.Resources{
+			Millicores:  100,
+			MemoryBytes: 1 << 20,
+		},
+		Parameters: map[string]string{
+			"run_ms": "20",
+		},
+	}
+	ids := map[string]bool{}
+	var mu sync.Mutex
+	submit := func(entries ...string) {
+		operator := &client.Client{
+			Entries:  entries,
+			Team:     "board",
+			HTTP:     newHTTPClient(),
+			Timeout:  4 * time.Second,
+			MaxTries: 3,
+		}
+		task, err := operator.Submit(context.Background(), body, key)
+		mu.Lock()
+		defer mu.Unlock()
+		if err == nil {
+			ids[task.Task] = true
+		}
+	}
+	var group sync.WaitGroup
+	group.Go(func() { submit(j.callers[0]) })
+	time.Sleep(2 * time.Millisecond)
+	end := f.begin(j.cluster)
+	group.Go(func() { submit(j.callers[0], j.callers[1]) })
+	group.Go(func() { submit(j.callers[1]) })
+	group.Wait()
+	end()
+	submit(j.callers[1], j.callers[0])
+	return ids
+}
--- a/e2e/tasks_evict_test.go
+++ b/e2e/tasks_evict_test.go
@@ -102,6 +102,33 @@
 	return c, workers, syncs
 }
 
+// startTaskPerKillPoint starts a task in the zone of each kill point; it may
+// resume in the zone spare.
+func (c *cluster) startTaskPerKillPoint(suffix string, run time.Duration) (tasks []string) {
+	c.t.Helper()
+	for _, point := range evictionKillPoints {
+		r := taskRequest(point.name+"-"+suffix, run)
+		r.Zones = []string{point.name, "spare"}
+		tasks = append(tasks, c.submitTo(nil, r))
+	}
+	for _, task := range tasks {
+		c.waitStart(task, 0)
+	}
+	return tasks
+}
+
+// restoreKillPoints starts the agents that are down and takes all zones into
+// service.
+func (c *cluster) restoreKillPoints() {
+	c.t.Helper()
+	for i, point := range evictionKillPoints {
+		if h := c.hosts[i+1]; !h.running() {
+			h.start()
+		}
+		c.setZone(point.name, true)
+	}
+}
+
 // TestAgentKilledAtEveryStepOfAnEviction guards against evicted tasks that are
 // lost, resume twice or resume before their checkpoint, and against tasks that
 // run again although they finished while their agent was down. Each agent is
@@ -125,15 +152,7 @@
 		{name: "twice", kills: 2, restart: true, run: 4 * time.Second},
 	} {
 		c.setZone("spare", false)
-		var tasks []string
-		for _, point := range evictionKillPoints {
-			r := taskRequest(point.name+"-"+variant.name, variant.run)
-			r.Zones = []string{point.name, "spare"}
-			tasks = append(tasks, c.submitTo(nil, r))
-		}
-		for _, task := range tasks {
-			c.waitStart(task, 0)
-		}
+		tasks := c.startTaskPerKillPoint(variant.name, variant.run)
 		c.setZone("spare", true)
 		var kills sync.WaitGroup
 		for i, point := range evictionKillPoints {
@@ -169,12 +188,7 @@
 				return len(c.events(task, "start")) > 1 || len(c.events(task, "finish")) > 0
 			})
 		}
-		for i, point := range evictionKillPoints {
-			if h := c.hosts[i+1]; !h.running() {
-				h.start()
-			}
-			c.setZone(point.name, true)
-		}
+		c.restoreKillPoints()
 		c.checkFinished(tasks...)
 		c.waitMembers(len(c.hosts))
 	}
--- a/operator/tasks_test.go
+++ b/operator/tasks_test.go
@@ -137,11 +137,8 @@
 	assert.DeepEqual(t, explanation.Decision, &client.Decision{Reason: "no host holds t1"})
 }
 
-// Guards against a host that is drained or declared lost although its worker
-// has restarted, and against listings that leave hosts out.
-func TestHostChange(t *testing.T) {
-	f := newFixture(t)
-	f.publish("ops", renderKindSection, nil)
+// joinHost adds host-01, which has an endpoint of the service planning.
+func (f *fixture) joinHost() {
 	f.apply([]*wire.Record{{
 		Id: "join",
 		Body: &wire.Record_HostJoined{HostJoined: &wire.HostJoined{
@@ -156,17 +153,30 @@
 			},
 		}},
 	}})
-	var task client.Task
-	assert.Equal(t, f.call(http.MethodPost, "/v1/tasks", renderRequest(), &task), http.StatusCreated)
+}
+
+// claim assigns the first attempt of a task to host-01.
+func (f *fixture) claim(task string) {
 	f.apply([]*wire.Record{{
 		Id: "claim",
 		Body: &wire.Record_TaskClaimed{TaskClaimed: &wire.TaskClaimed{
-			Task:       task.Task,
+			Task:       task,
 			Attempt:    1,
 			Host:       "host-01",
 			WorkerBoot: "b1",
 		}},
 	}})
+}
+
+// Guards against a host that is drained or declared lost although its worker
+// has restarted, and against listings that leave hosts out.
+func TestHostChange(t *testing.T) {
+	f := newFixture(t)
+	f.publish("ops", renderKindSection, nil)
+	f.joinHost()
+	var task client.Task
+	assert.Equal(t, f.call(http.MethodPost, "/v1/tasks", renderRequest(), &task), http.StatusCreated)
+	f.claim(task.Task)
 	var hosts []client.Host
 	assert.Equal(t, f.call(http.MethodGet, "/v1/hosts", nil, &hosts), http.StatusOK)
 	assert.Equal(t, hosts[0].Tasks, 1)
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -65,78 +65,83 @@
 	}, start)
 }
 
-// Guards against a refusal with the wrong binding constraint, or with Never set
-// for a task that only has to wait.
-func TestRefusalNamesTheBindingConstraint(t *testing.T) {
-	for name, c := range map[string]struct {
-		spec    *wire.TaskSpec
-		prepare func(*placer.Index)
-		binding damaskspread.Binding
-		never   bool
-	}{
-		"too many processors": {
-			spec:    batch("t", resources(32_000, 1, 0)),
-			binding: damaskspread.BindingMillicores,
-			never:   true,
-		},
-		"too much memory": {
-			spec:    batch("t", resources(1_000, 100, 0)),
-			binding: damaskspread.BindingMemory,
-			never:   true,
-		},
-		"processors in use": {
-			spec: batch("t", resources(9_000, 1, 0)),
-			prepare: func(x *placer.Index) {
-				x.Commit(batch("1", resources(8_000, 1, 0)), "a")
-				x.Commit(batch("2", resources(8_000, 1, 0)), "b")
-			},
-			binding: damaskspread.BindingMillicores,
+// refusalCase is a task that no host of z1 and z2 takes.
+type refusalCase struct {
+	spec    *wire.TaskSpec
+	prepare func(*placer.Index)
+	binding damaskspread.Binding
+	never   bool
+}
+
+var refusalCases = map[string]refusalCase{
+	"too many processors": {
+		spec:    batch("t", resources(32_000, 1, 0)),
+		binding: damaskspread.BindingMillicores,
+		never:   true,
+	},
+	"too much memory": {
+		spec:    batch("t", resources(1_000, 100, 0)),
+		binding: damaskspread.BindingMemory,
+		never:   true,
+	},
+	"processors in use": {
+		spec: batch("t", resources(9_000, 1, 0)),
+		prepare: func(x *placer.Index) {
+			x.Commit(batch("1", resources(8_000, 1, 0)), "a")
+			x.Commit(batch("2", resources(8_000, 1, 0)), "b")
 		},
-		"no accelerators": {
-			spec:    batch("t", resources(1_000, 1, 1)),
-			binding: damaskspread.BindingAccelerators,
-			never:   true,
+		binding: damaskspread.BindingMillicores,
+	},
+	"no accelerators": {
+		spec:    batch("t", resources(1_000, 1, 1)),
+		binding: damaskspread.BindingAccelerators,
+		never:   true,
+	},
+	"unknown zone": {
+		spec: &wire.TaskSpec{
+			Resources: resources(1, 1, 0),
+			Zones:     []string{"elsewhere"},
 		},
-		"unknown zone": {
-			spec: &wire.TaskSpec{
-				Resources: resources(1, 1, 0),
-				Zones:     []string{"elsewhere"},
-			},
-			binding: damaskspread.BindingZone,
-			never:   true,
+		binding: damaskspread.BindingZone,
+		never:   true,
+	},
+	"zones out": {
+		spec: batch("t", resources(1, 1, 0)),
+		prepare: func(x *placer.Index) {
+			x.SetZone("z1", false, start)
+			x.SetZone("z2", false, start)
 		},
-		"zones out": {
-			spec: batch("t", resources(1, 1, 0)),
-			prepare: func(x *placer.Index) {
-				x.SetZone("z1", false, start)
-				x.SetZone("z2", false, start)
-			},
-			binding: damaskspread.BindingZone,
+		binding: damaskspread.BindingZone,
+	},
+	"quarantined": {
+		spec: batch("t", resources(1, 1, 0)),
+		prepare: func(x *placer.Index) {
+			x.SetAdmission("a", placer.Quarantined)
+			x.SetAdmission("b", placer.Quarantined)
 		},
-		"quarantined": {
-			spec: batch("t", resources(1, 1, 0)),
-			prepare: func(x *placer.Index) {
-				x.SetAdmission("a", placer.Quarantined)
-				x.SetAdmission("b", placer.Quarantined)
-			},
-			binding: damaskspread.BindingQuarantine,
+		binding: damaskspread.BindingQuarantine,
+	},
+	"headroom": {
+		spec: &wire.TaskSpec{
+			Task:      "t",
+			Class:     wire.TaskClass_TASK_CLASS_BATCH,
+			Resources: resources(10_000, 1, 0),
 		},
-		"headroom": {
-			spec: &wire.TaskSpec{
-				Task:      "t",
-				Class:     wire.TaskClass_TASK_CLASS_BATCH,
-				Resources: resources(10_000, 1, 0),
-			},
-			prepare: func(x *placer.Index) {
-				for _, id := range []string{"a", "b"} {
-					urgent := batch("u"+id, resources(6_000, 1, 0))
-					urgent.Class = wire.TaskClass_TASK_CLASS_LATENCY_CRITICAL
-					x.Commit(urgent, id)
-				}
-			},
-			binding: damaskspread.BindingHeadroom,
+		prepare: func(x *placer.Index) {
+			for _, id := range []string{"a", "b"} {
+				urgent := batch("u"+id, resources(6_000, 1, 0))
+				urgent.Class = wire.TaskClass_TASK_CLASS_LATENCY_CRITICAL
+				x.Commit(urgent, id)
+			}
 		},
-	} {
+		binding: damaskspread.BindingHeadroom,
+	},
+}
+
+// Guards against a refusal with the wrong binding constraint, or with Never set
+// for a task that only has to wait.
+func TestRefusalNamesTheBindingConstraint(t *testing.T) {
+	for name, c := range refusalCases {
 		t.Run(name, func(t *testing.T) {
 			x := placer.NewIndex()
 			x.SetHost(hostIn("a", "z1", 16_000, 60, 0))
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -91,33 +91,17 @@
 	var group tomb.Tomb
 	group.Go(func() error { return s.Run(&group) })
 	wait := func(condition func() bool) {
-		poll.WaitOn(t, func(poll.LogT) poll.Result {
-			clock.Advance(100 * time.Millisecond)
-			l.mu.Lock()
-			defer l.mu.Unlock()
-			if condition() {
-				return poll.Success()
-			}
-			return poll.Continue("waiting")
-		}, poll.WithDelay(time.Millisecond), poll.WithTimeout(time.Minute))
+		t.Helper()
+		l.waitAdvancing(t, clock, condition)
 	}
 	wait(func() bool { return l.appends >= 3 })
 	l.mu.Lock()
 	l.appendErr = nil
 	l.mu.Unlock()
 	wait(func() bool { return l.state.PendingCount() == 0 })
-	var alive *wire.Position
-	l.View(func(state *replayer.State) {
-		host, _ := state.Host("h0")
-		alive = host.GetAlive()
-	})
 	stopped := stoppedTasks(l, "h0")
 	assert.Assert(t, len(stopped) > 0)
-	_, err := l.AppendRecords(context.Background(), []*wire.Record{{Body: &wire.Record_HostExpired{HostExpired: &wire.HostExpired{
-		Host:  &wire.HostRef{Host: "h0", Incarnation: incarnation(l, "h0")},
-		Alive: alive,
-	}}}})
-	assert.NilError(t, err)
+	l.expireHost(t, "h0")
 	wait(func() bool {
 		for range l.state.ClaimsOf("h0") {
 			return false
@@ -125,7 +109,48 @@
 		return l.state.PendingCount() == 0
 	})
 	assert.Equal(t, stopped[0].GetPhase(), wire.WorkerTaskPhase_WORKER_TASK_PHASE_SUCCEEDED)
-	for _, task := range stopped {
+	l.assertHasResults(t, stopped)
+	e, ok := s.Explain("b0")
+	assert.Assert(t, ok && e.Phase == claimed && e.Host == "h1" && e.Reason != "", "%+v", e)
+	group.Kill(nil)
+	assert.NilError(t, group.Wait())
+}
+
+// waitAdvancing advances the clock until the condition holds. The condition is
+// called with l.mu held.
+func (l *fakeLog) waitAdvancing(t *testing.T, clock *clockwork.FakeClock, condition func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		clock.Advance(100 * time.Millisecond)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if condition() {
+			return poll.Success()
+		}
+		return poll.Continue("waiting")
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(time.Minute))
+}
+
+// expireHost appends the record that ends a host's membership.
+func (l *fakeLog) expireHost(t *testing.T, id string) {
+	t.Helper()
+	var alive *wire.Position
+	l.View(func(state *replayer.State) {
+		host, _ := state.Host(id)
+		alive = host.GetAlive()
+	})
+	_, err := l.AppendRecords(context.Background(), []*wire.Record{{Body: &wire.Record_HostExpired{HostExpired: &wire.HostExpired{
+		Host:  &wire.HostRef{Host: id, Incarnation: incarnation(l, id)},
+		Alive: alive,
+	}}}})
+	assert.NilError(t, err)
+}
+
+// assertHasResults checks that the state has the results and checkpoints of a
+// worker's tasks.
+func (l *fakeLog) assertHasResults(t *testing.T, tasks []*wire.WorkerTask) {
+	t.Helper()
+	for _, task := range tasks {
 		l.View(func(state *replayer.State) {
 			moved, _ := state.Task(task.GetTask())
 			if task.GetPhase() == wire.WorkerTaskPhase_WORKER_TASK_PHASE_SUCCEEDED {
@@ -135,10 +160,6 @@
 			assert.Equal(t, moved.GetCheckpoint(), task.GetCheckpoint())
 		})
 	}
-	e, ok := s.Explain("b0")
-	assert.Assert(t, ok && e.Phase == claimed && e.Host == "h1" && e.Reason != "", "%+v", e)
-	group.Kill(nil)
-	assert.NilError(t, group.Wait())
 }
 
 // stoppedTasks returns the tasks of a host as its worker reports them after a
--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -59,6 +59,18 @@
 	}
 }
 
+// viewAfter sends a response to a Sync call of the subscriber, waits until it is
+// applied, and returns the view.
+func viewAfter(s *subscriber.Subscriber, responses chan<- *wire.SyncResponse, response *wire.SyncResponse) *subscriber.View {
+	responses <- response
+	// The next call begins after the response is applied.
+	responses <- &wire.SyncResponse{
+		AgeUs:     damaskspread.AgeMicros(damaskspread.MaxAge),
+		Unchanged: true,
+	}
+	return s.View()
+}
+
 // Guards against an age that is too low and a view that reverts to an earlier
 // state. The age must cover the whole call and the age of the entry process. A
 // response of an entry process that is behind must be ignored, and a section must
@@ -85,13 +97,7 @@
 	var running tomb.Tomb
 	running.Go(func() error { return s.Run(&running) })
 	apply := func(response *wire.SyncResponse) *subscriber.View {
-		responses <- response
-		// The next call begins after the response is applied.
-		responses <- &wire.SyncResponse{
-			AgeUs:     damaskspread.AgeMicros(damaskspread.MaxAge),
-			Unchanged: true,
-		}
-		return s.View()
+		return viewAfter(s, responses, response)
 	}
 	claim := &wire.TaskState{
 		Host: "h1",
