replayer: one look-up of a host's incarnation

Cause: four rules compared the incarnation of a record with the host's in the same words. Change: findIncarnation returns the host or nil. Behavior is unchanged.

--- a/replayer/hosts.go
+++ b/replayer/hosts.go
@@ -81,10 +81,20 @@
 	s.assignShards(c, old.GetEndpoint().GetService())
 }
 
+// findIncarnation returns the host if its current incarnation is the referenced
+// one, or else nil.
+func (s *State) findIncarnation(ref *wire.HostRef) *host {
+	h := s.hosts[ref.GetHost()]
+	if h == nil || h.state.GetSpec().GetIncarnation() != ref.GetIncarnation() {
+		return nil
+	}
+	return h
+}
+
 func (s *State) applyHostsAlive(c Change, alive *wire.HostsAlive) {
 	for _, ref := range alive.GetHosts() {
-		h := s.hosts[ref.GetHost()]
-		if h == nil || h.state.GetSpec().GetIncarnation() != ref.GetIncarnation() || h.state.GetExpired() {
+		h := s.findIncarnation(ref)
+		if h == nil || h.state.GetExpired() {
 			s.ignore(c, ref.GetHost(), damaskspread.ReasonConflict, "the host is unknown, is expired or has another incarnation")
 			continue
 		}
@@ -96,8 +106,8 @@
 
 func (s *State) applyHostLeaving(c Change, leaving *wire.HostLeaving) {
 	ref := leaving.GetHost()
-	h := s.hosts[ref.GetHost()]
-	if h == nil || h.state.GetSpec().GetIncarnation() != ref.GetIncarnation() {
+	h := s.findIncarnation(ref)
+	if h == nil {
 		s.ignore(c, ref.GetHost(), damaskspread.ReasonNotFound, "the host is unknown or has another incarnation")
 		return
 	}
@@ -108,9 +118,8 @@
 
 func (s *State) applyHostExpired(c Change, expired *wire.HostExpired) {
 	ref := expired.GetHost()
-	h := s.hosts[ref.GetHost()]
-	if h == nil || h.state.GetSpec().GetIncarnation() != ref.GetIncarnation() ||
-		!damaskspread.SamePosition(h.state.GetAlive(), expired.GetAlive()) {
+	h := s.findIncarnation(ref)
+	if h == nil || !damaskspread.SamePosition(h.state.GetAlive(), expired.GetAlive()) {
 		s.ignore(c, ref.GetHost(), damaskspread.ReasonConflict, "the host is unknown, joined again or reported alive after the position in the record")
 		return
 	}
@@ -123,9 +132,9 @@
 // not accumulate. A host stays while it has claims, which end separately.
 func (s *State) applyHostForgotten(c Change, forgotten *wire.HostForgotten) {
 	ref := forgotten.GetHost()
-	h := s.hosts[ref.GetHost()]
-	if h == nil || h.state.GetSpec().GetIncarnation() != ref.GetIncarnation() || !h.state.GetExpired() ||
-		len(h.claims) > 0 || !damaskspread.SamePosition(h.state.GetAlive(), forgotten.GetAlive()) {
+	h := s.findIncarnation(ref)
+	if h == nil || !h.state.GetExpired() || len(h.claims) > 0 ||
+		!damaskspread.SamePosition(h.state.GetAlive(), forgotten.GetAlive()) {
 		s.ignore(c, ref.GetHost(), damaskspread.ReasonConflict, "the host is unknown, not expired, has claims, joined again or reported alive after the position in the record")
 		return
 	}
