connector: one mapping of failed appends to typed errors

Cause: the clients of the log and of the keyed log decided in the same words whether a failed append had an effect. Change: callTracker.appendError. Behavior is unchanged. Before/after: go test -race ./connector passes.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"connectrpc.com/connect"
+
+	"damaskspread.example/damaskspread"
 )
 
 // defaultTimeout bounds calls of clients without a Timeout.
@@ -65,6 +67,15 @@
 	return connect.IsWireError(err) && noEffectCodes[connect.CodeOf(err)]
 }
 
+// appendError returns the typed error of a failed append: LogUnavailableError if
+// it had no effect, or else AppendUnknownError.
+func (t *callTracker) appendError(err error) error {
+	if t.hadNoEffect(err) {
+		return &damaskspread.LogUnavailableError{Cause: err}
+	}
+	return &damaskspread.AppendUnknownError{Cause: err}
+}
+
 func timeoutOrDefault(timeout time.Duration) time.Duration {
 	if timeout <= 0 {
 		return defaultTimeout
--- a/connector/keyed_log.go
+++ b/connector/keyed_log.go
@@ -48,14 +48,10 @@
 		Topic:   topic,
 		Records: records,
 	}))
-	switch {
-	case err == nil:
-		return response.Msg, nil
-	case tracker.hadNoEffect(err):
-		return nil, &damaskspread.LogUnavailableError{Cause: err}
-	default:
-		return nil, &damaskspread.AppendUnknownError{Cause: err}
+	if err != nil {
+		return nil, tracker.appendError(err)
 	}
+	return response.Msg, nil
 }
 
 // beginRead bounds a read by its progress if the caller asked for that, and
--- a/connector/log.go
+++ b/connector/log.go
@@ -38,14 +38,10 @@
 		Stream: stream,
 		Data:   data,
 	}))
-	switch {
-	case err == nil:
-		return response.Msg.GetOffset(), nil
-	case tracker.hadNoEffect(err):
-		return 0, &damaskspread.LogUnavailableError{Cause: err}
-	default:
-		return 0, &damaskspread.AppendUnknownError{Cause: err}
+	if err != nil {
+		return 0, tracker.appendError(err)
 	}
+	return response.Msg.GetOffset(), nil
 }
 
 // Read returns at most limit entries from an offset on. It waits up to wait for
