server and launcher report listeners with one type

Cause: ListenError and the end of a listener stood twice, in server and in launcher. Change: both are in connector, beside Serve. The address in the error of server is quoted now, as that of launcher was; launcher names the bound address if a listener ends later.

--- a/connector/serve.go
+++ b/connector/serve.go
@@ -1,6 +1,8 @@
 package connector
 
 import (
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -11,18 +13,42 @@
 // client closes an unused connection before the server does.
 const unusedTimeout = 5 * time.Minute
 
-// Serve serves the connections of a listener. Until the first byte arrives on a
-// connection, unusedTimeout applies in place of the server's ReadHeaderTimeout.
+// ListenError reports that binding an address failed or that its listener
+// stopped serving. Name says what the listener serves or who connects to it.
+type ListenError struct {
+	Name    string
+	Address string
+	Cause   error
+}
+
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("cannot listen on %q for %s: %v", e.Address, e.Name, e.Cause)
+}
+
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+// Serve serves the connections of a listener until the server is shut down or
+// closed, or else fails with a ListenError of the given name. Until the first
+// byte arrives on a connection, unusedTimeout applies in place of the server's
+// ReadHeaderTimeout.
 //
 // The transport of net/http opens a connection for a request and may then send
 // the request on another one that became idle meanwhile. The new connection stays
 // unused in its pool. A server that closes it after ReadHeaderTimeout breaks a
 // request that is being written to it, and the caller can't tell whether the
 // request ran.
-func Serve(server *http.Server, listener net.Listener) error {
-	return server.Serve(&unusedListener{
+func Serve(name string, server *http.Server, listener net.Listener) error {
+	err := server.Serve(&unusedListener{
 		Listener: listener,
 	})
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return &ListenError{
+		Name:    name,
+		Address: listener.Addr().String(),
+		Cause:   err,
+	}
 }
 
 type unusedListener struct{ net.Listener }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -13,7 +13,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -48,19 +47,6 @@
 	gcPercent = 400
 )
 
-// ListenError reports that binding an address failed or that its listener
-// stopped serving. Name says what the listener serves or who connects to it.
-type ListenError struct {
-	Name, Address string
-	Cause         error
-}
-
-func (e *ListenError) Error() string {
-	return fmt.Sprintf("cannot listen on %q for %s: %v", e.Address, e.Name, e.Cause)
-}
-
-func (e *ListenError) Unwrap() error { return e.Cause }
-
 // bootClock implements damaskspread.ElapsedClock with CLOCK_BOOTTIME.
 type bootClock struct{}
 
@@ -135,7 +121,7 @@
 	}
 	socket, err := config.Listen(context.Background(), "tcp", spec.address)
 	if err != nil {
-		return &ListenError{
+		return &connector.ListenError{
 			Name:    spec.name,
 			Address: spec.address,
 			Cause:   err,
@@ -147,16 +133,7 @@
 		IdleTimeout:       idleTimeout,
 	}
 	p.servers = append(p.servers, server)
-	p.tomb.Go(func() error {
-		if err := connector.Serve(server, socket); !errors.Is(err, http.ErrServerClosed) {
-			return &ListenError{
-				Name:    spec.name,
-				Address: spec.address,
-				Cause:   err,
-			}
-		}
-		return nil
-	})
+	p.tomb.Go(func() error { return connector.Serve(spec.name, server, socket) })
 	return nil
 }
 
--- a/server/listener.go
+++ b/server/listener.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -33,20 +31,6 @@
 
 var compressLargeResponses = connect.WithCompressMinBytes(compressMinBytes)
 
-// ListenError reports that binding an address failed or that its listener
-// stopped serving. Name says what the listener serves or who connects to it.
-type ListenError struct {
-	Name    string
-	Address string
-	Cause   error
-}
-
-func (e *ListenError) Error() string {
-	return fmt.Sprintf("cannot listen on %s for %s: %v", e.Address, e.Name, e.Cause)
-}
-
-func (e *ListenError) Unwrap() error { return e.Cause }
-
 // listener is an HTTP server on one address. It serves HTTP/1.1 and, except for
 // profiling, unencrypted HTTP/2.
 type listener struct {
@@ -59,7 +43,7 @@
 func listen(name, address string, handler http.Handler) (*listener, error) {
 	socket, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, &ListenError{
+		return nil, &connector.ListenError{
 			Name:    name,
 			Address: address,
 			Cause:   err,
@@ -98,17 +82,7 @@
 
 // run starts a goroutine that serves until the server is shut down or closed.
 func (l *listener) run(t *tomb.Tomb) {
-	t.Go(func() error {
-		err := connector.Serve(l.http, l.net)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return &ListenError{
-			Name:    l.name,
-			Address: l.net.Addr().String(),
-			Cause:   err,
-		}
-	})
+	t.Go(func() error { return connector.Serve(l.name, l.http, l.net) })
 }
 
 // drain waits for requests in progress and shuts the server down. When the
