coordinator: A late opening of a replaced executor opens no session

When the opening request of an executor was processed only after its successor had opened its session, the leader released the runs of the successor, which were in progress, and started the next run of each, also on other hosts. Cause: openSession took any opening for the host as a newer one and marked the executor of the previous session as lost. Ruled out: comparing the times of start. A clock that is set back between two executors would keep the living one out. Change: a session remembers the latest 8 executors that were replaced on its host and answers their openings with reopen. An executor that has a session in the cycle isn't released as lost. Why it works: an agent opens a session only after it has read the executor's lists, so an executor that was replaced has ended, and its opening can only be late.

--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -43,8 +43,9 @@
 	if s == nil || s.id != report.GetSession() || report.GetEpoch() != c.epoch {
 		// The agent may still consider a session open that has ended here. It
 		// would drop new orders as already received, because a new session
-		// numbers them from 1 again.
-		if !report.GetOpening() || !report.GetHasRunning() || report.GetEpoch() != c.epoch {
+		// numbers them from 1 again. A request of an executor that was replaced
+		// has arrived late.
+		if s.hasReplaced(report.GetExecutor()) || !report.GetOpening() || !report.GetHasRunning() || report.GetEpoch() != c.epoch {
 			return nil, &wire.ExchangeResponse{
 				Epoch:  c.epoch,
 				Reopen: true,
@@ -78,6 +79,7 @@
 	}
 	if previous != nil {
 		previous.notify()
+		s.replace(previous)
 		if previous.key != s.key {
 			c.lostExecutors = append(c.lostExecutors, previous.key)
 		}
--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -220,6 +220,10 @@
 		}
 	}
 	for _, key := range cycle.lostExecutors {
+		if cycle.byKey[key] != nil {
+			// The executor has opened a session meanwhile: its runs are in progress.
+			continue
+		}
 		released := 0
 		c.eachAssigned(key, func(t *tracker.Task) {
 			tracer.Write(&tracer.RunLost{
--- a/coordinator/session.go
+++ b/coordinator/session.go
@@ -1,12 +1,17 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
 )
 
+// maxReplacedKeys bounds the replaced executors that a session remembers. A request
+// is late by seconds, in which a host has a few executors at most.
+const maxReplacedKeys = 8
+
 // session is the state of the exchange with one agent for one incarnation of its
 // executor. It is guarded by the coordinator's mutex.
 type session struct {
@@ -15,6 +20,8 @@
 	zone string
 	info *wire.ExecutorInfo
 	key  tracker.ExecutorKey
+	// replaced are the latest executors of the host that later ones replaced.
+	replaced []tracker.ExecutorKey
 
 	reachable bool
 	// leaseEnd is the latest time at which the executor may hold a lease.
@@ -121,6 +128,24 @@
 	return updated
 }
 
+// replace makes the session the successor of the host's previous session.
+func (s *session) replace(previous *session) {
+	s.replaced = slices.Clone(previous.replaced)
+	if previous.key == s.key {
+		return
+	}
+	s.replaced = append(s.replaced, previous.key)
+	if len(s.replaced) > maxReplacedKeys {
+		s.replaced = s.replaced[1:]
+	}
+}
+
+// hasReplaced reports whether an executor was replaced by that of the session or by
+// one before it; false without a session.
+func (s *session) hasReplaced(info *wire.ExecutorInfo) bool {
+	return s != nil && slices.Contains(s.replaced, keyOf(info))
+}
+
 func keyOf(info *wire.ExecutorInfo) tracker.ExecutorKey {
 	return tracker.ExecutorKey{
 		ID:         info.GetId(),
