runner: The refusal of a repeated order waits for an accepted stop

After an agent restarted, it reported a run as refused (no room, unhealthy, expired, draining, lease over), the leader started the next run elsewhere, and then the executor carried out the start call of the previous agent process. Cause: the agent took a refusal as definite if it had made no call itself. The leader repeats orders at the opening of a session and while a run isn't listed, so an earlier call may still be on its way. Ruled out: marking all orders; each refusal of a first order would then cost a stop and a wait. Change: the leader marks repeated orders (StartOrder.repeated). Their refusal is reported only after the executor has accepted a stop of the run and its lists show neither the run nor its end. An order that is repeated within a session carries its step once more, so that it can't be refused for an unknown step. Why it works: an executor refuses any start of a run that it was told to stop. Result: both parts of TestLateStartOfTheAgentBefore failed before ("the refused run runs"; the second part, an order that expired at the agent, is new), pass now.

--- a/coordinator/adoption_test.go
+++ b/coordinator/adoption_test.go
@@ -111,3 +111,26 @@
 	assert.DeepEqual(t, started, []int32{1})
 	assert.DeepEqual(t, stopped, []int32(nil))
 }
+
+// Guards against two runs of one task after an agent has restarted: the start call of
+// its predecessor may still be executed, so the agent must know that the order isn't
+// the first one of its run.
+func TestOrderOfTheNextSessionIsMarkedAsRepeated(t *testing.T) {
+	f := newTestFleet(t, 1, 0, fixedRunTime(time.Minute))
+	leader := f.leader()
+	agent := newScriptedAgent(f, leader)
+	f.submit(leader, &wire.Job{Id: jobID, Steps: steps(1)})
+	for _, c := range []struct {
+		session  string
+		repeated bool
+	}{
+		{session: "a.1", repeated: false},
+		{session: "b.1", repeated: true},
+	} {
+		agent.open(c.session, 1)
+		orders := agent.orders(500 * time.Millisecond)
+		assert.Equal(t, len(orders), 1)
+		assert.Equal(t, orders[0].GetStart().GetRun(), int32(1))
+		assert.Equal(t, orders[0].GetStart().GetRepeated(), c.repeated)
+	}
+}
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -173,6 +173,12 @@
 	})
 }
 
+// repeatStartOrder adds a start order for a run that may have been ordered before.
+func (c *Coordinator) repeatStartOrder(view *sessionView, t *tracker.Task) {
+	c.addStartOrder(view, t)
+	view.starts[len(view.starts)-1].Repeated = true
+}
+
 // stopFinishedJobs orders the stop of runs that belong to finished jobs.
 func (c *Coordinator) stopFinishedJobs(cycle *cycleState) {
 	for _, job := range c.jobs {
--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -152,7 +152,7 @@
 		default:
 			// For a run that is in progress, the agent starts nothing but learns its
 			// step from the order.
-			c.addStartOrder(view, t)
+			c.repeatStartOrder(view, t)
 		}
 	})
 }
@@ -199,7 +199,10 @@
 			Run:  t.Run(),
 			Host: view.host,
 		})
-		c.addStartOrder(view, t)
+		// The agent may have dropped the step, and would refuse a run that may be
+		// starting.
+		c.forgetSentStep(view.session, t.GroupName())
+		c.repeatStartOrder(view, t)
 	})
 }
 
--- a/runner/late_start_review_test.go
+++ b/runner/late_start_test.go
@@ -50,20 +50,35 @@
 // of its predecessor may still be executed after the successor reported the run as
 // refused, and the leader then starts the next run elsewhere.
 func TestLateStartOfTheAgentBefore(t *testing.T) {
+	t.Run("refused by the executor", func(t *testing.T) { testLateStartOfTheAgentBefore(t, 0) })
+	t.Run("expired at the agent", func(t *testing.T) { testLateStartOfTheAgentBefore(t, time.Minute) })
+}
+
+// testLateStartOfTheAgentBefore gives the second agent an order that was decided
+// the given time ago.
+func testLateStartOfTheAgentBefore(t *testing.T, age time.Duration) {
+	executor := newExecutor()
+	late := &lateStartExecutor{JobExecutor: executor}
 	l := &fakeLeader{}
 	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
 		time.Sleep(5 * time.Millisecond)
 		if request.GetOrdersReceived() > 0 || refuses(request, "a.0.0.0") {
 			return &wire.ExchangeResponse{}
 		}
+		start := &wire.StartOrder{
+			Task:     "a.0.0.0",
+			Run:      1,
+			Repeated: late.holdsStart(),
+		}
 		order := &wire.Order{
 			Number: 1,
-			Kind:   &wire.Order_Start{Start: &wire.StartOrder{Task: "a.0.0.0", Run: 1}},
+			Kind:   &wire.Order_Start{Start: start},
+		}
+		if start.GetRepeated() {
+			order.AgeMs = age.Milliseconds()
 		}
 		return &wire.ExchangeResponse{Orders: []*wire.Order{order}}
 	}
-	executor := newExecutor()
-	late := &lateStartExecutor{JobExecutor: executor}
 	_, kill := startKillableRunner(t, l, executor, late)
 	waitFor(t, "start call", late.holdsStart)
 	kill()
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -45,13 +45,16 @@
 	// order, or that the executor for which the order was given has ended.
 	handled bool
 	refusal damaskspread.StartRefusal
+	// definite means that the run was refused before and can't start any more.
+	definite bool
 }
 
 // decideStart checks whether a start is still allowed. The first order for a run
 // that reaches this point either starts the run or refuses it for good; other
-// orders for the same run are skipped. An order ends with its executor: the leader
-// releases the runs of an executor that was replaced or has left, and orders their
-// next runs.
+// orders for the same run are skipped. A repeated order can't refuse the run at
+// once, because an earlier start call may still be executed. An order ends with its
+// executor: the leader releases the runs of an executor that was replaced or has
+// left, and orders their next runs.
 func (r *Runner) decideStart(info *wire.ExecutorInfo, order *wire.StartOrder, decidedAt time.Duration) startDecision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -68,6 +71,7 @@
 		decision.handled = true
 	case r.refusedRuns[key].reason != "":
 		decision.refusal = r.refusedRuns[key].reason
+		decision.definite = true
 	case owner != nil && owner != order:
 		decision.handled = true
 	case r.info.GetDraining():
@@ -82,21 +86,27 @@
 		r.startOwners[key] = order
 		r.unsettled[key] = true
 	}
-	if decision.refusal != "" && owner == nil {
+	switch {
+	case decision.refusal == "" || decision.definite || owner != nil:
+	case order.GetRepeated():
+		r.startOwners[key] = order
+		r.unsettled[key] = true
+	default:
 		r.rememberRefusal(key, decision.refusal)
+		decision.definite = true
 	}
 	return decision
 }
 
 func (r *Runner) start(ctx context.Context, info *wire.ExecutorInfo, order *wire.StartOrder, decidedAt time.Duration) {
 	key := runKey{order.GetTask(), order.GetRun()}
-	mayHaveStarted := false
+	mayHaveStarted := order.GetRepeated()
 	for ctx.Err() == nil {
 		decision := r.decideStart(info, order, decidedAt)
 		switch {
 		case decision.handled:
 			return
-		case decision.refusal != "" && mayHaveStarted:
+		case decision.refusal != "" && mayHaveStarted && !decision.definite:
 			r.stop(ctx, info, &wire.StopOrder{Task: order.GetTask(), Run: order.GetRun()})
 			return
 		case decision.refusal != "":
@@ -134,9 +144,9 @@
 }
 
 // handleStartError reports definite refusals to the leader and returns whether
-// the order is finished. If an earlier call got no response, the refusal of a
-// repeated call does not show whether the run started; the executor's lists or
-// a stop order show it.
+// the order is finished. If an earlier call got no response, or another process of
+// the agent may have made one, the refusal of a repeated call does not show whether
+// the run starts; the executor's lists or a stop order show it.
 func (r *Runner) handleStartError(info *wire.ExecutorInfo, key runKey, err error, mayHaveStarted bool) bool {
 	var refused *damaskspread.StartRefusedError
 	var fenced *damaskspread.FencedError
