runner: A renewal after a failure carries nothing of an earlier life

After an executor had restarted under its id, the next renewal granted it the longest possible lease, beyond the time at which the leader gives up its runs, and acknowledged ends that it had not listed yet. Cause: the deadline is a reading of the executor's clock and the end number counts since its start; both begin anew with a restart, which the agent learns only from the response. Ruled out: waiting for an announcement after a failure. It would cost a healthy executor its lease. Change: after a failed renewal, the next one carries no deadline and no end number and doesn't wait. The one after it extends the lease as usual. Why it works: a crash breaks the renewal that waits at the executor, so a restart is preceded by a failure.

--- a/runner/renew.go
+++ b/runner/renew.go
@@ -84,6 +84,13 @@
 		dropUpTo:  r.endsRecorded,
 		wait:      renewWait,
 	}
+	if r.renewFailures > 0 {
+		// The executor may have restarted under its id: the deadline is a reading
+		// of its earlier clock, and the number counts earlier ends.
+		call.lease.DeadlineMs = 0
+		call.dropUpTo = 0
+		call.wait = 0
+	}
 	if !r.listsRead || len(r.unrecordedEnds) > 0 || len(r.checksDue) > 0 {
 		call.wait = 0
 	}
--- a/runner/renewal_review_test.go
+++ b/runner/renewal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -96,3 +97,71 @@
 	_, maxSeen := executor.recorded()
 	assert.Equal(t, maxSeen, int64(0), "the second life has listed no end yet")
 }
+
+// flakyRenewals fails each third renewal and records the parameters of the others.
+type flakyRenewals struct {
+	*emulator.JobExecutor
+
+	mu    sync.Mutex
+	calls []renewalCall
+}
+
+type renewalCall struct {
+	failed     bool
+	deadlineMs int64
+	wait       time.Duration
+}
+
+func (e *flakyRenewals) Renew(ctx context.Context, id string, lease *damaskspread.Lease, seen int64, wait time.Duration) (*wire.ExecutorState, error) {
+	e.mu.Lock()
+	call := renewalCall{
+		failed:     len(e.calls)%3 == 2,
+		deadlineMs: lease.DeadlineMs,
+		wait:       wait,
+	}
+	e.calls = append(e.calls, call)
+	e.mu.Unlock()
+	if call.failed {
+		return nil, errConnectionLost
+	}
+	return e.JobExecutor.Renew(ctx, id, lease, seen, min(wait, 50*time.Millisecond))
+}
+
+func (e *flakyRenewals) recorded() []renewalCall {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.calls)
+}
+
+// Guards against a healthy executor that loses its lease because single renewals
+// fail: the one after a failure only reads the lists, the next one extends the lease.
+func TestLeaseIsExtendedBetweenFailures(t *testing.T) {
+	executor := newExecutor()
+	flaky := &flakyRenewals{JobExecutor: executor}
+	l := &fakeLeader{}
+	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
+		time.Sleep(5 * time.Millisecond)
+		if request.GetOrdersReceived() > 0 {
+			return &wire.ExchangeResponse{}
+		}
+		order := &wire.StartOrder{Task: "a.0.0.0", Run: 1}
+		return &wire.ExchangeResponse{Orders: []*wire.Order{{Number: 1, Kind: &wire.Order_Start{Start: order}}}}
+	}
+	startRunner(t, l, executor, flaky)
+	waitFor(t, "run", func() bool { return executor.Running() == 1 })
+	first := len(flaky.recorded())
+	// Longer than the lease of the start.
+	time.Sleep(3 * time.Second)
+	assert.Equal(t, executor.Running(), 1)
+	calls := flaky.recorded()[first:]
+	extended := 0
+	for i, call := range calls[1:] {
+		if afterFailure := calls[i].failed; afterFailure {
+			assert.Equal(t, call.deadlineMs, int64(0))
+			assert.Equal(t, call.wait, time.Duration(0))
+		} else if call.deadlineMs > 0 {
+			extended++
+		}
+	}
+	assert.Assert(t, extended > 0)
+}
