coordinator: Test of an adoption counts the orders of the opening's response

Cause: TestRunOfARestartedExecutorIsAdopted failed once of 3 runs of the package beside other load: the leader's cycle ended before the response to the opening request was built, so that response carried the order, and the test dropped it. Change: the scripted agent keeps the orders of that response. Nothing else is expected than before.

--- a/coordinator/adoption_test.go
+++ b/coordinator/adoption_test.go
@@ -22,6 +22,8 @@
 	session  string
 	executor *wire.ExecutorInfo
 	received int64
+	// opened are the orders that came with the response to the opening request.
+	opened []*wire.Order
 }
 
 func newScriptedAgent(f *testFleet, leader *entry) *scriptedAgent {
@@ -44,16 +46,17 @@
 		Zone:       "zone",
 		Capacity:   &wire.Resources{Millicores: 8000, MemoryBytes: 64 << 30},
 	}
-	a.exchange(&wire.ExchangeRequest{
+	a.opened = a.exchange(&wire.ExchangeRequest{
 		Opening:    true,
 		HasRunning: true,
 		Running:    running,
 	})
 }
 
-// orders returns the orders that arrive within a time.
+// orders returns the orders of the session that arrive within a time.
 func (a *scriptedAgent) orders(within time.Duration) []*wire.Order {
-	var orders []*wire.Order
+	orders := a.opened
+	a.opened = nil
 	for deadline := time.Now().Add(within); time.Now().Before(deadline); {
 		orders = append(orders, a.exchange(&wire.ExchangeRequest{WaitMs: 100})...)
 	}
