runner: A start without a result is looked up in the next session too

A task stayed assigned for good and never ran: each order for its run was skipped. Cause: the order whose start call got no response owns its run until the executor's lists show what became of it. That look-up was forgotten with the session, and never made if the stop before it was refused by a fence. Ruled out: forgetting the owners with the session. An order in progress could then start the run beside the one of the next session. Change: due look-ups are forgotten only with the executor. The order whose stop is refused drops its claim, so that the order of the next session decides. Why it works: the lists of the executor don't depend on the session, and after a fence the next leader repeats the order with a mark that an earlier call may be late.

--- a/runner/orders.go
+++ b/runner/orders.go
@@ -107,7 +107,9 @@
 		case decision.handled:
 			return
 		case decision.refusal != "" && mayHaveStarted && !decision.definite:
-			r.stop(ctx, info, &wire.StopOrder{Task: order.GetTask(), Run: order.GetRun()})
+			if !r.stop(ctx, info, &wire.StopOrder{Task: order.GetTask(), Run: order.GetRun()}) {
+				r.dropOwner(info, key)
+			}
 			return
 		case decision.refusal != "":
 			r.reportRefusal(info, key, decision.refusal)
@@ -206,16 +208,26 @@
 	signal(r.renewWake)
 }
 
+// dropOwner lets the order of a later session decide about a run that could not be
+// stopped.
+func (r *Runner) dropOwner(info *wire.ExecutorInfo, key runKey) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isPresent(info) {
+		delete(r.startOwners, key)
+	}
+}
+
 // stop repeats the order until the executor accepts it, has left or has been
-// replaced, or rejects the epoch.
-func (r *Runner) stop(ctx context.Context, info *wire.ExecutorInfo, order *wire.StopOrder) {
+// replaced, or rejects the epoch. It reports whether the executor accepted it.
+func (r *Runner) stop(ctx context.Context, info *wire.ExecutorInfo, order *wire.StopOrder) bool {
 	key := runKey{order.GetTask(), order.GetRun()}
 	for ctx.Err() == nil {
 		r.mu.Lock()
 		present, token := r.isPresent(info), r.epoch
 		r.mu.Unlock()
 		if !present {
-			return
+			return false
 		}
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		err := r.Executor.Stop(callCtx, info.GetId(), order, token)
@@ -230,11 +242,12 @@
 				Run:  key.run,
 			})
 			r.scheduleCheck(info, key, r.StopWithin)
-			return
+			return true
 		case errors.As(err, &wrong) || errors.As(err, &fenced):
-			return
+			return false
 		}
 		log.Debug().Str("task", key.task).Int32("run", key.run).Err(err).Msg("stop call failed; retrying")
 		r.pause(ctx, orderRetry)
 	}
+	return false
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -99,7 +99,8 @@
 	listsVersion, reportedVersion int64
 	reportedAt                    time.Duration
 	pendingRefusals               []*wire.StartRefusal
-	// checksDue holds the runs to look up in the executor's lists, and from when.
+	// checksDue holds the runs to look up in the executor's lists, and from when. It
+	// outlives the session: a run that is stopped has an owner until it is looked up.
 	checksDue map[runKey]time.Duration
 	// startOwners holds the one order of each run that may start it.
 	startOwners map[runKey]*wire.StartOrder
@@ -184,7 +185,6 @@
 	r.listsRead = false
 	r.ordersReceived = 0
 	r.pendingRefusals = nil
-	r.checksDue = map[runKey]time.Duration{}
 	r.keptSteps = map[string]*keptStep{}
 }
 
@@ -206,6 +206,7 @@
 	r.steps = map[runKey]*wire.JobStep{}
 	r.paces = map[runKey]int{}
 	r.drainStops = map[runKey]bool{}
+	r.checksDue = map[runKey]time.Duration{}
 	r.unsettled = map[runKey]bool{}
 	r.executorClock = clockReading{
 		clockMs: info.GetClockMs(),
