--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -123,7 +123,7 @@
 	}
 	// The result of an earlier attempt is returned even when no new request may
 	// start.
-	ticket, stored, refusal := a.Keys.Begin(ctx, deduplicator.Request{
+	reservation, stored, refusal := a.Keys.Begin(ctx, deduplicator.Request{
 		Service:      a.Service,
 		Shard:        request.GetShard(),
 		Epoch:        request.GetShardEpoch(),
@@ -131,10 +131,10 @@
 		BodyHash:     requestHash(request),
 		FirstAttempt: request.GetFirstAttempt(),
 	})
-	if ticket == nil {
+	if reservation == nil {
 		return stored, refusal
 	}
-	return a.admitAndForward(ctx, request, ticket)
+	return a.admitAndForward(ctx, request, reservation)
 }
 
 // markUnknownIfRepeated changes the refusal's outcome to unknown if the caller
@@ -160,16 +160,16 @@
 }
 
 // admitAndForward admits a request and forwards it to the endpoint. It ends the
-// ticket, which is nil for a request without a key.
-func (a *Admitter) admitAndForward(ctx context.Context, request *wire.ExecuteRequest, ticket *deduplicator.KeyReservation) (*wire.ExecuteResponse, *damaskspread.RefusalError) {
-	slot, mayStart, refusal := a.admit(ctx, request, ticket)
+// reservation, which is nil for a request without a key.
+func (a *Admitter) admitAndForward(ctx context.Context, request *wire.ExecuteRequest, reservation *deduplicator.KeyReservation) (*wire.ExecuteResponse, *damaskspread.RefusalError) {
+	slot, mayStart, refusal := a.admit(ctx, request, reservation)
 	if refusal != nil {
-		if ticket != nil {
-			refusal = ticket.Refuse(ctx, refusal)
+		if reservation != nil {
+			refusal = reservation.Refuse(ctx, refusal)
 		}
 		return nil, refusal
 	}
-	if ticket != nil && ctx.Err() == nil {
+	if reservation != nil && ctx.Err() == nil {
 		// A started request continues until its deadline after the caller has
 		// disconnected: the caller may ask for the result through another entry.
 		deadline, _ := ctx.Deadline()
@@ -187,8 +187,8 @@
 	})
 	slot.Release(refusal == nil || refusal.Outcome != wire.Outcome_OUTCOME_NOT_RUN)
 	if refusal != nil {
-		if ticket != nil {
-			refusal = endTicket(ctx, ticket, refusal)
+		if reservation != nil {
+			refusal = endReservation(ctx, reservation, refusal)
 		}
 		return nil, refusal
 	}
@@ -198,18 +198,18 @@
 		Headers: a.withConfigAge(endpointResponse.Headers),
 		Body:    endpointResponse.Body,
 	}
-	if ticket != nil {
-		ticket.Finish(response)
+	if reservation != nil {
+		reservation.Finish(response)
 	}
 	return response, nil
 }
 
-// endTicket ends the ticket of a request whose forwarding failed.
-func endTicket(ctx context.Context, ticket *deduplicator.KeyReservation, refusal *damaskspread.RefusalError) *damaskspread.RefusalError {
+// endReservation ends the reservation of a request whose forwarding failed.
+func endReservation(ctx context.Context, reservation *deduplicator.KeyReservation, refusal *damaskspread.RefusalError) *damaskspread.RefusalError {
 	if refusal.Outcome == wire.Outcome_OUTCOME_NOT_RUN {
-		return ticket.Refuse(ctx, refusal)
+		return reservation.Refuse(ctx, refusal)
 	}
-	ticket.Finish(refusalResponse(refusal))
+	reservation.Finish(refusalResponse(refusal))
 	return refusal
 }
 
@@ -217,7 +217,7 @@
 // repeat immediately before it starts. The key is replicated after the slot is
 // acquired, so that requests that are shed cost no message and leave no key at the
 // secondary.
-func (a *Admitter) admit(ctx context.Context, request *wire.ExecuteRequest, ticket *deduplicator.KeyReservation) (*limiter.Waiter, func() *damaskspread.RefusalError, *damaskspread.RefusalError) {
+func (a *Admitter) admit(ctx context.Context, request *wire.ExecuteRequest, reservation *deduplicator.KeyReservation) (*limiter.Waiter, func() *damaskspread.RefusalError, *damaskspread.RefusalError) {
 	if refusal := a.checkAdmission(); refusal != nil {
 		return nil, nil, refusal
 	}
@@ -230,9 +230,9 @@
 		return nil, nil, refusal
 	}
 	checkAdmission := a.checkAdmission
-	if ticket != nil {
+	if reservation != nil {
 		admittedAt := a.Clock.Now()
-		if refusal := ticket.Commit(ctx); refusal != nil {
+		if refusal := reservation.Commit(ctx); refusal != nil {
 			slot.Release(false)
 			return nil, nil, refusal
 		}
--- a/deduplicator/cluster_test.go
+++ b/deduplicator/cluster_test.go
@@ -109,14 +109,14 @@
 // whether the request ran or has a stored response, and otherwise returns the
 // refusal.
 func (cluster *fakeCluster) run(name string, c deduplicator.Request, resultSize int) (bool, *damaskspread.RefusalError) {
-	ticket, stored, refusal := cluster.agents[name].Begin(canceledContext(), c)
-	if ticket == nil {
+	reservation, stored, refusal := cluster.agents[name].Begin(canceledContext(), c)
+	if reservation == nil {
 		return stored != nil, refusal
 	}
-	if refusal := ticket.Commit(context.Background()); refusal != nil {
-		return false, ticket.Refuse(canceledContext(), refusal)
+	if refusal := reservation.Commit(context.Background()); refusal != nil {
+		return false, reservation.Refuse(canceledContext(), refusal)
 	}
-	ticket.Finish(&wire.ExecuteResponse{Outcome: wire.Outcome_OUTCOME_RAN, Body: make([]byte, resultSize)})
+	reservation.Finish(&wire.ExecuteResponse{Outcome: wire.Outcome_OUTCOME_RAN, Body: make([]byte, resultSize)})
 	return true, nil
 }
 
--- a/deduplicator/deduplicator.go
+++ b/deduplicator/deduplicator.go
@@ -126,7 +126,7 @@
 type phase int
 
 const (
-	// phaseReserved: a ticket is open and the request has not run.
+	// phaseReserved: a reservation is open and the request has not run.
 	phaseReserved phase = iota
 	// phaseCommitted: the request may run or may have run on this agent.
 	phaseCommitted
--- a/deduplicator/deduplicator_test.go
+++ b/deduplicator/deduplicator_test.go
@@ -200,8 +200,8 @@
 	}
 	assertRefusal(t, refusal, notRun, damaskspread.ReasonOverloaded)
 	assert.Assert(t, fills > 500, "%d", fills)
-	ticket, stored, _ := cluster.agents["a"].Begin(canceledContext(), call(1, "k"))
-	assert.Assert(t, ticket == nil && len(stored.GetBody()) == 10)
+	reservation, stored, _ := cluster.agents["a"].Begin(canceledContext(), call(1, "k"))
+	assert.Assert(t, reservation == nil && len(stored.GetBody()) == 10)
 }
 
 // Guards against a retry that is refused although the first attempt ends before
@@ -211,10 +211,10 @@
 	for _, refused := range []bool{false, true} {
 		cluster := newFakeCluster("a", "b")
 		cluster.assign(0, 1, "a", "b", true, "a", "b")
-		ticket, _, _ := cluster.agents["a"].Begin(context.Background(), call(1, "k"))
+		reservation, _, _ := cluster.agents["a"].Begin(context.Background(), call(1, "k"))
 		type result struct {
-			ticket *deduplicator.KeyReservation
-			stored *wire.ExecuteResponse
+			reservation *deduplicator.KeyReservation
+			stored      *wire.ExecuteResponse
 		}
 		results := make(chan result)
 		go func() {
@@ -222,13 +222,13 @@
 			results <- result{second, stored}
 		}()
 		if refused {
-			_ = ticket.Refuse(context.Background(), damaskspread.NotRun(damaskspread.ReasonOverloaded, "shed"))
+			_ = reservation.Refuse(context.Background(), damaskspread.NotRun(damaskspread.ReasonOverloaded, "shed"))
 		} else {
-			assert.Assert(t, ticket.Commit(context.Background()) == nil)
-			ticket.Finish(&wire.ExecuteResponse{Outcome: wire.Outcome_OUTCOME_RAN})
+			assert.Assert(t, reservation.Commit(context.Background()) == nil)
+			reservation.Finish(&wire.ExecuteResponse{Outcome: wire.Outcome_OUTCOME_RAN})
 		}
 		got := <-results
-		assert.Equal(t, got.ticket != nil, refused)
+		assert.Equal(t, got.reservation != nil, refused)
 		assert.Equal(t, got.stored != nil, !refused)
 	}
 }
@@ -287,8 +287,8 @@
 	for deadline := time.Now().Add(30 * time.Second); ; {
 		assert.NilError(t, cluster.clock.BlockUntilContext(context.Background(), 1))
 		now := cluster.clock.Now()
-		ticket, stored, _ := cluster.agents["a"].Begin(canceledContext(), call(1, "k"))
-		if ticket != nil {
+		reservation, stored, _ := cluster.agents["a"].Begin(canceledContext(), call(1, "k"))
+		if reservation != nil {
 			assert.Assert(t, cluster.clock.Now().After(end))
 			return
 		}
--- a/deduplicator/model_agent_test.go
+++ b/deduplicator/model_agent_test.go
@@ -111,19 +111,19 @@
 	if !a.withinCurrencyLimit() {
 		return damaskspread.Unknown(damaskspread.ReasonStaleConfiguration, "past the currency limit"), nil
 	}
-	ticket, stored, refusal := a.dedup.Begin(ctx, call)
-	if ticket == nil {
+	reservation, stored, refusal := a.dedup.Begin(ctx, call)
+	if reservation == nil {
 		return refusal, stored
 	}
 	m.interleave()
 	if rapid.IntRange(0, 5).Draw(m.t, "shed") == 0 {
-		return ticket.Refuse(ctx, damaskspread.NotRun(damaskspread.ReasonOverloaded, "shed")), nil
+		return reservation.Refuse(ctx, damaskspread.NotRun(damaskspread.ReasonOverloaded, "shed")), nil
 	}
-	if refusal := ticket.Commit(ctx); refusal != nil {
-		return ticket.Refuse(ctx, refusal), nil
+	if refusal := reservation.Commit(ctx); refusal != nil {
+		return reservation.Refuse(ctx, refusal), nil
 	}
 	if !a.withinCurrencyLimit() {
-		return ticket.Refuse(ctx, damaskspread.NotRun(damaskspread.ReasonStaleConfiguration, "past the currency limit")), nil
+		return reservation.Refuse(ctx, damaskspread.NotRun(damaskspread.ReasonStaleConfiguration, "past the currency limit")), nil
 	}
 	// The process may be paused or replaced between the check and the run.
 	m.interleave()
@@ -132,7 +132,7 @@
 		m.t.Fatalf("%s ran twice", call.Key)
 	}
 	m.interleave()
-	ticket.Finish(&wire.ExecuteResponse{
+	reservation.Finish(&wire.ExecuteResponse{
 		Outcome: wire.Outcome_OUTCOME_RAN,
 		Status:  200,
 	})
--- a/deduplicator/request.go
+++ b/deduplicator/request.go
@@ -36,13 +36,13 @@
 	FirstAttempt bool
 }
 
-// Begin returns one of a ticket for a new key, the stored response of an earlier
+// Begin returns a reservation for a new key, the stored response of an earlier
 // attempt with the key, or a refusal. If another attempt with the key is in
 // progress, it waits for its end until ctx ends.
 func (d *Deduplicator) Begin(ctx context.Context, call Request) (*KeyReservation, *wire.ExecuteResponse, *damaskspread.RefusalError) {
 	arrival := d.Clock.Now()
 	for {
-		ticket, stored, refusal, wait := d.lookupOrReserve(call)
+		reservation, stored, refusal, wait := d.lookupOrReserve(call)
 		switch {
 		case refusal != nil && refusal.Reason == reasonUnknownToSecondary:
 			return nil, nil, d.blockKey(ctx, call, arrival)
@@ -50,7 +50,7 @@
 			if refusal != nil {
 				refusal = d.downgradeNotRun(ctx, call, refusal)
 			}
-			return ticket, stored, refusal
+			return reservation, stored, refusal
 		}
 		select {
 		case <-wait:
@@ -64,7 +64,7 @@
 // the complete history and doesn't have the key.
 const reasonUnknownToSecondary damaskspread.Reason = "ask_secondary"
 
-// lookupOrReserve returns one of a ticket for a new key, a stored response, a
+// lookupOrReserve returns a reservation for a new key, a stored response, a
 // refusal, or a channel that is closed when the attempt in progress ends.
 func (d *Deduplicator) lookupOrReserve(call Request) (*KeyReservation, *wire.ExecuteResponse, *damaskspread.RefusalError, <-chan struct{}) {
 	d.mu.Lock()
