TestPlannedStopUnderLoad: only the long requests are long

Cause: the test raised the service time of all endpoints to 2 to 4 s until its long requests ran. The load of 100 requests a second then takes the 48 slots within half a second, so on a busy machine a long request that came later was refused with "429 not_run overloaded", which is true, and the test waited 30 s for it. Seen once in 5 runs at a load average of 20 to 30, with that answer for endpoint-10; a run that failed before kept no output. Change: the long requests carry their service time in a header; the load runs for 10 ms throughout. All assertions are the same. Requests of the load are no longer long by accident; the test checks 30 long ones by name. With an entry that does not drain it fails: "6 of 6 requests were interrupted". In two runs beside load 4 and 1 of 2,000 requests of the load were refused as overloaded, so a starved machine may still refuse a long one.

--- a/e2e/graceful_test.go
+++ b/e2e/graceful_test.go
@@ -149,12 +149,11 @@
 		hosts: 3,
 		slots: 16,
 	})
+	c.setServiceTime(10)
 	ready := c.pollReadiness()
 	load := c.startLoad(20*time.Millisecond, ready.isReady)
 	stopped := c.entries[0]
-	c.setServiceTime(4_000)
-	waitLong := c.startLongRequests(stopped, 6, "entry")
-	c.setServiceTime(10)
+	waitLong := c.startLongRequests(stopped, 6, "entry", 4*time.Second)
 	idle := newIdleCallers(stopped, 40)
 	stopped.signal(stopSignal)
 	waitFor(t, time.Second, "readiness turns false before the process ends", func() bool {
@@ -167,9 +166,7 @@
 	stopped.start()
 	c.waitReady(stopped.process)
 
-	c.setServiceTime(3_000)
-	waitLong = c.startLongRequests(c.entries[1], 12, "agent")
-	c.setServiceTime(10)
+	waitLong = c.startLongRequests(c.entries[1], 12, "agent", 3*time.Second)
 	// The entry and the agent stop at the same time.
 	stopped.signal(stopSignal)
 	assert.NilError(t, c.hosts[0].stop(stopTimeout))
@@ -180,9 +177,7 @@
 		c.waitReady(p)
 	}
 
-	c.setServiceTime(2_000)
-	waitLong = c.startLongRequests(c.entries[1], 12, "endpoint")
-	c.setServiceTime(10)
+	waitLong = c.startLongRequests(c.entries[1], 12, "endpoint", 2*time.Second)
 	c.hosts[1].announceLeave()
 	assertNoneInterrupted(t, "long requests at the endpoint", waitLong())
 	// The endpoint completes its requests in progress before it stops.
@@ -214,15 +209,17 @@
 }
 
 // startLongRequests sends n requests, half of them on HTTP/2, and waits until
-// endpoints run them. The returned function waits for their responses.
-func (c *cluster) startLongRequests(e *entry, n int, prefix string) func() []loadRequest {
+// endpoints run them. Only these run for the given time: if the load did too, it
+// would take all slots within half a second, and a long request that arrives
+// later would be refused. The returned function waits for their responses.
+func (c *cluster) startLongRequests(e *entry, n int, prefix string, serviceTime time.Duration) func() []loadRequest {
 	c.t.Helper()
 	responses := make(chan loadRequest, n)
 	for i := range n {
 		go func() {
 			httpClient := protocolClient(i%2 == 1)
 			defer httpClient.CloseIdleConnections()
-			response := e.post(httpClient, fmt.Sprintf("%s-%d", prefix, i), "", 15*time.Second)
+			response := e.postWithServiceTime(httpClient, fmt.Sprintf("%s-%d", prefix, i), "", 15*time.Second, serviceTime)
 			if response.status != http.StatusOK {
 				c.t.Logf("long request %s-%d: status %d, %s %s, error %v", prefix, i, response.status, response.outcome, response.reason, response.err)
 			}
--- a/e2e/harness_load_test.go
+++ b/e2e/harness_load_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 
 	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/client"
+	"damaskspread.example/damaskspread/emulator"
 )
 
 // loadRequest is one request of a load and its response.
@@ -29,6 +31,12 @@
 // post sends one request. The path is unique and identifies the request in the
 // records of the endpoints.
 func (e *entry) post(httpClient *http.Client, path, key string, timeout time.Duration) loadRequest {
+	return e.postWithServiceTime(httpClient, path, key, timeout, 0)
+}
+
+// postWithServiceTime sends a request that the endpoint runs for at least the
+// given time.
+func (e *entry) postWithServiceTime(httpClient *http.Client, path, key string, timeout, serviceTime time.Duration) loadRequest {
 	sent := loadRequest{
 		path:  "/" + path,
 		key:   key,
@@ -43,6 +51,7 @@
 		return sent
 	}
 	request.Header.Set(client.HeaderTimeout, timeout.String())
+	request.Header.Set(emulator.HeaderServiceMs, strconv.FormatInt(serviceTime.Milliseconds(), 10))
 	if key != "" {
 		request.Header.Set(client.HeaderKey, key)
 		request.Header.Set(client.HeaderFirstAttempt, "true")
