Tell an executor that has ended from one that does not respond

The stand-in executor can be crashed by a task (Crashes): the start is acknowledged, 10 ms later the executor is down until Boot.

--- a/emulator/job_executor.go
+++ b/emulator/job_executor.go
@@ -24,6 +24,9 @@
 	// Observe is called at each start and end of a run, with the executor's lock
 	// held; it may be nil.
 	Observe func(event RunEvent)
+	// Crashes reports whether a task crashes the executor shortly after its start;
+	// nil if none does.
+	Crashes func(task string) bool
 
 	mu           sync.Mutex
 	id           string
@@ -39,7 +42,10 @@
 	unresponsive        bool
 	failsTasks          bool
 	losesStartResponses bool
-	changed             chan struct{}
+	// crashAt is when a started task crashes the executor; zero if none does.
+	crashAt time.Time
+	down    bool
+	changed chan struct{}
 }
 
 // RunEvent is a start or an end of a run on the executor.
@@ -70,9 +76,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.advance()
-	for id := range e.runs {
-		e.observe(id, wire.EndCause_END_CAUSE_LEASE_EXPIRED)
-	}
+	e.loseRuns()
+	e.down = false
+	e.crashAt = time.Time{}
 	e.startedAt = e.Clock.Now()
 	e.id = id
 	e.bornUnixMs = max(e.bornUnixMs+1, e.startedAt.UnixMilli())
@@ -152,6 +158,9 @@
 // requires the lock.
 func (e *JobExecutor) advance() {
 	now := e.Clock.Now()
+	if !e.crashAt.IsZero() && !now.Before(e.crashAt) {
+		e.crash()
+	}
 	for id, run := range e.runs {
 		switch {
 		case !run.longRunning && !now.Before(run.endsAt) && !run.endsAt.After(e.leaseEnd):
@@ -193,10 +202,13 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.advance()
+	if e.down {
+		return &damaskspread.ConnectionLostError{Cause: errInjected}
+	}
 	if id != e.id {
 		return &damaskspread.WrongIncarnationError{ID: id}
 	}
-	e.advance()
 	if token < e.highestToken {
 		return &damaskspread.FencedError{Refused: token}
 	}
@@ -226,6 +238,9 @@
 	e.awaitEnd(ctx, wait)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.down || id != e.id {
+		return nil, lostResponse()
+	}
 	state := &wire.ExecutorState{
 		BornUnixMs: e.bornUnixMs,
 		ClockMs:    e.clockMs(),
@@ -250,8 +265,9 @@
 		e.mu.Lock()
 		e.advance()
 		ended := len(e.ended) > 0
+		down := e.down
 		e.mu.Unlock()
-		if ended {
+		if ended || down {
 			return
 		}
 		e.Clock.Sleep(pollInterval)
@@ -297,6 +313,7 @@
 	}
 	e.runs[id] = run
 	e.observe(id, wire.EndCause_END_CAUSE_UNSPECIFIED)
+	e.scheduleCrash(id.task)
 }
 
 // Stop implements damaskspread.TaskExecutor.
--- a/emulator/job_executor_test.go
+++ b/emulator/job_executor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -32,3 +33,36 @@
 	e.Info("service", "zone", nil)
 	assert.DeepEqual(t, causes, []wire.EndCause{wire.EndCause_END_CAUSE_UNSPECIFIED, wire.EndCause_END_CAUSE_LEASE_EXPIRED})
 }
+
+// Guards against a crash that leaves runs in progress or a held call waiting, or
+// that callers can't tell from a call without response.
+func TestTaskCrashesItsExecutor(t *testing.T) {
+	var causes []wire.EndCause
+	e := &emulator.JobExecutor{
+		Clock:        clockwork.NewRealClock(),
+		TaskDuration: func(string) time.Duration { return -1 },
+		Observe:      func(event emulator.RunEvent) { causes = append(causes, event.Cause) },
+		Crashes:      func(task string) bool { return task == "b.0.0.0" },
+	}
+	e.Boot("i")
+	lease := &damaskspread.Lease{Token: 1, DeadlineMs: 5000}
+	for _, task := range []string{"a.0.0.0", "b.0.0.0"} {
+		assert.NilError(t, e.Start(t.Context(), "i", &wire.StartOrder{Task: task, Run: 1}, lease))
+	}
+	assert.Equal(t, e.Running(), 2)
+	_, err := e.Renew(t.Context(), "i", lease, 0, time.Second)
+	assert.ErrorType(t, err, &damaskspread.WorkerUnknownError{})
+	var lost *damaskspread.ConnectionLostError
+	assert.Assert(t, errors.As(err, &lost), "%v", err)
+	assert.Assert(t, e.Down())
+	err = e.Start(t.Context(), "i", &wire.StartOrder{Task: "c.0.0.0", Run: 1}, lease)
+	assert.ErrorType(t, err, &damaskspread.ConnectionLostError{})
+	e.Boot("j")
+	_, err = e.Renew(t.Context(), "j", lease, 0, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, e.Running(), 0)
+	assert.DeepEqual(t, causes, []wire.EndCause{
+		wire.EndCause_END_CAUSE_UNSPECIFIED, wire.EndCause_END_CAUSE_UNSPECIFIED,
+		wire.EndCause_END_CAUSE_LEASE_EXPIRED, wire.EndCause_END_CAUSE_LEASE_EXPIRED,
+	})
+}
