Give up a task that crashes the executors that start it

Ruled out: a count that is lost with the leader; there was none. The executors' ends as a source: a crashed executor lists none. Change: the agent, which lives on when only its executor ends, reports the runs that started within 500 ms before the executor refused or broke off its connections, until the leader has stored the report; it withdraws them if the same incarnation responds again. The leader stores the report in the job's progress and counts a crash when that run is lost with its executor. The third crash under a task, or a gang, fails the job. A task with a crash starts apart from others: its host gets nothing else for 700 ms, and at most a quarter of the hosts at a time. The agent reports an executor that refuses connections as unreachable at once. Before/after: on the code before, TestTaskCrashesExecutors, TestLongRunningTaskCrashesExecutors, TestLeaderDiesBetweenCrashes, TestAgentDiesAfterCrash and TestCrashAfterLostStartResponse failed (the job had not failed within 12 s); they pass now. TestPowerLossesAreNoCrashes, TestCutExecutorsAreNoCrashes and TestChanceCrashesUnderLongTasks passed before and pass now.

--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -47,8 +47,11 @@
 	ends        []*wire.RunEnd
 	lastEnd     int64
 	refusals    []*wire.StartRefusal
-	starts      []*wire.StartOrder
-	stops       []*wire.StopOrder
+	exposures   []*wire.CrashExposure
+	// lastExposure is the highest number of a received exposure.
+	lastExposure int64
+	starts       []*wire.StartOrder
+	stops        []*wire.StopOrder
 }
 
 // runCycle applies reports and job changes, plans, stores the progress and then
@@ -107,20 +110,23 @@
 // add copies a session into the cycle and clears what the cycle took from it.
 func (cycle *cycleState) add(s *session) {
 	view := &sessionView{
-		session:     s,
-		host:        s.host,
-		key:         s.key,
-		info:        s.info,
-		usable:      s.reachable && !s.info.GetDraining() && cycle.now-s.lastReportAt < maxReportAge,
-		opening:     s.opening,
-		running:     s.running,
-		runsUpdated: s.runsUpdated,
-		ends:        s.ends,
-		lastEnd:     s.lastEnd,
-		refusals:    s.refusals,
+		session:      s,
+		host:         s.host,
+		key:          s.key,
+		info:         s.info,
+		usable:       s.reachable && !s.info.GetDraining() && cycle.now-s.lastReportAt < maxReportAge,
+		opening:      s.opening,
+		running:      s.running,
+		runsUpdated:  s.runsUpdated,
+		ends:         s.ends,
+		lastEnd:      s.lastEnd,
+		refusals:     s.refusals,
+		exposures:    s.exposures,
+		lastExposure: s.lastExposure,
 	}
 	s.ends = nil
 	s.refusals = nil
+	s.exposures = nil
 	s.runsUpdated = false
 	cycle.views = append(cycle.views, view)
 	cycle.byKey[s.key] = view
@@ -216,7 +222,7 @@
 }
 
 // publish adds the cycle's orders to the sessions and acknowledges the run ends
-// whose effects are stored.
+// and exposures whose effects are stored.
 func (c *Coordinator) publish(cycle *cycleState, epoch int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -237,8 +243,9 @@
 		for _, order := range view.starts {
 			s.addStart(order, cycle.now)
 		}
-		updated := len(view.stops)+len(view.starts) > 0 || view.lastEnd > s.endsRecorded
+		updated := len(view.stops)+len(view.starts) > 0 || view.lastEnd > s.endsRecorded || view.lastExposure > s.exposuresRecorded
 		s.endsRecorded = view.lastEnd
+		s.exposuresRecorded = view.lastExposure
 		if updated {
 			s.notify()
 		}
--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -89,8 +89,8 @@
 	return s
 }
 
-// waitForUpdate waits until there are orders or recorded run ends that the agent
-// has not received, the session has ended, or the requested wait has passed.
+// waitForUpdate waits until there are orders, or records of run ends or exposures,
+// that the agent has not received, the session has ended, or the requested wait has passed.
 func (c *Coordinator) waitForUpdate(ctx context.Context, s *session, report *wire.ExchangeRequest) {
 	wait := time.Duration(report.GetWaitMs()) * time.Millisecond
 	if wait <= 0 {
@@ -101,7 +101,8 @@
 	for {
 		c.mu.Lock()
 		current := c.sessions[s.host] == s
-		updated := s.lastOrder > report.GetOrdersReceived() || s.endsRecorded > report.GetEndsRecorded()
+		updated := s.lastOrder > report.GetOrdersReceived() || s.endsRecorded > report.GetEndsRecorded() ||
+			s.exposuresRecorded > report.GetExposuresRecorded()
 		changed := s.updated
 		c.mu.Unlock()
 		if !current || updated {
@@ -131,10 +132,11 @@
 	}
 	now := c.Elapsed.Elapsed()
 	response := &wire.ExchangeResponse{
-		Epoch:        c.epoch,
-		EndsRecorded: s.endsRecorded,
-		HeldMs:       (now - receivedAt).Milliseconds(),
-		Unconfirmed:  c.Elector.ConfirmationAge() > elector.ConfirmationTimeout,
+		Epoch:             c.epoch,
+		EndsRecorded:      s.endsRecorded,
+		ExposuresRecorded: s.exposuresRecorded,
+		HeldMs:            (now - receivedAt).Milliseconds(),
+		Unconfirmed:       c.Elector.ConfirmationAge() > elector.ConfirmationTimeout,
 	}
 	if response.PressureVersion = c.pressureVersion; report.GetPressureVersion() != c.pressureVersion {
 		response.Pressures = c.pressures
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -95,13 +95,14 @@
 	hosts := make([]*planner.Host, 0, len(cycle.views))
 	for _, view := range cycle.views {
 		host := &planner.Host{
-			Key:      view.key,
-			Name:     view.host,
-			Service:  view.info.GetService(),
-			Zone:     view.info.GetZone(),
-			Labels:   view.info.GetLabels(),
-			Capacity: view.info.GetCapacity(),
-			Usable:   view.usable && !zonesOut[view.info.GetZone()],
+			Key:           view.key,
+			Name:          view.host,
+			Service:       view.info.GetService(),
+			Zone:          view.info.GetZone(),
+			Labels:        view.info.GetLabels(),
+			Capacity:      view.info.GetCapacity(),
+			Usable:        view.usable && !zonesOut[view.info.GetZone()],
+			ProbationFrom: cycle.now - planner.ProbationTime,
 		}
 		host.NearTarget = c.nearTarget(view)
 		c.markSuspect(host, cycle.now)
--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -24,6 +24,9 @@
 		for _, end := range view.ends {
 			c.applyEnd(view, end)
 		}
+		for _, exposure := range view.exposures {
+			c.applyExposure(view, exposure)
+		}
 		for _, refusal := range view.refusals {
 			c.applyRefusal(view, refusal)
 		}
@@ -185,7 +188,10 @@
 				Run:      t.Run(),
 				Executor: key.ID,
 			})
-			t.Release()
+			run, host := t.Run(), t.Host()
+			if t.Lose() {
+				recordCrash(t, run, host)
+			}
 			released++
 		})
 		log.Info().Str("executor", key.ID).Int64("born", key.BornUnixMs).Int("tasks", released).Msg("executor lost; its tasks were released")
--- a/coordinator/session.go
+++ b/coordinator/session.go
@@ -31,6 +31,10 @@
 	// lastEnd is the highest number of a received run end.
 	lastEnd  int64
 	refusals []*wire.StartRefusal
+	// exposures were received since the last cycle, up to lastExposure; the effects
+	// of those up to exposuresRecorded are stored.
+	exposures                       []*wire.CrashExposure
+	lastExposure, exposuresRecorded int64
 
 	// keepsSteps is set if the agent keeps the steps that it receives, so that
 	// later orders need not repeat them. sentSteps are those of the open jobs that
@@ -111,6 +115,13 @@
 			updated = true
 		}
 	}
+	for _, exposure := range request.GetExposures() {
+		if exposure.GetNumber() > s.lastExposure {
+			s.lastExposure = exposure.GetNumber()
+			s.exposures = append(s.exposures, exposure)
+			updated = true
+		}
+	}
 	if len(request.GetRefusals()) > 0 {
 		s.refusals = append(s.refusals, request.GetRefusals()...)
 		updated = true
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -260,9 +260,11 @@
 	defer ticker.Stop()
 	capacity := &wire.Resources{Millicores: 8000, MemoryBytes: 64 << 30}
 	for sequence := int64(1); ; sequence++ {
-		info := h.executor.Info(service, "zone", capacity, "kind", "rack")
-		info.Sequence = sequence
-		r.ExecutorAnnounced(info)
+		if !h.executor.Down() {
+			info := h.executor.Info(service, "zone", capacity, "kind", "rack")
+			info.Sequence = sequence
+			r.ExecutorAnnounced(info)
+		}
 		select {
 		case <-ticker.C:
 		case <-h.tomb.Dying():
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -135,6 +135,10 @@
 			events: []tracer.Event{&tracer.RunEnded{Job: job, Task: task, Run: 1, Host: "h", Cause: "END_CAUSE_LEASE_EXPIRED"}},
 			kind:   explainer.FindingRunLost, subject: "h", detail: task + " run 1: its lease expired",
 		},
+		"crash": {
+			events: []tracer.Event{&tracer.CrashCounted{Job: job, Task: task, Run: 3, Host: "h", Crashes: 3, GivenUp: true}},
+			kind:   explainer.FindingCrash, subject: "h", detail: task + " run 3: crash 3 of an executor shortly after a start of the task; the job fails",
+		},
 		"stopped": {
 			events: []tracer.Event{&tracer.StopOrdered{Job: job, Task: task, Run: 1, Host: "h", Reason: tracer.StopPreempted, For: "x.0.0.1"}},
 			kind:   explainer.FindingRunStopped, subject: "h", detail: task + " run 1: room_for_urgent x.0.0.1",
--- a/explainer/findings.go
+++ b/explainer/findings.go
@@ -39,6 +39,7 @@
 	FindingRunFailed     FindingKind = "run_failed"
 	FindingRunStopped    FindingKind = "run_stopped"
 	FindingRunLost       FindingKind = "run_lost"
+	FindingCrash         FindingKind = "executor_crashed"
 	FindingPaced         FindingKind = "paced"
 	FindingCanceled      FindingKind = "canceled"
 	FindingUnfinished    FindingKind = "unfinished"
@@ -46,7 +47,7 @@
 
 var kindOrder = []FindingKind{
 	FindingRefused, FindingSlowAppend, FindingWaited, FindingSlowOrder, FindingStartRefused, FindingStartRepeated,
-	FindingRunFailed, FindingRunStopped, FindingRunLost, FindingPaced, FindingCanceled, FindingUnfinished,
+	FindingRunFailed, FindingRunStopped, FindingRunLost, FindingCrash, FindingPaced, FindingCanceled, FindingUnfinished,
 }
 
 // Finding is one cause of a delay, refusal or failure of the job, possibly with
@@ -153,6 +154,8 @@
 		c.addRunEnd(e)
 	case *tracer.RunLost:
 		c.add(FindingRunLost, e.Executor, "%s run %d ended with its executor", e.Task, e.Run)
+	case *tracer.CrashCounted:
+		c.add(FindingCrash, e.Host, "%s run %d: crash %d of an executor shortly after a start of the task%s", e.Task, e.Run, e.Crashes, crashDetail(e))
 	}
 }
 
@@ -168,6 +171,13 @@
 	}
 }
 
+func crashDetail(e *tracer.CrashCounted) string {
+	if e.GivenUp {
+		return "; the job fails"
+	}
+	return ""
+}
+
 func stopDetail(e *tracer.StopOrdered) string {
 	switch {
 	case e.For != "":
--- a/planner/host.go
+++ b/planner/host.go
@@ -33,6 +33,8 @@
 	// count as probes.
 	Suspect    bool
 	ProbesFrom time.Duration
+	// ProbationFrom is ProbationTime before the present monotonic time.
+	ProbationFrom time.Duration
 
 	// requested sums the requests of all tasks on the host. The processors of
 	// best-effort tasks are left out.
@@ -61,6 +63,7 @@
 	// large task. reservedMemory means that the reservation includes memory, so
 	// that it excludes best-effort tasks as well.
 	reserved, reservedMemory bool
+	probation                probation
 }
 
 // Rack returns the label that names the host's rack, or "" without labels.
@@ -180,5 +183,6 @@
 		probes:               h.probes,
 		reserved:             h.reserved,
 		reservedMemory:       h.reservedMemory,
+		probation:            h.probation,
 	}
 }
--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -16,6 +16,7 @@
 	ObstacleService          Obstacle = "other_service"
 	ObstacleUnusable         Obstacle = "not_usable"
 	ObstacleSuspect          Obstacle = "set_aside"
+	ObstacleProbation        Obstacle = "probation"
 	ObstacleTicket           Obstacle = "no_ticket"
 	ObstacleAntiAffinity     Obstacle = "anti_affinity"
 	ObstacleLabel            Obstacle = "label"
@@ -69,6 +70,8 @@
 		return ObstacleUnusable
 	case host.Suspect && !host.admitsProbe(group, task):
 		return ObstacleSuspect
+	case host.probation.excludes(task):
+		return ObstacleProbation
 	case !p.ticketSuffices(host, group):
 		return ObstacleTicket
 	case host.antiAffinityReached(group.Name(), group.Step()):
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -46,22 +46,24 @@
 func (p *Planner) Plan(groups []*tracker.Group, hosts []*Host) []Assignment {
 	var plan []Assignment
 	setServingLayout(groups, hosts)
+	plan = append(plan, p.planSuspected(groups, hosts)...)
 	for _, group := range groups {
-		if group.Step().GetGang() {
+		if !group.Step().GetGang() {
+			plan = append(plan, p.planTasks(group, unsuspectedTasks(group), hosts)...)
+		} else if !suspected(group.Tasks()[0]) {
 			plan = append(plan, p.planGang(group, hosts)...)
-			continue
 		}
-		plan = append(plan, p.planTasks(group, hosts)...)
 	}
 	return plan
 }
 
-func (p *Planner) planTasks(group *tracker.Group, hosts []*Host) []Assignment {
+// planTasks assigns waiting tasks of the group.
+func (p *Planner) planTasks(group *tracker.Group, tasks []*tracker.Task, hosts []*Host) []Assignment {
 	var plan []Assignment
 	groupName := group.Name()
 	rack := ""
 	fits := true
-	for _, task := range group.Tasks() {
+	for _, task := range tasks {
 		var host *Host
 		if fits {
 			host = p.chooseHost(group, task, groupName, hosts, rack)
@@ -76,6 +78,7 @@
 			continue
 		}
 		host.AddPlanned(groupName, group.Step())
+		host.probation.addPlanned(task)
 		if group.Step().GetSameRack() {
 			rack = host.Rack()
 		}
@@ -96,7 +99,7 @@
 		return nil
 	}
 	trial := cloneHosts(hosts)
-	plan := p.planTasks(group, trial)
+	plan := p.planTasks(group, group.Tasks(), trial)
 	if len(plan) < len(group.All()) {
 		return nil
 	}
@@ -104,6 +107,7 @@
 	for i := range plan {
 		host := hosts[slices.Index(trial, plan[i].Host)]
 		host.AddPlanned(plan[i].Group, group.Step())
+		host.probation.addPlanned(plan[i].Task)
 		plan[i].Host = host
 		plan[i].Run = run
 	}
@@ -180,6 +184,7 @@
 	default:
 		score = host.idleShare()
 	}
+	score -= host.suspectPenalty(task)
 	score -= penaltySameGroup * float64(host.tasksByGroup[groupName])
 	if !host.inAffinityRack(step) {
 		score -= penaltyOutsideAffinityRack
--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -20,6 +20,7 @@
 // it is stopping, Preempt may choose it.
 func (h *Host) AddAssigned(task *tracker.Task) {
 	h.addTask(task.GroupName(), task.Step())
+	h.probation.addAssigned(task, h.ProbationFrom)
 	if h.Suspect && task.AssignedAt() >= h.ProbesFrom {
 		h.probes++
 	}
--- /dev/null
+++ b/planner/probation.go
@@ -0,0 +1,156 @@
+package planner
+
+import (
+	"time"
+
+	"damaskspread.example/damaskspread/tracker"
+)
+
+// A task is suspected to crash its executors once an executor has crashed shortly
+// after it had started the task. All tasks that had started there at that time are
+// suspected alike, and most of them are healthy. So each of them starts apart from
+// others: the next crash then tells which one it was, and takes little else along.
+
+const (
+	// ProbationTime is the time from the assignment of a suspected task during which
+	// its host gets no other task. It covers the window in which an agent relates a
+	// crash to a start, and the usual time from the assignment to the start.
+	ProbationTime = 700 * time.Millisecond
+	// probationShare is the share of a service's hosts, at least one host, that may
+	// be in probation for tasks other than gangs. The others stay free for the tasks
+	// that are not suspected.
+	probationShare = 0.25
+	// maxWorkAge bounds the age up to which the work of a task counts as lost with
+	// its host.
+	maxWorkAge = time.Minute
+	// Weights of the penalties of a host for a suspected task. They differ by more
+	// than all that speaks for a host otherwise.
+	penaltyRecentStart = 20.0
+	penaltyCrashedOn   = 10.0
+	weightWorkAtRisk   = 40.0
+)
+
+// probation is the part of a Host that concerns suspected tasks.
+type probation struct {
+	// by is the name of the suspected task, or of its gang, that the host has in
+	// probation, or "".
+	by string
+	// planned is set once this cycle has placed a task on the host.
+	planned bool
+	// recentStart is set if a task was assigned within ProbationTime.
+	recentStart bool
+	// workAtRisk is the work, in millicores times seconds, that is lost if the host's
+	// executor crashes.
+	workAtRisk float64
+}
+
+// suspectName identifies what is blamed if the host crashes under the task.
+func suspectName(task *tracker.Task) string {
+	if task.Step().GetGang() {
+		return task.GroupName()
+	}
+	return task.ID().String()
+}
+
+func suspected(task *tracker.Task) bool { return task.Crashes() > 0 }
+
+// addAssigned adds a task that was assigned in an earlier cycle.
+func (p *probation) addAssigned(task *tracker.Task, from time.Duration) {
+	if task.AssignedAt() >= from {
+		p.recentStart = true
+		if suspected(task) {
+			p.by = suspectName(task)
+		}
+		return
+	}
+	age := min(from-task.AssignedAt(), maxWorkAge)
+	p.workAtRisk += float64(task.Step().GetResources().GetMillicores()) * age.Seconds()
+}
+
+// addPlanned adds a task that this cycle places on the host.
+func (p *probation) addPlanned(task *tracker.Task) {
+	p.planned = true
+	if suspected(task) {
+		p.by = suspectName(task)
+	}
+}
+
+// excludes reports whether the task may not start on the host now: the host has a
+// suspected task in probation, or the task is suspected and others start with it.
+func (p *probation) excludes(task *tracker.Task) bool {
+	if p.by != "" {
+		return p.by != suspectName(task) || !task.Step().GetGang()
+	}
+	return p.planned && suspected(task)
+}
+
+// suspectPenalty is subtracted from the score of a host for a suspected task. It
+// prefers hosts on which the fewest others would be lost or suspected with it.
+func (h *Host) suspectPenalty(task *tracker.Task) float64 {
+	if !suspected(task) {
+		return 0
+	}
+	capacity := float64(max(h.Capacity.GetMillicores(), 1)) * maxWorkAge.Seconds()
+	penalty := weightWorkAtRisk * h.probation.workAtRisk / capacity
+	if h.probation.recentStart {
+		penalty += penaltyRecentStart
+	}
+	if task.CrashedOn(h.Name) {
+		penalty += penaltyCrashedOn
+	}
+	return penalty
+}
+
+// planSuspected places the suspected tasks before all others: a host that gets
+// another task first is closed to them in this cycle, and on busy hosts they would
+// wait without end.
+func (p *Planner) planSuspected(groups []*tracker.Group, hosts []*Host) []Assignment {
+	var plan []Assignment
+	for _, group := range groups {
+		if group.Step().GetGang() {
+			if suspected(group.Tasks()[0]) {
+				plan = append(plan, p.planGang(group, hosts)...)
+			}
+			continue
+		}
+		for _, task := range group.Tasks() {
+			if suspected(task) && probationAvailable(group, hosts) {
+				plan = append(plan, p.planTasks(group, []*tracker.Task{task}, hosts)...)
+			}
+		}
+	}
+	return plan
+}
+
+// probationAvailable reports whether another host of the group's service may go
+// into probation.
+func probationAvailable(group *tracker.Group, hosts []*Host) bool {
+	usable, used := 0, 0
+	for _, host := range hosts {
+		if host.Service != group.Job().Spec().GetService() || !host.Usable {
+			continue
+		}
+		usable++
+		if host.probation.by != "" {
+			used++
+		}
+	}
+	return used < max(1, int(probationShare*float64(usable)))
+}
+
+// unsuspectedTasks returns the waiting tasks of the group that are not suspected.
+func unsuspectedTasks(group *tracker.Group) []*tracker.Task {
+	tasks := group.Tasks()
+	for i, task := range tasks {
+		if suspected(task) {
+			rest := append([]*tracker.Task{}, tasks[:i]...)
+			for _, other := range tasks[i+1:] {
+				if !suspected(other) {
+					rest = append(rest, other)
+				}
+			}
+			return rest
+		}
+	}
+	return tasks
+}
--- a/runner/exchange.go
+++ b/runner/exchange.go
@@ -32,8 +32,8 @@
 	r.exchange(ctx, request, pollWait+pollTimeoutMargin)
 }
 
-// reportOnce waits for a signal and sends the ends and refusals without waiting
-// for orders.
+// reportOnce waits for a signal and sends the ends, exposures and refusals without
+// waiting for orders.
 func (r *Runner) reportOnce(ctx context.Context) {
 	r.waitForSignal(ctx, r.reportWake, pollWait)
 	r.pause(ctx, reportDelay)
@@ -48,7 +48,7 @@
 func (r *Runner) hasUpdates() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.sessionOpen && (len(r.unrecordedEnds) > 0 || len(r.pendingRefusals) > 0 || r.info.GetDraining())
+	return r.sessionOpen && (len(r.unrecordedEnds) > 0 || len(r.pendingRefusals) > 0 || len(r.crashes.pending) > 0 || r.info.GetDraining())
 }
 
 // buildRequest returns the next request to the leader, or nil if none can be
@@ -70,13 +70,15 @@
 		Session:           r.session,
 		Epoch:             r.epoch,
 		Executor:          r.info,
-		ExecutorReachable: r.lastContact > 0 && r.Elapsed.Elapsed()-r.lastContact < unreachableAfter,
+		ExecutorReachable: r.lastContact > 0 && r.Elapsed.Elapsed()-r.lastContact < unreachableAfter && !r.crashes.down(),
 		OrdersReceived:    r.ordersReceived,
 		EndsRecorded:      r.endsRecorded,
 		Refusals:          slices.Clone(r.pendingRefusals),
 		PressureVersion:   r.pressureVersion,
 		Opening:           poll && !r.sessionOpen,
 		KeepsSteps:        true,
+		Exposures:         slices.Clone(r.crashes.pending),
+		ExposuresRecorded: r.crashes.recorded,
 	}
 	for _, end := range r.unrecordedEnds {
 		request.Ends = append(request.Ends, end)
@@ -193,8 +195,8 @@
 	signal(r.renewWake)
 }
 
-// updateSession extends the lease and removes the ends and refusals that the
-// leader has acknowledged.
+// updateSession extends the lease and removes the ends, exposures and refusals
+// that the leader has acknowledged.
 func (r *Runner) updateSession(request *wire.ExchangeRequest, response *wire.ExchangeResponse, sentAt time.Duration) {
 	if !r.sessionOpen {
 		r.sessionOpen = true
@@ -213,6 +215,7 @@
 		}
 		signal(r.renewWake)
 	}
+	r.crashes.acknowledge(response.GetExposuresRecorded())
 	// Polls and reports overlap: this response acknowledges only the refusals
 	// that its own request contained.
 	r.pendingRefusals = slices.DeleteFunc(r.pendingRefusals, func(refusal *wire.StartRefusal) bool {
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -103,6 +103,7 @@
 			return
 		}
 		err := r.callStart(ctx, order, &decision)
+		r.watchStart(decision.info, key, err)
 		if err == nil {
 			tracer.Write(&tracer.TaskStarted{
 				Job:        tracker.JobOf(key.task),
--- a/runner/renew.go
+++ b/runner/renew.go
@@ -45,6 +45,7 @@
 	defer cancel()
 	state, err := r.Executor.Renew(callCtx, call.info.GetId(), &call.lease, call.dropUpTo, call.wait)
 	if err != nil {
+		r.watchCall(call.info, runKey{}, err)
 		r.handleRenewError(ctx, call, err)
 		return
 	}
@@ -80,7 +81,7 @@
 		dropUpTo:  r.endsRecorded,
 		wait:      renewWait,
 	}
-	if !r.listsRead || len(r.unrecordedEnds) > 0 || len(r.checksDue) > 0 {
+	if !r.listsRead || len(r.unrecordedEnds) > 0 || len(r.checksDue) > 0 || r.crashes.down() {
 		call.wait = 0
 	}
 	return call
@@ -135,6 +136,7 @@
 	}
 	r.renewFailures = 0
 	r.lastContact = now
+	r.crashes.addContact()
 	r.executorClock = clockReading{
 		clockMs: state.GetClockMs(),
 		at:      now,
@@ -248,11 +250,13 @@
 	}
 }
 
-// forgetRun deletes the step, the pace and the start order of a run.
+// forgetRun deletes the step, the pace and the start order of a run, which no
+// longer can crash the executor.
 func (r *Runner) forgetRun(key runKey) {
 	delete(r.steps, key)
 	delete(r.paces, key)
 	delete(r.startOwners, key)
+	delete(r.crashes.startedAt, key)
 }
 
 func (r *Runner) refusalRetention() time.Duration {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -111,6 +111,7 @@
 	paces     map[runKey]int
 	// drainStops holds the runs that drainOnce has ordered to stop.
 	drainStops map[runKey]bool
+	crashes    crashWatch
 	// pressureVersion is the version of the pacer's interference weights.
 	pressureVersion int64
 
@@ -199,6 +200,7 @@
 	r.steps = map[runKey]*wire.JobStep{}
 	r.paces = map[runKey]int{}
 	r.drainStops = map[runKey]bool{}
+	r.crashes.reset()
 	r.executorClock = clockReading{
 		clockMs: info.GetClockMs(),
 		at:      r.Elapsed.Elapsed(),
--- a/tracer/events.go
+++ b/tracer/events.go
@@ -63,6 +63,7 @@
 	KindTaskStopped    Kind = "task stopped"
 	KindRunEnded       Kind = "run ended"
 	KindRunLost        Kind = "run lost with its executor"
+	KindCrashCounted   Kind = "crash of executor counted for task"
 )
 
 // JobAccepted means that the record of a new job is in the log.
@@ -231,6 +232,20 @@
 	Executor string `json:"executor"`
 }
 
+// CrashCounted means that an executor crashed shortly after it had started the
+// run, so that the task is suspected to be the cause.
+type CrashCounted struct {
+	Job  string `json:"job"`
+	Task string `json:"task"`
+	Run  int32  `json:"run"`
+	Host string `json:"host"`
+	// Crashes counts the crashes under the task so far, for a gang under all its
+	// members.
+	Crashes int32 `json:"crashes"`
+	// GivenUp is set if the task is not started again and its job fails.
+	GivenUp bool `json:"given_up"`
+}
+
 func (*JobAccepted) kind() Kind    { return KindJobAccepted }
 func (*JobRepeated) kind() Kind    { return KindJobRepeated }
 func (*JobCanceled) kind() Kind    { return KindJobCanceled }
@@ -246,6 +261,7 @@
 func (*TaskStopped) kind() Kind    { return KindTaskStopped }
 func (*RunEnded) kind() Kind       { return KindRunEnded }
 func (*RunLost) kind() Kind        { return KindRunLost }
+func (*CrashCounted) kind() Kind   { return KindCrashCounted }
 
 func (e *JobAccepted) job() string    { return e.Job }
 func (e *JobRepeated) job() string    { return e.Job }
@@ -262,6 +278,7 @@
 func (e *TaskStopped) job() string    { return e.Job }
 func (e *RunEnded) job() string       { return e.Job }
 func (e *RunLost) job() string        { return e.Job }
+func (e *CrashCounted) job() string   { return e.Job }
 
 // newEventByKind maps each kind to the constructor of an empty event.
 var newEventByKind = map[Kind]func() Event{
@@ -280,6 +297,7 @@
 	KindTaskStopped:    func() Event { return &TaskStopped{} },
 	KindRunEnded:       func() Event { return &RunEnded{} },
 	KindRunLost:        func() Event { return &RunLost{} },
+	KindCrashCounted:   func() Event { return &CrashCounted{} },
 }
 
 // Kinds returns all kinds of events, in no particular order.
--- a/tracker/progress.go
+++ b/tracker/progress.go
@@ -63,6 +63,10 @@
 	t.run = progress.GetRun()
 	t.failures = progress.GetFailures()
 	t.failedRun = progress.GetLastFailedRun()
+	t.crashes = progress.GetCrashes()
+	t.crashedRun = progress.GetLastCrashedRun()
+	t.exposedRun = progress.GetExposedRun()
+	t.lostRun = progress.GetLastLostRun()
 	t.checkpoint = progress.GetCheckpoint()
 	if t.run > 0 {
 		t.job.started = true
@@ -130,6 +134,10 @@
 	}
 	progress.Failures = t.failures
 	progress.LastFailedRun = t.failedRun
+	progress.Crashes = t.crashes
+	progress.LastCrashedRun = t.crashedRun
+	progress.ExposedRun = t.exposedRun
+	progress.LastLostRun = t.lostRun
 	progress.Checkpoint = t.checkpoint
 	if t.Assigned() {
 		progress.ExecutorIndex = w.executorIndex(t)
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -37,10 +37,17 @@
 	host      string
 	failures  int32
 	// failedRun is the latest run that failed.
-	failedRun  int32
+	failedRun int32
+	// crashes counts the runs up to crashedRun in which an executor crashed;
+	// exposedRun and lostRun are the latest runs for which Expose and Lose were
+	// called. See Expose.
+	crashes, crashedRun, exposedRun, lostRun int32
+
 	checkpoint string
 	// failedOn has the ids of the executors on which runs failed.
-	failedOn   map[string]bool
+	failedOn map[string]bool
+	// crashedOn has the hosts on which an executor crashed under the task.
+	crashedOn  map[string]bool
 	stopping   bool
 	assignedAt time.Duration
 	// position is the task's index in Assignments.On while it is assigned.
