--- a/coordinator/session.go
+++ b/coordinator/session.go
@@ -43,6 +43,10 @@
 	// noRoomUntil is when the host may get tasks again after its agent refused one
 	// for lack of capacity.
 	noRoomUntil time.Duration
+	// exposures were received since the last cycle, up to lastExposure; the effects
+	// of those up to exposuresRecorded are stored.
+	exposures                       []*wire.CrashExposure
+	lastExposure, exposuresRecorded int64
 
 	// keepsSteps is set if the agent keeps the steps that it receives, so that
 	// later orders need not repeat them. sentSteps are those of the open jobs that
@@ -122,6 +126,13 @@
 			updated = true
 		}
 	}
+	for _, exposure := range request.GetExposures() {
+		if exposure.GetNumber() > s.lastExposure {
+			s.lastExposure = exposure.GetNumber()
+			s.exposures = append(s.exposures, exposure)
+			updated = true
+		}
+	}
 	if len(request.GetRefusals()) > 0 {
 		s.refusals = append(s.refusals, request.GetRefusals()...)
 		updated = true
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -305,9 +305,11 @@
 	ticker := time.NewTicker(f.announceInterval)
 	defer ticker.Stop()
 	for sequence := int64(1); ; sequence++ {
-		info := h.executor.Info(service, "zone", nil, "kind", "rack")
-		info.Sequence = sequence
-		r.ExecutorAnnounced(info)
+		if !h.executor.Down() {
+			info := h.executor.Info(service, "zone", nil, "kind", "rack")
+			info.Sequence = sequence
+			r.ExecutorAnnounced(info)
+		}
 		select {
 		case <-ticker.C:
 		case <-h.tomb.Dying():
--- a/emulator/job_executor.go
+++ b/emulator/job_executor.go
@@ -27,6 +27,9 @@
 	// Observe is called at each start and end of a run, with the executor's lock
 	// held; it may be nil.
 	Observe func(event RunEvent)
+	// Crashes reports whether a task crashes the executor shortly after its start;
+	// nil if none does.
+	Crashes func(task string) bool
 
 	mu           sync.Mutex
 	id           string
@@ -44,7 +47,10 @@
 	losesStartResponses bool
 	// capacity replaces that of Info; nil until SetCapacity.
 	capacity *wire.Resources
-	changed  chan struct{}
+	// crashAt is when a started task crashes the executor; zero if none does.
+	crashAt time.Time
+	down    bool
+	changed chan struct{}
 }
 
 // RunEvent is a start or an end of a run on the executor.
@@ -76,9 +82,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.advance()
-	for id := range e.runs {
-		e.observe(id, wire.EndCause_END_CAUSE_LEASE_EXPIRED)
-	}
+	e.loseRuns()
+	e.down = false
+	e.crashAt = time.Time{}
 	e.startedAt = e.Clock.Now()
 	e.id = id
 	e.bornUnixMs = max(e.bornUnixMs+1, e.startedAt.UnixMilli())
@@ -170,6 +176,9 @@
 // requires the lock.
 func (e *JobExecutor) advance() {
 	now := e.Clock.Now()
+	if !e.crashAt.IsZero() && !now.Before(e.crashAt) {
+		e.crash()
+	}
 	for id, run := range e.runs {
 		switch {
 		case run.stopping && !now.Before(run.endsAt):
@@ -213,10 +222,13 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.advance()
+	if e.down {
+		return &damaskspread.ConnectionLostError{Cause: errInjected}
+	}
 	if id != e.id {
 		return &damaskspread.WrongIncarnationError{ID: id}
 	}
-	e.advance()
 	if token < e.highestToken {
 		return &damaskspread.FencedError{Refused: token}
 	}
@@ -246,8 +258,8 @@
 	e.awaitEnd(ctx, id, wait)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.id != id {
-		return nil, &damaskspread.WorkerUnknownError{Cause: errInjected}
+	if e.down || id != e.id {
+		return nil, lostResponse()
 	}
 	state := &wire.ExecutorState{
 		BornUnixMs: e.bornUnixMs,
@@ -273,7 +285,7 @@
 	for e.Clock.Now().Before(deadline) && ctx.Err() == nil {
 		e.mu.Lock()
 		e.advance()
-		over := len(e.ended) > 0 || e.id != id
+		over := len(e.ended) > 0 || e.down || e.id != id
 		e.mu.Unlock()
 		if over {
 			return
@@ -321,6 +333,7 @@
 	}
 	e.runs[id] = run
 	e.observe(id, wire.EndCause_END_CAUSE_UNSPECIFIED)
+	e.scheduleCrash(id.task)
 }
 
 // Stop implements damaskspread.TaskExecutor.
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -129,6 +129,7 @@
 		if !mayHaveStarted {
 			r.markSettled(info, key)
 		}
+		r.watchStart(info, key, err)
 		if err == nil {
 			tracer.Write(&tracer.TaskStarted{
 				Job:        tracker.JobOf(key.task),
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -121,6 +121,7 @@
 	restarted []runKey
 	// drainStops holds the runs that drainOnce has ordered to stop.
 	drainStops map[runKey]bool
+	crashes    crashWatch
 	// pressureVersion is the version of the pacer's interference weights.
 	pressureVersion int64
 
@@ -212,6 +213,7 @@
 	r.drainStops = map[runKey]bool{}
 	r.checksDue = map[runKey]time.Duration{}
 	r.unsettled = map[runKey]bool{}
+	r.crashes.reset()
 	r.executorClock = clockReading{
 		clockMs: info.GetClockMs(),
 		at:      r.Elapsed.Elapsed(),
