runner: An announcement that isn't the executor's doesn't hide it for good

A host was lost for good after its clock was set back between two executors, or after a heartbeat of another writer that named a later start or a greater sequence number: all announcements of the living executor were ignored as outdated. Cause: the latest time of start and the greatest sequence number won, whatever came afterwards. Ruled out: taking the announcement that arrived last. A late heartbeat would bring an executor back that was replaced (TestLateAnnouncement). Change: when another incarnation responds to a renewal, the announced executor is discarded, and the next announcement is taken. Of the present executor, an announcement with a lower sequence number is taken after four such in a row, in ascending order, with none that is newer. Why it works: a session opens only after the executor has responded under its id, so a wrong announcement that is taken is discarded again, and the living executor's next heartbeat is taken. Result: TestClockSetBackBetweenExecutors and two parts of TestHeartbeatOfAnotherWriter (born later; greater sequence) failed before, pass now; the other two parts passed before.

--- a/runner/announcement_review_test.go
+++ b/runner/announcement_test.go
@@ -7,9 +7,27 @@
 
 	"gotest.tools/v3/assert"
 
+	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/emulator"
 	"damaskspread.example/damaskspread/wire"
 )
 
+const setBack = time.Minute
+
+// setBackExecutor is an executor whose second incarnation was born after the clock of
+// its host was set back.
+type setBackExecutor struct {
+	*emulator.JobExecutor
+}
+
+func (e *setBackExecutor) Renew(ctx context.Context, id string, lease *damaskspread.Lease, seen int64, wait time.Duration) (*wire.ExecutorState, error) {
+	state, err := e.JobExecutor.Renew(ctx, id, lease, seen, wait)
+	if err == nil && id == "executor-2" {
+		state.BornUnixMs -= setBack.Milliseconds()
+	}
+	return state, err
+}
+
 // Guards against a host that is lost for good after its clock was set back: the new
 // executor then has an earlier time of its start than the one before.
 func TestClockSetBackBetweenExecutors(t *testing.T) {
@@ -18,23 +36,30 @@
 		time.Sleep(10 * time.Millisecond)
 		return &wire.ExchangeResponse{}
 	}
-	r, executor := startWithEmulator(t, l)
+	executor := newExecutor()
+	r := startRunner(t, l, executor, &setBackExecutor{JobExecutor: executor})
 	waitFor(t, "session", func() bool {
 		return l.received(func(r *wire.ExchangeRequest) bool { return r.GetOpening() && r.GetEpoch() > 0 })
 	})
 	executor.Boot("executor-2")
-	info := executor.Info("planning", "zone", &wire.Resources{})
-	info.BornUnixMs -= time.Minute.Milliseconds()
 	deadline := time.Now().Add(waitTimeout)
 	for sequence := int64(1); time.Now().Before(deadline); sequence++ {
+		info := executor.Info("planning", "zone", &wire.Resources{Millicores: 8000})
+		info.BornUnixMs -= setBack.Milliseconds()
 		info.Sequence = sequence
 		r.ExecutorAnnounced(info)
-		if l.received(func(r *wire.ExchangeRequest) bool { return r.GetExecutor().GetId() == "executor-2" }) {
+		if l.received(func(r *wire.ExchangeRequest) bool { return opensFor(r, "executor-2") }) {
 			return
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	t.Fatalf("no request names the new executor within %s", waitTimeout)
+	t.Fatalf("no session opens for the new executor within %s", waitTimeout)
+}
+
+// opensFor reports whether a request opens a session for an executor with a capacity.
+func opensFor(request *wire.ExchangeRequest, id string) bool {
+	executor := request.GetExecutor()
+	return request.GetOpening() && request.GetHasRunning() && executor.GetId() == id && executor.GetCapacity().GetMillicores() > 0
 }
 
 // Guards against a host that is lost for good after a heartbeat of another writer
--- a/runner/renew.go
+++ b/runner/renew.go
@@ -113,9 +113,13 @@
 
 func (r *Runner) handleRenewError(ctx context.Context, call *renewal, err error) {
 	var fenced *damaskspread.FencedError
+	var wrong *damaskspread.WrongIncarnationError
 	r.mu.Lock()
 	r.renewFailures++
 	first := r.renewFailures == 1
+	if errors.As(err, &wrong) && r.isPresent(call.info) {
+		r.discardExecutor()
+	}
 	if errors.As(err, &fenced) && r.epoch == call.epoch {
 		r.epoch = 0
 		r.resetSession()
@@ -128,6 +132,17 @@
 	r.pause(ctx, renewRetry)
 }
 
+// discardExecutor forgets the announced executor, because another one responds at
+// its address. The next announcement is taken whatever its time of start, so that
+// neither a heartbeat of another writer nor a clock that was set back hides the
+// living executor. The caller holds the mutex.
+func (r *Runner) discardExecutor() {
+	log.Warn().Str("executor", r.info.GetId()).Int64("born", r.info.GetBornUnixMs()).Msg("announced executor discarded: another one responds at its address")
+	r.info = nil
+	r.drainAt = 0
+	r.resetSession()
+}
+
 // applyState stores the executor's lists and reports whether there are new ends
 // or refusals to report.
 func (r *Runner) applyState(call *renewal, state *wire.ExecutorState) bool {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -40,6 +40,9 @@
 	// exitDelay is how long an executor may take to exit after it announced that
 	// it leaves. The leader is told only afterwards.
 	exitDelay = 600 * time.Millisecond
+	// maxOutdated is how many outdated announcements in a row are ignored. A burst
+	// of late ones is followed by a newer one within the interval of heartbeats.
+	maxOutdated = 4
 )
 
 // Leader sends requests to the scheduling leader. Calls are concurrent.
@@ -77,11 +80,15 @@
 	// drainAt is when the draining executor ends; 0 if it is not draining.
 	drainAt time.Duration
 	// left is the executor that left and was not yet reported to the leader.
-	left          *wire.ExecutorInfo
-	leftAt        time.Duration
-	executorClock clockReading
-	lastContact   time.Duration
-	renewFailures int
+	left *wire.ExecutorInfo
+	// outdated counts the latest announcements with a lower sequence number than
+	// that of info, outdatedSequence is the number of the last of them.
+	outdated         int
+	outdatedSequence int64
+	leftAt           time.Duration
+	executorClock    clockReading
+	lastContact      time.Duration
+	renewFailures    int
 
 	session      string
 	sessionCount int
@@ -195,6 +202,7 @@
 	r.keepUnsettled(info)
 	r.info = info
 	r.left = nil
+	r.outdated = 0
 	r.drainAt = 0
 	r.leaseUntil = 0
 	r.endsRecorded = 0
@@ -226,7 +234,7 @@
 	case r.info == nil || (!sameIncarnation(r.info, info) && info.GetBornUnixMs() >= r.info.GetBornUnixMs()):
 		r.resetExecutor(info)
 		log.Info().Str("executor", info.GetId()).Int64("born", info.GetBornUnixMs()).Msg("executor discovered")
-	case !sameIncarnation(r.info, info) || info.GetSequence() < r.info.GetSequence():
+	case !sameIncarnation(r.info, info) || r.isOutdated(info):
 		log.Warn().Str("executor", info.GetId()).Int64("born", info.GetBornUnixMs()).Int64("sequence", info.GetSequence()).
 			Msg("outdated executor announcement ignored")
 		return
@@ -236,6 +244,29 @@
 	signal(r.renewWake)
 }
 
+// isOutdated reports whether an announcement of the present executor is older than
+// the latest one. After maxOutdated of them in ascending order with none that is newer,
+// the latest one can't have come from the executor, and the next one is taken. The
+// caller holds the mutex.
+func (r *Runner) isOutdated(info *wire.ExecutorInfo) bool {
+	if info.GetSequence() >= r.info.GetSequence() {
+		r.outdated = 0
+		return false
+	}
+	if info.GetSequence() <= r.outdatedSequence {
+		r.outdated = 0
+	}
+	r.outdatedSequence = info.GetSequence()
+	r.outdated++
+	if r.outdated <= maxOutdated {
+		return true
+	}
+	r.outdated = 0
+	log.Warn().Str("executor", info.GetId()).Int64("sequence", info.GetSequence()).Int64("latest", r.info.GetSequence()).
+		Msg("executor announcement taken: the latest one did not come from the executor")
+	return false
+}
+
 // scheduleDrain sets the time at which a draining executor ends. The first
 // announcement gives the executor at least DrainFor; later ones can only postpone
 // its end.
