runner: A departure is reported once the executor has ended

An executor whose deregistration got no acknowledgement ends some seconds later. The leader learned 600 ms after the call that it had left and started its tasks elsewhere, with its runs still in progress. Cause: the departure was reported a fixed time after the deregistration. Ruled out: a longer fixed time. Nothing bounds the seconds, and each planned end would cost them. Change: 600 ms after the deregistration the agent calls the executor, each 300 ms. It reports the departure when the address refuses connections, when another executor responds there, or when the last lease is over. Starts stay closed meanwhile. Why it works: an executor that has ended refuses connections, and no run outlives its lease. Result: TestDepartureOfARunningExecutor failed before, passes now. TestDeregistrationAfterDraining let the executor live on after its departure, which is the fault; its executor now ends. go test -race ./runner ./coordinator: all pass.

--- a/runner/deregistration_test.go
+++ b/runner/deregistration_test.go
@@ -41,12 +41,11 @@
 		time.Sleep(5 * time.Millisecond)
 		return &wire.ExchangeResponse{}
 	}
-	r, executor := startWithEmulator(t, l)
-	draining := executor.Info("planning", "zone", &wire.Resources{})
-	draining.Draining = true
-	draining.Sequence = 1
-	r.ExecutorAnnounced(draining)
-	r.ExecutorLeft("executor-1")
+	executor := newExecutor()
+	crashing := &crashingExecutor{JobExecutor: executor}
+	r := startRunner(t, l, executor, crashing)
+	leave(r, executor)
+	crashing.setDown(true)
 	waitFor(t, "report of the departure", func() bool {
 		return l.received(func(request *wire.ExchangeRequest) bool { return request.GetExecutorLeft() })
 	})
--- a/runner/exchange.go
+++ b/runner/exchange.go
@@ -109,7 +109,7 @@
 // departureRequest returns the request that reports the executor as left, or
 // nil if the executor may still be running.
 func (r *Runner) departureRequest(poll bool) *wire.ExchangeRequest {
-	if !poll || r.left == nil || r.Elapsed.Elapsed()-r.leftAt < exitDelay {
+	if !poll || r.left == nil || !r.leftEnded {
 		return nil
 	}
 	return &wire.ExchangeRequest{
--- a/runner/incarnation_test.go
+++ b/runner/incarnation_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -16,7 +16,7 @@
 	"damaskspread.example/damaskspread/wire"
 )
 
-var errConnectionRefused = errors.New("connection refused")
+var errConnectionRefused error = syscall.ECONNREFUSED
 
 // crashingExecutor is an executor that can go down: it then breaks off renewals and
 // refuses all calls, each after a different delay, so that the repeated calls of
--- a/runner/renew.go
+++ b/runner/renew.go
@@ -38,6 +38,7 @@
 func (r *Runner) renewOnce(ctx context.Context) {
 	call := r.nextRenewal()
 	if call == nil {
+		r.confirmDeparture(ctx)
 		r.waitForSignal(ctx, r.renewWake, idleWait)
 		return
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -37,8 +37,8 @@
 	// reportDelay collects ends and refusals that occur close together into one
 	// report.
 	reportDelay = 12 * time.Millisecond
-	// exitDelay is how long an executor may take to exit after it announced that
-	// it leaves. The leader is told only afterwards.
+	// exitDelay is how long an executor usually takes to exit after it announced
+	// that it leaves. Only afterwards it is called to learn whether it has ended.
 	exitDelay = 600 * time.Millisecond
 	// maxOutdated is how many outdated announcements in a row are ignored. A burst
 	// of late ones is followed by a newer one within the interval of heartbeats.
@@ -80,12 +80,14 @@
 	// drainAt is when the draining executor ends; 0 if it is not draining.
 	drainAt time.Duration
 	// left is the executor that left and was not yet reported to the leader.
-	left *wire.ExecutorInfo
+	left   *wire.ExecutorInfo
+	leftAt time.Duration
+	// leftEnded is set once left has ended or its lease is over.
+	leftEnded bool
 	// outdated counts the latest announcements with a lower sequence number than
 	// that of info, outdatedSequence is the number of the last of them.
 	outdated         int
 	outdatedSequence int64
-	leftAt           time.Duration
 	executorClock    clockReading
 	lastContact      time.Duration
 	renewFailures    int
@@ -299,6 +301,7 @@
 	}
 	log.Info().Str("executor", id).Msg("executor left")
 	r.left = r.info
+	r.leftEnded = false
 	r.leftAt = r.Elapsed.Elapsed()
 	r.info = nil
 	r.resetSession()
