--- a/runner/renew.go
+++ b/runner/renew.go
@@ -133,17 +133,6 @@
 	r.pause(ctx, renewRetry)
 }
 
-// discardExecutor forgets the announced executor, because another one responds at
-// its address. The next announcement is taken whatever its time of start, so that
-// neither a heartbeat of another writer nor a clock that was set back hides the
-// living executor. The caller holds the mutex.
-func (r *Runner) discardExecutor() {
-	log.Warn().Str("executor", r.info.GetId()).Int64("born", r.info.GetBornUnixMs()).Msg("announced executor discarded: another one responds at its address")
-	r.info = nil
-	r.drainAt = 0
-	r.resetSession()
-}
-
 // applyState stores the executor's lists and reports whether there are new ends
 // or refusals to report.
 func (r *Runner) applyState(call *renewal, state *wire.ExecutorState) bool {
