--- a/runner/announcement.go
+++ b/runner/announcement.go
@@ -32,6 +32,9 @@
 	r.scheduleDrain(info)
 	r.info = info
 	signal(r.renewWake)
+	if r.capacityUnreported() {
+		signal(r.reportWake)
+	}
 }
 
 // isOutdated reports whether an announcement of the present executor is older than
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -87,6 +87,9 @@
 	executorClock    clockReading
 	lastContact      time.Duration
 	renewFailures    int
+	// reportedCapacity is the latest capacity that the leader is known to have
+	// received in this session.
+	reportedCapacity *wire.Resources
 
 	session      string
 	sessionCount int
@@ -190,6 +193,7 @@
 	r.listsRead = false
 	r.ordersReceived = 0
 	r.pendingRefusals = nil
+	r.reportedCapacity = nil
 	r.keptSteps = map[string]*keptStep{}
 }
 
