--- a/runner/renew.go
+++ b/runner/renew.go
@@ -38,6 +38,7 @@
 func (r *Runner) renewOnce(ctx context.Context) {
 	call := r.nextRenewal()
 	if call == nil {
+		r.confirmDeparture(ctx)
 		r.waitForSignal(ctx, r.renewWake, idleWait)
 		return
 	}
@@ -114,9 +115,13 @@
 
 func (r *Runner) handleRenewError(ctx context.Context, call *renewal, err error) {
 	var fenced *damaskspread.FencedError
+	var wrong *damaskspread.WrongIncarnationError
 	r.mu.Lock()
 	r.renewFailures++
 	first := r.renewFailures == 1
+	if errors.As(err, &wrong) && r.isPresent(call.info) {
+		r.discardExecutor()
+	}
 	if errors.As(err, &fenced) && r.epoch == call.epoch {
 		r.epoch = 0
 		r.resetSession()
