Cancel the poll for an executor that was replaced

Change: the end of a session cancels its poll. Orders are carried out with the context of the runner, not with that of the poll.

--- a/runner/exchange.go
+++ b/runner/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -23,13 +24,20 @@
 )
 
 // pollOnce opens the session or, once it is open, waits at the leader for orders.
+// The end of the session cancels the poll: the leader may hold it for pollWait, and
+// the next session can't be opened before.
 func (r *Runner) pollOnce(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, pollWait+pollTimeoutMargin)
+	defer cancel()
+	r.mu.Lock()
+	r.cancelPoll = cancel
+	r.mu.Unlock()
 	request := r.buildRequest(true)
 	if request == nil {
 		r.waitForSignal(ctx, r.reportWake, exchangeRetry)
 		return
 	}
-	r.exchange(ctx, request, pollWait+pollTimeoutMargin)
+	r.exchange(ctx, callCtx, request)
 }
 
 // reportOnce waits for a signal and sends the ends, exposures and refusals without
@@ -41,7 +49,9 @@
 		return
 	}
 	if request := r.buildRequest(false); request != nil {
-		r.exchange(ctx, request, reportTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+		defer cancel()
+		r.exchange(ctx, callCtx, request)
 	}
 }
 
@@ -124,14 +134,14 @@
 	}
 }
 
-func (r *Runner) exchange(ctx context.Context, request *wire.ExchangeRequest, timeout time.Duration) {
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+// exchange sends a request with callCtx. Orders in the response are carried out
+// with ctx, which outlives the call.
+func (r *Runner) exchange(ctx, callCtx context.Context, request *wire.ExchangeRequest) {
 	sentAt := r.Elapsed.Elapsed()
 	response, err := r.Leader.Exchange(callCtx, request)
 	if err != nil {
 		r.forgetReport(request)
-		if ctx.Err() == nil {
+		if !errors.Is(callCtx.Err(), context.Canceled) {
 			log.Debug().Err(err).Msg("exchange with leader failed")
 			r.pause(ctx, exchangeRetry)
 		}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -87,8 +87,10 @@
 	sessionCount int
 	epoch        int64
 	// listsRead is set once the executor's lists were read in this session.
-	listsRead      bool
-	sessionOpen    bool
+	listsRead   bool
+	sessionOpen bool
+	// cancelPoll cancels the present poll; nil before the first.
+	cancelPoll     context.CancelFunc
 	leaseUntil     time.Duration
 	ordersReceived int64
 	endsRecorded   int64
@@ -169,6 +171,9 @@
 // resetSession gives the next session a new name and clears the state of the
 // last one. The caller holds the mutex unless the runner is not shared yet.
 func (r *Runner) resetSession() {
+	if r.cancelPoll != nil {
+		r.cancelPoll()
+	}
 	r.sessionCount++
 	if r.session == "" {
 		r.session = strconv.FormatUint(rand.Uint64(), 36)
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -395,3 +395,34 @@
 	defer recording.mu.Unlock()
 	assert.DeepEqual(t, recording.specs, map[string]string{"a.0.0.0": "spec", "a.0.0.1": "spec"})
 }
+
+// Guards against a new executor without orders for as long as the poll for the one
+// before it waits at the leader.
+func TestNewExecutorDoesNotWaitForTheOldPoll(t *testing.T) {
+	polling := make(chan struct{}, 1)
+	l := &fakeLeader{}
+	l.respond = func(ctx context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
+		if request.GetWaitMs() > 0 {
+			select {
+			case polling <- struct{}{}:
+			default:
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(time.Duration(request.GetWaitMs()) * time.Millisecond):
+			}
+		}
+		return &wire.ExchangeResponse{}
+	}
+	executor := newExecutor()
+	// Renewals return at once, so that only the poll can delay the session.
+	r := startRunner(t, l, executor, &resettingExecutor{JobExecutor: executor})
+	<-polling
+	executor.Boot("executor-2")
+	started := time.Now()
+	r.ExecutorAnnounced(executor.Info("planning", "zone", &wire.Resources{}))
+	waitFor(t, "session of the second executor", func() bool {
+		return l.received(func(r *wire.ExchangeRequest) bool { return r.GetOpening() && r.GetExecutor().GetId() == "executor-2" })
+	})
+	assert.Assert(t, time.Since(started) < 500*time.Millisecond, "%s", time.Since(started))
+}
