--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -32,8 +32,13 @@
 // NoObstacle counts the hosts that can take it.
 func (p *Planner) Obstacles(group *tracker.Group, task *tracker.Task, hosts []*Host) map[Obstacle]int {
 	counts := map[Obstacle]int{}
+	mayStart := mayEnterProbation(group, task, hosts)
 	for _, host := range hosts {
-		counts[p.obstacle(host, group, task)]++
+		obstacle := p.obstacle(host, group, task)
+		if obstacle == NoObstacle && !mayStart {
+			obstacle = ObstacleProbation
+		}
+		counts[obstacle]++
 	}
 	return counts
 }
--- a/planner/probation.go
+++ b/planner/probation.go
@@ -114,7 +114,7 @@
 			continue
 		}
 		for _, task := range group.Tasks() {
-			if suspected(task) && probationAvailable(group, hosts) {
+			if suspected(task) && mayEnterProbation(group, task, hosts) {
 				plan = append(plan, p.planTasks(group, []*tracker.Task{task}, hosts)...)
 			}
 		}
@@ -122,9 +122,13 @@
 	return plan
 }
 
-// probationAvailable reports whether another host of the group's service may go
-// into probation.
-func probationAvailable(group *tracker.Group, hosts []*Host) bool {
+// mayEnterProbation reports whether the task needs no probation or another host of
+// its service may go into probation. Gangs, which need several hosts at once, may
+// take any number.
+func mayEnterProbation(group *tracker.Group, task *tracker.Task, hosts []*Host) bool {
+	if !suspected(task) || group.Step().GetGang() {
+		return true
+	}
 	usable, used := 0, 0
 	for _, host := range hosts {
 		if host.Service != group.Job().Spec().GetService() || !host.Usable {
--- a/planner/probation_test.go
+++ b/planner/probation_test.go
@@ -45,7 +45,8 @@
 	for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
 		hosts = append(hosts, hostAt(name, 8))
 	}
-	plan := p.Plan(readyGroups(newJob("0", 0, ordinary(20, 1000)), suspectedJob("1", 5)), hosts)
+	suspectedGroups := readyGroups(suspectedJob("1", 5))
+	plan := p.Plan(append(readyGroups(newJob("0", 0, ordinary(20, 1000))), suspectedGroups...), hosts)
 	tasks := map[string]int{}
 	suspects := map[string]int{}
 	for _, a := range plan {
@@ -59,6 +60,8 @@
 		assert.Equal(t, tasks[name], 1, "%v", tasks)
 	}
 	assert.Equal(t, len(plan), 22)
+	waiting := suspectedGroups[0].Tasks()[4]
+	assert.DeepEqual(t, p.Obstacles(suspectedGroups[0], waiting, hosts), map[planner.Obstacle]int{planner.ObstacleProbation: len(hosts)})
 }
 
 // Guards against a task that is placed beside a suspected one in its probation, and
--- a/runner/crash.go
+++ b/runner/crash.go
@@ -16,6 +16,10 @@
 // so some milliseconds after their start.
 const crashWindow = 500 * time.Millisecond
 
+// maxPendingExposures bounds the exposures that wait for the leader. Beyond it the
+// oldest are dropped, so that crashes without a leader don't fill the requests.
+const maxPendingExposures = 1000
+
 // crashWatch notices that the executor has ended by itself and remembers the runs
 // that may be the cause until the leader has stored their exposures. An executor
 // that ends with its host takes the agent along, and a cut leaves calls without
@@ -102,6 +106,9 @@
 		Run:       key.run,
 		Withdrawn: withdrawn,
 	})
+	if excess := len(w.pending) - maxPendingExposures; excess > 0 {
+		w.pending = slices.Delete(w.pending, 0, excess)
+	}
 }
 
 // acknowledge drops the exposures up to a number, which the leader has stored.
