Cycles without suspected tasks cost what they did before

Cause: the planner looked at each waiting task for crashes, for each host. Change: a job knows the crashes of its tasks; groups of jobs without any are left at once.

--- a/planner/probation.go
+++ b/planner/probation.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"time"
 
 	"damaskspread.example/damaskspread/tracker"
@@ -52,7 +53,7 @@
 	return task.ID().String()
 }
 
-func suspected(task *tracker.Task) bool { return task.Crashes() > 0 }
+func suspected(task *tracker.Task) bool { return task.Job().Crashes() > 0 && task.Crashes() > 0 }
 
 // addAssigned adds a task that was assigned in an earlier cycle.
 func (p *probation) addAssigned(task *tracker.Task, from time.Duration) {
@@ -78,6 +79,15 @@
 // excludes reports whether the task may not start on the host now: the host has a
 // suspected task in probation, or the task is suspected and others start with it.
 func (p *probation) excludes(task *tracker.Task) bool {
+	if p.by == "" && task.Job().Crashes() == 0 {
+		return false
+	}
+	return p.separates(task)
+}
+
+// separates is excludes for the case that a suspected task is involved. It is a
+// function of its own so that excludes, which most calls leave at once, is inlined.
+func (p *probation) separates(task *tracker.Task) bool {
 	if p.by != "" {
 		return p.by != suspectName(task) || !task.Step().GetGang()
 	}
@@ -107,6 +117,9 @@
 func (p *Planner) planSuspected(groups []*tracker.Group, hosts []*Host) []Assignment {
 	var plan []Assignment
 	for _, group := range groups {
+		if group.Job().Crashes() == 0 {
+			continue
+		}
 		if group.Step().GetGang() {
 			if suspected(group.Tasks()[0]) {
 				plan = append(plan, p.planGang(group, hosts)...)
@@ -144,17 +157,8 @@
 
 // unsuspectedTasks returns the waiting tasks of the group that are not suspected.
 func unsuspectedTasks(group *tracker.Group) []*tracker.Task {
-	tasks := group.Tasks()
-	for i, task := range tasks {
-		if suspected(task) {
-			rest := append([]*tracker.Task{}, tasks[:i]...)
-			for _, other := range tasks[i+1:] {
-				if !suspected(other) {
-					rest = append(rest, other)
-				}
-			}
-			return rest
-		}
+	if group.Job().Crashes() == 0 {
+		return group.Tasks()
 	}
-	return tasks
+	return slices.DeleteFunc(slices.Clone(group.Tasks()), suspected)
 }
--- a/tracker/crash.go
+++ b/tracker/crash.go
@@ -20,6 +20,9 @@
 	return sum
 }
 
+// Crashes returns the sum of the crashes of the job's tasks.
+func (j *Job) Crashes() int32 { return j.crashes }
+
 // CrashedOn reports whether an executor of this host crashed under the task.
 // Restore doesn't restore these hosts.
 func (t *Task) CrashedOn(host string) bool { return t.crashedOn[host] }
@@ -85,6 +88,7 @@
 		return
 	}
 	t.crashes++
+	t.job.crashes++
 	if t.Crashes() >= maxCrashes {
 		t.job.failed = true
 	}
--- a/tracker/crash_test.go
+++ b/tracker/crash_test.go
@@ -34,6 +34,7 @@
 		task = j.Task(task.ID())
 		assert.Assert(t, !task.Expose(run))
 		assert.Equal(t, task.Crashes(), run)
+		assert.Equal(t, j.Crashes(), run)
 	}
 	assert.Equal(t, j.State(), wire.JobState_JOB_STATE_FAILED)
 	assert.Equal(t, len(j.Ready(0)), 0)
--- a/tracker/progress.go
+++ b/tracker/progress.go
@@ -64,6 +64,7 @@
 	t.failures = progress.GetFailures()
 	t.failedRun = progress.GetLastFailedRun()
 	t.crashes = progress.GetCrashes()
+	t.job.crashes += t.crashes
 	t.crashedRun = progress.GetLastCrashedRun()
 	t.exposedRun = progress.GetExposedRun()
 	t.lostRun = progress.GetLastLostRun()
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -165,10 +165,12 @@
 	// holds them.
 	assigned    int
 	assignments *Assignments
-	canceled    bool
-	failed      bool
-	started     bool
-	changed     bool
+	// crashes is the sum of those of the tasks.
+	crashes  int32
+	canceled bool
+	failed   bool
+	started  bool
+	changed  bool
 }
 
 // Occurrence is one scheduled repetition of a job, with tasks of its own.
