runner: A lower sequence number that is taken opens a session

Cause: since the leader keeps the announcement with the greatest sequence number within a session, it would ignore the executor's own announcements after one of another writer with a greater number. Ruled out: sending the number on as the agent counts it; the leader's check protects against requests that overtake each other.

--- a/runner/announcement.go
+++ b/runner/announcement.go
@@ -57,6 +57,8 @@
 	r.outdated = 0
 	log.Warn().Str("executor", info.GetId()).Int64("sequence", info.GetSequence()).Int64("latest", r.info.GetSequence()).
 		Msg("executor announcement taken: the latest one did not come from the executor")
+	// The leader ignores lower sequence numbers within a session.
+	r.resetSession()
 	return false
 }
 
--- a/runner/announcement_test.go
+++ b/runner/announcement_test.go
@@ -101,6 +101,11 @@
 			assert.Assert(t, len(requests) > sent)
 			assert.Equal(t, last.GetId(), "executor-1")
 			assert.Equal(t, last.GetService(), "planning")
+			session := requests[len(requests)-1].GetSession()
+			for _, request := range requests {
+				// The leader ignores lower sequence numbers within a session.
+				assert.Assert(t, request.GetSession() != session || request.GetExecutor().GetService() == "planning")
+			}
 		})
 	}
 }
