runner: TestOrderEndsWithItsExecutor holds the calls across the restart

Its orders also no longer reached the time after the new session, so it did not see its own fault: with orders carried out on the present executor again, its parts passed unless that wait failed. Change: the test holds the start call of each order from before the renewals fail until the session for the second executor is open, then lets it fail as refused.

--- a/runner/incarnation_test.go
+++ b/runner/incarnation_test.go
@@ -19,14 +19,16 @@
 var errConnectionRefused error = syscall.ECONNREFUSED
 
 // crashingExecutor is an executor that can go down: it then breaks off renewals and
-// refuses all calls, each after a different delay, so that the repeated calls of
-// several orders are spread over time.
+// refuses all calls. If held is set, the calls of starts that arrive before it is
+// closed fail only then.
 type crashingExecutor struct {
 	*emulator.JobExecutor
 
+	held chan struct{}
+
 	mu            sync.Mutex
 	down          bool
-	refusedStarts int
+	heldStarts    int
 	refusedRenews int
 }
 
@@ -36,23 +38,41 @@
 	e.down = down
 }
 
-// refusals returns how many starts and renewals were refused.
-func (e *crashingExecutor) refusals() (starts, renews int) {
+// calls returns how many starts were held and how many renewals were refused.
+func (e *crashingExecutor) calls() (starts, renews int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.refusedStarts, e.refusedRenews
+	return e.heldStarts, e.refusedRenews
+}
+
+// holdStart reports whether a start was held.
+func (e *crashingExecutor) holdStart() bool {
+	if e.held == nil {
+		return false
+	}
+	select {
+	case <-e.held:
+		return false
+	default:
+	}
+	e.mu.Lock()
+	e.heldStarts++
+	e.mu.Unlock()
+	select {
+	case <-e.held:
+	case <-time.After(waitTimeout):
+	}
+	return true
 }
 
 func (e *crashingExecutor) Start(ctx context.Context, id string, order *wire.StartOrder, lease *damaskspread.Lease) error {
+	if e.holdStart() {
+		return errConnectionRefused
+	}
 	e.mu.Lock()
 	down := e.down
-	if down {
-		e.refusedStarts++
-	}
-	delay := time.Duration(e.refusedStarts%10) * 9 * time.Millisecond
 	e.mu.Unlock()
 	if down {
-		time.Sleep(delay)
 		return errConnectionRefused
 	}
 	return e.JobExecutor.Start(ctx, id, order, lease)
@@ -111,7 +131,10 @@
 		Observe:      starts.observe,
 	}
 	executor.Boot("executor-1")
-	crashing := &crashingExecutor{JobExecutor: executor}
+	crashing := &crashingExecutor{
+		JobExecutor: executor,
+		held:        make(chan struct{}),
+	}
 	l := &fakeLeader{}
 	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
 		response := &wire.ExchangeResponse{}
@@ -121,7 +144,6 @@
 		if request.GetOrdersReceived() > 0 || request.GetOpening() || request.GetExecutor().GetId() != "executor-1" {
 			return response
 		}
-		crashing.setDown(true)
 		for number := int64(1); number <= tasks; number++ {
 			order := &wire.StartOrder{Task: fmt.Sprintf("a.0.0.%d", number), Run: 1}
 			response.Orders = append(response.Orders, &wire.Order{Number: number, Kind: &wire.Order_Start{Start: order}})
@@ -129,9 +151,14 @@
 		return response
 	}
 	r := startRunner(t, l, executor, crashing)
-	waitFor(t, "refused call for each order", func() bool {
-		refusedStarts, refusedRenews := crashing.refusals()
-		return refusedStarts >= tasks && refusedRenews > 0
+	waitFor(t, "call for each order", func() bool {
+		starts, _ := crashing.calls()
+		return starts == tasks
+	})
+	crashing.setDown(true)
+	waitFor(t, "refused renewal", func() bool {
+		_, renews := crashing.calls()
+		return renews > 0
 	})
 	time.Sleep(downtime)
 	executor.Boot("executor-2")
@@ -142,6 +169,7 @@
 			return request.GetExecutor().GetId() == "executor-2" && request.GetWaitMs() > 0
 		})
 	})
+	close(crashing.held)
 	// Longer than the pause between two calls for an order.
 	time.Sleep(300 * time.Millisecond)
 	assert.DeepEqual(t, starts.on("executor-2"), []string(nil))
