--- a/runner/exchange.go
+++ b/runner/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -23,17 +24,24 @@
 )
 
 // pollOnce opens the session or, once it is open, waits at the leader for orders.
+// The end of the session cancels the poll: the leader may hold it for pollWait, and
+// the next session can't be opened before.
 func (r *Runner) pollOnce(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, pollWait+pollTimeoutMargin)
+	defer cancel()
+	r.mu.Lock()
+	r.cancelPoll = cancel
+	r.mu.Unlock()
 	request := r.buildRequest(true)
 	if request == nil {
 		r.waitForSignal(ctx, r.reportWake, exchangeRetry)
 		return
 	}
-	r.exchange(ctx, request, pollWait+pollTimeoutMargin)
+	r.exchange(ctx, callCtx, request)
 }
 
-// reportOnce waits for a signal and sends the ends and refusals without waiting
-// for orders.
+// reportOnce waits for a signal and sends the ends, exposures and refusals without
+// waiting for orders.
 func (r *Runner) reportOnce(ctx context.Context) {
 	r.waitForSignal(ctx, r.reportWake, pollWait)
 	r.pause(ctx, reportDelay)
@@ -41,14 +49,20 @@
 		return
 	}
 	if request := r.buildRequest(false); request != nil {
-		r.exchange(ctx, request, reportTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+		defer cancel()
+		r.exchange(ctx, callCtx, request)
 	}
 }
 
 func (r *Runner) hasUpdates() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.sessionOpen && (len(r.unrecordedEnds) > 0 || len(r.pendingRefusals) > 0 || r.info.GetDraining() || r.capacityUnreported())
+	if !r.sessionOpen {
+		return false
+	}
+	return len(r.unrecordedEnds) > 0 || len(r.pendingRefusals) > 0 || len(r.crashes.pending) > 0 ||
+		r.info.GetDraining() || r.capacityUnreported()
 }
 
 // buildRequest returns the next request to the leader, or nil if none can be
@@ -70,13 +84,15 @@
 		Session:           r.session,
 		Epoch:             r.epoch,
 		Executor:          r.info,
-		ExecutorReachable: r.lastContact > 0 && r.Elapsed.Elapsed()-r.lastContact < unreachableAfter,
+		ExecutorReachable: r.lastContact > 0 && r.Elapsed.Elapsed()-r.lastContact < unreachableAfter && !r.crashes.down(),
 		OrdersReceived:    r.ordersReceived,
 		EndsRecorded:      r.endsRecorded,
 		Refusals:          slices.Clone(r.pendingRefusals),
 		PressureVersion:   r.pressureVersion,
 		Opening:           poll && !r.sessionOpen,
 		KeepsSteps:        true,
+		Exposures:         slices.Clone(r.crashes.pending),
+		ExposuresRecorded: r.crashes.recorded,
 	}
 	for _, end := range r.unrecordedEnds {
 		request.Ends = append(request.Ends, end)
@@ -122,14 +138,14 @@
 	}
 }
 
-func (r *Runner) exchange(ctx context.Context, request *wire.ExchangeRequest, timeout time.Duration) {
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+// exchange sends a request with callCtx. Orders in the response are carried out
+// with ctx, which outlives the call.
+func (r *Runner) exchange(ctx, callCtx context.Context, request *wire.ExchangeRequest) {
 	sentAt := r.Elapsed.Elapsed()
 	response, err := r.Leader.Exchange(callCtx, request)
 	if err != nil {
 		r.forgetReport(request)
-		if ctx.Err() == nil {
+		if !errors.Is(callCtx.Err(), context.Canceled) {
 			log.Debug().Err(err).Msg("exchange with leader failed")
 			r.pause(ctx, exchangeRetry)
 		}
@@ -193,8 +209,8 @@
 	signal(r.renewWake)
 }
 
-// updateSession extends the lease and removes the ends and refusals that the
-// leader has acknowledged.
+// updateSession extends the lease and removes the ends, exposures and refusals
+// that the leader has acknowledged.
 func (r *Runner) updateSession(request *wire.ExchangeRequest, response *wire.ExchangeResponse, sentAt time.Duration) {
 	if !r.sessionOpen {
 		r.sessionOpen = true
@@ -214,6 +230,7 @@
 		signal(r.renewWake)
 	}
 	r.confirmCapacity(request)
+	r.crashes.acknowledge(response.GetExposuresRecorded())
 	// Polls and reports overlap: this response acknowledges only the refusals
 	// that its own request contained.
 	r.pendingRefusals = slices.DeleteFunc(r.pendingRefusals, func(refusal *wire.StartRefusal) bool {
--- a/runner/renew.go
+++ b/runner/renew.go
@@ -50,6 +50,7 @@
 	defer cancel()
 	state, err := r.Executor.Renew(callCtx, call.info.GetId(), &call.lease, call.dropUpTo, call.wait)
 	if err != nil {
+		r.watchCall(call.info, runKey{}, err)
 		r.handleRenewError(ctx, call, err)
 		return
 	}
@@ -151,6 +152,7 @@
 	}
 	r.renewFailures = 0
 	r.lastContact = now
+	r.crashes.addContact()
 	r.executorClock = clockReading{
 		clockMs: state.GetClockMs(),
 		at:      now,
@@ -267,13 +269,14 @@
 	}
 }
 
-// forgetRun deletes the step, the pace and the start order of a run that has ended
-// or does not start.
+// forgetRun deletes what the runner holds of a run that has ended or does not
+// start.
 func (r *Runner) forgetRun(key runKey) {
 	delete(r.steps, key)
 	delete(r.paces, key)
 	delete(r.startOwners, key)
 	delete(r.unsettled, key)
+	delete(r.crashes.startedAt, key)
 }
 
 func (r *Runner) refusalRetention() time.Duration {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -95,8 +95,10 @@
 	sessionCount int
 	epoch        int64
 	// listsRead is set once the executor's lists were read in this session.
-	listsRead      bool
-	sessionOpen    bool
+	listsRead   bool
+	sessionOpen bool
+	// cancelPoll cancels the present poll; nil before the first.
+	cancelPoll     context.CancelFunc
 	leaseUntil     time.Duration
 	ordersReceived int64
 	endsRecorded   int64
@@ -126,6 +128,7 @@
 	restarted []runKey
 	// drainStops holds the runs that drainOnce has ordered to stop.
 	drainStops map[runKey]bool
+	crashes    crashWatch
 	// pressureVersion is the version of the pacer's interference weights.
 	pressureVersion int64
 
@@ -183,6 +186,9 @@
 // resetSession gives the next session a new name and clears the state of the
 // last one. The caller holds the mutex unless the runner is not shared yet.
 func (r *Runner) resetSession() {
+	if r.cancelPoll != nil {
+		r.cancelPoll()
+	}
 	r.sessionCount++
 	if r.session == "" {
 		r.session = strconv.FormatUint(rand.Uint64(), 36)
@@ -218,6 +224,7 @@
 	r.drainStops = map[runKey]bool{}
 	r.checksDue = map[runKey]time.Duration{}
 	r.unsettled = map[runKey]bool{}
+	r.crashes.reset()
 	r.executorClock = clockReading{
 		clockMs: info.GetClockMs(),
 		at:      r.Elapsed.Elapsed(),
--- a/tracer/events.go
+++ b/tracer/events.go
@@ -64,6 +64,7 @@
 	KindRunEnded       Kind = "run ended"
 	KindRunLost        Kind = "run lost with its executor"
 	KindRunAdopted     Kind = "run adopted"
+	KindCrashCounted   Kind = "crash of executor counted for task"
 )
 
 // JobAccepted means that the record of a new job is in the log.
@@ -242,6 +243,20 @@
 	Executor string `json:"executor"`
 }
 
+// CrashCounted means that an executor crashed shortly after it had started the
+// run, so that the task is suspected to be the cause.
+type CrashCounted struct {
+	Job  string `json:"job"`
+	Task string `json:"task"`
+	Run  int32  `json:"run"`
+	Host string `json:"host"`
+	// Crashes counts the crashes under the task so far, for a gang under all its
+	// members.
+	Crashes int32 `json:"crashes"`
+	// GivenUp is set if the task is not started again and its job fails.
+	GivenUp bool `json:"given_up"`
+}
+
 func (*JobAccepted) kind() Kind    { return KindJobAccepted }
 func (*JobRepeated) kind() Kind    { return KindJobRepeated }
 func (*JobCanceled) kind() Kind    { return KindJobCanceled }
@@ -258,6 +273,7 @@
 func (*RunEnded) kind() Kind       { return KindRunEnded }
 func (*RunLost) kind() Kind        { return KindRunLost }
 func (*RunAdopted) kind() Kind     { return KindRunAdopted }
+func (*CrashCounted) kind() Kind   { return KindCrashCounted }
 
 func (e *JobAccepted) job() string    { return e.Job }
 func (e *JobRepeated) job() string    { return e.Job }
@@ -275,6 +291,7 @@
 func (e *RunEnded) job() string       { return e.Job }
 func (e *RunLost) job() string        { return e.Job }
 func (e *RunAdopted) job() string     { return e.Job }
+func (e *CrashCounted) job() string   { return e.Job }
 
 // newEventByKind maps each kind to the constructor of an empty event.
 var newEventByKind = map[Kind]func() Event{
@@ -294,6 +311,7 @@
 	KindRunEnded:       func() Event { return &RunEnded{} },
 	KindRunLost:        func() Event { return &RunLost{} },
 	KindRunAdopted:     func() Event { return &RunAdopted{} },
+	KindCrashCounted:   func() Event { return &CrashCounted{} },
 }
 
 // Kinds returns all kinds of events, in no particular order.
