--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -152,7 +152,7 @@
 		default:
 			// For a run that is in progress, the agent starts nothing but learns its
 			// step from the order.
-			c.addStartOrder(view, t)
+			c.repeatStartOrder(view, t)
 		}
 	})
 }
@@ -199,7 +199,10 @@
 			Run:  t.Run(),
 			Host: view.host,
 		})
-		c.addStartOrder(view, t)
+		// The agent may have dropped the step, and would refuse a run that may be
+		// starting.
+		c.forgetSentStep(view.session, t.GroupName())
+		c.repeatStartOrder(view, t)
 	})
 }
 
@@ -220,6 +223,10 @@
 		}
 	}
 	for _, key := range cycle.lostExecutors {
+		if cycle.byKey[key] != nil {
+			// The executor has opened a session meanwhile: its runs are in progress.
+			continue
+		}
 		released := 0
 		c.eachAssigned(key, func(t *tracker.Task) {
 			tracer.Write(&tracer.RunLost{
