--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -16,6 +16,7 @@
 	ObstacleService          Obstacle = "other_service"
 	ObstacleUnusable         Obstacle = "not_usable"
 	ObstacleSuspect          Obstacle = "set_aside"
+	ObstacleProbation        Obstacle = "probation"
 	ObstacleTicket           Obstacle = "no_ticket"
 	ObstacleAntiAffinity     Obstacle = "anti_affinity"
 	ObstacleLabel            Obstacle = "label"
@@ -31,8 +32,13 @@
 // NoObstacle counts the hosts that can take it.
 func (p *Planner) Obstacles(group *tracker.Group, task *tracker.Task, hosts []*Host) map[Obstacle]int {
 	counts := map[Obstacle]int{}
+	mayStart := mayEnterProbation(group, task, hosts)
 	for _, host := range hosts {
-		counts[p.obstacle(host, group, task)]++
+		obstacle := p.obstacle(host, group, task)
+		if obstacle == NoObstacle && !mayStart {
+			obstacle = ObstacleProbation
+		}
+		counts[obstacle]++
 	}
 	return counts
 }
@@ -69,6 +75,8 @@
 		return ObstacleUnusable
 	case host.Suspect && !host.admitsProbe(group, task):
 		return ObstacleSuspect
+	case host.probation.excludes(task):
+		return ObstacleProbation
 	case !p.ticketSuffices(host, group):
 		return ObstacleTicket
 	case host.antiAffinityReached(group.Name(), group.Step()):
--- a/runner/renew.go
+++ b/runner/renew.go
@@ -38,6 +38,7 @@
 func (r *Runner) renewOnce(ctx context.Context) {
 	call := r.nextRenewal()
 	if call == nil {
+		r.confirmDeparture(ctx)
 		r.waitForSignal(ctx, r.renewWake, idleWait)
 		return
 	}
@@ -49,6 +50,7 @@
 	defer cancel()
 	state, err := r.Executor.Renew(callCtx, call.info.GetId(), &call.lease, call.dropUpTo, call.wait)
 	if err != nil {
+		r.watchCall(call.info, runKey{}, err)
 		r.handleRenewError(ctx, call, err)
 		return
 	}
@@ -84,7 +86,14 @@
 		dropUpTo:  r.endsRecorded,
 		wait:      renewWait,
 	}
-	if !r.listsRead || r.renewFailures > 0 || len(r.unrecordedEnds) > 0 || len(r.checksDue) > 0 {
+	if r.renewFailures > 0 {
+		// The executor may have restarted under its id: the deadline is a reading
+		// of its earlier clock, and the number counts earlier ends.
+		call.lease.DeadlineMs = 0
+		call.dropUpTo = 0
+		call.wait = 0
+	}
+	if !r.listsRead || len(r.unrecordedEnds) > 0 || len(r.checksDue) > 0 {
 		call.wait = 0
 	}
 	return call
@@ -106,9 +115,13 @@
 
 func (r *Runner) handleRenewError(ctx context.Context, call *renewal, err error) {
 	var fenced *damaskspread.FencedError
+	var wrong *damaskspread.WrongIncarnationError
 	r.mu.Lock()
 	r.renewFailures++
 	first := r.renewFailures == 1
+	if errors.As(err, &wrong) && r.isPresent(call.info) {
+		r.discardExecutor()
+	}
 	if errors.As(err, &fenced) && r.epoch == call.epoch {
 		r.epoch = 0
 		r.resetSession()
@@ -139,6 +152,7 @@
 	}
 	r.renewFailures = 0
 	r.lastContact = now
+	r.crashes.addContact()
 	r.executorClock = clockReading{
 		clockMs: state.GetClockMs(),
 		at:      now,
@@ -255,13 +269,14 @@
 	}
 }
 
-// forgetRun deletes the step, the pace and the start order of a run that has ended
-// or does not start.
+// forgetRun deletes what the runner holds of a run that has ended or does not
+// start.
 func (r *Runner) forgetRun(key runKey) {
 	delete(r.steps, key)
 	delete(r.paces, key)
 	delete(r.startOwners, key)
 	delete(r.unsettled, key)
+	delete(r.crashes.startedAt, key)
 }
 
 func (r *Runner) refusalRetention() time.Duration {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -24,7 +24,6 @@
 	"sync"
 	"time"
 
-	"github.com/phuslu/log"
 	"gopkg.in/tomb.v2"
 
 	"damaskspread.example/damaskspread"
@@ -37,8 +36,8 @@
 	// reportDelay collects ends and refusals that occur close together into one
 	// report.
 	reportDelay = 12 * time.Millisecond
-	// exitDelay is how long an executor may take to exit after it announced that
-	// it leaves. The leader is told only afterwards.
+	// exitDelay is how long an executor usually takes to exit after it announced
+	// that it leaves. Only afterwards it is called to learn whether it has ended.
 	exitDelay = 600 * time.Millisecond
 )
 
@@ -77,11 +76,17 @@
 	// drainAt is when the draining executor ends; 0 if it is not draining.
 	drainAt time.Duration
 	// left is the executor that left and was not yet reported to the leader.
-	left          *wire.ExecutorInfo
-	leftAt        time.Duration
-	executorClock clockReading
-	lastContact   time.Duration
-	renewFailures int
+	left   *wire.ExecutorInfo
+	leftAt time.Duration
+	// leftEnded is set once left has ended or its lease is over.
+	leftEnded bool
+	// outdated counts the latest announcements with a lower sequence number than
+	// that of info, outdatedSequence is the number of the last of them.
+	outdated         int
+	outdatedSequence int64
+	executorClock    clockReading
+	lastContact      time.Duration
+	renewFailures    int
 	// reportedCapacity is the latest capacity that the leader is known to have
 	// received in this session.
 	reportedCapacity *wire.Resources
@@ -90,8 +95,10 @@
 	sessionCount int
 	epoch        int64
 	// listsRead is set once the executor's lists were read in this session.
-	listsRead      bool
-	sessionOpen    bool
+	listsRead   bool
+	sessionOpen bool
+	// cancelPoll cancels the present poll; nil before the first.
+	cancelPoll     context.CancelFunc
 	leaseUntil     time.Duration
 	ordersReceived int64
 	endsRecorded   int64
@@ -102,7 +109,8 @@
 	listsVersion, reportedVersion int64
 	reportedAt                    time.Duration
 	pendingRefusals               []*wire.StartRefusal
-	// checksDue holds the runs to look up in the executor's lists, and from when.
+	// checksDue holds the runs to look up in the executor's lists, and from when. It
+	// outlives the session: a run that is stopped has an owner until it is looked up.
 	checksDue map[runKey]time.Duration
 	// startOwners holds the one order of each run that may start it.
 	startOwners map[runKey]*wire.StartOrder
@@ -120,6 +128,7 @@
 	restarted []runKey
 	// drainStops holds the runs that drainOnce has ordered to stop.
 	drainStops map[runKey]bool
+	crashes    crashWatch
 	// pressureVersion is the version of the pacer's interference weights.
 	pressureVersion int64
 
@@ -177,6 +186,9 @@
 // resetSession gives the next session a new name and clears the state of the
 // last one. The caller holds the mutex unless the runner is not shared yet.
 func (r *Runner) resetSession() {
+	if r.cancelPoll != nil {
+		r.cancelPoll()
+	}
 	r.sessionCount++
 	if r.session == "" {
 		r.session = strconv.FormatUint(rand.Uint64(), 36)
@@ -188,7 +200,6 @@
 	r.ordersReceived = 0
 	r.pendingRefusals = nil
 	r.reportedCapacity = nil
-	r.checksDue = map[runKey]time.Duration{}
 	r.keptSteps = map[string]*keptStep{}
 }
 
@@ -199,6 +210,7 @@
 	r.keepUnsettled(info)
 	r.info = info
 	r.left = nil
+	r.outdated = 0
 	r.drainAt = 0
 	r.leaseUntil = 0
 	r.endsRecorded = 0
@@ -210,75 +222,15 @@
 	r.steps = map[runKey]*wire.JobStep{}
 	r.paces = map[runKey]int{}
 	r.drainStops = map[runKey]bool{}
+	r.checksDue = map[runKey]time.Duration{}
 	r.unsettled = map[runKey]bool{}
+	r.crashes.reset()
 	r.executorClock = clockReading{
 		clockMs: info.GetClockMs(),
 		at:      r.Elapsed.Elapsed(),
 	}
 }
 
-// ExecutorAnnounced implements damaskspread.ExecutorObserver. It ignores
-// announcements that are older than the latest one or come from an executor that
-// has left.
-func (r *Runner) ExecutorAnnounced(info *wire.ExecutorInfo) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	switch {
-	case r.info == nil && r.left != nil && sameIncarnation(r.left, info):
-		return
-	case r.info == nil || (!sameIncarnation(r.info, info) && info.GetBornUnixMs() >= r.info.GetBornUnixMs()):
-		r.resetExecutor(info)
-		log.Info().Str("executor", info.GetId()).Int64("born", info.GetBornUnixMs()).Msg("executor discovered")
-	case !sameIncarnation(r.info, info) || info.GetSequence() < r.info.GetSequence():
-		log.Warn().Str("executor", info.GetId()).Int64("born", info.GetBornUnixMs()).Int64("sequence", info.GetSequence()).
-			Msg("outdated executor announcement ignored")
-		return
-	}
-	r.scheduleDrain(info)
-	r.info = info
-	signal(r.renewWake)
-	if r.capacityUnreported() {
-		signal(r.reportWake)
-	}
-}
-
-// scheduleDrain sets the time at which a draining executor ends. The first
-// announcement gives the executor at least DrainFor; later ones can only postpone
-// its end.
-func (r *Runner) scheduleDrain(info *wire.ExecutorInfo) {
-	if !info.GetDraining() {
-		return
-	}
-	remaining := max(time.Duration(info.GetRemainingMs())*time.Millisecond, 0)
-	if r.drainAt == 0 {
-		remaining = max(remaining, r.DrainFor)
-		log.Info().Str("executor", info.GetId()).Dur("remaining", remaining).Msg("executor draining")
-		signal(r.reportWake)
-	}
-	r.drainAt = max(r.drainAt, r.Elapsed.Elapsed()+remaining)
-}
-
-// ExecutorLeft implements damaskspread.ExecutorObserver. It has no effect unless
-// the id is that of the present executor and that one has announced that it is
-// draining: the call names no incarnation, so a late one may come from the
-// incarnation before.
-func (r *Runner) ExecutorLeft(id string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.info.GetId() != id {
-		return
-	}
-	if !r.info.GetDraining() {
-		log.Warn().Str("executor", id).Int64("born", r.info.GetBornUnixMs()).Msg("deregistration ignored: the executor is not draining")
-		return
-	}
-	log.Info().Str("executor", id).Msg("executor left")
-	r.left = r.info
-	r.leftAt = r.Elapsed.Elapsed()
-	r.info = nil
-	r.resetSession()
-}
-
 // isPresent reports whether an incarnation is still the present executor. The caller
 // holds the mutex.
 func (r *Runner) isPresent(info *wire.ExecutorInfo) bool {
