--- a/runner/incarnation_test.go
+++ b/runner/incarnation_test.go
@@ -18,9 +18,6 @@
 
 var errConnectionRefused error = syscall.ECONNREFUSED
 
-// crashedOrders is the number of orders in progress when the executor goes down.
-const crashedOrders = 8
-
 // crashingExecutor is an executor that can go down: it then breaks off renewals and
 // refuses all calls, each after a different delay, so that the repeated calls of
 // several orders are spread over time.
@@ -63,8 +60,7 @@
 
 func (e *crashingExecutor) Renew(ctx context.Context, id string, lease *damaskspread.Lease, seen int64, _ time.Duration) (*wire.ExecutorState, error) {
 	e.mu.Lock()
-	// Orders wait after a failed renewal, so each is refused once before.
-	down := e.down && e.refusedStarts >= crashedOrders
+	down := e.down
 	if down {
 		e.refusedRenews++
 	}
@@ -107,7 +103,7 @@
 // testOrderEndsWithItsExecutor replaces an executor that has been down for a time,
 // with orders for it in progress.
 func testOrderEndsWithItsExecutor(t *testing.T, downtime time.Duration) {
-	const tasks = crashedOrders
+	const tasks = 8
 	starts := &startsByExecutor{starts: map[string][]string{}}
 	executor := &emulator.JobExecutor{
 		Clock:        clockwork.NewRealClock(),
