coordinator: A late opening after the session's end opens no session

Callers could see two runs of one task: when the opening request of an executor that has left, or whose lease has expired, was processed after its successor's session was opened, the leader took it for the host's new executor. It released the successor's runs, which were in progress, and answered each opening of the successor with Reopen until the lease of the ended executor was over.

Cause: the replaced executors were kept in the session and forgotten when it ended by a departure or an expired lease, so the successor's session knew of none.

Ruled out: that a living executor is refused for good. A session opens only after the executor's lists were read in it, so the one before has ended at its address by then.

Change: the leader keeps the latest executors of each host, at most eight, for its term.

TestLateOpeningOfDepartedExecutor fails before (the successor's next opening gets Reopen) and passes after.

--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -45,7 +45,7 @@
 		// would drop new orders as already received, because a new session
 		// numbers them from 1 again. A request of an executor that was replaced
 		// has arrived late.
-		if s.hasReplaced(report.GetExecutor()) || !report.GetOpening() || !report.GetHasRunning() || report.GetEpoch() != c.epoch {
+		if c.wasReplaced(report.GetHost(), keyOf(report.GetExecutor())) || !report.GetOpening() || !report.GetHasRunning() || report.GetEpoch() != c.epoch {
 			return nil, &wire.ExchangeResponse{
 				Epoch:  c.epoch,
 				Reopen: true,
@@ -79,13 +79,13 @@
 	}
 	if previous != nil {
 		previous.notify()
-		s.replace(previous)
 		if previous.key != s.key {
 			c.lostExecutors = append(c.lostExecutors, previous.key)
 		}
 	}
 	s.leaseEnd = c.Elapsed.Elapsed() + c.leaseBound()
 	c.sessions[s.host] = s
+	c.addExecutor(s.host, s.key)
 	log.Info().Str("host", s.host).Str("session", s.id).Str("executor", s.key.ID).
 		Int("running", len(report.GetRunning())).Int("ends", len(report.GetEnds())).Msg("session opened")
 	return s
--- a/coordinator/session.go
+++ b/coordinator/session.go
@@ -10,9 +10,9 @@
 	"damaskspread.example/damaskspread/wire"
 )
 
-// maxReplacedKeys bounds the replaced executors that a session remembers. A request
+// maxHostExecutors bounds the executors of a host that the leader remembers. A request
 // is late by seconds, in which a host has a few executors at most.
-const maxReplacedKeys = 8
+const maxHostExecutors = 8
 
 // session is the state of the exchange with one agent for one incarnation of its
 // executor. It is guarded by the coordinator's mutex.
@@ -22,8 +22,6 @@
 	zone string
 	info *wire.ExecutorInfo
 	key  tracker.ExecutorKey
-	// replaced are the latest executors of the host that later ones replaced.
-	replaced []tracker.ExecutorKey
 
 	reachable bool
 	// leaseEnd is the latest time at which the executor may hold a lease.
@@ -152,22 +150,23 @@
 	return updated
 }
 
-// replace makes the session the successor of the host's previous session.
-func (s *session) replace(previous *session) {
-	s.replaced = slices.Clone(previous.replaced)
-	if previous.key == s.key {
-		return
-	}
-	s.replaced = append(s.replaced, previous.key)
-	if len(s.replaced) > maxReplacedKeys {
-		s.replaced = s.replaced[1:]
+// addExecutor records the executor of a host's new session. The record outlives the
+// session: a request of the executor before may arrive after that one's session has
+// ended and its successor's was opened.
+func (c *Coordinator) addExecutor(host string, key tracker.ExecutorKey) {
+	executors := slices.DeleteFunc(c.hostExecutors[host], func(other tracker.ExecutorKey) bool { return other == key })
+	executors = append(executors, key)
+	if len(executors) > maxHostExecutors {
+		executors = executors[1:]
 	}
+	c.hostExecutors[host] = executors
 }
 
-// hasReplaced reports whether an executor was replaced by that of the session or by
-// one before it; false without a session.
-func (s *session) hasReplaced(info *wire.ExecutorInfo) bool {
-	return s != nil && slices.Contains(s.replaced, keyOf(info))
+// wasReplaced reports whether a later executor of the host has opened a session
+// since the given one did.
+func (c *Coordinator) wasReplaced(host string, key tracker.ExecutorKey) bool {
+	executors := c.hostExecutors[host]
+	return slices.Contains(executors, key) && executors[len(executors)-1] != key
 }
 
 func keyOf(info *wire.ExecutorInfo) tracker.ExecutorKey {
