coordinator: An opening from before the agent's latest session opens none

Callers could see two runs of one task: the opening request of an executor that ended before the leader had heard of it, processed after its successor's opening, took the place of the successor's session. The leader released the successor's runs, which were in progress. The agent cancels such a request when the executor is replaced, but what is already sent may still be processed, on another connection than the next one.

Cause: only executors that had a session with this leader were known as replaced.

Ruled out: that the check refuses a living agent. One process of the agent numbers its sessions in ascending order and never returns to an earlier one; another process has another name.

Change: the leader keeps the id of the latest session of each host and answers an opening with a lower number of the same process with Reopen.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -84,13 +84,11 @@
 	mu sync.Mutex
 	// epoch is 0 while another process leads; leading is set once the takeover
 	// of the epoch has completed.
-	epoch    int64
-	leading  bool
-	sessions map[string]*session // by host
-	// hostExecutors are the latest executors of each host that opened a session with
-	// this leader, the last one last.
-	hostExecutors map[string][]tracker.ExecutorKey
-	changedJobs   map[string]bool
+	epoch       int64
+	leading     bool
+	sessions    map[string]*session     // by host
+	histories   map[string]*hostHistory // of this leader's term, by host
+	changedJobs map[string]bool
 	// lostExecutors are executor incarnations that have left or were replaced.
 	lostExecutors []tracker.ExecutorKey
 	wake          chan struct{}
@@ -136,7 +134,7 @@
 func (c *Coordinator) Init() {
 	c.wake = make(chan struct{}, 1)
 	c.sessions = map[string]*session{}
-	c.hostExecutors = map[string][]tracker.ExecutorKey{}
+	c.histories = map[string]*hostHistory{}
 	c.changedJobs = map[string]bool{}
 }
 
@@ -159,7 +157,7 @@
 		s.notify()
 	}
 	c.sessions = map[string]*session{}
-	c.hostExecutors = map[string][]tracker.ExecutorKey{}
+	c.histories = map[string]*hostHistory{}
 	c.mu.Unlock()
 	c.signal()
 }
--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -43,9 +43,9 @@
 	if s == nil || s.id != report.GetSession() || report.GetEpoch() != c.epoch {
 		// The agent may still consider a session open that has ended here. It
 		// would drop new orders as already received, because a new session
-		// numbers them from 1 again. A request of an executor that was replaced
-		// has arrived late.
-		if c.wasReplaced(report.GetHost(), keyOf(report.GetExecutor())) || !report.GetOpening() || !report.GetHasRunning() || report.GetEpoch() != c.epoch {
+		// numbers them from 1 again. A late opening would release the runs of
+		// the present executor.
+		if c.histories[report.GetHost()].isLate(report) || !report.GetOpening() || !report.GetHasRunning() || report.GetEpoch() != c.epoch {
 			return nil, &wire.ExchangeResponse{
 				Epoch:  c.epoch,
 				Reopen: true,
@@ -85,7 +85,10 @@
 	}
 	s.leaseEnd = c.Elapsed.Elapsed() + c.leaseBound()
 	c.sessions[s.host] = s
-	c.addExecutor(s.host, s.key)
+	if c.histories[s.host] == nil {
+		c.histories[s.host] = &hostHistory{}
+	}
+	c.histories[s.host].add(s)
 	log.Info().Str("host", s.host).Str("session", s.id).Str("executor", s.key.ID).
 		Int("running", len(report.GetRunning())).Int("ends", len(report.GetEnds())).Msg("session opened")
 	return s
--- a/coordinator/session.go
+++ b/coordinator/session.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -150,23 +152,51 @@
 	return updated
 }
 
-// addExecutor records the executor of a host's new session. The record outlives the
-// session: a request of the executor before may arrive after that one's session has
-// ended and its successor's was opened.
-func (c *Coordinator) addExecutor(host string, key tracker.ExecutorKey) {
-	executors := slices.DeleteFunc(c.hostExecutors[host], func(other tracker.ExecutorKey) bool { return other == key })
-	executors = append(executors, key)
-	if len(executors) > maxHostExecutors {
-		executors = executors[1:]
+// hostHistory is what the leader remembers of the sessions of a host. It outlives them:
+// an opening request may arrive after its executor's session has ended and its
+// successor's was opened.
+type hostHistory struct {
+	// lastSession is the id of the session that was opened last.
+	lastSession string
+	// executors are the latest executors that opened a session, the last one last.
+	executors []tracker.ExecutorKey
+}
+
+// add records a new session.
+func (h *hostHistory) add(s *session) {
+	h.lastSession = s.id
+	h.executors = slices.DeleteFunc(h.executors, func(other tracker.ExecutorKey) bool { return other == s.key })
+	h.executors = append(h.executors, s.key)
+	if len(h.executors) > maxHostExecutors {
+		h.executors = h.executors[1:]
+	}
+}
+
+// isLate reports whether an opening request was sent before the session that was opened
+// last: a later executor of the host has opened a session since, or a process of the
+// agent, which numbers its sessions, a later session. It is false without a history.
+func (h *hostHistory) isLate(request *wire.ExchangeRequest) bool {
+	if h == nil {
+		return false
 	}
-	c.hostExecutors[host] = executors
+	key := keyOf(request.GetExecutor())
+	if slices.Contains(h.executors, key) && h.executors[len(h.executors)-1] != key {
+		return true
+	}
+	process, number := parseSession(request.GetSession())
+	lastProcess, lastNumber := parseSession(h.lastSession)
+	return process == lastProcess && number < lastNumber
 }
 
-// wasReplaced reports whether a later executor of the host has opened a session
-// since the given one did.
-func (c *Coordinator) wasReplaced(host string, key tracker.ExecutorKey) bool {
-	executors := c.hostExecutors[host]
-	return slices.Contains(executors, key) && executors[len(executors)-1] != key
+// parseSession splits the id of a session into the process of the agent and the number
+// of the session in it, 0 if it has none.
+func parseSession(id string) (process string, number int) {
+	process, text, _ := strings.Cut(id, ".")
+	number, err := strconv.Atoi(text)
+	if err != nil {
+		return id, 0
+	}
+	return process, number
 }
 
 func keyOf(info *wire.ExecutorInfo) tracker.ExecutorKey {
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -44,7 +44,7 @@
 	c.mu.Lock()
 	c.leading = c.epoch == epoch
 	c.sessions = map[string]*session{}
-	c.hostExecutors = map[string][]tracker.ExecutorKey{}
+	c.histories = map[string]*hostHistory{}
 	c.mu.Unlock()
 	log.Info().Int64("epoch", epoch).Int("jobs", len(c.jobs)).Int("executors", len(c.orphans)).
 		Dur("took", c.Elapsed.Elapsed()-started).Msg("leader takeover completed")
