coordinator: A stop that was lost with the session is ordered again

Callers could see an urgent task that waits for good: when the agent restarted, or opened its next session, before it had carried out the stop of a preempted run, the run went on and the leader counted it as stopping. The planner preempts no other task while the urgent one fits once the stopping runs have ended, and a task that lasts never ends. A slow best-effort run that was to move stayed as well, and an adopted run kept the mark of the incarnation before.

Cause: reconcile sent a start order for each assigned run, also for those that are stopping; only runs of finished jobs were stopped again.

Ruled out: that a run is stopped for nothing. The mark is set with a stop order and cleared when the run ends, is released or the next one is assigned, so the order is for the same run.

Change: the first orders of a session stop the runs that are marked as stopping.

TestStopIsRepeatedInTheNextSession fails before (no stop order) and passes after.

--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -152,6 +152,11 @@
 			view.addStopOrder(t.ID().String(), t.Run(), tracer.StopOrdered{
 				Reason: tracer.StopJobOver,
 			})
+		case t.Stopping():
+			// The agent may have lost the order with its last session.
+			view.addStopOrder(t.ID().String(), t.Run(), tracer.StopOrdered{
+				Reason: tracer.StopRepeated,
+			})
 		default:
 			// For a run that is in progress, the agent starts nothing but learns its
 			// step from the order.
--- a/tracer/events.go
+++ b/tracer/events.go
@@ -158,6 +158,8 @@
 	StopDraining StopReason = "executor_leaves"
 	// StopNotAssigned: the leader did not assign this run to the executor.
 	StopNotAssigned StopReason = "not_assigned"
+	// StopRepeated: an earlier session of the agent had an order to stop the run.
+	StopRepeated StopReason = "repeated"
 )
 
 // StopOrdered means that a run is to be stopped.
