--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -86,7 +86,8 @@
 	// of the epoch has completed.
 	epoch       int64
 	leading     bool
-	sessions    map[string]*session // by host
+	sessions    map[string]*session     // by host
+	histories   map[string]*hostHistory // of this leader's term, by host
 	changedJobs map[string]bool
 	// lostExecutors are executor incarnations that have left or were replaced.
 	lostExecutors []tracker.ExecutorKey
@@ -133,6 +134,7 @@
 func (c *Coordinator) Init() {
 	c.wake = make(chan struct{}, 1)
 	c.sessions = map[string]*session{}
+	c.histories = map[string]*hostHistory{}
 	c.changedJobs = map[string]bool{}
 }
 
@@ -155,6 +157,7 @@
 		s.notify()
 	}
 	c.sessions = map[string]*session{}
+	c.histories = map[string]*hostHistory{}
 	c.mu.Unlock()
 	c.signal()
 }
--- a/coordinator/session.go
+++ b/coordinator/session.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -10,9 +12,9 @@
 	"damaskspread.example/damaskspread/wire"
 )
 
-// maxReplacedKeys bounds the replaced executors that a session remembers. A request
+// maxHostExecutors bounds the executors of a host that the leader remembers. A request
 // is late by seconds, in which a host has a few executors at most.
-const maxReplacedKeys = 8
+const maxHostExecutors = 8
 
 // session is the state of the exchange with one agent for one incarnation of its
 // executor. It is guarded by the coordinator's mutex.
@@ -22,8 +24,6 @@
 	zone string
 	info *wire.ExecutorInfo
 	key  tracker.ExecutorKey
-	// replaced are the latest executors of the host that later ones replaced.
-	replaced []tracker.ExecutorKey
 
 	reachable bool
 	// leaseEnd is the latest time at which the executor may hold a lease.
@@ -152,22 +152,51 @@
 	return updated
 }
 
-// replace makes the session the successor of the host's previous session.
-func (s *session) replace(previous *session) {
-	s.replaced = slices.Clone(previous.replaced)
-	if previous.key == s.key {
-		return
+// hostHistory is what the leader remembers of the sessions of a host. It outlives them:
+// an opening request may arrive after its executor's session has ended and its
+// successor's was opened.
+type hostHistory struct {
+	// lastSession is the id of the session that was opened last.
+	lastSession string
+	// executors are the latest executors that opened a session, the last one last.
+	executors []tracker.ExecutorKey
+}
+
+// add records a new session.
+func (h *hostHistory) add(s *session) {
+	h.lastSession = s.id
+	h.executors = slices.DeleteFunc(h.executors, func(other tracker.ExecutorKey) bool { return other == s.key })
+	h.executors = append(h.executors, s.key)
+	if len(h.executors) > maxHostExecutors {
+		h.executors = h.executors[1:]
 	}
-	s.replaced = append(s.replaced, previous.key)
-	if len(s.replaced) > maxReplacedKeys {
-		s.replaced = s.replaced[1:]
+}
+
+// isLate reports whether an opening request was sent before the session that was opened
+// last: a later executor of the host has opened a session since, or a process of the
+// agent, which numbers its sessions, a later session. It is false without a history.
+func (h *hostHistory) isLate(request *wire.ExchangeRequest) bool {
+	if h == nil {
+		return false
+	}
+	key := keyOf(request.GetExecutor())
+	if slices.Contains(h.executors, key) && h.executors[len(h.executors)-1] != key {
+		return true
 	}
+	process, number := parseSession(request.GetSession())
+	lastProcess, lastNumber := parseSession(h.lastSession)
+	return process == lastProcess && number < lastNumber
 }
 
-// hasReplaced reports whether an executor was replaced by that of the session or by
-// one before it; false without a session.
-func (s *session) hasReplaced(info *wire.ExecutorInfo) bool {
-	return s != nil && slices.Contains(s.replaced, keyOf(info))
+// parseSession splits the id of a session into the process of the agent and the number
+// of the session in it, 0 if it has none.
+func parseSession(id string) (process string, number int) {
+	process, text, _ := strings.Cut(id, ".")
+	number, err := strconv.Atoi(text)
+	if err != nil {
+		return id, 0
+	}
+	return process, number
 }
 
 func keyOf(info *wire.ExecutorInfo) tracker.ExecutorKey {
