--- a/emulator/job_executor.go
+++ b/emulator/job_executor.go
@@ -43,6 +43,7 @@
 	ended               []*wire.RunEnd
 	lastEndNumber       int64
 	unresponsive        bool
+	resetting           bool
 	failsTasks          bool
 	losesStartResponses bool
 	// capacity replaces that of Info; nil until SetCapacity.
@@ -133,6 +134,14 @@
 	e.unresponsive = unresponsive
 }
 
+// SetResetting makes calls, held ones included, fail without effect because their
+// connection breaks off. The runs go on.
+func (e *JobExecutor) SetResetting(resetting bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.resetting = resetting
+}
+
 // SetFailingTasks makes tasks that start from now on fail at once.
 func (e *JobExecutor) SetFailingTasks(failing bool) {
 	e.mu.Lock()
@@ -226,6 +235,9 @@
 	if e.down {
 		return &damaskspread.ConnectionLostError{Cause: errInjected}
 	}
+	if e.resetting {
+		return lostResponse()
+	}
 	if id != e.id {
 		return &damaskspread.WrongIncarnationError{ID: id}
 	}
@@ -258,7 +270,7 @@
 	e.awaitEnd(ctx, id, wait)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.down || id != e.id {
+	if e.down || e.resetting || id != e.id {
 		return nil, lostResponse()
 	}
 	state := &wire.ExecutorState{
@@ -285,7 +297,7 @@
 	for e.Clock.Now().Before(deadline) && ctx.Err() == nil {
 		e.mu.Lock()
 		e.advance()
-		over := len(e.ended) > 0 || e.down || e.id != id
+		over := len(e.ended) > 0 || e.down || e.resetting || e.id != id
 		e.mu.Unlock()
 		if over {
 			return
