Give a hedge one try

Cause: the hedge of a request had as many tries as the request itself, so a request that breaks the endpoints that run it broke twice MaxTries of them. Change: the first request keeps MaxTries, its hedge gets one. Conclusion: such a request runs on at most MaxTries+1 endpoints of an entry's pick.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -236,7 +236,7 @@
 	case in.message.GetIdempotent() && in.policy.HedgeDelay > 0:
 		return d.dispatchHedged(ctx, in)
 	default:
-		return d.dispatchPlain(ctx, in, "", nil)
+		return d.dispatchPlain(ctx, in, "", d.maxTries(), nil)
 	}
 }
 
--- a/dispatcher/tries.go
+++ b/dispatcher/tries.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -91,11 +92,7 @@
 // refusal then has the outcome unknown whatever the last try returned. The first
 // try avoids a host; empty avoids none. picked is called with the host of each
 // try; nil is allowed.
-func (d *Dispatcher) dispatchPlain(ctx context.Context, in *incoming, avoid string, picked func(host string)) (*wire.ExecuteResponse, *damaskspread.RefusalError) {
-	tries := d.MaxTries
-	if tries == 0 {
-		tries = defaultTries
-	}
+func (d *Dispatcher) dispatchPlain(ctx context.Context, in *incoming, avoid string, tries int, picked func(host string)) (*wire.ExecuteResponse, *damaskspread.RefusalError) {
 	var last *damaskspread.RefusalError
 	mayHaveRun := false
 	for try := 1; ; try++ {
@@ -172,6 +169,9 @@
 	}
 }
 
+// maxTries returns the largest number of tries of a request without its hedge.
+func (d *Dispatcher) maxTries() int { return cmp.Or(d.MaxTries, defaultTries) }
+
 type hedgeResult struct {
 	response *wire.ExecuteResponse
 	refusal  *damaskspread.RefusalError
@@ -186,14 +186,14 @@
 	defer cancel()
 	results := make(chan hedgeResult, 2)
 	var slowHost atomic.Value // host of the first request's latest try
-	run := func(avoid string, picked func(string)) {
-		response, refusal := d.dispatchPlain(ctx, in, avoid, picked)
+	run := func(avoid string, tries int, picked func(string)) {
+		response, refusal := d.dispatchPlain(ctx, in, avoid, tries, picked)
 		results <- hedgeResult{
 			response: response,
 			refusal:  refusal,
 		}
 	}
-	go run("", func(host string) { slowHost.Store(host) })
+	go run("", d.maxTries(), func(host string) { slowHost.Store(host) })
 	running := 1
 	hedge := d.Clock.After(in.policy.HedgeDelay)
 	var worst *damaskspread.RefusalError
@@ -212,7 +212,9 @@
 			if d.Retries.TakeToken() {
 				running++
 				avoid, _ := slowHost.Load().(string)
-				go run(avoid, nil)
+				// One try: a request that breaks each endpoint that runs it would
+				// otherwise break twice as many.
+				go run(avoid, 1, nil)
 			}
 		}
 	}
