Suspected tasks of one crash start together if they are too many to start alone

Callers could see healthy jobs that waited ten seconds after a crash by another task, and longer on small services. Tasks were also preempted for one that could not start yet. Ruled out: a shorter probation; it has to cover the window in which a crash is related to a start. Change: where more tasks wait than fit into four rounds, several start together. A task under which two executors have crashed starts alone, so a healthy task reaches two crashes at most beside others. Nothing is preempted for a task that waits for its probation.

--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -36,6 +36,9 @@
 // cleared with maxVictims stops, or if the task fits somewhere once the tasks that
 // were ordered to stop have ended. now is a reading of the leader's clock.
 func (p *Planner) Preempt(group *tracker.Group, task *tracker.Task, hosts []*Host, now time.Duration) []*tracker.Task {
+	if !mayEnterProbation(group, task, hosts) {
+		return nil
+	}
 	var best []*tracker.Task
 	for _, host := range hosts {
 		if p.constraintObstacle(host, group, task) != NoObstacle {
--- a/planner/probation.go
+++ b/planner/probation.go
@@ -21,6 +21,10 @@
 	// be in probation for tasks other than gangs. The others stay free for the tasks
 	// that are not suspected.
 	probationShare = 0.25
+	// maxRounds is the number of probations one after another, about 3 s, in which the
+	// waiting tasks of one crash have to start. If they are too many to start alone,
+	// several start together.
+	maxRounds = 4
 	// maxWorkAge bounds the age up to which the work of a task counts as lost with
 	// its host.
 	maxWorkAge = time.Minute
@@ -38,6 +42,9 @@
 	by string
 	// planned is set once this cycle has placed a task on the host.
 	planned bool
+	// room is the number of further tasks that may start with the suspected task that
+	// this cycle placed on the host.
+	room int
 	// recentStart is set if a task was assigned within ProbationTime.
 	recentStart bool
 	// workAtRisk is the work, in millicores times seconds, that is lost if the host's
@@ -88,12 +95,20 @@
 // separates is excludes for the case that a suspected task is involved. It is a
 // function of its own so that excludes, which most calls leave at once, is inlined.
 func (p *probation) separates(task *tracker.Task) bool {
+	if p.by != "" && !task.Step().GetGang() {
+		return p.room == 0 || !mayShareProbation(task)
+	}
 	if p.by != "" {
-		return p.by != suspectName(task) || !task.Step().GetGang()
+		return p.by != suspectName(task)
 	}
 	return p.planned && suspected(task)
 }
 
+// mayShareProbation reports whether the task may start together with other suspected
+// ones. A task under which a second executor has crashed starts alone, so that the
+// third crash, which fails its job, can't be that of another task.
+func mayShareProbation(task *tracker.Task) bool { return task.Crashes() == 1 }
+
 // suspectPenalty is subtracted from the score of a host for a suspected task. It
 // prefers hosts on which the fewest others would be lost or suspected with it.
 func (h *Host) suspectPenalty(task *tracker.Task) float64 {
@@ -116,6 +131,7 @@
 // wait without end.
 func (p *Planner) planSuspected(groups []*tracker.Group, hosts []*Host) []Assignment {
 	var plan []Assignment
+	shared := sharedProbations(groups, hosts)
 	for _, group := range groups {
 		if group.Job().Crashes() == 0 {
 			continue
@@ -127,14 +143,54 @@
 			continue
 		}
 		for _, task := range group.Tasks() {
-			if suspected(task) && mayEnterProbation(group, task, hosts) {
-				plan = append(plan, p.planTasks(group, []*tracker.Task{task}, hosts)...)
+			if suspected(task) {
+				plan = append(plan, p.planSuspectedTask(group, task, hosts, shared)...)
 			}
 		}
 	}
 	return plan
 }
 
+// planSuspectedTask places one task on a host that goes into probation, or on one
+// that went into probation in this cycle. shared is the number of tasks that start
+// together on a host.
+func (p *Planner) planSuspectedTask(group *tracker.Group, task *tracker.Task, hosts []*Host, shared int) []Assignment {
+	candidates := hosts
+	if !mayEnterProbation(group, task, hosts) {
+		candidates = slices.DeleteFunc(slices.Clone(hosts), func(host *Host) bool { return host.probation.room == 0 })
+	}
+	plan := p.planTasks(group, []*tracker.Task{task}, candidates)
+	for _, assignment := range plan {
+		probation := &assignment.Host.probation
+		switch {
+		case probation.room > 0:
+			probation.room--
+		case mayShareProbation(task):
+			probation.room = shared - 1
+		}
+	}
+	return plan
+}
+
+// sharedProbations returns how many of the waiting suspected tasks start together on
+// a host so that all of them start within maxRounds.
+func sharedProbations(groups []*tracker.Group, hosts []*Host) int {
+	waiting, places := 0, 1
+	for _, group := range groups {
+		if group.Job().Crashes() == 0 || group.Step().GetGang() {
+			continue
+		}
+		places = max(places, probationLimit(group, hosts))
+		for _, task := range group.Tasks() {
+			if suspected(task) && mayShareProbation(task) {
+				waiting++
+			}
+		}
+	}
+	perRound := places * maxRounds
+	return max(1, (waiting+perRound-1)/perRound)
+}
+
 // mayEnterProbation reports whether the task needs no probation or another host of
 // its service may go into probation. Gangs, which need several hosts at once, may
 // take any number.
@@ -142,17 +198,28 @@
 	if !suspected(task) || group.Step().GetGang() {
 		return true
 	}
-	usable, used := 0, 0
+	used := 0
 	for _, host := range hosts {
-		if host.Service != group.Job().Spec().GetService() || !host.Usable {
-			continue
-		}
-		usable++
-		if host.probation.by != "" {
+		if servesGroup(host, group) && host.probation.by != "" {
 			used++
 		}
 	}
-	return used < max(1, int(probationShare*float64(usable)))
+	return used < probationLimit(group, hosts)
+}
+
+// probationLimit returns how many hosts of the group's service may be in probation.
+func probationLimit(group *tracker.Group, hosts []*Host) int {
+	usable := 0
+	for _, host := range hosts {
+		if servesGroup(host, group) {
+			usable++
+		}
+	}
+	return max(1, int(probationShare*float64(usable)))
+}
+
+func servesGroup(host *Host, group *tracker.Group) bool {
+	return host.Usable && host.Service == group.Job().Spec().GetService()
 }
 
 // unsuspectedTasks returns the waiting tasks of the group that are not suspected.
