A crash is uncounted when the agent takes its report back

Callers could see a healthy job given up: the connections of a living executor were reset, it then did not respond until its lease had expired, and the loss counted as a crash. The agent's withdrawal came after that and had no effect. Ruled out: counting only after another incarnation has announced itself; an executor that comes back after its lease is over would never be counted. Change: the withdrawal of the run that was counted last lowers the count again.

--- a/tracker/crash.go
+++ b/tracker/crash.go
@@ -46,8 +46,15 @@
 }
 
 // WithdrawExposure takes back the report of Expose, because the executor responds
-// again, or because the run has ended there. A crash that was counted stays.
+// again, or because the run has ended there. A crash that was counted for the run,
+// because its lease had expired, is taken back too unless the job has failed.
 func (t *Task) WithdrawExposure(run int32) {
+	if t.countedRun == run && run != 0 && t.crashes > 0 {
+		t.countedRun = 0
+		t.crashes--
+		t.job.crashes--
+		t.job.markChanged()
+	}
 	if t.exposedRun == run && run != 0 {
 		t.exposedRun = 0
 		t.job.markChanged()
@@ -88,6 +95,7 @@
 		return
 	}
 	t.crashes++
+	t.countedRun = run
 	t.job.crashes++
 	if t.Crashes() >= maxCrashes {
 		t.job.failed = true
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -42,6 +42,8 @@
 	// exposedRun and lostRun are the latest runs for which Expose and Lose were
 	// called. See Expose.
 	crashes, crashedRun, exposedRun, lostRun int32
+	// countedRun is the latest run for which crashes was raised. It is not stored.
+	countedRun int32
 
 	checkpoint string
 	// failedOn has the ids of the executors on which runs failed.
