An exposure ends when the next agent lists the run

Callers could see a healthy job given up for crashes by chance, long after its starts: connections were reset at a start, and the agent ended before it could withdraw its report, so the mark stayed with the run. Change: a run that is in progress on its executor when a session opens is no longer exposed.

--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -143,7 +143,11 @@
 			view.addStopOrder(run.GetTask(), run.GetRun(), tracer.StopOrdered{
 				Reason: tracer.StopNotAssigned,
 			})
+			continue
 		}
+		// The executor has outlived a lost connection that an earlier process of the
+		// agent reported.
+		t.WithdrawExposure(run.GetRun())
 	}
 	c.eachAssigned(view.key, func(t *tracker.Task) {
 		switch {
