A start that was carried out late is exposed when it crashes the executor

Callers could see a task that crashes executors started again and again, uncounted, while executors carry out calls seconds late. Cause: the agent took the time of its last call without a response for the start; a crash more than 500 ms later was related to nothing. Change: a start without a response counts as possible until a list of runs shows the run, from then on the window applies as for others. Result: TestCrashAfterLateStartIsReported fails before (a delay of 2.5 s) and passes; the other tests of crashes in runner pass.

--- a/runner/crash.go
+++ b/runner/crash.go
@@ -30,6 +30,9 @@
 	// startedAt has the runs that were started within crashWindow, or may have
 	// been.
 	startedAt map[runKey]time.Duration
+	// unseen has the runs whose start was called without a response and that no list
+	// of runs has shown. The executor may carry out the call seconds later.
+	unseen map[runKey]bool
 	// downSince is the time of the first lost connection since the last successful
 	// call; 0 if none was lost.
 	downSince time.Duration
@@ -45,6 +48,7 @@
 // reset begins with a new incarnation of the executor.
 func (w *crashWatch) reset() {
 	w.startedAt = map[runKey]time.Duration{}
+	w.unseen = map[runKey]bool{}
 	w.downSince = 0
 	w.suspected = nil
 }
@@ -79,6 +83,24 @@
 			w.expose(key)
 		}
 	}
+	for key := range w.unseen {
+		w.expose(key)
+	}
+}
+
+// addListed records that a list of runs shows a run. The list may be the first sign of
+// a start without response.
+func (w *crashWatch) addListed(key runKey, now time.Duration) {
+	if w.unseen[key] {
+		delete(w.unseen, key)
+		w.startedAt[key] = now
+	}
+}
+
+// forget drops a run that has ended or does not start.
+func (w *crashWatch) forget(key runKey) {
+	delete(w.startedAt, key)
+	delete(w.unseen, key)
 }
 
 func (w *crashWatch) expose(key runKey) {
@@ -132,6 +154,9 @@
 	exposed := r.crashes.lastNumber
 	if started != (runKey{}) {
 		r.crashes.addStart(started, now)
+		if err != nil {
+			r.crashes.unseen[started] = true
+		}
 	}
 	var lost *damaskspread.ConnectionLostError
 	if errors.As(err, &lost) {
--- a/runner/renew.go
+++ b/runner/renew.go
@@ -158,6 +158,9 @@
 		at:      now,
 	}
 	r.running = state.GetRunning()
+	for _, run := range r.running {
+		r.crashes.addListed(runKey{run.GetTask(), run.GetRun()}, now)
+	}
 	r.listsVersion++
 	if call.epoch == r.epoch {
 		r.listsRead = true
@@ -276,7 +279,7 @@
 	delete(r.paces, key)
 	delete(r.startOwners, key)
 	delete(r.unsettled, key)
-	delete(r.crashes.startedAt, key)
+	r.crashes.forget(key)
 }
 
 func (r *Runner) refusalRetention() time.Duration {
