A restart under the same id ends the draining of the executor

Callers could see an executor that is never used again: it restarted under the id of one that was draining, the agent learned of it from the lists of runs and kept the mark of draining, and the late deregistration of the one before made it leave. Change: the copy is neither draining nor has it remaining time.

--- a/runner/renew.go
+++ b/runner/renew.go
@@ -180,6 +180,8 @@
 	info.Sequence = 0
 	info.Capacity = &wire.Resources{}
 	info.Labels = nil
+	info.Draining = false
+	info.RemainingMs = 0
 	log.Info().Str("executor", info.GetId()).Int64("born", born).Msg("executor restarted")
 	r.resetExecutor(info)
 }
