runner: An order that was called does not refuse its run at once after a rediscovery

Callers could see two runs of one task: the executor was hidden by a heartbeat of another writer while a start call had no response, was announced again, and the order expired. The agent reported the run as refused, the leader ordered the next run, and the call took effect late.

Cause: the agent's record of owners is cleared with the announcement, and the check of the order then took it for the first one, although the order itself had made a call.

Ruled out: that the leader's marks cover it. They cover orders of the next session; this is the order of the session before, which goes on because the incarnation is the same.

Change: an order that has made a call refuses its run only after an accepted stop, as a repeated order does.

TestStartInProgressWhileTheExecutorIsHidden fails before (the refused run runs) and passes after.

--- a/runner/orders.go
+++ b/runner/orders.go
@@ -54,11 +54,13 @@
 
 // decideStart checks whether a start is still allowed. The first order for a run
 // that reaches this point either starts the run or refuses it for good; other
-// orders for the same run are skipped. A repeated order can't refuse the run at
-// once, because an earlier start call may still be executed. An order ends with its
+// orders for the same run are skipped. An order that mayHaveStarted the run, by a call
+// of its own or of an earlier order, can't refuse it at once: the call may still be
+// executed. It may have no owner although it was called: the executor may have been
+// hidden by another announcement in between. An order ends with its
 // executor: the leader releases the runs of an executor that was replaced or has
 // left, and orders their next runs.
-func (r *Runner) decideStart(info *wire.ExecutorInfo, order *wire.StartOrder, decidedAt time.Duration) startDecision {
+func (r *Runner) decideStart(info *wire.ExecutorInfo, order *wire.StartOrder, decidedAt time.Duration, mayHaveStarted bool) startDecision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	key := runKey{order.GetTask(), order.GetRun()}
@@ -93,7 +95,7 @@
 	}
 	switch {
 	case decision.refusal == "" || decision.definite || owner != nil:
-	case order.GetRepeated():
+	case mayHaveStarted:
 		r.startOwners[key] = order
 		r.unsettled[key] = true
 	default:
@@ -107,7 +109,7 @@
 	key := runKey{order.GetTask(), order.GetRun()}
 	mayHaveStarted := order.GetRepeated()
 	for ctx.Err() == nil {
-		decision := r.decideStart(info, order, decidedAt)
+		decision := r.decideStart(info, order, decidedAt, mayHaveStarted)
 		switch {
 		case decision.handled:
 			return
