runner: Stops of a draining executor are ordered again by a new leader's token

Callers could see the work since the last checkpoint lost: when the leader changed while a draining executor's runs were being stopped, the executor refused the stop with a fence, the order ended, and the run went on until the executor ended.

Cause: drainOnce remembers the runs that it has ordered to stop, also those whose order was refused.

Ruled out: that the leader stops them. It starts nothing on a draining executor, and leaves the stops of its runs to the agent.

Change: the runs ordered to stop are forgotten when the leader changes. A run that is stopping already ignores the second stop. No call is repeated with the refused token.

TestFencedDrainStopIsRepeated fails before (no stop within 5 s) and passes after.

--- a/runner/exchange.go
+++ b/runner/exchange.go
@@ -203,6 +203,8 @@
 func (r *Runner) reopenSession(epoch int64) {
 	r.resetSession()
 	if epoch != r.epoch {
+		// Stops with the token of the leader before may have been refused.
+		clear(r.drainStops)
 		log.Info().Int64("epoch", epoch).Msg("leader changed")
 	}
 	r.epoch = epoch
