--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -12,10 +12,6 @@
 	"damaskspread.example/damaskspread/wire"
 )
 
-// startRepeatInterval is the time after which a start is sent again if the agent
-// does not list its run as running.
-const startRepeatInterval = 3 * time.Second
-
 // noRoomBackoff is how long a host gets no tasks after its agent refused one for
 // lack of capacity. The agent may count runs that the leader does not know, such as
 // those that it stops at the beginning of a session.
@@ -118,106 +114,6 @@
 	delete(s.sentSteps, group)
 }
 
-// takeReplacedOrphans removes and returns the orphans on the session's host, which
-// the session's executor has replaced.
-func (c *Coordinator) takeReplacedOrphans(view *sessionView) []tracker.ExecutorKey {
-	var keys []tracker.ExecutorKey
-	for key, orphan := range c.orphans {
-		if orphan.host == view.host {
-			keys = append(keys, key)
-			delete(c.orphans, key)
-		}
-	}
-	return keys
-}
-
-// reconcile adopts or stops runs that are not assigned to the executor, and sends
-// starts for those that are.
-func (c *Coordinator) reconcile(view *sessionView) {
-	for _, run := range view.running {
-		t := c.task(run.GetTask())
-		if t != nil && mayAdopt(t, run.GetRun(), view.key) {
-			c.adopt(view, t)
-		}
-		if t == nil || !t.Assigned() || t.Run() != run.GetRun() || t.Executor() != view.key {
-			view.addStopOrder(run.GetTask(), run.GetRun(), tracer.StopOrdered{
-				Reason: tracer.StopNotAssigned,
-			})
-			continue
-		}
-		// The executor has outlived a lost connection that an earlier process of the
-		// agent reported.
-		t.WithdrawExposure(run.GetRun())
-	}
-	c.eachAssigned(view.key, func(t *tracker.Task) {
-		switch {
-		case t.Job().Over():
-			t.MarkStopping()
-			view.addStopOrder(t.ID().String(), t.Run(), tracer.StopOrdered{
-				Reason: tracer.StopJobOver,
-			})
-		case t.Stopping():
-			// The agent may have lost the order with its last session.
-			view.addStopOrder(t.ID().String(), t.Run(), tracer.StopOrdered{
-				Reason: tracer.StopRepeated,
-			})
-		default:
-			// For a run that is in progress, the agent starts nothing but learns its
-			// step from the order.
-			c.repeatStartOrder(view, t)
-		}
-	})
-}
-
-// mayAdopt reports whether a run that is in progress on an executor is the latest
-// one of its task although the task is not assigned to that executor: it waits for
-// a host, or is assigned to another incarnation with the same id. The start took
-// effect late, or in the incarnation that replaced the one it was sent to.
-func mayAdopt(t *tracker.Task, run int32, executor tracker.ExecutorKey) bool {
-	if t.Run() != run || t.Job().Over() || t.Executor() == executor {
-		return false
-	}
-	return t.Pending() || (t.Assigned() && t.Executor().ID == executor.ID)
-}
-
-// adopt assigns the task's latest run to the executor on which it is in progress.
-// Otherwise the next run would start beside it.
-func (c *Coordinator) adopt(view *sessionView, t *tracker.Task) {
-	t.Adopt(view.key, view.host)
-	tracer.Write(&tracer.RunAdopted{
-		Job:      t.ID().Job,
-		Task:     t.ID().String(),
-		Run:      t.Run(),
-		Host:     view.host,
-		Executor: view.key.ID,
-	})
-}
-
-// repeatStarts resends the start of each assigned run that the agent does not list
-// as running. The agent ignores starts of runs that are in progress or have ended.
-func (c *Coordinator) repeatStarts(view *sessionView, now time.Duration) {
-	listed := map[string]int32{}
-	for _, run := range view.running {
-		listed[run.GetTask()] = run.GetRun()
-	}
-	c.eachAssigned(view.key, func(t *tracker.Task) {
-		name := t.ID().String()
-		if t.Stopping() || listed[name] == t.Run() || !t.Overdue(now, startRepeatInterval) {
-			return
-		}
-		tracer.Write(&tracer.StartRepeated{
-			Job:  t.ID().Job,
-			Task: name,
-			Run:  t.Run(),
-			Host: view.host,
-		})
-		// The agent may have dropped the step, and would refuse a run that may be
-		// starting.
-		c.forgetSentStep(view.session, t.GroupName())
-		c.repeatStartOrder(view, t)
-	})
-}
-
 func (c *Coordinator) eachAssigned(key tracker.ExecutorKey, visit func(*tracker.Task)) {
 	// visit may release the task, which changes the original.
 	for _, t := range slices.Clone(c.assignments.On(key)) {
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -186,49 +186,6 @@
 	}
 }
 
-// reportRefusal reports that a run does not start on an executor, unless that
-// executor has ended meanwhile.
-func (r *Runner) reportRefusal(info *wire.ExecutorInfo, key runKey, reason damaskspread.StartRefusal) {
-	r.mu.Lock()
-	present := r.isPresent(info)
-	if present {
-		r.addRefusal(key, reason)
-	}
-	r.mu.Unlock()
-	if !present {
-		return
-	}
-	tracer.Write(&tracer.StartRefused{
-		Job:    tracker.JobOf(key.task),
-		Task:   key.task,
-		Run:    key.run,
-		Host:   r.Host,
-		Reason: string(reason),
-	})
-	signal(r.reportWake)
-}
-
-// scheduleCheck looks the run up in the first lists that are requested from the
-// executor after a delay, unless the executor has ended meanwhile.
-func (r *Runner) scheduleCheck(info *wire.ExecutorInfo, key runKey, delay time.Duration) {
-	r.mu.Lock()
-	if r.isPresent(info) {
-		r.checksDue[key] = r.Elapsed.Elapsed() + delay
-	}
-	r.mu.Unlock()
-	signal(r.renewWake)
-}
-
-// dropOwner lets the order of a later session decide about a run that could not be
-// stopped.
-func (r *Runner) dropOwner(info *wire.ExecutorInfo, key runKey) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.isPresent(info) {
-		delete(r.startOwners, key)
-	}
-}
-
 // stop repeats the order until the executor accepts it, has left or has been
 // replaced, or rejects the epoch. It reports whether the executor accepted it.
 func (r *Runner) stop(ctx context.Context, info *wire.ExecutorInfo, order *wire.StopOrder) bool {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -13,19 +13,15 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -124,19 +120,6 @@
 	logDir    string
 }
 
-// process is one process of the system, which reaches the log through a proxy.
-type process struct {
-	role, name       string
-	settingsFile     string
-	callersAddress   string
-	proxy            *proxy
-	executorsAddress string
-
-	mu   sync.Mutex
-	cmd  *exec.Cmd
-	done chan struct{}
-}
-
 func runSoak(t *testing.T, seed uint64, length time.Duration) {
 	f := newFleet(t, seed)
 	ctx, cancel := context.WithTimeout(context.Background(), length)
@@ -223,47 +206,6 @@
 	f.executors[i].executor.Boot(id)
 }
 
-// setMillicores changes the capacity of a host's executor while it runs.
-func (f *fleet) setMillicores(i int, millicores int64) {
-	capacity := &wire.Resources{Millicores: millicores, MemoryBytes: defaultCapacity.GetMemoryBytes()}
-	executor := f.executors[i].executor
-	f.checker.capacities.CapacityChanged(executor.Info("s", "z", nil).GetId(), capacity)
-	executor.SetCapacity(capacity)
-}
-
-// shrink takes most of the capacity of a host's executor away until the duration is
-// over or ctx ends.
-func (f *fleet) shrink(ctx context.Context, i int, millicores int64, duration time.Duration) {
-	f.setMillicores(i, millicores)
-	pause(ctx, duration)
-	f.setMillicores(i, defaultCapacity.GetMillicores())
-}
-
-// crash ends the executor of a host with its runs. Connections to it are refused
-// until it starts again, under its id or a new one, with the given capacity.
-func (f *fleet) crash(i int, sameID bool, millicores int64, downtime time.Duration) {
-	h := f.executors[i]
-	id := h.executor.Info("s", "z", nil).GetId()
-	h.down.Store(true)
-	h.close()
-	h.executor.Boot(id + "-down")
-	time.Sleep(downtime)
-	if !sameID {
-		id = fmt.Sprintf("i-%d-%d", i, f.bootCount.Add(1))
-	}
-	f.bootAs(i, id, &wire.Resources{Millicores: millicores, MemoryBytes: defaultCapacity.GetMemoryBytes()})
-	h.listen(f.t)
-	h.down.Store(false)
-}
-
-// pause waits for a duration or until ctx ends.
-func pause(ctx context.Context, duration time.Duration) {
-	select {
-	case <-time.After(duration):
-	case <-ctx.Done():
-	}
-}
-
 // announce sends the periodic heartbeats of an executor to its agent until stop
 // is closed.
 func announce(h *executorHandler, address string, stop chan struct{}) {
@@ -295,240 +237,3 @@
 	_ = response.Body.Close()
 	return response.StatusCode == http.StatusOK
 }
-
-func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", loopback+":0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
-func (f *fleet) newProcess(role, name, executor string) *process {
-	p := &process{
-		role:  role,
-		name:  name,
-		proxy: newProxy(f.t, f.logServer.Listener.Addr().String()),
-	}
-	settings := fmt.Sprintf("[process]\nid = %s\nzone = z\n[peers]\nlog = %s\n", name, p.proxy.address())
-	listen := "[listen]\n"
-	if role == "job-entry" {
-		p.callersAddress = freeAddress(f.t)
-		listen += fmt.Sprintf("callers = %s\nagents = %s\n", p.callersAddress, freeAddress(f.t))
-	} else {
-		p.executorsAddress = freeAddress(f.t)
-		settings += fmt.Sprintf("executor = %s\n", executor)
-		listen += fmt.Sprintf("executors = %s\n", p.executorsAddress)
-	}
-	settings += listen + "[bounds]\nlease_max = 4s\ngrace = 4s\n"
-	p.settingsFile = filepath.Join(f.logDir, name+".ini")
-	assert.NilError(f.t, os.WriteFile(p.settingsFile, []byte(settings), 0o600))
-	f.start(p)
-	f.t.Cleanup(func() { p.signal(syscall.SIGKILL) })
-	return p
-}
-
-// start starts the process and returns while it runs.
-func (f *fleet) start(p *process) {
-	out, err := os.OpenFile(filepath.Join(f.logDir, p.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
-	assert.NilError(f.t, err)
-	cmd := exec.Command(daemon, p.role, "--settings", p.settingsFile)
-	cmd.Stdout, cmd.Stderr = out, out
-	assert.NilError(f.t, cmd.Start())
-	done := make(chan struct{})
-	go func() {
-		_ = cmd.Wait()
-		_ = out.Close()
-		close(done)
-	}()
-	p.mu.Lock()
-	p.cmd, p.done = cmd, done
-	p.mu.Unlock()
-}
-
-// signal sends a signal to the process as last started.
-func (p *process) signal(signal syscall.Signal) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	_ = p.cmd.Process.Signal(signal)
-}
-
-// exited returns a channel that is closed when the process has ended.
-func (p *process) exited() chan struct{} {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.done
-}
-
-// restart ends the process with a signal, kills it if it still runs after 5 s,
-// and starts it again after the downtime.
-func (f *fleet) restart(p *process, signal syscall.Signal, downtime time.Duration) {
-	p.signal(signal)
-	select {
-	case <-p.exited():
-	case <-time.After(5 * time.Second):
-		p.signal(syscall.SIGKILL)
-		<-p.exited()
-	}
-	time.Sleep(downtime)
-	f.start(p)
-}
-
-// injectFaults starts a random fault every 0.2 s to 1.1 s until ctx ends. Faults
-// of different processes overlap; one process has one fault at a time.
-func (f *fleet) injectFaults(ctx context.Context) {
-	var faults sync.WaitGroup
-	busy := map[*process]chan struct{}{}
-	for ctx.Err() == nil {
-		all := append(append([]*process{}, f.entries...), f.agents...)
-		p := all[f.random.IntN(len(all))]
-		duration := time.Duration(300+f.random.IntN(2500)) * time.Millisecond
-		kind, host := f.random.IntN(12), f.random.IntN(hostCount)
-		millicores := submittedMillicores * int64(1+f.random.IntN(5))
-		pause := time.Duration(200+f.random.IntN(900)) * time.Millisecond
-		if ended := busy[p]; ended != nil {
-			select {
-			case <-ended:
-			default:
-				time.Sleep(pause)
-				continue
-			}
-		}
-		ended := make(chan struct{})
-		busy[p] = ended
-		faults.Go(func() {
-			defer close(ended)
-			f.inject(ctx, p, kind, host, duration, millicores)
-		})
-		time.Sleep(pause)
-	}
-	faults.Wait()
-}
-
-func (f *fleet) inject(ctx context.Context, p *process, kind, host int, duration time.Duration, millicores int64) {
-	f.t.Logf("fault %d on %s for %s (host %d)", kind, p.name, duration, host)
-	if kind >= 9 {
-		f.injectExecutorFault(ctx, kind, host, duration, millicores)
-		return
-	}
-	switch kind {
-	case 0:
-		f.restart(p, syscall.SIGKILL, duration/4)
-	case 1:
-		f.restart(p, syscall.SIGTERM, duration/4)
-	case 2:
-		p.signal(syscall.SIGSTOP)
-		time.Sleep(duration)
-		p.signal(syscall.SIGCONT)
-	case 3, 4, 5, 6:
-		p.proxy.setMode([]proxyMode{dropping, resetting, droppingResponses, delaying}[kind-3])
-		time.Sleep(duration)
-		p.proxy.setMode(resetting)
-		p.proxy.setMode(forwarding)
-	case 7:
-		f.executors[host].mu.Lock()
-		f.executors[host].lostResponses += 3
-		f.executors[host].mu.Unlock()
-	case 8:
-		f.executors[host].executor.SetUnresponsive(true)
-		time.Sleep(duration)
-		f.executors[host].executor.SetUnresponsive(false)
-	}
-}
-
-// injectExecutorFault shrinks or crashes the executor of a host, unless another such
-// fault of it is in progress.
-func (f *fleet) injectExecutorFault(ctx context.Context, kind, host int, duration time.Duration, millicores int64) {
-	h := f.executors[host]
-	if !h.faulty.TryLock() {
-		return
-	}
-	defer h.faulty.Unlock()
-	switch kind {
-	case 9:
-		// Starts are judged by the shrunk capacity only once the grace is over.
-		f.shrink(ctx, host, millicores, emulator.CapacityGrace+duration)
-	case 10:
-		f.crash(host, false, defaultCapacity.GetMillicores(), duration)
-	case 11:
-		f.crash(host, true, millicores, duration)
-		f.shrink(ctx, host, millicores, duration)
-	}
-}
-
-// heal ends all connection faults and resumes paused processes.
-func (f *fleet) heal() {
-	for _, p := range append(append([]*process{}, f.entries...), f.agents...) {
-		p.proxy.setMode(forwarding)
-		p.signal(syscall.SIGCONT)
-	}
-}
-
-// submitJobs submits jobs until ctx ends, each up to four times until it is
-// accepted, and sends the accepted ones to jobs.
-func (f *fleet) submitJobs(ctx context.Context, caller int, seed uint64, jobs chan<- string) {
-	client := &http.Client{Timeout: 3 * time.Second}
-	random := rand.New(rand.NewPCG(seed, uint64(caller)))
-	request := fmt.Sprintf(`"cpu":%d,"memMb":%d`, submittedMillicores, submittedMegabytes)
-	body := fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,%s},{"count":%d,%s,"after":[0]}]}`, firstStepTasks, request, secondStepTasks, request)
-	for n := 0; ctx.Err() == nil; n++ {
-		id := fmt.Sprintf("%08x%02x%06x", seed, caller, n)
-		mayRun := false
-		for attempt := 0; attempt < 4 && ctx.Err() == nil; attempt++ {
-			status := f.requestStatus(client, http.MethodPost, f.entries[random.IntN(entryCount)], id, body)
-			refused := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
-			mayRun = mayRun || !refused
-			f.checker.recordAttempt(id, mayRun, status == http.StatusOK)
-			if status == http.StatusOK {
-				jobs <- id
-				break
-			}
-			time.Sleep(100 * time.Millisecond)
-		}
-		time.Sleep(time.Duration(50+random.IntN(100)) * time.Millisecond)
-	}
-}
-
-// requestStatus returns the status of a request, or 0 if no complete response
-// arrived, as when the connection was refused.
-func (f *fleet) requestStatus(client *http.Client, method string, p *process, id, body string) int {
-	status, _ := f.sendRequest(client, method, p, id, body)
-	return status
-}
-
-func (f *fleet) sendRequest(client *http.Client, method string, p *process, id, body string) (int, string) {
-	request, err := http.NewRequest(method, "http://"+p.callersAddress+pathPrefix+id, strings.NewReader(body))
-	if err != nil {
-		return 0, ""
-	}
-	request.Host = hostHeader
-	response, err := client.Do(request)
-	if err != nil {
-		return 0, ""
-	}
-	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
-	if err != nil {
-		return 0, ""
-	}
-	return response.StatusCode, string(text)
-}
-
-// awaitJobs waits until every job has succeeded, and checks its tasks.
-func (f *fleet) awaitJobs(jobs <-chan string) {
-	client := &http.Client{Timeout: time.Second}
-	deadline := time.Now().Add(recoveryLimit)
-	for id := range jobs {
-		for {
-			status, text := f.sendRequest(client, http.MethodGet, f.entries[0], id, "")
-			if status == http.StatusOK && strings.Contains(text, "succeeded") {
-				f.checker.checkFinished(id)
-				break
-			}
-			if time.Now().After(deadline) {
-				f.t.Errorf("job %s did not succeed within %s after the faults: status %d %s", id, recoveryLimit, status, text)
-				break
-			}
-			time.Sleep(50 * time.Millisecond)
-		}
-	}
-}
