--- a/runner/orders.go
+++ b/runner/orders.go
@@ -53,13 +53,11 @@
 }
 
 // decideStart checks whether a start is still allowed. The first order for a run
-// that reaches this point either starts the run or refuses it for good; other
-// orders for the same run are skipped. An order that mayHaveStarted the run, by a call
-// of its own or of an earlier order, can't refuse it at once: the call may still be
-// executed. It may have no owner although it was called: the executor may have been
-// hidden by another announcement in between. An order ends with its
-// executor: the leader releases the runs of an executor that was replaced or has
-// left, and orders their next runs.
+// that reaches this point owns it and either starts or refuses it; other orders for
+// the run are skipped. With mayHaveStarted, a call of this or of an earlier order may
+// still be executed, so a refusal isn't definite. An order ends with its executor: the
+// leader releases the runs of an executor that was replaced or has left, and orders
+// their next runs.
 func (r *Runner) decideStart(info *wire.ExecutorInfo, order *wire.StartOrder, decidedAt time.Duration, mayHaveStarted bool) startDecision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -96,6 +94,8 @@
 	switch {
 	case decision.refusal == "" || decision.definite || owner != nil:
 	case mayHaveStarted:
+		// The run has no owner yet, or lost it while another announcement hid the
+		// executor.
 		r.startOwners[key] = order
 		r.unsettled[key] = true
 	default:
