A restarted executor is described by what a restart keeps

A new field would be kept. Change: the description is built from the fields that stay: id, service, zone and address. The comment of WithdrawExposure says what happens to a job that has failed. Behaviour is the same: the copied message has no other fields.

--- a/runner/renew.go
+++ b/runner/renew.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/phuslu/log"
-	"google.golang.org/protobuf/proto"
 
 	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/wire"
@@ -174,14 +173,14 @@
 // id. Its capacity and labels may differ from those before, so it gets no tasks
 // until it announces them.
 func (r *Runner) handleRestart(born int64) {
-	info := proto.CloneOf(r.info)
-	info.BornUnixMs = born
-	info.ClockMs = 0
-	info.Sequence = 0
-	info.Capacity = &wire.Resources{}
-	info.Labels = nil
-	info.Draining = false
-	info.RemainingMs = 0
+	info := &wire.ExecutorInfo{
+		Id:         r.info.GetId(),
+		BornUnixMs: born,
+		Service:    r.info.GetService(),
+		Zone:       r.info.GetZone(),
+		Address:    r.info.GetAddress(),
+		Capacity:   &wire.Resources{},
+	}
 	log.Info().Str("executor", info.GetId()).Int64("born", born).Msg("executor restarted")
 	r.resetExecutor(info)
 }
--- a/tracker/crash.go
+++ b/tracker/crash.go
@@ -47,7 +47,7 @@
 
 // WithdrawExposure takes back the report of Expose, because the executor responds
 // again, or because the run has ended there. A crash that was counted for the run,
-// because its lease had expired, is taken back too unless the job has failed.
+// because its lease had expired, is taken back too; a job that has failed stays failed.
 func (t *Task) WithdrawExposure(run int32) {
 	if t.countedRun == run && run != 0 && t.crashes > 0 {
 		t.countedRun = 0
