--- a/runner/departure_test.go
+++ b/runner/departure_test.go
@@ -38,11 +38,7 @@
 // Guards against tasks that wait for the end of a lease although their executor has
 // ended as planned.
 func TestDepartureOfAnEndedExecutor(t *testing.T) {
-	l := &fakeLeader{}
-	l.respond = func(context.Context, *wire.ExchangeRequest) *wire.ExchangeResponse {
-		time.Sleep(5 * time.Millisecond)
-		return &wire.ExchangeResponse{}
-	}
+	l := newIdleLeader()
 	executor := newExecutor()
 	crashing := &crashingExecutor{JobExecutor: executor}
 	r := startRunner(t, l, executor, crashing)
--- a/runner/deregistration_test.go
+++ b/runner/deregistration_test.go
@@ -1,7 +1,6 @@
 package runner_test
 
 import (
-	"context"
 	"testing"
 	"time"
 
@@ -14,11 +13,7 @@
 // deregistration of the incarnation before it under the same id arrives late: the
 // leader would start its tasks elsewhere at once.
 func TestLateDeregistration(t *testing.T) {
-	l := &fakeLeader{}
-	l.respond = func(context.Context, *wire.ExchangeRequest) *wire.ExchangeResponse {
-		time.Sleep(5 * time.Millisecond)
-		return &wire.ExchangeResponse{}
-	}
+	l := newIdleLeader()
 	r, executor := startWithEmulator(t, l)
 	executor.Boot("executor-1")
 	r.ExecutorAnnounced(executor.Info("planning", "zone", &wire.Resources{}))
@@ -36,11 +31,7 @@
 
 // Guards against an executor that drained and left and is not reported as left.
 func TestDeregistrationAfterDraining(t *testing.T) {
-	l := &fakeLeader{}
-	l.respond = func(context.Context, *wire.ExchangeRequest) *wire.ExchangeResponse {
-		time.Sleep(5 * time.Millisecond)
-		return &wire.ExchangeResponse{}
-	}
+	l := newIdleLeader()
 	executor := newExecutor()
 	crashing := &crashingExecutor{JobExecutor: executor}
 	r := startRunner(t, l, executor, crashing)
--- a/runner/restart_draining_test.go
+++ b/runner/restart_draining_test.go
@@ -1,7 +1,6 @@
 package runner_test
 
 import (
-	"context"
 	"testing"
 	"time"
 
@@ -15,11 +14,7 @@
 // arrives after the lists of runs have shown the restart and before the first
 // announcement.
 func TestLateDeregistrationAfterDrainingRestart(t *testing.T) {
-	l := &fakeLeader{}
-	l.respond = func(context.Context, *wire.ExchangeRequest) *wire.ExchangeResponse {
-		time.Sleep(5 * time.Millisecond)
-		return &wire.ExchangeResponse{}
-	}
+	l := newIdleLeader()
 	r, executor := startWithEmulator(t, l)
 	draining := executor.Info("planning", "zone", &wire.Resources{Millicores: 8000})
 	draining.Draining = true
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -47,6 +47,16 @@
 
 func (l *fakeLeader) Redirect(*wire.Leadership) {}
 
+// newIdleLeader returns a leader that opens sessions and gives no orders.
+func newIdleLeader() *fakeLeader {
+	return &fakeLeader{
+		respond: func(context.Context, *wire.ExchangeRequest) *wire.ExchangeResponse {
+			time.Sleep(5 * time.Millisecond)
+			return &wire.ExchangeResponse{}
+		},
+	}
+}
+
 // received reports whether any request so far satisfies a condition.
 func (l *fakeLeader) received(condition func(*wire.ExchangeRequest) bool) bool {
 	l.mu.Lock()
