--- a/validator/job_settings.go
+++ b/validator/job_settings.go
@@ -13,6 +13,8 @@
 	listen  JobListen
 	peers   JobPeers
 	bounds  JobBounds
+
+	scheduling JobScheduling
 }
 
 // JobProcess is the [process] section: settings of every process.
@@ -39,6 +41,16 @@
 	leaseMax, stopWithin, drainFor, configWithin, visibleWithin, statusFor, grace time.Duration
 }
 
+// JobScheduling is the [scheduling] section: how the leader and the entries decide
+// when capacity is scarce.
+type JobScheduling struct {
+	bestEffortWait        time.Duration
+	learnedRunTimes       bool
+	order, preemption     string
+	admission             bool
+	admissionFromPriority int
+}
+
 // Process returns the section [process].
 func (s *JobSettings) Process() *JobProcess { return &s.process }
 
@@ -51,6 +63,9 @@
 // Bounds returns the section [bounds].
 func (s *JobSettings) Bounds() *JobBounds { return &s.bounds }
 
+// Scheduling returns the section [scheduling].
+func (s *JobSettings) Scheduling() *JobScheduling { return &s.scheduling }
+
 // ID returns the name of the process in records and logs.
 func (p *JobProcess) ID() string { return p.id }
 
@@ -114,12 +129,35 @@
 // Grace returns the time between a termination signal and the kill.
 func (b *JobBounds) Grace() time.Duration { return b.grace }
 
+// BestEffortWait returns the longest wait of a best-effort task that fits by
+// capacity; 0 means that it is unbounded.
+func (s *JobScheduling) BestEffortWait() time.Duration { return s.bestEffortWait }
+
+// LearnedRunTimes reports whether predictions use learned run times.
+func (s *JobScheduling) LearnedRunTimes() bool { return s.learnedRunTimes }
+
+// CostOrder reports whether steps start in the order of their cost of waiting
+// instead of that of their deadlines.
+func (s *JobScheduling) CostOrder() bool { return s.order == orderCost }
+
+// LostWorkPreemption reports whether the tasks to preempt are chosen by the work
+// that is lost.
+func (s *JobScheduling) LostWorkPreemption() bool { return s.preemption == preemptionLostWork }
+
+// Admission reports whether entries refuse jobs that would end too late.
+func (s *JobScheduling) Admission() bool { return s.admission }
+
+// AdmissionFromPriority returns the lowest priority number of the queues whose
+// jobs may be refused.
+func (s *JobScheduling) AdmissionFromPriority() int32 { return int32(s.admissionFromPriority) }
+
 func (s *JobSettings) sections() []SectionSchema {
 	return []SectionSchema{
 		{name: "process", fields: s.process.fields()},
 		{name: "listen", fields: s.listen.fields()},
 		{name: "peers", fields: s.peers.fields()},
 		{name: "bounds", fields: s.bounds.fields()},
+		{name: "scheduling", fields: s.scheduling.fields()},
 	}
 }
 
@@ -167,6 +205,28 @@
 	}
 }
 
+// Values of order and preemption in [scheduling].
+const (
+	orderDeadline      = "deadline"
+	orderCost          = "cost"
+	preemptionPriority = "priority"
+	preemptionLostWork = "lost_work"
+)
+
+func (s *JobScheduling) fields() []Field {
+	return []Field{
+		optional("best_effort_wait", "0s", "longest wait of a best-effort task that fits by capacity; 0 leaves it unbounded",
+			duration(&s.bestEffortWait, 0, time.Hour)),
+		optional("learned_run_times", "no", "predictions use learned run times", boolean(&s.learnedRunTimes)),
+		optional("order", orderDeadline, "order in which waiting steps start", choice(&s.order, orderDeadline, orderCost)),
+		optional("preemption", preemptionPriority, "how the tasks to preempt are chosen",
+			choice(&s.preemption, preemptionPriority, preemptionLostWork)),
+		optional("admission", "no", "jobs that would end too late to be of use are refused", boolean(&s.admission)),
+		optional("admission_from_priority", "1", "lowest priority number of the queues whose jobs may be refused",
+			integer(&s.admissionFromPriority, 0, 1<<20)),
+	}
+}
+
 // LoadJobSettings parses and validates the settings of a job-entry or job-agent
 // process. The settings are usable only without diagnostics.
 func LoadJobSettings(file, text string) (*JobSettings, []Diagnostic) {
--- a/wire/wireconnect/jobs.connect.go
+++ b/wire/wireconnect/jobs.connect.go
@@ -41,6 +41,9 @@
 	// CoordinatorServiceFindLeaderProcedure is the fully-qualified name of the CoordinatorService's
 	// FindLeader RPC.
 	CoordinatorServiceFindLeaderProcedure = "/damaskspread.v1.CoordinatorService/FindLeader"
+	// CoordinatorServiceGetLoadProcedure is the fully-qualified name of the CoordinatorService's
+	// GetLoad RPC.
+	CoordinatorServiceGetLoadProcedure = "/damaskspread.v1.CoordinatorService/GetLoad"
 	// KeyedLogServiceAppendProcedure is the fully-qualified name of the KeyedLogService's Append RPC.
 	KeyedLogServiceAppendProcedure = "/damaskspread.v1.KeyedLogService/Append"
 	// KeyedLogServiceReadProcedure is the fully-qualified name of the KeyedLogService's Read RPC.
@@ -54,6 +57,8 @@
 	Exchange(context.Context, *connect.Request[wire.ExchangeRequest]) (*connect.Response[wire.ExchangeResponse], error)
 	// FindLeader returns the latest leader that an entry process knows of.
 	FindLeader(context.Context, *connect.Request[wire.FindLeaderRequest]) (*connect.Response[wire.FindLeaderResponse], error)
+	// GetLoad returns the leader's latest load estimate.
+	GetLoad(context.Context, *connect.Request[wire.GetLoadRequest]) (*connect.Response[wire.GetLoadResponse], error)
 }
 
 // NewCoordinatorServiceClient constructs a client for the damaskspread.v1.CoordinatorService
@@ -79,6 +84,12 @@
 			connect.WithSchema(coordinatorServiceMethods.ByName("FindLeader")),
 			connect.WithClientOptions(opts...),
 		),
+		getLoad: connect.NewClient[wire.GetLoadRequest, wire.GetLoadResponse](
+			httpClient,
+			baseURL+CoordinatorServiceGetLoadProcedure,
+			connect.WithSchema(coordinatorServiceMethods.ByName("GetLoad")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -86,6 +97,7 @@
 type coordinatorServiceClient struct {
 	exchange   *connect.Client[wire.ExchangeRequest, wire.ExchangeResponse]
 	findLeader *connect.Client[wire.FindLeaderRequest, wire.FindLeaderResponse]
+	getLoad    *connect.Client[wire.GetLoadRequest, wire.GetLoadResponse]
 }
 
 // Exchange calls damaskspread.v1.CoordinatorService.Exchange.
@@ -98,11 +110,18 @@
 	return c.findLeader.CallUnary(ctx, req)
 }
 
+// GetLoad calls damaskspread.v1.CoordinatorService.GetLoad.
+func (c *coordinatorServiceClient) GetLoad(ctx context.Context, req *connect.Request[wire.GetLoadRequest]) (*connect.Response[wire.GetLoadResponse], error) {
+	return c.getLoad.CallUnary(ctx, req)
+}
+
 // CoordinatorServiceHandler is an implementation of the damaskspread.v1.CoordinatorService service.
 type CoordinatorServiceHandler interface {
 	Exchange(context.Context, *connect.Request[wire.ExchangeRequest]) (*connect.Response[wire.ExchangeResponse], error)
 	// FindLeader returns the latest leader that an entry process knows of.
 	FindLeader(context.Context, *connect.Request[wire.FindLeaderRequest]) (*connect.Response[wire.FindLeaderResponse], error)
+	// GetLoad returns the leader's latest load estimate.
+	GetLoad(context.Context, *connect.Request[wire.GetLoadRequest]) (*connect.Response[wire.GetLoadResponse], error)
 }
 
 // NewCoordinatorServiceHandler builds an HTTP handler from the service implementation. It returns
@@ -124,12 +143,20 @@
 		connect.WithSchema(coordinatorServiceMethods.ByName("FindLeader")),
 		connect.WithHandlerOptions(opts...),
 	)
+	coordinatorServiceGetLoadHandler := connect.NewUnaryHandler(
+		CoordinatorServiceGetLoadProcedure,
+		svc.GetLoad,
+		connect.WithSchema(coordinatorServiceMethods.ByName("GetLoad")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/damaskspread.v1.CoordinatorService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case CoordinatorServiceExchangeProcedure:
 			coordinatorServiceExchangeHandler.ServeHTTP(w, r)
 		case CoordinatorServiceFindLeaderProcedure:
 			coordinatorServiceFindLeaderHandler.ServeHTTP(w, r)
+		case CoordinatorServiceGetLoadProcedure:
+			coordinatorServiceGetLoadHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -147,6 +174,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("damaskspread.v1.CoordinatorService.FindLeader is not implemented"))
 }
 
+func (UnimplementedCoordinatorServiceHandler) GetLoad(context.Context, *connect.Request[wire.GetLoadRequest]) (*connect.Response[wire.GetLoadResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("damaskspread.v1.CoordinatorService.GetLoad is not implemented"))
+}
+
 // KeyedLogServiceClient is a client for the damaskspread.v1.KeyedLogService service.
 type KeyedLogServiceClient interface {
 	Append(context.Context, *connect.Request[wire.KeyedAppendRequest]) (*connect.Response[wire.AppendResult], error)
