LoadView: access to the leader's load estimate

Cause: admission and the reader of the estimate are built side by side. Change: the interface between them in the root package. Conclusion: behavior unchanged.

--- a/jobs.go
+++ b/jobs.go
@@ -108,6 +108,13 @@
 	ZonesOut() map[string]bool
 }
 
+// LoadView gives access to the scheduling leader's latest load estimate.
+type LoadView interface {
+	// Load returns the estimate and an upper bound on its age. The estimate is nil
+	// while none is known or the leader has changed.
+	Load() (estimate *wire.LoadEstimate, age time.Duration)
+}
+
 // Operation is one decoded record published by operators. At most one field is
 // set.
 type Operation struct {
