tracker, planner: critical paths from predicted run times

Cause: the remaining time of a job is computed from declared estimates, and a step wider than the fleet counts as one task. Ruled out: predictions in LongestPathMs; the objective is promised to callers by the declared estimates. Before/after: go test -race -count=1 ./tracker ./planner passes; nothing calls Predict yet. Conclusion: behavior unchanged without predictions.

--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -29,8 +29,13 @@
 type Job struct {
 	spec        *wire.Job
 	occurrences []*Occurrence
-	// remainingMs is the result of CriticalPathMs.
+	// remainingMs is the length of the longest chain that begins with each step,
+	// computed from the declared estimates.
 	remainingMs []int64
+	// predictedMs is the same computed from predicted run times, and
+	// predictedTaskMs the predicted run time of one task of each step; nil before
+	// Predict.
+	predictedMs, predictedTaskMs []int64
 	// assigned is the number of assigned tasks; assignments is nil if no index
 	// holds them.
 	assigned    int
@@ -55,7 +60,7 @@
 func New(job *wire.Job) *Job {
 	j := &Job{
 		spec:        job,
-		remainingMs: criticalPathMs(job.GetSteps()),
+		remainingMs: criticalPathMs(job.GetSteps(), declaredMs(job.GetSteps())),
 	}
 	for k := range occurrenceCount(job) {
 		j.occurrences = append(j.occurrences, j.newOccurrence(k))
@@ -150,20 +155,36 @@
 func (j *Job) AssignedTasks() int { return j.assigned }
 
 // CriticalPathMs returns the estimated length, in milliseconds, of the longest
-// chain of steps that begins with the given step.
-func (j *Job) CriticalPathMs(step int) int64 { return j.remainingMs[step] }
+// chain of steps that begins with the given step. It uses the predicted run times
+// if there are any; see Predict.
+func (j *Job) CriticalPathMs(step int) int64 {
+	if j.predictedMs != nil {
+		return j.predictedMs[step]
+	}
+	return j.remainingMs[step]
+}
 
-// LongestPathMs returns the estimated length, in milliseconds, of the job's longest
-// chain of steps.
+// LongestPathMs returns the length, in milliseconds, of the job's longest chain of
+// steps by the declared estimates, which the objective of the job is defined by.
 func (j *Job) LongestPathMs() int64 { return slices.Max(j.remainingMs) }
 
-// criticalPathMs returns the length of the longest chain for each step.
-func criticalPathMs(steps []*wire.JobStep) []int64 {
+// declaredMs returns the declared estimate of each step.
+func declaredMs(steps []*wire.JobStep) []int64 {
+	estimates := make([]int64, len(steps))
+	for i, step := range steps {
+		estimates[i] = step.GetEstimateMs()
+	}
+	return estimates
+}
+
+// criticalPathMs returns the length of the longest chain for each step from the
+// durations of the steps.
+func criticalPathMs(steps []*wire.JobStep, durations []int64) []int64 {
 	remaining := make([]int64, len(steps))
 	// Steps depend only on steps with lower indexes, so going backward the values
 	// of all dependent steps are final.
 	for i := len(steps) - 1; i >= 0; i-- {
-		remaining[i] += steps[i].GetEstimateMs()
+		remaining[i] += durations[i]
 		for _, earlier := range steps[i].GetAfter() {
 			remaining[earlier] = max(remaining[earlier], remaining[i])
 		}
