coordinator: learn run times and predict with them

Cause: the leader sees each end of a run and doesn't use its duration. Ruled out: learning from best-effort runs; they are paced, and the reports of used millicores (one each 0.5 s, none after the last) don't give their work. Learning from ends that arrive with the opening of a session, from runs that an earlier leader assigned and from runs with a checkpoint: their time or their work is not known. Storing the siblings: they matter only while a step runs. Change: object runTimes of the coordinator observes ends, predicts the open jobs each 0.5 s and stores .run_times in the topic progress, at most each 2 s and if changed. A new leader restores it; every leader skips the key when it loads the progress of jobs. Setting learned_run_times; metrics and a log line a minute show the errors of declared estimates and predictions. Before/after: go test -race -count=1 ./coordinator passes (117 s at a load average of 12). Conclusion: off by default; without the setting nothing is observed, stored or exported.

--- a/coordinator/closing.go
+++ b/coordinator/closing.go
@@ -57,6 +57,7 @@
 		return false
 	}
 	c.forgetSentSteps(job)
+	c.runTimes.forget(job)
 	delete(c.jobs, id)
 	delete(c.publishedStates, id)
 	c.closed[id] = now
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -78,6 +78,8 @@
 	LeaseDuration time.Duration
 	// MaxAppendBytes bounds one append to the log; damaskspread.MaxAppendBytes if 0.
 	MaxAppendBytes int
+	// LearnRunTimes makes predictions use run times that were observed.
+	LearnRunTimes bool
 	// StatusRetention is how long the status of a finished job is kept in the log.
 	StatusRetention time.Duration
 
@@ -124,6 +126,8 @@
 	openJobs, waitingSteps atomic.Int64
 	// cycleTime is how long the last cycle took without its append, in nanoseconds.
 	cycleTime atomic.Int64
+	// runTimes is nil unless LearnRunTimes is set.
+	runTimes *runTimes
 
 	progress    *writer
 	adviceCache *adviceCache
@@ -136,6 +140,9 @@
 	c.sessions = map[string]*session{}
 	c.histories = map[string]*hostHistory{}
 	c.changedJobs = map[string]bool{}
+	if c.LearnRunTimes {
+		c.runTimes = &runTimes{}
+	}
 }
 
 // StartLeading tells the coordinator that this process was elected leader of an
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -64,10 +64,11 @@
 	c.releaseLostTasks(cycle)
 	c.stopFinishedJobs(cycle)
 	c.observeUsage(cycle)
+	c.runTimes.predict(c.jobs, cycle.views, cycle.now)
 	c.plan(cycle, epoch)
 	c.migrate(cycle)
 	storing := c.Elapsed.Elapsed()
-	if err := c.storeProgress(ctx); err != nil {
+	if err := c.storeProgress(ctx, cycle.now); err != nil {
 		return err
 	}
 	stored := c.Elapsed.Elapsed()
@@ -204,8 +205,9 @@
 	}
 }
 
-// storeProgress appends the progress of all changed jobs to the log.
-func (c *Coordinator) storeProgress(ctx context.Context) error {
+// storeProgress appends the progress of all changed jobs, and the learned run times
+// if they are due, to the log.
+func (c *Coordinator) storeProgress(ctx context.Context, now time.Duration) error {
 	records := c.tombstones
 	c.tombstones = nil
 	for id, job := range c.jobs {
@@ -221,6 +223,13 @@
 			Value: value,
 		})
 	}
+	learned, err := c.runTimes.record(now)
+	if err != nil {
+		return err
+	}
+	if learned != nil {
+		records = append(records, learned)
+	}
 	if len(records) == 0 {
 		return nil
 	}
--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -47,10 +47,15 @@
 		return
 	}
 	firstFailure := t.Failures() == 0
+	resumed := t.Checkpoint() != ""
 	if !t.End(end, view.key.ID) {
 		return
 	}
 	c.recordEnd(view.key, end.GetCause(), firstFailure)
+	// An end that arrives with the opening of a session may be long past.
+	if !resumed && !view.opening {
+		c.runTimes.observe(t, c.Elapsed.Elapsed())
+	}
 	tracer.Write(&tracer.RunEnded{
 		Job:      t.ID().Job,
 		Task:     end.GetTask(),
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -15,8 +15,8 @@
 	"damaskspread.example/damaskspread/wire"
 )
 
-// progressTopic holds the progress of each job; only the leader writes it, and
-// only a new leader reads it.
+// progressTopic holds the progress of each job and the learned run times; only the
+// leader writes it, and only a new leader reads it.
 const progressTopic = "progress"
 
 // takeOver fences the earlier leader, then restores the jobs from the progress
@@ -33,6 +33,7 @@
 	c.statuses = newStatusWriter(statuses)
 	c.adviceCache = newAdviceCache(c)
 	c.Planner.Ticket = c.adviceCache.ticket
+	c.runTimes.reset()
 	stored, err := c.loadProgress(ctx)
 	if err != nil {
 		return err
@@ -63,7 +64,7 @@
 }
 
 // loadProgress returns the stored progress by job id, nil for a record that can't be
-// decoded.
+// decoded, and restores the learned run times.
 func (c *Coordinator) loadProgress(ctx context.Context) (map[string]*wire.JobProgress, error) {
 	stored := map[string]*wire.JobProgress{}
 	after := ""
@@ -74,6 +75,10 @@
 		}
 		for _, record := range page.GetRecords() {
 			after = record.GetKey()
+			if record.GetKey() == runTimesKey {
+				c.runTimes.restore(record)
+				continue
+			}
 			progress := &wire.JobProgress{}
 			if err := proto.Unmarshal(record.GetValue(), progress); err != nil {
 				log.Error().Str("job", record.GetKey()).Int64("offset", record.GetOffset()).Err(err).
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -81,6 +81,8 @@
 	advisor      *advisor
 	// maxAppendBytes is that of the coordinators started later; 0 is the default.
 	maxAppendBytes int
+	// learnRunTimes is that of the coordinators started later.
+	learnRunTimes bool
 	// announceInterval is the time between two heartbeats of an executor.
 	announceInterval time.Duration
 	// capacities checks that no start brings an executor over its capacity.
@@ -94,12 +96,13 @@
 }
 
 type entry struct {
-	name      string
-	client    *emulator.KeyedLogClient
-	elector   *elector.Elector
-	submitter *submitter.Submitter
-	tomb      *tomb.Tomb
-	server    *httptest.Server
+	name        string
+	client      *emulator.KeyedLogClient
+	elector     *elector.Elector
+	submitter   *submitter.Submitter
+	coordinator *coordinator.Coordinator
+	tomb        *tomb.Tomb
+	server      *httptest.Server
 	// disconnected makes the server break off each call after 500 ms.
 	disconnected atomic.Bool
 }
@@ -166,8 +169,10 @@
 		LeaseDuration:   lease,
 		StatusRetention: time.Minute,
 		MaxAppendBytes:  f.maxAppendBytes,
+		LearnRunTimes:   f.learnRunTimes,
 	}
 	c.Init()
+	e.coordinator = c
 	e.elector.OnLeadershipWon, e.elector.OnLeadershipLost, index.OnChange = c.StartLeading, c.StopLeading, c.JobsChanged
 	mux := http.NewServeMux()
 	mux.Handle(wireconnect.NewCoordinatorServiceHandler(c))
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -189,6 +189,7 @@
 		Elapsed:           e.process.elapsed,
 		LeaseDuration:     time.Duration(float64(s.Bounds().LeaseMax()) * leaseShare),
 		StatusRetention:   s.Bounds().StatusFor(),
+		LearnRunTimes:     s.Scheduling().LearnedRunTimes(),
 	}
 	if address := s.Peers().Advice(); address != "" {
 		e.coordinator.Advisor = &platform.AdviceClient{
--- a/launcher/health.go
+++ b/launcher/health.go
@@ -63,5 +63,17 @@
 	e.process.metricsSet.NewGauge("damaskspread_waiting_steps", func() float64 { return float64(e.coordinator.WaitingSteps()) })
 	e.process.metricsSet.NewGauge("damaskspread_log_calls_relayed_total", func() float64 { return float64(e.logRelayer.RelayedCalls()) })
 	e.process.metricsSet.NewGauge("damaskspread_requests_in_flight", func() float64 { return float64(e.inFlight.Load()) })
+	if e.Settings.Scheduling().LearnedRunTimes() {
+		e.addRunTimeMetrics()
+	}
 	return e.process.metricsSet
 }
+
+func (e *Entry) addRunTimeMetrics() {
+	stats := e.coordinator.RunTimeStats
+	set := e.process.metricsSet
+	set.NewGauge("damaskspread_run_times_observed_total", func() float64 { return float64(stats().Observed) })
+	set.NewGauge("damaskspread_run_time_kinds", func() float64 { return float64(stats().Kinds) })
+	set.NewGauge(monitor.MetricName("damaskspread_run_time_error", "estimate", "declared"), func() float64 { return stats().DeclaredError })
+	set.NewGauge(monitor.MetricName("damaskspread_run_time_error", "estimate", "predicted"), func() float64 { return stats().PredictedError })
+}
