Load estimate of the job queues, computed by the leader

Cause: entries can't predict how long a new job would wait, because only the leader knows the waiting work and how fast work ends. Ruled out: rates in actual core-seconds, which are not in the unit of the waiting work, so that wrong run times would not cancel out; the rate alone, because that of an idle queue says nothing about what the service can do; estimates while the leader's inputs are too old to plan, which would look current. Change: package appraiser computes one wire.LoadEstimate each 0.5 s from the open jobs, the hosts and the ends with DONE of the last 6 s; the coordinator calls it and serves it with GetLoad. QueueLoad has new fields 12 to 18 (running work, capacity, wait of best-effort steps, processors in use) and states which apply. At most 64 queues, those with the most waiting work. Without an Appraiser the coordinator does as before. Conclusion: nothing computes an estimate with the default settings.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -24,6 +24,7 @@
 	"gopkg.in/tomb.v2"
 
 	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/appraiser"
 	"damaskspread.example/damaskspread/elector"
 	"damaskspread.example/damaskspread/estimator"
 	"damaskspread.example/damaskspread/indexer"
@@ -68,6 +69,8 @@
 	Planner    *planner.Planner
 	// InterferenceModel learns the interference between images; nil disables it.
 	InterferenceModel *estimator.InterferenceModel
+	// Appraiser computes the load estimate for entries; with nil there is none.
+	Appraiser *appraiser.Appraiser
 	// Advisor is nil on deployments without admission advice.
 	Advisor damaskspread.StepAdvisor
 	Clock   damaskspread.Clock
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -73,6 +73,7 @@
 	stored := c.Elapsed.Elapsed()
 	defer func() { c.cycleTime.Store(int64(c.Elapsed.Elapsed() - started - (stored - storing))) }()
 	c.publish(cycle, epoch)
+	c.appraiseLoad(cycle)
 	c.openJobs.Store(int64(len(c.jobs)))
 	c.waitingSteps.Store(int64(len(c.waiting)))
 	c.publishStatuses()
--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -181,10 +181,3 @@
 		Leader: c.Elector.Leader(),
 	}), nil
 }
-
-// GetLoad implements wireconnect.CoordinatorServiceHandler.
-func (c *Coordinator) GetLoad(context.Context, *connect.Request[wire.GetLoadRequest]) (*connect.Response[wire.GetLoadResponse], error) {
-	return connect.NewResponse(&wire.GetLoadResponse{
-		Leader: c.Elector.Leader(),
-	}), nil
-}
--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -50,6 +50,7 @@
 	if !t.End(end, view.key.ID) {
 		return
 	}
+	c.recordDoneWork(t)
 	c.recordEnd(view.key, end.GetCause(), firstFailure)
 	tracer.Write(&tracer.RunEnded{
 		Job:      t.ID().Job,
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -41,6 +41,9 @@
 		return err
 	}
 	c.restore(stored)
+	if c.Appraiser != nil {
+		c.Appraiser.Begin(epoch, c.Elapsed.Elapsed())
+	}
 	c.mu.Lock()
 	c.leading = c.epoch == epoch
 	c.sessions = map[string]*session{}
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -15,6 +15,7 @@
 	"gopkg.in/tomb.v2"
 	"gotest.tools/v3/assert"
 
+	"damaskspread.example/damaskspread/appraiser"
 	"damaskspread.example/damaskspread/coordinator"
 	"damaskspread.example/damaskspread/elector"
 	"damaskspread.example/damaskspread/emulator"
@@ -160,6 +161,7 @@
 		Operations:      fixedOperations{},
 		Elector:         e.elector,
 		Planner:         &planner.Planner{},
+		Appraiser:       &appraiser.Appraiser{},
 		Advisor:         f.advisor,
 		Clock:           f.clock,
 		Elapsed:         f.elapsedClock,
