Entries read the leader's load estimate

Cause: an entry decides about new jobs by the estimate of another process, which may be old, of an earlier leader or missing. Ruled out: an age from wall clocks or from the arrival of the response, which may be too low; following referrals to leaders of a lower epoch, which two processes could send each other. Change: package poller implements damaskspread.LoadView. The launcher runs it with admission = yes only; metrics for the age and for failed calls. Conclusion: ready for admission; with the default settings nothing runs.

--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -20,6 +20,7 @@
 	"damaskspread.example/damaskspread/monitor"
 	"damaskspread.example/damaskspread/planner"
 	"damaskspread.example/damaskspread/platform"
+	"damaskspread.example/damaskspread/poller"
 	"damaskspread.example/damaskspread/relayer"
 	"damaskspread.example/damaskspread/submitter"
 	"damaskspread.example/damaskspread/tailer"
@@ -82,7 +83,9 @@
 	elector        *elector.Elector
 	coordinator    *coordinator.Coordinator
 	submitter      *submitter.Submitter
-	inFlight       atomic.Int64
+	// loadPoller is nil unless admission is on.
+	loadPoller *poller.Poller
+	inFlight   atomic.Int64
 }
 
 // Run serves until the context ends and then shuts down gracefully. It returns an
@@ -102,6 +105,9 @@
 	}
 	e.process.startAll(e.operationsTail.Run, e.jobsTail.Run, e.leadersTail.Run, e.elector.Run, e.coordinator.Run,
 		e.submitter.Run, e.logRelayer.Run, e.announce)
+	if e.loadPoller != nil {
+		e.process.startAll(e.loadPoller.Run)
+	}
 	select {
 	case <-ctx.Done():
 		e.stop()
@@ -196,6 +202,9 @@
 			HTTP:    connector.NewHTTPClient(),
 		}
 	}
+	if s.Scheduling().Admission() {
+		e.assembleLoad()
+	}
 	e.coordinator.Init()
 	e.elector.OnLeadershipWon = e.coordinator.StartLeading
 	e.elector.OnLeadershipLost = e.coordinator.StopLeading
--- a/launcher/health.go
+++ b/launcher/health.go
@@ -63,5 +63,9 @@
 	e.process.metricsSet.NewGauge("damaskspread_waiting_steps", func() float64 { return float64(e.coordinator.WaitingSteps()) })
 	e.process.metricsSet.NewGauge("damaskspread_log_calls_relayed_total", func() float64 { return float64(e.logRelayer.RelayedCalls()) })
 	e.process.metricsSet.NewGauge("damaskspread_requests_in_flight", func() float64 { return float64(e.inFlight.Load()) })
+	if e.loadPoller != nil {
+		e.process.metricsSet.NewGauge("damaskspread_load_estimate_age_seconds", e.loadPoller.AgeSeconds)
+		e.process.metricsSet.NewGauge("damaskspread_load_estimate_failed_calls_total", func() float64 { return float64(e.loadPoller.FailedCalls()) })
+	}
 	return e.process.metricsSet
 }
