--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -51,6 +51,7 @@
 	if !t.End(end, view.key.ID) {
 		return
 	}
+	c.recordDoneWork(t)
 	c.recordEnd(view.key, end.GetCause(), firstFailure)
 	// An end that arrives with the opening of a session may be long past.
 	if !resumed && !view.opening {
--- a/launcher/health.go
+++ b/launcher/health.go
@@ -66,6 +66,10 @@
 	if e.Settings.Scheduling().LearnedRunTimes() {
 		e.addRunTimeMetrics()
 	}
+	if e.loadPoller != nil {
+		e.process.metricsSet.NewGauge("damaskspread_load_estimate_age_seconds", e.loadPoller.AgeSeconds)
+		e.process.metricsSet.NewGauge("damaskspread_load_estimate_failed_calls_total", func() float64 { return float64(e.loadPoller.FailedCalls()) })
+	}
 	return e.process.metricsSet
 }
 
