Records of refusals and readmissions in the topic of jobs

Cause: a refusal has to hold against late and repeated appends, lagging indexes, deaths and restarts that see only the newest record of each key. The design page had four holes: a repair of a void acceptance after the response is lost with its entry; a repeated append of an accepted job above the refusal makes the job void in a new process; a late readmission runs after a second refusal; a readmission of an attempt that began before the refusal runs although its caller was refused. Ruled out: unconditional refusals compared by offsets (lose accepted jobs when all processes restart); one key for all readmissions (a late one replaces a valid one); readmission by the entry itself after an acceptance without effect (runs a job whose caller was refused). Change: a refusal is appended only where the topic ends as its entry has read it, so the job of the id's own key is void while a refusal exists. A readmission names the refusal in its key. Index.RemovalRecords covers all keys. Tailer.WaitFor waits for an offset without a read. Conclusion: reliable within the bounds that the design page states.

--- a/coordinator/closing.go
+++ b/coordinator/closing.go
@@ -41,7 +41,7 @@
 	for id, since := range c.closed {
 		if now-since > c.StatusRetention {
 			delete(c.closed, id)
-			c.statuses.add(indexer.RemovalRecords(id)...)
+			c.statuses.add(c.Index.RemovalRecords(id)...)
 		}
 	}
 }
--- a/indexer/indexer.go
+++ b/indexer/indexer.go
@@ -59,9 +59,9 @@
 	}, nil
 }
 
-// RemovalRecords returns tombstones (records without a value), which delete a job
-// from the log and from an Index.
-func RemovalRecords(id string) []*wire.KeyedRecord {
+// removalRecords returns tombstones (records without a value) of the keys that each
+// job may have.
+func removalRecords(id string) []*wire.KeyedRecord {
 	return []*wire.KeyedRecord{
 		{Key: id},
 		{Key: id + cancelSuffix},
@@ -71,9 +71,12 @@
 
 // JobEntry is a copy of the recorded job, cancellation and state of one job id.
 type JobEntry struct {
+	// job is the job in effect; nil if there is none.
 	job      *wire.Job
 	canceled bool
 	state    wire.JobState
+
+	refusals
 }
 
 // Job returns the accepted job. It must not be modified. It is nil while only a
@@ -119,6 +122,8 @@
 
 	mu      sync.RWMutex
 	entries map[string]*JobEntry
+	// refused has the ids with a recorded refusal.
+	refused map[string]bool
 }
 
 // Apply applies records, which must come in the order of the log. With reset, it
@@ -135,6 +140,7 @@
 	defer x.mu.Unlock()
 	if reset || x.entries == nil {
 		x.entries = map[string]*JobEntry{}
+		x.refused = map[string]bool{}
 	}
 	var ids []string
 	for _, record := range records {
@@ -154,6 +160,7 @@
 	}
 	if len(record.GetValue()) == 0 {
 		delete(x.entries, id)
+		delete(x.refused, id)
 		return id
 	}
 	entry := x.entries[id]
@@ -167,8 +174,13 @@
 	case statusSuffix:
 		entry.applyStatus(id, record.GetValue())
 	case ".":
-		entry.applyJob(id, record.GetValue())
+		if entry.submitted == nil {
+			entry.submitted = decodeJob(id, record.GetValue())
+		}
+	default:
+		x.applyRefusalKey(entry, id, kind, record)
 	}
+	entry.updateJob()
 	return id
 }
 
@@ -184,25 +196,23 @@
 	}
 }
 
-func (e *JobEntry) applyJob(id string, value []byte) {
-	// If an id is submitted again, the job that was accepted first is kept.
-	if e.job != nil {
-		return
-	}
+// decodeJob returns the job of a record, or nil if it can't be scheduled.
+func decodeJob(id string, value []byte) *wire.Job {
 	job := &wire.Job{}
 	if err := proto.Unmarshal(value, job); err != nil {
 		log.Error().Str("job", id).Err(err).Msg("job record ignored: it cannot be decoded")
-		return
+		return nil
 	}
 	if err := tracker.Validate(job); err != nil {
 		log.Error().Str("job", id).Err(err).Msg("job record ignored: the job is invalid")
-		return
+		return nil
 	}
-	e.job = job
+	return job
 }
 
 // Lookup returns the entry of an accepted job. It reports false if only a
-// cancellation or a state is recorded.
+// cancellation, a state or a refusal is recorded, or if the refusal leaves the
+// recorded job without effect.
 func (x *Index) Lookup(id string) (JobEntry, bool) {
 	x.mu.RLock()
 	defer x.mu.RUnlock()
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -61,6 +61,8 @@
 	// readProgress is that of the read that cancelRead cancels.
 	readProgress *damaskspread.Progress
 	waiters      []chan struct{}
+	// advanced is closed when the next offset changes; nil if nobody waits for it.
+	advanced chan struct{}
 }
 
 // Run follows the topic until the tomb dies.
@@ -104,6 +106,28 @@
 	return t.next
 }
 
+// WaitFor waits until the record at an offset was passed to Apply. It reads nothing
+// in addition to Run. The error is that of ctx.
+func (t *Tailer) WaitFor(ctx context.Context, offset int64) error {
+	for {
+		t.mu.Lock()
+		if t.ready && t.next > offset {
+			t.mu.Unlock()
+			return nil
+		}
+		if t.advanced == nil {
+			t.advanced = make(chan struct{})
+		}
+		advanced := t.advanced
+		t.mu.Unlock()
+		select {
+		case <-advanced:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // Refresh waits until a read that began after the call has reached the end of the
 // topic. It cancels a read that waits for new records. The error is that of ctx.
 func (t *Tailer) Refresh(ctx context.Context) error {
@@ -234,6 +258,10 @@
 	t.next = next
 	recovered := t.failing
 	t.failing = false
+	if t.advanced != nil {
+		close(t.advanced)
+		t.advanced = nil
+	}
 	var waiters []chan struct{}
 	if atEnd {
 		t.currentAsOf = started
