--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -157,6 +157,15 @@
 // chain of steps.
 func (j *Job) LongestPathMs() int64 { return slices.Max(j.remainingMs) }
 
+// LongestChainMs returns the estimated length, in milliseconds, of the longest chain
+// of dependent steps.
+func LongestChainMs(steps []*wire.JobStep) int64 {
+	if len(steps) == 0 {
+		return 0
+	}
+	return slices.Max(criticalPathMs(steps))
+}
+
 // criticalPathMs returns the length of the longest chain for each step.
 func criticalPathMs(steps []*wire.JobStep) []int64 {
 	remaining := make([]int64, len(steps))
