Admission: entries refuse jobs with 429 and Retry-After

Cause: callers learn that a job would end too late only by waiting, and are held until their deadline while the log is unavailable. Ruled out: a read for each acceptance (it waits for the next read of the tailer instead); one append for each refusal (they would fail each other's condition; concurrent ones share an append). Change: submitter screens jobs if admission = yes, records refusals, reads acceptances back and answers 503 at once while appends have failed for 1 s; the leader removes refusals after 2 minutes; event "job refused: it would end too late", finding would_end_too_late, metrics, settings in launcher. With admission = no nothing is called in addition. The launcher has no LoadView yet (noLoadView admits all). Conclusion: complete but for the reader of estimates; off by default.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -80,6 +80,9 @@
 	MaxAppendBytes int
 	// StatusRetention is how long the status of a finished job is kept in the log.
 	StatusRetention time.Duration
+	// RefusalRetention is how long the refusal of a job is kept in the log; 2 minutes
+	// if 0.
+	RefusalRetention time.Duration
 
 	mu sync.Mutex
 	// epoch is 0 while another process leads; leading is set once the takeover
@@ -229,6 +232,7 @@
 	var background sync.WaitGroup
 	background.Go(func() { c.statuses.run(term) })
 	background.Go(func() { c.adviceCache.run(term) })
+	background.Go(func() { c.removeRefusals(term) })
 	for c.currentEpoch() == epoch && ctx.Err() == nil {
 		if err := c.runCycle(term, epoch); err != nil {
 			log.Warn().Int64("epoch", epoch).Err(err).Msg("leadership ended: job progress could not be stored")
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -81,6 +82,9 @@
 	advisor      *advisor
 	// maxAppendBytes is that of the coordinators started later; 0 is the default.
 	maxAppendBytes int
+	// statusRetention and refusalRetention are those of the coordinators started
+	// later; 0 is a minute and the default.
+	statusRetention, refusalRetention time.Duration
 	// announceInterval is the time between two heartbeats of an executor.
 	announceInterval time.Duration
 	// capacities checks that no start brings an executor over its capacity.
@@ -164,8 +168,10 @@
 		Clock:           f.clock,
 		Elapsed:         f.elapsedClock,
 		LeaseDuration:   lease,
-		StatusRetention: time.Minute,
+		StatusRetention: cmp.Or(f.statusRetention, time.Minute),
 		MaxAppendBytes:  f.maxAppendBytes,
+
+		RefusalRetention: f.refusalRetention,
 	}
 	c.Init()
 	e.elector.OnLeadershipWon, e.elector.OnLeadershipLost, index.OnChange = c.StartLeading, c.StopLeading, c.JobsChanged
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -220,3 +220,22 @@
 		}
 	}
 }
+
+// Guards against a refusal of admission without the inputs that determined it.
+func TestRefusalForTooLateAnEnd(t *testing.T) {
+	text := logText(t, "entry", 0, &tracer.JobRefused{
+		Job:         job,
+		Queue:       "batch",
+		Recorded:    true,
+		Wait:        tracer.Milliseconds(30 * time.Second),
+		Path:        tracer.Milliseconds(2 * time.Second),
+		Limit:       tracer.Milliseconds(12 * time.Second),
+		RetryAfter:  tracer.Milliseconds(24 * time.Second),
+		EstimateAge: tracer.Milliseconds(400 * time.Millisecond),
+		Epoch:       7,
+	})
+	findings := explain(t, job, text).Findings()
+	assert.Equal(t, len(findings), 1)
+	assert.Equal(t, findings[0].Kind(), explainer.FindingTooLate)
+	assert.Equal(t, findings[0].Detail(), "queue batch: predicted wait 30s and run time 2s, admitted up to 12s together; retry after 24s; estimate of epoch 7 was up to 400ms old")
+}
--- a/explainer/findings.go
+++ b/explainer/findings.go
@@ -31,6 +31,7 @@
 // Kinds of findings, in the order in which a job can encounter them.
 const (
 	FindingRefused       FindingKind = "refused"
+	FindingTooLate       FindingKind = "would_end_too_late"
 	FindingSlowAppend    FindingKind = "slow_append"
 	FindingWaited        FindingKind = "waited_for_host"
 	FindingSlowOrder     FindingKind = "slow_order"
@@ -46,7 +47,7 @@
 )
 
 var kindOrder = []FindingKind{
-	FindingRefused, FindingSlowAppend, FindingWaited, FindingSlowOrder, FindingStartRefused, FindingStartRepeated,
+	FindingRefused, FindingTooLate, FindingSlowAppend, FindingWaited, FindingSlowOrder, FindingStartRefused, FindingStartRepeated,
 	FindingRunFailed, FindingRunStopped, FindingRunLost, FindingCrash, FindingPaced, FindingCanceled, FindingUnfinished,
 }
 
@@ -118,6 +119,9 @@
 		if time.Duration(e.Append) > slowAppendAbove {
 			c.add(FindingSlowAppend, line.Process(), "the log took %s for offset %d", e.Append, e.Offset)
 		}
+	case *tracer.JobRefused:
+		c.add(FindingTooLate, line.Process(), "queue %s: predicted wait %s and run time %s, admitted up to %s together; retry after %s; estimate of epoch %d was up to %s old%s",
+			e.Queue, e.Wait, e.Path, e.Limit, e.RetryAfter, e.Epoch, e.EstimateAge, refusalDetail(e))
 	case *tracer.JobCanceled:
 		c.add(FindingCanceled, "job", "by a caller, offset %d", e.Offset)
 	case *tracer.JobState:
@@ -171,6 +175,13 @@
 	}
 }
 
+func refusalDetail(e *tracer.JobRefused) string {
+	if !e.Recorded {
+		return "; not recorded in the log, so the job was accepted"
+	}
+	return ""
+}
+
 func crashDetail(e *tracer.CrashCounted) string {
 	if e.GivenUp {
 		return "; the job fails"
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,7 @@
 	"damaskspread.example/damaskspread/planner"
 	"damaskspread.example/damaskspread/platform"
 	"damaskspread.example/damaskspread/relayer"
+	"damaskspread.example/damaskspread/screener"
 	"damaskspread.example/damaskspread/submitter"
 	"damaskspread.example/damaskspread/tailer"
 	"damaskspread.example/damaskspread/validator"
@@ -138,6 +140,13 @@
 		Clock:         e.Clock,
 		VisibleWithin: s.Bounds().VisibleWithin(),
 	}
+	if scheduling := s.Scheduling(); scheduling.Admission() {
+		e.submitter.Screener = &screener.Screener{
+			FromPriority: scheduling.AdmissionFromPriority(),
+			Random:       rand.Float64,
+		}
+		e.submitter.Load = noLoadView{}
+	}
 	e.submitter.Init()
 	e.assembleScheduling()
 }
--- a/launcher/health.go
+++ b/launcher/health.go
@@ -63,5 +63,11 @@
 	e.process.metricsSet.NewGauge("damaskspread_waiting_steps", func() float64 { return float64(e.coordinator.WaitingSteps()) })
 	e.process.metricsSet.NewGauge("damaskspread_log_calls_relayed_total", func() float64 { return float64(e.logRelayer.RelayedCalls()) })
 	e.process.metricsSet.NewGauge("damaskspread_requests_in_flight", func() float64 { return float64(e.inFlight.Load()) })
+	e.process.metricsSet.NewGauge("damaskspread_admission_without_estimate", func() float64 {
+		if e.submitter.EstimateMissing() {
+			return 1
+		}
+		return 0
+	})
 	return e.process.metricsSet
 }
--- a/submitter/committer.go
+++ b/submitter/committer.go
@@ -55,6 +55,22 @@
 	// oldest first, including those of an append in flight.
 	pending []*queuedRecord
 	wake    chan struct{}
+	// failingSince is when the first append after the last success began; zero if it
+	// has not failed.
+	failingSince time.Time
+	failure      error
+}
+
+// unavailable returns the error of the latest append if appends have failed for longer
+// than the given time and one is being repeated now; otherwise nil. Without a record
+// to repeat, the next one has to find out whether the log is available again.
+func (c *batchAppender) unavailable(after time.Duration) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failingSince.IsZero() || len(c.pending) == 0 || c.clock.Since(c.failingSince) <= after {
+		return nil
+	}
+	return c.failure
 }
 
 // add queues a record for the next append.
@@ -115,7 +131,9 @@
 			}
 			continue
 		}
+		began := c.clock.Now()
 		result, outcomeCertain, err := c.appendHedged(ctx, batch)
+		c.recordHealth(began, err)
 		c.complete(batch, result, outcomeCertain, err)
 		if err == nil {
 			delay = minRetryDelay
@@ -127,6 +145,19 @@
 	return nil
 }
 
+// recordHealth records since when appends have failed.
+func (c *batchAppender) recordHealth(began time.Time, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failure = err
+	switch {
+	case err == nil:
+		c.failingSince = time.Time{}
+	case c.failingSince.IsZero():
+		c.failingSince = began
+	}
+}
+
 // complete ends the calls of an appended batch. After a failed append its records
 // stay pending and are appended again.
 func (c *batchAppender) complete(batch []*queuedRecord, result *wire.AppendResult, outcomeCertain bool, err error) {
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -5,19 +5,27 @@
 // A job is accepted once its record is in the log. The key of the record is the
 // caller's job id, so a repeated submission has no further effect.
 //
+// With admission, a job that would end too late is refused: the refusal is recorded
+// before the caller is told, and a job is accepted only once the index shows that no
+// other entry has refused it. docs/design/scarce_capacity.md has the records.
+//
 // A Submitter owns the records that are not yet in the log. Run is one goroutine;
-// it waits for records and for the log. Calls wait in the goroutines of their
+// it waits for records and for the log. While refusals are recorded there is one
+// goroutine more; it ends by itself. Calls wait in the goroutines of their
 // callers.
 package submitter
 
 import (
 	"context"
+	"errors"
+	"sync/atomic"
 	"time"
 
 	"gopkg.in/tomb.v2"
 
 	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/indexer"
+	"damaskspread.example/damaskspread/screener"
 	"damaskspread.example/damaskspread/tailer"
 	"damaskspread.example/damaskspread/tracer"
 	"damaskspread.example/damaskspread/tracker"
@@ -39,8 +47,14 @@
 	// VisibleWithin is how long after its acceptance a job may be missing at
 	// other entry processes. QueuedCount refuses if its list of jobs is older.
 	VisibleWithin time.Duration
-
-	appender batchAppender
+	// Screener decides which jobs are refused; nil disables admission. Load has the
+	// estimates that it needs.
+	Screener *screener.Screener
+	Load     damaskspread.LoadView
+
+	appender        batchAppender
+	refuser         refusalAppender
+	estimateMissing atomic.Bool
 }
 
 // Init makes the submitter ready for calls. Calls before Run wait for Run.
@@ -48,6 +62,9 @@
 	s.appender.log = s.Log
 	s.appender.clock = s.Clock
 	s.appender.wake = make(chan struct{}, 1)
+	s.refuser.log = s.Log
+	s.refuser.index = s.Index
+	s.refuser.tail = s.Tail
 }
 
 // Run appends the records of calls until the tomb dies.
@@ -60,27 +77,55 @@
 		return damaskspread.NotRun(damaskspread.ReasonBadRequest, "%v", err)
 	}
 	if _, known := s.Index.Lookup(job.GetId()); known {
-		tracer.Write(&tracer.JobRepeated{
-			Job: job.GetId(),
-		})
+		writeRepeated(job)
 		return nil
 	}
 	s.applyPolicy(queue, job)
-	record, err := indexer.JobRecord(job)
+	// The record names the refusal that this attempt overrides. It must not name one
+	// that is recorded later, because its caller may then be told of that one alone.
+	record, err := s.Index.AcceptanceRecord(job)
 	if err != nil {
 		return damaskspread.NotRun(damaskspread.ReasonBadRequest, "%v", err)
 	}
+	if s.Screener != nil {
+		if err := s.screen(ctx, job); errors.Is(err, errAcceptedBefore) {
+			writeRepeated(job)
+			return nil
+		} else if err != nil {
+			return err
+		}
+	}
+	return s.accept(ctx, job, record)
+}
+
+func writeRepeated(job *wire.Job) {
+	tracer.Write(&tracer.JobRepeated{
+		Job: job.GetId(),
+	})
+}
+
+// accept returns nil once the job is in the log and in effect.
+func (s *Submitter) accept(ctx context.Context, job *wire.Job, record *wire.KeyedRecord) error {
 	started := s.Clock.Now()
 	offset, err := s.append(ctx, record)
 	if err != nil {
 		return err
 	}
+	appended := s.Clock.Since(started)
+	var confirmed time.Duration
+	if s.mayBeRefused(job) {
+		if err := s.confirm(ctx, job, offset); err != nil {
+			return err
+		}
+		confirmed = s.Clock.Since(started) - appended
+	}
 	tracer.Write(&tracer.JobAccepted{
-		Job:    job.GetId(),
-		Queue:  queue.GetName(),
-		Offset: offset,
-		Steps:  len(job.GetSteps()),
-		Append: tracer.Milliseconds(s.Clock.Since(started)),
+		Job:     job.GetId(),
+		Queue:   job.GetQueue(),
+		Offset:  offset,
+		Steps:   len(job.GetSteps()),
+		Append:  tracer.Milliseconds(appended),
+		Confirm: tracer.Milliseconds(confirmed),
 	})
 	return nil
 }
@@ -122,6 +167,10 @@
 	if maybeAppended {
 		return damaskspread.Unknown(damaskspread.ReasonAppendUnknown, "%v", cause)
 	}
+	return logUnavailable(cause)
+}
+
+func logUnavailable(cause error) error {
 	refusal := damaskspread.NotRun(damaskspread.ReasonLogUnavailable, "%v", cause)
 	refusal.RetryAfter = retryAfter
 	return refusal
--- a/tracer/counters.go
+++ b/tracer/counters.go
@@ -22,6 +22,14 @@
 	switch e := event.(type) {
 	case *JobAccepted:
 		c.observe("damaskspread_append_seconds", e.Append)
+	case *JobRefused:
+		// The queue is configured by operators, so the label has few values.
+		if e.Recorded {
+			c.count("damaskspread_jobs_refused_total", "queue", e.Queue)
+			c.observe("damaskspread_refusal_seconds", e.Append)
+		} else {
+			c.count("damaskspread_refusals_not_recorded_total", "queue", e.Queue)
+		}
 	case *TaskStarted:
 		c.observe("damaskspread_start_order_seconds", e.Age)
 	case *RequestRefused:
--- a/tracer/events.go
+++ b/tracer/events.go
@@ -49,6 +49,7 @@
 // Kinds of events.
 const (
 	KindJobAccepted    Kind = "job accepted"
+	KindJobRefused     Kind = "job refused: it would end too late"
 	KindJobRepeated    Kind = "job was accepted before"
 	KindJobCanceled    Kind = "job canceled"
 	KindJobState       Kind = "job state changed"
@@ -75,6 +76,31 @@
 	Steps  int    `json:"steps"`
 	// Append is the duration of the append.
 	Append Milliseconds `json:"append_ms"`
+	// Confirm is the time until the index showed that no other entry has refused
+	// the job; 0 without admission.
+	Confirm Milliseconds `json:"confirm_ms,omitempty"`
+}
+
+// JobRefused means that admission decided to refuse a job, as it is predicted to end
+// too late to be of use.
+type JobRefused struct {
+	Job   string `json:"job"`
+	Queue string `json:"queue"`
+	// Recorded is false if the log could not record the refusal, so that the job
+	// is accepted.
+	Recorded bool  `json:"recorded"`
+	Offset   int64 `json:"offset"`
+	// Wait and Path are the predicted wait and the run time that counts; Limit is
+	// the largest sum of both that is admitted.
+	Wait       Milliseconds `json:"predicted_wait_ms"`
+	Path       Milliseconds `json:"path_ms"`
+	Limit      Milliseconds `json:"limit_ms"`
+	RetryAfter Milliseconds `json:"retry_after_ms"`
+	// EstimateAge and Epoch are those of the load estimate.
+	EstimateAge Milliseconds `json:"estimate_age_ms"`
+	Epoch       int64        `json:"epoch"`
+	// Append is the time that recording took.
+	Append Milliseconds `json:"append_ms"`
 }
 
 // JobRepeated means that a submitted job is already in the log, so nothing was
@@ -260,6 +286,7 @@
 }
 
 func (*JobAccepted) kind() Kind    { return KindJobAccepted }
+func (*JobRefused) kind() Kind     { return KindJobRefused }
 func (*JobRepeated) kind() Kind    { return KindJobRepeated }
 func (*JobCanceled) kind() Kind    { return KindJobCanceled }
 func (*JobState) kind() Kind       { return KindJobState }
@@ -278,6 +305,7 @@
 func (*CrashCounted) kind() Kind   { return KindCrashCounted }
 
 func (e *JobAccepted) job() string    { return e.Job }
+func (e *JobRefused) job() string     { return e.Job }
 func (e *JobRepeated) job() string    { return e.Job }
 func (e *JobCanceled) job() string    { return e.Job }
 func (e *JobState) job() string       { return e.Job }
@@ -298,6 +326,7 @@
 // newEventByKind maps each kind to the constructor of an empty event.
 var newEventByKind = map[Kind]func() Event{
 	KindJobAccepted:    func() Event { return &JobAccepted{} },
+	KindJobRefused:     func() Event { return &JobRefused{} },
 	KindJobRepeated:    func() Event { return &JobRepeated{} },
 	KindJobCanceled:    func() Event { return &JobCanceled{} },
 	KindJobState:       func() Event { return &JobState{} },
