--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -84,6 +85,9 @@
 	maxAppendBytes int
 	// learnRunTimes is that of the coordinators started later.
 	learnRunTimes bool
+	// statusRetention and refusalRetention are those of the coordinators started
+	// later; 0 is a minute and the default.
+	statusRetention, refusalRetention time.Duration
 	// announceInterval is the time between two heartbeats of an executor.
 	announceInterval time.Duration
 	// capacities checks that no start brings an executor over its capacity.
@@ -169,9 +173,11 @@
 		Clock:           f.clock,
 		Elapsed:         f.elapsedClock,
 		LeaseDuration:   lease,
-		StatusRetention: time.Minute,
+		StatusRetention: cmp.Or(f.statusRetention, time.Minute),
 		MaxAppendBytes:  f.maxAppendBytes,
 		LearnRunTimes:   f.learnRunTimes,
+
+		RefusalRetention: f.refusalRetention,
 	}
 	c.Init()
 	e.coordinator = c
--- a/launcher/health.go
+++ b/launcher/health.go
@@ -70,6 +70,12 @@
 		e.process.metricsSet.NewGauge("damaskspread_load_estimate_age_seconds", e.loadPoller.AgeSeconds)
 		e.process.metricsSet.NewGauge("damaskspread_load_estimate_failed_calls_total", func() float64 { return float64(e.loadPoller.FailedCalls()) })
 	}
+	e.process.metricsSet.NewGauge("damaskspread_admission_without_estimate", func() float64 {
+		if e.submitter.EstimateMissing() {
+			return 1
+		}
+		return 0
+	})
 	return e.process.metricsSet
 }
 
--- a/launcher/load.go
+++ b/launcher/load.go
@@ -21,4 +21,5 @@
 		Clock:   e.Clock,
 		Elapsed: e.process.elapsed,
 	}
+	e.submitter.Load = e.loadPoller
 }
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -177,6 +177,15 @@
 	return estimates
 }
 
+// LongestChainMs returns the estimated length, in milliseconds, of the longest chain
+// of dependent steps.
+func LongestChainMs(steps []*wire.JobStep) int64 {
+	if len(steps) == 0 {
+		return 0
+	}
+	return slices.Max(criticalPathMs(steps, declaredMs(steps)))
+}
+
 // criticalPathMs returns the length of the longest chain for each step from the
 // durations of the steps.
 func criticalPathMs(steps []*wire.JobStep, durations []int64) []int64 {
