Order and preemption by the cost of waiting

Cause: planner.Order lets overdue jobs of an urgent queue start before jobs of another queue that are still of use, and Preempt chooses victims by priority and age, not by what is lost. Both fields are off by default.

--- a/planner/host.go
+++ b/planner/host.go
@@ -46,7 +46,9 @@
 	// ordered to stop.
 	stoppingRequested wire.Resources
 	// assigned are the tasks on the host that were not ordered to stop.
-	assigned             []*tracker.Task
+	assigned []*tracker.Task
+	// candidates is the result of victimCandidates, nil before the first use.
+	candidates           []victim
 	servingMillicores    int64
 	bestEffortMillicores int64
 	// tasksByGroup counts tasks by the name of their group.
--- a/planner/order.go
+++ b/planner/order.go
@@ -54,8 +54,7 @@
 // sortKeyOf compares the remaining work of the job with its objective. A
 // long-running step has no end and is therefore never late.
 func sortKeyOf(g *tracker.Group, nowUnixMs int64) sortKey {
-	job := g.Job().Spec()
-	objective := int64(float64(g.Job().LongestPathMs())*job.GetStretch()) + job.GetObjectiveMs()
+	objective := objectiveMs(g.Job())
 	start := earliestStartMs(g)
 	key := sortKey{
 		group:      g,
@@ -73,6 +72,11 @@
 	return key
 }
 
+// objectiveMs returns the response time that the queue of the job promises.
+func objectiveMs(j *tracker.Job) int64 {
+	return int64(float64(j.LongestPathMs())*j.Spec().GetStretch()) + j.Spec().GetObjectiveMs()
+}
+
 // earliestStartMs returns the time, in Unix milliseconds, at which the occurrence
 // of the group could begin.
 func earliestStartMs(g *tracker.Group) int64 {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -39,6 +39,10 @@
 	// Ticket returns an executor's permission to run a step, and whether there is
 	// one. With nil, jobs that need admission advice are never placed.
 	Ticket func(step, executor string) (string, bool)
+	// CostOrder makes Order sort by the cost of waiting instead of deadlines.
+	CostOrder bool
+	// LostWork makes ChooseVictims choose the victims that lose least.
+	LostWork bool
 }
 
 // Plan assigns the tasks that can start now and adds them to their hosts. The
