Leader orders and preempts by cost where settings say so

Cause: after an outage, work that is worth nothing any more ran before work that is still of use, and logs didn't tell why a step waits behind another. Change: [scheduling] order and preemption are wired; "tasks wait for a host" has the cost of waiting and that of the step that went first; explain shows both.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -29,6 +29,7 @@
 	"damaskspread.example/damaskspread/indexer"
 	"damaskspread.example/damaskspread/planner"
 	"damaskspread.example/damaskspread/tailer"
+	"damaskspread.example/damaskspread/tracer"
 	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
 )
@@ -111,6 +112,9 @@
 	publishedStates map[string]wire.JobState
 	// waiting are the steps with tasks that wait for a host, by Group.Name.
 	waiting map[string]*waitingStep
+	// firstCosts has the latest step that was started, by service, if steps are
+	// ordered by cost.
+	firstCosts map[string]*tracer.WaitCost
 	// heldUntil are jobs whose progress could not be decoded. None of their tasks
 	// starts before the leases of the runs that an earlier leader started are over.
 	heldUntil map[string]time.Duration
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -18,9 +18,11 @@
 	}
 	cycle.hosts = c.hosts(cycle)
 	groups := c.readyGroups(cycle)
-	planner.Order(groups, c.Clock.Now().UnixMilli())
+	c.Planner.Order(groups, c.Clock.Now().UnixMilli())
 	c.adviceCache.requestMissing(groups, cycle.hosts)
-	for _, assignment := range c.Planner.Plan(groups, cycle.hosts) {
+	assignments := c.Planner.Plan(groups, cycle.hosts)
+	c.recordFirstCost(assignments)
+	for _, assignment := range assignments {
 		view := cycle.byKey[assignment.Host.Key]
 		assignment.Task.Assign(view.key, view.host, assignment.Run, cycle.now)
 		c.addStartOrder(view, assignment.Task)
@@ -54,7 +56,7 @@
 		if t == nil {
 			continue
 		}
-		victims := c.Planner.Preempt(group, t, cycle.hosts, cycle.now)
+		victims := c.Planner.ChooseVictims(group, t, cycle.hosts, cycle.now, c.Clock.Now().UnixMilli())
 		for _, victim := range victims {
 			c.preemptTask(cycle, victim, t)
 		}
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -11,6 +11,7 @@
 	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/elector"
 	"damaskspread.example/damaskspread/indexer"
+	"damaskspread.example/damaskspread/tracer"
 	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
 )
@@ -104,6 +105,7 @@
 	c.orphans = map[tracker.ExecutorKey]orphan{}
 	c.suspicions = map[tracker.ExecutorKey]*suspicion{}
 	c.waiting = map[string]*waitingStep{}
+	c.firstCosts = map[string]*tracer.WaitCost{}
 	c.heldUntil = map[string]time.Duration{}
 	c.closing = nil
 	c.tombstones = nil
--- a/coordinator/waiting.go
+++ b/coordinator/waiting.go
@@ -49,11 +49,46 @@
 			Waited:    tracer.Milliseconds(cycle.now - step.since),
 			Epoch:     epoch,
 			Obstacles: obstacleCounts(c.Planner.Obstacles(group, first, cycle.hosts)),
+			Cost:      c.waitCost(group),
+			First:     c.firstCosts[group.Job().Spec().GetService()],
 		})
 	}
 	c.waiting = waiting
 }
 
+// recordFirstCost keeps, for each service, the cost of the step that the cycle
+// starts first, for the reports of the steps that wait longer.
+func (c *Coordinator) recordFirstCost(assignments []planner.Assignment) {
+	if !c.Planner.CostOrder {
+		return
+	}
+	seen := map[string]bool{}
+	for _, assignment := range assignments {
+		if service := assignment.Host.Service; !seen[service] {
+			seen[service] = true
+			c.firstCosts[service] = c.waitCost(assignment.Task.Group())
+		}
+	}
+}
+
+// waitCost describes the cost of waiting of a step, with its inputs. It is nil if
+// steps are not ordered by cost.
+func (c *Coordinator) waitCost(group *tracker.Group) *tracer.WaitCost {
+	if !c.Planner.CostOrder {
+		return nil
+	}
+	waiting := planner.WaitingOf(group, c.Clock.Now().UnixMilli())
+	cost := planner.CostOf(waiting)
+	return &tracer.WaitCost{
+		Step:     group.Name(),
+		Priority: cost.Priority,
+		Class:    cost.Class.String(),
+		Amount:   cost.Amount,
+		Slack:    tracer.Milliseconds(waiting.Slack()),
+		Work:     waiting.Work,
+	}
+}
+
 // firstPending returns the first task of a group that is not assigned, or nil.
 func firstPending(group *tracker.Group) *tracker.Task {
 	for _, t := range group.Tasks() {
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -123,6 +123,20 @@
 			kind: explainer.FindingWaited, subject: job + ".0.0",
 			detail: "2 tasks for 1s at the leader of epoch 9; hosts: 3 processors, 1 memory",
 		},
+		"waited behind a more costly step": {
+			events: []tracer.Event{&tracer.TasksWaiting{
+				Job: job, Step: job + ".0.0", Tasks: 2, Waited: tracer.Milliseconds(time.Second), Epoch: 9,
+				Obstacles: map[string]int{"processors": 3},
+				Cost: &tracer.WaitCost{
+					Step: job + ".0.0", Priority: 2, Class: "late", Amount: 0.125, Slack: tracer.Milliseconds(-time.Second), Work: 4,
+				},
+				First: &tracer.WaitCost{Step: "k.0.1", Priority: 2, Class: "on_time", Amount: 0.5, Slack: tracer.Milliseconds(2 * time.Second), Work: 1.5},
+			}},
+			kind: explainer.FindingWaited, subject: job + ".0.0",
+			detail: "2 tasks for 1s at the leader of epoch 9; hosts: 3 processors; " +
+				"cost of waiting: priority 2, late, 0.125 (slack -1s, 4 core-seconds left); " +
+				"k.0.1 went first: priority 2, on_time, 0.5 (slack 2s, 1.5 core-seconds left)",
+		},
 		"slow start": {
 			events: []tracer.Event{&tracer.TaskStarted{Job: job, Task: task, Run: 1, Age: tracer.Milliseconds(time.Second)}},
 			kind:   explainer.FindingSlowOrder, subject: "p", detail: task + " run 1 started 1s after its decision",
--- a/explainer/findings.go
+++ b/explainer/findings.go
@@ -126,8 +126,8 @@
 		c.add(FindingRefused, line.Process(), "%s %d %s (%s): %s; configuration %d was up to %s old",
 			e.Method, e.Status, e.Reason, e.Outcome, e.Error, e.ConfigVersion, e.ConfigAge)
 	case *tracer.TasksWaiting:
-		c.add(FindingWaited, e.Step, "%d tasks for %s at the leader of epoch %d; hosts: %s",
-			e.Tasks, e.Waited, e.Epoch, formatObstacles(e.Obstacles))
+		c.add(FindingWaited, e.Step, "%d tasks for %s at the leader of epoch %d; hosts: %s%s",
+			e.Tasks, e.Waited, e.Epoch, formatObstacles(e.Obstacles), waitCostDetail(e))
 	default:
 		c.addRunEvent(line, event)
 	}
@@ -189,6 +189,22 @@
 	}
 }
 
+func waitCostDetail(e *tracer.TasksWaiting) string {
+	if e.Cost == nil {
+		return ""
+	}
+	detail := "; cost of waiting: " + formatWaitCost(e.Cost)
+	if e.First != nil && e.First.Step != e.Step {
+		detail += "; " + e.First.Step + " went first: " + formatWaitCost(e.First)
+	}
+	return detail
+}
+
+func formatWaitCost(cost *tracer.WaitCost) string {
+	return fmt.Sprintf("priority %d, %s, %.4g (slack %s, %.4g core-seconds left)",
+		cost.Priority, cost.Class, cost.Amount, cost.Slack, cost.Work)
+}
+
 // formatObstacles lists the number of hosts by obstacle, the most frequent first.
 func formatObstacles(counts map[string]int) string {
 	names := make([]string, 0, len(counts))
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -182,7 +182,9 @@
 		Operations: e.config,
 		Elector:    e.elector,
 		Planner: &planner.Planner{
-			Weight: interferenceModel.Weight,
+			Weight:    interferenceModel.Weight,
+			CostOrder: s.Scheduling().CostOrder(),
+			LostWork:  s.Scheduling().LostWorkPreemption(),
 		},
 		InterferenceModel: interferenceModel,
 		Clock:             e.Clock,
--- a/tracer/events.go
+++ b/tracer/events.go
@@ -131,6 +131,22 @@
 	Waited    Milliseconds   `json:"waited_ms"`
 	Epoch     int64          `json:"epoch"`
 	Obstacles map[string]int `json:"obstacles"`
+	// Cost is set if steps are ordered by their cost of waiting. First is then the
+	// step of the service that was started first in the latest cycle with a start.
+	Cost  *WaitCost `json:"cost,omitempty"`
+	First *WaitCost `json:"first,omitempty"`
+}
+
+// WaitCost is the cost of waiting of a step, with its inputs: the priority of its
+// queue, the slack of its job (negative if late) and the core-seconds that the job
+// still needs. Steps start by class and amount; see planner.Cost.
+type WaitCost struct {
+	Step     string       `json:"step"`
+	Priority int32        `json:"priority"`
+	Class    string       `json:"class"`
+	Amount   float64      `json:"amount"`
+	Slack    Milliseconds `json:"slack_ms"`
+	Work     float64      `json:"core_s"`
 }
 
 // StartRepeated means that the leader sends a start order again because the
