--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -88,6 +88,8 @@
 	// statusRetention and refusalRetention are those of the coordinators started
 	// later; 0 is a minute and the default.
 	statusRetention, refusalRetention time.Duration
+	// costOrder is that of the planners of coordinators started later.
+	costOrder bool
 	// announceInterval is the time between two heartbeats of an executor.
 	announceInterval time.Duration
 	// capacities checks that no start brings an executor over its capacity.
@@ -167,7 +169,7 @@
 		JobsTail:        jobs,
 		Operations:      fixedOperations{},
 		Elector:         e.elector,
-		Planner:         &planner.Planner{},
+		Planner:         &planner.Planner{CostOrder: f.costOrder},
 		Appraiser:       &appraiser.Appraiser{},
 		Advisor:         f.advisor,
 		Clock:           f.clock,
