tracker, planner: bounded wait of best-effort tasks

Cause: beside services whose latency swings around 0.85 of their target, best-effort steps wait without end: the hosts that are not near their target are predicted to be too slow. Ruled out: relaxing the required speed without a floor (a step of 20 tasks would start all of them on a few hosts); forcing on a host above its target while a better one only has to be measured. Change: the wait of a step is stored (StepProgress.ready_unix_ms) and counted on the monotonic clock. Planner.BestEffortWait (0 = off) lowers the required speed from half of the wait on, limits the pace of such starts, and at the bound forces the start of one task of a job without a run in progress, at most one for each host until three reports show it. LatencyHistory has the median of a host's last three reports. Conclusion: the load that starved starts within the bound; nothing changes at 0 (TestBestEffortStepsWaitWithoutBound).

--- a/planner/host.go
+++ b/planner/host.go
@@ -28,6 +28,13 @@
 	// NearTarget means that a serving task on the host is near or above its
 	// target latency. The host gets no more best-effort tasks.
 	NearTarget bool
+	// Margin is how far the latency of the host's serving tasks is below their
+	// target, as a share of it; negative above the target, 1 without serving tasks.
+	// Only forced starts use it.
+	Margin float64
+	// ForcedUnmeasured means that the effect of a forced start on the host isn't
+	// measured yet. The host gets no further one.
+	ForcedUnmeasured bool
 	// Suspect means that tasks failed repeatedly on the host. It gets one task
 	// at a time as a probe. Tasks assigned at ProbesFrom (monotonic time) or later
 	// count as probes.
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -4,9 +4,10 @@
 // scheduler and placer place the tasks that are submitted singly, not as part of
 // a job.
 //
-// A plan depends only on the waiting tasks, the hosts and the two functions in
+// A plan depends only on the waiting tasks, the hosts and the fields of
 // Planner. The package has no network, no clock, no goroutines and no state
-// between cycles; the caller builds the hosts anew for each cycle.
+// between cycles; the caller builds the hosts anew for each cycle, and keeps a
+// LatencyHistory of each.
 //
 // A serving task has a target latency. A best-effort task runs on processors
 // that other tasks request but don't use. A long-running task has no end of its
@@ -15,6 +16,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
@@ -27,6 +29,14 @@
 	Host  *Host
 	Run   int32
 	Group string
+	// Percent is the pace with which the run begins; 0 if it is not limited.
+	Percent int32
+	// Forced means that only the bound of the wait let the task start. Waited is the
+	// wait of its step and Speed the predicted share of its requested processors;
+	// both are set if Percent is.
+	Forced bool
+	Waited time.Duration
+	Speed  float64
 }
 
 // Planner holds the inputs of a plan that don't change with each cycle. It may
@@ -39,6 +49,9 @@
 	// Ticket returns an executor's permission to run a step, and whether there is
 	// one. With nil, jobs that need admission advice are never placed.
 	Ticket func(step, executor string) (string, bool)
+	// BestEffortWait is the wait after which the start of a best-effort task that
+	// fits by capacity is forced; 0 leaves the wait unbounded.
+	BestEffortWait time.Duration
 }
 
 // Plan assigns the tasks that can start now and adds them to their hosts. The
@@ -54,7 +67,7 @@
 			plan = append(plan, p.planGang(group, hosts)...)
 		}
 	}
-	return plan
+	return append(plan, p.planForced(groups, hosts, plan)...)
 }
 
 // planTasks assigns waiting tasks of the group.
@@ -77,17 +90,19 @@
 			}
 			continue
 		}
+		assignment := Assignment{
+			Task:  task,
+			Host:  host,
+			Run:   task.Run() + 1,
+			Group: groupName,
+		}
+		p.limitStart(&assignment, group)
 		host.AddPlanned(groupName, group.Step())
 		host.probation.addPlanned(task)
 		if group.Step().GetSameRack() {
 			rack = host.Rack()
 		}
-		plan = append(plan, Assignment{
-			Task:  task,
-			Host:  host,
-			Run:   task.Run() + 1,
-			Group: groupName,
-		})
+		plan = append(plan, assignment)
 	}
 	return plan
 }
@@ -156,7 +171,7 @@
 }
 
 // minSpeed is the share of its requested processors that a best-effort task must
-// be predicted to get; otherwise it waits.
+// be predicted to get; otherwise it waits. It decreases with BestEffortWait.
 const minSpeed = 0.5
 
 // Weights and penalties of the placement score, relative to the idle share of a
--- a/tracker/crash.go
+++ b/tracker/crash.go
@@ -74,6 +74,7 @@
 	if counts {
 		t.countCrash(run)
 	}
+	t.endWait()
 	t.Release()
 	return counts
 }
--- a/tracker/progress.go
+++ b/tracker/progress.go
@@ -30,6 +30,7 @@
 			o.restoreDone(s)
 			continue
 		}
+		o.waits[s].readyUnixMs = step.GetReadyUnixMs()
 		for i, progress := range step.GetTasks() {
 			if i < len(o.steps[s]) {
 				o.steps[s][i].restore(progress, executors)
@@ -75,8 +76,8 @@
 }
 
 // Progress returns the state of the job to store, for Restore. It leaves out what
-// Restore does not need: occurrences and steps of which no task has started, the
-// tasks of steps that are done, and where tasks ran that have ended. Each executor
+// Restore does not need: occurrences and steps of which no task has started and no
+// wait is counted, the tasks of steps that are done, and where tasks ran that have ended. Each executor
 // is described once, since it may run many tasks of the job.
 func (j *Job) Progress() *wire.JobProgress {
 	w := progressWriter{
@@ -98,26 +99,27 @@
 
 func (w *progressWriter) addOccurrence(o *Occurrence) {
 	stored := &wire.OccurrenceProgress{Index: int32(o.index)}
-	started := false
+	needed := false
 	for s := range o.steps {
-		step, stepStarted := w.step(o, s)
-		started = started || stepStarted
+		step, stepNeeded := w.step(o, s)
+		needed = needed || stepNeeded
 		stored.Steps = append(stored.Steps, step)
 	}
-	if started {
+	if needed {
 		w.progress.Occurrences = append(w.progress.Occurrences, stored)
 	}
 }
 
-// step returns the progress of a step and whether any of its tasks has started.
+// step returns the progress of a step and whether Restore needs it: a task of the
+// step has started, or its wait is counted.
 func (w *progressWriter) step(o *Occurrence, s int) (*wire.StepProgress, bool) {
 	tasks := o.steps[s]
 	if o.stepDone(s) {
 		return &wire.StepProgress{AllDone: true}, len(tasks) > 0
 	}
-	step := &wire.StepProgress{}
+	step := &wire.StepProgress{ReadyUnixMs: o.waits[s].readyUnixMs}
 	if !slices.ContainsFunc(tasks, func(t *Task) bool { return t.run > 0 || t.Done() }) {
-		return step, false
+		return step, step.GetReadyUnixMs() != 0
 	}
 	for _, t := range tasks {
 		step.Tasks = append(step.Tasks, w.task(t))
--- a/tracker/ready.go
+++ b/tracker/ready.go
@@ -15,6 +15,7 @@
 	// The waiting tasks.
 	tasks    []*Task
 	allTasks []*Task
+	waited   time.Duration
 }
 
 // Job returns the job of the tasks.
--- a/tracker/task.go
+++ b/tracker/task.go
@@ -32,6 +32,8 @@
 	crashedOn  map[string]bool
 	stopping   bool
 	assignedAt time.Duration
+	// startPercent is the pace with which the latest run begins; 0 if not limited.
+	startPercent int32
 	// position is the task's index in Assignments.On while it is assigned.
 	position int
 	// lastNotSlowAt and lastOverdueAt are the times of the latest calls of Slow
@@ -118,6 +120,7 @@
 	t.run = run
 	t.host = host
 	t.stopping = false
+	t.startPercent = 0
 	t.assignedAt = now
 	t.job.markChanged()
 	if !t.job.started {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -46,9 +46,10 @@
 // Occurrence is one scheduled repetition of a job, with tasks of its own.
 type Occurrence struct {
 	index int
-	// Tasks by step, and their numbers by state.
+	// Tasks by step, their numbers by state, and the waits of steps.
 	steps  [][]*Task
 	counts []stepCounts
+	waits  []stepWait
 }
 
 // New returns a job of which no task has started.
@@ -69,6 +70,7 @@
 	o := &Occurrence{
 		index:  index,
 		counts: make([]stepCounts, len(j.spec.GetSteps())),
+		waits:  make([]stepWait, len(j.spec.GetSteps())),
 	}
 	for s, step := range j.spec.GetSteps() {
 		tasks := make([]*Task, step.GetCount())
