coordinator: bounds the wait of best-effort tasks

Cause: the planner's bound needs the waits, the reports of the hosts and the way of the pace to the agent. Ruled out: storing the pace of a run (no field for it); a new leader repeats the order of a best-effort run at the lowest pace, which an agent ignores for runs that it started itself. Change: with [scheduling] best_effort_wait the leader counts waits, keeps the last three reports of each executor, decides near-target by their median and sends StartOrder.percent. The event "start at a limited pace" has wait, bound, margin and its age, predicted speed and pace; explain shows limited_start and forced_start. Conclusion: a new leader continues the wait; a job gets one start beside a service over its target.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -111,6 +111,9 @@
 	publishedStates map[string]wire.JobState
 	// waiting are the steps with tasks that wait for a host, by Group.Name.
 	waiting map[string]*waitingStep
+	// latencies are the reports on the serving tasks of each executor, kept only if
+	// the wait of best-effort tasks is bounded.
+	latencies map[tracker.ExecutorKey]*hostLatency
 	// heldUntil are jobs whose progress could not be decoded. None of their tasks
 	// starts before the leases of the runs that an earlier leader started are over.
 	heldUntil map[string]time.Duration
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -64,6 +64,7 @@
 	c.releaseLostTasks(cycle)
 	c.stopFinishedJobs(cycle)
 	c.observeUsage(cycle)
+	c.observeLatencies(cycle)
 	c.plan(cycle, epoch)
 	c.migrate(cycle)
 	storing := c.Elapsed.Elapsed()
@@ -176,13 +177,16 @@
 		Spec:       t.Job().Spec().GetSpec(),
 		Checkpoint: t.Checkpoint(),
 		Step:       t.Step(),
+		Percent:    t.StartPercent(),
 	})
 }
 
 // repeatStartOrder adds a start order for a run that may have been ordered before.
 func (c *Coordinator) repeatStartOrder(view *sessionView, t *tracker.Task) {
 	c.addStartOrder(view, t)
-	view.starts[len(view.starts)-1].Repeated = true
+	order := view.starts[len(view.starts)-1]
+	order.Repeated = true
+	order.Percent = c.repeatedPercent(t)
 }
 
 // stopFinishedJobs orders the stop of runs that belong to finished jobs.
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -18,11 +18,13 @@
 	}
 	cycle.hosts = c.hosts(cycle)
 	groups := c.readyGroups(cycle)
+	c.countWaits(groups, cycle.now)
 	planner.Order(groups, c.Clock.Now().UnixMilli())
 	c.adviceCache.requestMissing(groups, cycle.hosts)
 	for _, assignment := range c.Planner.Plan(groups, cycle.hosts) {
 		view := cycle.byKey[assignment.Host.Key]
 		assignment.Task.Assign(view.key, view.host, assignment.Run, cycle.now)
+		c.recordLimitedStart(&assignment, view, cycle.now)
 		c.addStartOrder(view, assignment.Task)
 		tracer.Write(&tracer.TaskAssigned{
 			Job:           assignment.Task.ID().Job,
@@ -104,7 +106,7 @@
 			Usable:        view.usable && !zonesOut[view.info.GetZone()],
 			ProbationFrom: cycle.now - planner.ProbationTime,
 		}
-		host.NearTarget = c.nearTarget(view)
+		c.setLatency(host, view)
 		c.markSuspect(host, cycle.now)
 		for _, t := range c.assignments.On(view.key) {
 			host.AddAssigned(t)
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -104,6 +104,7 @@
 	c.orphans = map[tracker.ExecutorKey]orphan{}
 	c.suspicions = map[tracker.ExecutorKey]*suspicion{}
 	c.waiting = map[string]*waitingStep{}
+	c.latencies = map[tracker.ExecutorKey]*hostLatency{}
 	c.heldUntil = map[string]time.Duration{}
 	c.closing = nil
 	c.tombstones = nil
--- a/coordinator/waiting.go
+++ b/coordinator/waiting.go
@@ -46,7 +46,7 @@
 			Job:       group.Job().Spec().GetId(),
 			Step:      group.Name(),
 			Tasks:     countPending(group),
-			Waited:    tracer.Milliseconds(cycle.now - step.since),
+			Waited:    tracer.Milliseconds(max(cycle.now-step.since, group.Waited())),
 			Epoch:     epoch,
 			Obstacles: obstacleCounts(c.Planner.Obstacles(group, first, cycle.hosts)),
 		})
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -81,6 +81,8 @@
 	advisor      *advisor
 	// maxAppendBytes is that of the coordinators started later; 0 is the default.
 	maxAppendBytes int
+	// bestEffortWait is that of the planners started later.
+	bestEffortWait time.Duration
 	// announceInterval is the time between two heartbeats of an executor.
 	announceInterval time.Duration
 	// capacities checks that no start brings an executor over its capacity.
@@ -159,7 +161,7 @@
 		JobsTail:        jobs,
 		Operations:      fixedOperations{},
 		Elector:         e.elector,
-		Planner:         &planner.Planner{},
+		Planner:         &planner.Planner{BestEffortWait: f.bestEffortWait},
 		Advisor:         f.advisor,
 		Clock:           f.clock,
 		Elapsed:         f.elapsedClock,
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -143,6 +143,14 @@
 			events: []tracer.Event{&tracer.StopOrdered{Job: job, Task: task, Run: 1, Host: "h", Reason: tracer.StopPreempted, For: "x.0.0.1"}},
 			kind:   explainer.FindingRunStopped, subject: "h", detail: task + " run 1: room_for_urgent x.0.0.1",
 		},
+		"forced start": {
+			events: []tracer.Event{&tracer.StartLimited{
+				Job: job, Task: task, Run: 1, Host: "h", Forced: true, Waited: tracer.Milliseconds(10 * time.Second),
+				Bound: tracer.Milliseconds(10 * time.Second), Margin: -0.05, LatencyAge: tracer.Milliseconds(400 * time.Millisecond), Speed: 0.4, Percent: 10,
+			}},
+			kind: explainer.FindingStartForced, subject: "h",
+			detail: task + " run 1 after 10s of at most 10s: at 10%, predicted speed 40%, latency 5% above its target 400ms before",
+		},
 		"paced": {
 			events: []tracer.Event{&tracer.TaskPaced{Job: job, Task: task, Run: 1, Percent: 40, Load: 1.5}},
 			kind:   explainer.FindingPaced, subject: "p", detail: task + " run 1 to 40%; a serving task was at 150% of its target",
@@ -171,6 +179,7 @@
 func TestNoFindings(t *testing.T) {
 	e := explain(t, job, logText(t, "p", 0,
 		&tracer.JobAccepted{Job: job},
+		&tracer.TaskPaced{Job: job, Task: task, Run: 1, Percent: 10, Initial: true},
 		&tracer.TaskPaced{Job: job, Task: task, Run: 1, Percent: 100},
 		&tracer.RunEnded{Job: job, Task: task, Run: 1, Cause: "END_CAUSE_DONE"},
 		&tracer.JobState{Job: job, State: "JOB_STATE_SUCCEEDED"}))
--- a/explainer/findings.go
+++ b/explainer/findings.go
@@ -33,6 +33,8 @@
 	FindingRefused       FindingKind = "refused"
 	FindingSlowAppend    FindingKind = "slow_append"
 	FindingWaited        FindingKind = "waited_for_host"
+	FindingStartLimited  FindingKind = "limited_start"
+	FindingStartForced   FindingKind = "forced_start"
 	FindingSlowOrder     FindingKind = "slow_order"
 	FindingStartRefused  FindingKind = "start_refused"
 	FindingStartRepeated FindingKind = "start_repeated"
@@ -46,7 +48,7 @@
 )
 
 var kindOrder = []FindingKind{
-	FindingRefused, FindingSlowAppend, FindingWaited, FindingSlowOrder, FindingStartRefused, FindingStartRepeated,
+	FindingRefused, FindingSlowAppend, FindingWaited, FindingStartLimited, FindingStartForced, FindingSlowOrder, FindingStartRefused, FindingStartRepeated,
 	FindingRunFailed, FindingRunStopped, FindingRunLost, FindingCrash, FindingPaced, FindingCanceled, FindingUnfinished,
 }
 
@@ -139,6 +141,8 @@
 		if time.Duration(e.Age) > slowStartAbove {
 			c.add(FindingSlowOrder, line.Process(), "%s run %d started %s after its decision", e.Task, e.Run, e.Age)
 		}
+	case *tracer.StartLimited:
+		c.addStartLimited(e)
 	case *tracer.StartRefused:
 		c.add(FindingStartRefused, cmp.Or(e.Host, line.Process()), "%s run %d: %s", e.Task, e.Run, e.Reason)
 	case *tracer.StartRepeated:
@@ -146,7 +150,7 @@
 	case *tracer.StopOrdered:
 		c.add(FindingRunStopped, e.Host, "%s run %d: %s%s", e.Task, e.Run, e.Reason, stopDetail(e))
 	case *tracer.TaskPaced:
-		if e.Percent < fullPacePercent {
+		if e.Percent < fullPacePercent && !e.Initial {
 			c.add(FindingPaced, line.Process(), "%s run %d to %d%%; a serving task was at %.0f%% of its target",
 				e.Task, e.Run, e.Percent, 100*e.Load)
 		}
@@ -159,6 +163,22 @@
 	}
 }
 
+func (c *collector) addStartLimited(e *tracer.StartLimited) {
+	kind := FindingStartLimited
+	if e.Forced {
+		kind = FindingStartForced
+	}
+	c.add(kind, e.Host, "%s run %d after %s of at most %s: at %d%%, predicted speed %.0f%%, latency %s",
+		e.Task, e.Run, e.Waited, e.Bound, e.Percent, 100*e.Speed, marginDetail(e))
+}
+
+func marginDetail(e *tracer.StartLimited) string {
+	if e.Margin < 0 {
+		return fmt.Sprintf("%.0f%% above its target %s before", -100*e.Margin, e.LatencyAge)
+	}
+	return fmt.Sprintf("%.0f%% below its target %s before", 100*e.Margin, e.LatencyAge)
+}
+
 func (c *collector) addRunEnd(e *tracer.RunEnded) {
 	switch e.Cause {
 	case wire.EndCause_END_CAUSE_DONE.String():
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -182,7 +182,8 @@
 		Operations: e.config,
 		Elector:    e.elector,
 		Planner: &planner.Planner{
-			Weight: interferenceModel.Weight,
+			Weight:         interferenceModel.Weight,
+			BestEffortWait: s.Scheduling().BestEffortWait(),
 		},
 		InterferenceModel: interferenceModel,
 		Clock:             e.Clock,
--- a/tracer/events.go
+++ b/tracer/events.go
@@ -54,6 +54,7 @@
 	KindJobState       Kind = "job state changed"
 	KindRequestRefused Kind = "request refused"
 	KindTaskAssigned   Kind = "task assigned"
+	KindStartLimited   Kind = "start at a limited pace"
 	KindTasksWaiting   Kind = "tasks wait for a host"
 	KindStartRepeated  Kind = "start repeated"
 	KindStopOrdered    Kind = "stop ordered"
@@ -206,6 +207,8 @@
 	// Load is the largest ratio of latency to target latency among the serving
 	// tasks on the host; 1 is at the target.
 	Load float64 `json:"load"`
+	// Initial means that the run begins at this pace, by the leader's order.
+	Initial bool `json:"initial,omitempty"`
 }
 
 // TaskStopped means that the executor accepted a stop order.
@@ -303,6 +306,7 @@
 	KindJobState:       func() Event { return &JobState{} },
 	KindRequestRefused: func() Event { return &RequestRefused{} },
 	KindTaskAssigned:   func() Event { return &TaskAssigned{} },
+	KindStartLimited:   func() Event { return &StartLimited{} },
 	KindTasksWaiting:   func() Event { return &TasksWaiting{} },
 	KindStartRepeated:  func() Event { return &StartRepeated{} },
 	KindStopOrdered:    func() Event { return &StopOrdered{} },
--- a/tracer/tracer_test.go
+++ b/tracer/tracer_test.go
@@ -41,6 +41,8 @@
 			field.SetInt(int64(time.Millisecond) * int64(i+1) / 10)
 		case reflect.Float64:
 			field.SetFloat(0.25)
+		case reflect.Bool:
+			field.SetBool(true)
 		case reflect.Map:
 			field.Set(reflect.ValueOf(map[string]int{"processors": 3}))
 		}
