runner, pacer: runs begin at the pace of their order

Cause: a forced start must not harm the serving tasks before it is measured. Ruled out: a start call with a pace (the executor's protocol has none); a limit in the leader (it hears of a measurement later than the agent). If the pace call fails, the next measurement repeats it. A new agent process begins again at the pace of the order, because it doesn't know that of the run.

--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -50,6 +50,8 @@
 	// processor use of any other task, in millicores.
 	Usage   int64
 	Percent int
+	// Ramp limits a run that began at a limited pace; nil if there is no limit.
+	Ramp *Ramp
 }
 
 // Change is a new pace for a run, in percent.
@@ -101,6 +103,7 @@
 			p.applyThrottleLevel(s, samples, paces)
 		}
 	}
+	applyRamps(samples, paces, latencyRatio, now)
 	var changes []Change
 	for i, s := range samples {
 		percent := roundToStep(paces[i])
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -105,3 +105,26 @@
 	}
 	assert.Equal(t, percent, 0)
 }
+
+// Guards against a run that keeps the pace at which it began although the serving
+// tasks are well below their target, one that is raised before its effect was
+// measured, and one that goes on above the target.
+func TestRamp(t *testing.T) {
+	for latency, want := range map[int64][]int{
+		50:  {10, 20, 40, 80, 100, 100},
+		90:  {10, 10, 10, 10, 10, 10},
+		120: {10, 0, 0, 0, 0, 0},
+	} {
+		p := &pacer.Pacer{}
+		sample := bestEffortSample("new", 2000, pacer.Full)
+		sample.Ramp = pacer.NewRamp(10)
+		var percents []int
+		for i := range want {
+			for _, change := range p.Decide([]pacer.Sample{servingSample(latency), sample}, capacity, time.Hour+time.Duration(i)*time.Second/2) {
+				sample.Percent = change.Percent
+			}
+			percents = append(percents, sample.Percent)
+		}
+		assert.DeepEqual(t, percents, want)
+	}
+}
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -70,7 +70,10 @@
 	r.learnStep(order)
 	owner := r.startOwners[key]
 	switch {
-	case r.isRunning(key) || r.hasEnded(key):
+	case r.isRunning(key):
+		r.learnRamp(key, order)
+		decision.handled = true
+	case r.hasEnded(key):
 		decision.handled = true
 	case r.refusedRuns[key].reason != "":
 		decision.refusal = r.refusedRuns[key].reason
@@ -88,6 +91,7 @@
 	case r.exceedsCapacity(key):
 		decision.refusal = damaskspread.RefusedNoRoom
 	default:
+		r.learnRamp(key, order)
 		r.startOwners[key] = order
 		r.unsettled[key] = true
 	}
@@ -141,6 +145,7 @@
 				DeadlineMs: decision.lease.DeadlineMs,
 				Age:        tracer.Milliseconds(r.Elapsed.Elapsed() - decidedAt),
 			})
+			r.beginAtPace(ctx, info, key, decision.lease.Token)
 			return
 		}
 		if r.handleStartError(info, key, err, mayHaveStarted) {
--- a/runner/pace.go
+++ b/runner/pace.go
@@ -16,26 +16,31 @@
 func (r *Runner) updatePaces(ctx context.Context) {
 	executorID, token, changes := r.decidePaces()
 	for _, change := range changes {
-		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-		err := r.Executor.Pace(callCtx, executorID, change.Task, change.Run, change.Percent, token)
-		cancel()
-		if err != nil {
-			log.Debug().Str("task", change.Task).Int("percent", change.Percent).Err(err).Msg("pace call failed")
-			continue
-		}
-		tracer.Write(&tracer.TaskPaced{
+		r.setPace(ctx, executorID, token, &tracer.TaskPaced{
 			Job:     tracker.JobOf(change.Task),
 			Task:    change.Task,
 			Run:     change.Run,
 			Percent: change.Percent,
 			Load:    change.Load,
 		})
-		r.mu.Lock()
-		r.paces[runKey{change.Task, change.Run}] = change.Percent
-		r.mu.Unlock()
 	}
 }
 
+// setPace sets the pace of a run on the executor and writes paced to the trace.
+func (r *Runner) setPace(ctx context.Context, executorID string, token int64, paced *tracer.TaskPaced) {
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	err := r.Executor.Pace(callCtx, executorID, paced.Task, paced.Run, paced.Percent, token)
+	cancel()
+	if err != nil {
+		log.Debug().Str("task", paced.Task).Int("percent", paced.Percent).Err(err).Msg("pace call failed")
+		return
+	}
+	tracer.Write(paced)
+	r.mu.Lock()
+	r.paces[runKey{paced.Task, paced.Run}] = paced.Percent
+	r.mu.Unlock()
+}
+
 // decidePaces returns the executor's id, the epoch and the paces to change.
 func (r *Runner) decidePaces() (string, int64, []pacer.Change) {
 	r.mu.Lock()
@@ -60,6 +65,7 @@
 			Step:    step,
 			Usage:   run.GetUsage(),
 			Percent: percent,
+			Ramp:    r.ramps[key],
 		})
 	}
 	return r.info.GetId(), r.epoch, r.Pacer.Decide(samples, r.info.GetCapacity(), r.Elapsed.Elapsed())
--- a/runner/refusals.go
+++ b/runner/refusals.go
@@ -89,6 +89,7 @@
 func (r *Runner) forgetRun(key runKey) {
 	delete(r.steps, key)
 	delete(r.paces, key)
+	delete(r.ramps, key)
 	delete(r.startOwners, key)
 	delete(r.unsettled, key)
 	r.crashes.forget(key)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -120,6 +120,8 @@
 	// keptSteps holds the steps received in this session, by Group.Name.
 	keptSteps map[string]*keptStep
 	paces     map[runKey]int
+	// ramps holds the limits of the runs that began at a limited pace.
+	ramps map[runKey]*pacer.Ramp
 	// unsettled holds the runs whose start was called without a definite response:
 	// the call is in progress, or its response was lost.
 	unsettled map[runKey]bool
@@ -221,6 +223,7 @@
 	r.startOwners = map[runKey]*wire.StartOrder{}
 	r.steps = map[runKey]*wire.JobStep{}
 	r.paces = map[runKey]int{}
+	r.ramps = map[runKey]*pacer.Ramp{}
 	r.drainStops = map[runKey]bool{}
 	r.checksDue = map[runKey]time.Duration{}
 	r.unsettled = map[runKey]bool{}
--- a/runner/world_test.go
+++ b/runner/world_test.go
@@ -15,6 +15,11 @@
 
 // startKillableRunner is startRunner with a function that ends the runner early.
 func startKillableRunner(t *testing.T, l *fakeLeader, executor *emulator.JobExecutor, taskExecutor damaskspread.TaskExecutor) (*runner.Runner, func()) {
+	return startKillableRunnerWith(t, l, executor, taskExecutor, func(*runner.Runner) {})
+}
+
+// startKillableRunnerWith is startKillableRunner with fields that set changes.
+func startKillableRunnerWith(t *testing.T, l *fakeLeader, executor *emulator.JobExecutor, taskExecutor damaskspread.TaskExecutor, set func(*runner.Runner)) (*runner.Runner, func()) {
 	r := &runner.Runner{
 		Executor:   taskExecutor,
 		Leader:     l,
@@ -23,6 +28,7 @@
 		Host:       "host-1",
 		StopWithin: 20 * time.Millisecond,
 	}
+	set(r)
 	r.Init()
 	tb := &tomb.Tomb{}
 	tb.Go(func() error { return r.Run(tb) })
