--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -123,6 +123,9 @@
 	// firstCosts has the latest step that was started, by service, if steps are
 	// ordered by cost.
 	firstCosts map[string]*tracer.WaitCost
+	// latencies are the reports on the serving tasks of each executor, kept only if
+	// the wait of best-effort tasks is bounded.
+	latencies map[tracker.ExecutorKey]*hostLatency
 	// heldUntil are jobs whose progress could not be decoded. None of their tasks
 	// starts before the leases of the runs that an earlier leader started are over.
 	heldUntil map[string]time.Duration
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -114,6 +114,7 @@
 	c.suspicions = map[tracker.ExecutorKey]*suspicion{}
 	c.waiting = map[string]*waitingStep{}
 	c.firstCosts = map[string]*tracer.WaitCost{}
+	c.latencies = map[tracker.ExecutorKey]*hostLatency{}
 	c.heldUntil = map[string]time.Duration{}
 	c.closing = nil
 	c.tombstones = nil
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -90,6 +90,8 @@
 	statusRetention, refusalRetention time.Duration
 	// costOrder is that of the planners of coordinators started later.
 	costOrder bool
+	// bestEffortWait is that of the planners started later.
+	bestEffortWait time.Duration
 	// announceInterval is the time between two heartbeats of an executor.
 	announceInterval time.Duration
 	// capacities checks that no start brings an executor over its capacity.
@@ -164,12 +166,15 @@
 	leaders := f.newTailer(e.client, elector.Topic, e.elector.Apply)
 	e.elector.Tail = leaders
 	c := &coordinator.Coordinator{
-		Log:             e.client,
-		Index:           index,
-		JobsTail:        jobs,
-		Operations:      fixedOperations{},
-		Elector:         e.elector,
-		Planner:         &planner.Planner{CostOrder: f.costOrder},
+		Log:        e.client,
+		Index:      index,
+		JobsTail:   jobs,
+		Operations: fixedOperations{},
+		Elector:    e.elector,
+		Planner: &planner.Planner{
+			CostOrder:      f.costOrder,
+			BestEffortWait: f.bestEffortWait,
+		},
 		Appraiser:       &appraiser.Appraiser{},
 		Advisor:         f.advisor,
 		Clock:           f.clock,
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -196,9 +196,10 @@
 		Operations: e.config,
 		Elector:    e.elector,
 		Planner: &planner.Planner{
-			Weight:    interferenceModel.Weight,
-			CostOrder: s.Scheduling().CostOrder(),
-			LostWork:  s.Scheduling().LostWorkPreemption(),
+			Weight:         interferenceModel.Weight,
+			CostOrder:      s.Scheduling().CostOrder(),
+			LostWork:       s.Scheduling().LostWorkPreemption(),
+			BestEffortWait: s.Scheduling().BestEffortWait(),
 		},
 		InterferenceModel: interferenceModel,
 		Clock:             e.Clock,
