best_effort_speed: least predicted speed at which best-effort tasks start

Cause: with the constant 0.5, many best-effort tasks share hosts and slow down each other, so that all of their jobs become late together. Change: setting [scheduling] best_effort_speed, 0.5 by default as before. Conclusion: no change by default.

--- a/planner/planner.go
+++ b/planner/planner.go
@@ -56,6 +56,11 @@
 	// BestEffortWait is the wait after which the start of a best-effort task that
 	// fits by capacity is forced; 0 leaves the wait unbounded.
 	BestEffortWait time.Duration
+	// BestEffortSpeed is the share of its requested processors that a best-effort task
+	// must be predicted to get, otherwise it waits; 0 means defaultBestEffortSpeed.
+	// With a low share many tasks start beside each other and all of them are slow,
+	// with a high one those that wait start later but end soon.
+	BestEffortSpeed float64
 }
 
 // Plan assigns the tasks that can start now and adds them to their hosts. The
@@ -174,9 +179,8 @@
 	return granted
 }
 
-// minSpeed is the share of its requested processors that a best-effort task must
-// be predicted to get; otherwise it waits. It decreases with BestEffortWait.
-const minSpeed = 0.5
+// defaultBestEffortSpeed applies without Planner.BestEffortSpeed.
+const defaultBestEffortSpeed = 0.5
 
 // Weights and penalties of the placement score, relative to the idle share of a
 // host, which is at most 1.
--- a/planner/wait.go
+++ b/planner/wait.go
@@ -24,14 +24,15 @@
 // task of the group must be predicted to get. It decreases linearly in the second
 // half of BestEffortWait.
 func (p *Planner) requiredSpeed(group *tracker.Group) float64 {
+	speed := cmp.Or(p.BestEffortSpeed, defaultBestEffortSpeed)
 	if p.BestEffortWait <= 0 {
-		return minSpeed
+		return speed
 	}
 	waited := min(1, float64(group.Waited())/float64(p.BestEffortWait))
 	if waited <= relaxFrom {
-		return minSpeed
+		return speed
 	}
-	return minSpeed - (minSpeed-minRelaxedSpeed)*(waited-relaxFrom)/(1-relaxFrom)
+	return speed - max(0, speed-minRelaxedSpeed)*(waited-relaxFrom)/(1-relaxFrom)
 }
 
 // limitStart limits the pace of a task that starts only because the required speed
@@ -42,7 +43,7 @@
 		return
 	}
 	speed := p.speed(assignment.Host, group.Step())
-	if speed >= minSpeed {
+	if speed >= cmp.Or(p.BestEffortSpeed, defaultBestEffortSpeed) {
 		return
 	}
 	assignment.Percent = max(LowestPercent, int32(100*speed)/LowestPercent*LowestPercent)
--- a/validator/job_settings.go
+++ b/validator/job_settings.go
@@ -45,6 +45,7 @@
 // when capacity is scarce.
 type JobScheduling struct {
 	bestEffortWait        time.Duration
+	bestEffortSpeed       float64
 	learnedRunTimes       bool
 	order, preemption     string
 	admission             bool
@@ -133,6 +134,10 @@
 // capacity; 0 means that it is unbounded.
 func (s *JobScheduling) BestEffortWait() time.Duration { return s.bestEffortWait }
 
+// BestEffortSpeed returns the share of its requested processors that a best-effort
+// task must be predicted to get, otherwise it waits.
+func (s *JobScheduling) BestEffortSpeed() float64 { return s.bestEffortSpeed }
+
 // LearnedRunTimes reports whether predictions use learned run times.
 func (s *JobScheduling) LearnedRunTimes() bool { return s.learnedRunTimes }
 
@@ -217,6 +222,8 @@
 	return []Field{
 		optional("best_effort_wait", "0s", "longest wait of a best-effort task that fits by capacity; 0 leaves it unbounded",
 			duration(&s.bestEffortWait, 0, time.Hour)),
+		optional("best_effort_speed", "0.5", "share of its requested processors that a best-effort task must be predicted to get to start",
+			number(&s.bestEffortSpeed, 0.1, 1)),
 		optional("learned_run_times", "no", "predictions use learned run times", boolean(&s.learnedRunTimes)),
 		optional("order", orderDeadline, "order in which waiting steps start", choice(&s.order, orderDeadline, orderCost)),
 		optional("preemption", preemptionPriority, "how the tasks to preempt are chosen",
