--- a/planner/wait_test.go
+++ b/planner/wait_test.go
@@ -121,3 +121,17 @@
 	l.Observe(0.8, listed)
 	assert.Assert(t, l.Measured())
 }
+
+// Guards against best-effort tasks that share a host although each of them would be
+// slower than the configured least speed, and against a configured speed that keeps
+// tasks waiting although the host has room for them.
+func TestBestEffortSpeed(t *testing.T) {
+	for _, test := range []struct {
+		speed   float64
+		planned int
+	}{{speed: 0, planned: 16}, {speed: 0.5, planned: 16}, {speed: 0.8, planned: 10}, {speed: 1, planned: 8}} {
+		p := &planner.Planner{BestEffortSpeed: test.speed}
+		plan := p.Plan(readyGroups(newJob("1", 2, bestEffort(40, "render"))), []*planner.Host{newHost("a", 16)})
+		assert.Equal(t, len(plan), test.planned, "speed %v", test.speed)
+	}
+}
