The required speed decreases from the bound of the wait on

Cause: with a bound of 2.5 s, as the users' bound of 3 s needs it, tasks that had waited for 1.3 s already started on slow hosts beside each other, so that a burst made all of its jobs late again. Ruled out: a longer bound, which leaves a job without any run for longer than 3 s. Change: the forced start of one task of a job stays at the bound; the required speed decreases from there to four times the bound.

--- a/planner/wait.go
+++ b/planner/wait.go
@@ -8,10 +8,11 @@
 )
 
 const (
-	// relaxFrom is the share of BestEffortWait from which the required speed of a
-	// best-effort task decreases.
-	relaxFrom = 0.5
-	// minRelaxedSpeed is the required speed at BestEffortWait. It is above 0 because
+	// relaxUntil times BestEffortWait is the wait at which the required speed of a
+	// best-effort task is minRelaxedSpeed. It decreases from BestEffortWait on: before,
+	// slow starts beside each other would delay more jobs than they help.
+	relaxUntil = 4.0
+	// minRelaxedSpeed is the lowest required speed. It is above 0 because
 	// a step starts all its tasks that get the required speed, and each of them slows
 	// down the others; slower tasks are left to forced starts, one for each job.
 	minRelaxedSpeed = 0.25
@@ -21,18 +22,18 @@
 )
 
 // requiredSpeed returns the share of its requested processors that a best-effort
-// task of the group must be predicted to get. It decreases linearly in the second
-// half of BestEffortWait.
+// task of the group must be predicted to get. It decreases linearly from
+// BestEffortWait to relaxUntil times that.
 func (p *Planner) requiredSpeed(group *tracker.Group) float64 {
 	speed := cmp.Or(p.BestEffortSpeed, defaultBestEffortSpeed)
 	if p.BestEffortWait <= 0 {
 		return speed
 	}
-	waited := min(1, float64(group.Waited())/float64(p.BestEffortWait))
-	if waited <= relaxFrom {
+	waited := min(relaxUntil, float64(group.Waited())/float64(p.BestEffortWait))
+	if waited <= 1 {
 		return speed
 	}
-	return speed - max(0, speed-minRelaxedSpeed)*(waited-relaxFrom)/(1-relaxFrom)
+	return speed - max(0, speed-minRelaxedSpeed)*(waited-1)/(relaxUntil-1)
 }
 
 // limitStart limits the pace of a task that starts only because the required speed
