Bound of the best-effort wait: a quarter of it where the service is mostly free

Cause: one bound serves two situations badly. Where they are free, nothing else will end the wait. Change: the bound is best_effort_wait, a quarter of it while less than half of the service's processors are requested. Before/after: TestForcedStartAtTheBound.

--- a/planner/host.go
+++ b/planner/host.go
@@ -66,6 +66,9 @@
 	// oneServingImage is set if serving images are kept on hosts of their own; see
 	// setServingLayout.
 	oneServingImage bool
+	// busy is set if the processors of the host's service are mostly requested; see
+	// setBusy.
+	busy bool
 	// probes counts the tasks that probe the host while it is suspect.
 	probes int
 	// reserved means that capacity that comes free on the host is reserved for a
@@ -193,6 +196,7 @@
 		servingByImage:       slices.Clone(h.servingByImage),
 		bestEffortByImage:    slices.Clone(h.bestEffortByImage),
 		oneServingImage:      h.oneServingImage,
+		busy:                 h.busy,
 		probes:               h.probes,
 		reserved:             h.reserved,
 		reservedMemory:       h.reservedMemory,
--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -57,7 +57,7 @@
 		return ObstacleReserved
 	case step.GetFillsIdle() && host.NearTarget:
 		return ObstacleNearTarget
-	case step.GetFillsIdle() && p.speed(host, step) < p.requiredSpeed(group):
+	case step.GetFillsIdle() && p.speed(host, step) < p.requiredSpeed(host, group):
 		return ObstacleNoIdleProcessors
 	default:
 		return NoObstacle
--- a/planner/wait.go
+++ b/planner/wait.go
@@ -3,15 +3,21 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"damaskspread.example/damaskspread/tracker"
 )
 
 const (
-	// relaxUntil times BestEffortWait is the wait at which the required speed of a
-	// best-effort task is minRelaxedSpeed. It decreases from BestEffortWait on: before,
-	// slow starts beside each other would delay more jobs than they help.
+	// relaxUntil times the bound is the wait at which the required speed of a
+	// best-effort task is minRelaxedSpeed. It decreases from the bound on: before, slow
+	// starts beside each other would delay more jobs than they help.
 	relaxUntil = 4.0
+	// busyShare is the requested share of a service's processors below which the bound
+	// of the wait is BestEffortWait divided by calmDivisor: what waits there does not
+	// wait for other work to end.
+	busyShare   = 0.5
+	calmDivisor = 4
 	// minRelaxedSpeed is the lowest required speed. It is above 0 because
 	// a step starts all its tasks that get the required speed, and each of them slows
 	// down the others; slower tasks are left to forced starts, one for each job.
@@ -21,15 +27,37 @@
 	LowestPercent = 10
 )
 
+// setBusy marks the hosts of the services whose processors are mostly requested.
+func setBusy(hosts []*Host) {
+	requested, capacity := map[string]int64{}, map[string]int64{}
+	for _, host := range hosts {
+		if host.Usable {
+			requested[host.Service] += host.requested.GetMillicores() + host.bestEffortMillicores
+			capacity[host.Service] += host.Capacity.GetMillicores()
+		}
+	}
+	for _, host := range hosts {
+		host.busy = float64(requested[host.Service]) >= busyShare*float64(capacity[host.Service])
+	}
+}
+
+// waitBound returns the bound of the wait for hosts like the given one.
+func (p *Planner) waitBound(host *Host) time.Duration {
+	if host.busy {
+		return p.BestEffortWait
+	}
+	return p.BestEffortWait / calmDivisor
+}
+
 // requiredSpeed returns the share of its requested processors that a best-effort
-// task of the group must be predicted to get. It decreases linearly from
-// BestEffortWait to relaxUntil times that.
-func (p *Planner) requiredSpeed(group *tracker.Group) float64 {
+// task of the group must be predicted to get on the host. It decreases linearly from
+// the bound of the wait to relaxUntil times that.
+func (p *Planner) requiredSpeed(host *Host, group *tracker.Group) float64 {
 	speed := cmp.Or(p.BestEffortSpeed, defaultBestEffortSpeed)
 	if p.BestEffortWait <= 0 {
 		return speed
 	}
-	waited := min(relaxUntil, float64(group.Waited())/float64(p.BestEffortWait))
+	waited := min(relaxUntil, float64(group.Waited())/float64(p.waitBound(host)))
 	if waited <= 1 {
 		return speed
 	}
@@ -52,8 +80,8 @@
 	assignment.Speed = speed
 }
 
-// planForced forces the start of one task of each job that has waited for
-// BestEffortWait and has no run in progress. plan is what was assigned before.
+// planForced forces the start of one task of each job whose wait has reached the
+// bound and which has no run in progress. plan is what was assigned before.
 func (p *Planner) planForced(groups []*tracker.Group, hosts []*Host, plan []Assignment) []Assignment {
 	if p.BestEffortWait <= 0 {
 		return nil
@@ -68,7 +96,7 @@
 		if !slices.ContainsFunc(hosts, func(host *Host) bool { return !host.ForcedUnmeasured }) {
 			break
 		}
-		if started[group.Job()] || !p.mayForce(group) {
+		if started[group.Job()] || !p.mayForce(group, hosts) {
 			continue
 		}
 		if assignment, fits := p.forceStart(group, hosts); fits {
@@ -81,9 +109,14 @@
 
 // mayForce reports whether the group's wait has reached the bound. Gangs start at
 // full pace on several hosts at once, so they are never forced.
-func (p *Planner) mayForce(group *tracker.Group) bool {
+func (p *Planner) mayForce(group *tracker.Group, hosts []*Host) bool {
 	step := group.Step()
-	return step.GetFillsIdle() && !step.GetGang() && group.Waited() >= p.BestEffortWait && group.Job().AssignedTasks() == 0
+	if !step.GetFillsIdle() || step.GetGang() || group.Job().AssignedTasks() > 0 {
+		return false
+	}
+	return slices.ContainsFunc(hosts, func(host *Host) bool {
+		return host.Service == group.Job().Spec().GetService() && group.Waited() >= p.waitBound(host)
+	})
 }
 
 // forceStart starts a task of the group at the lowest pace on the host that is
--- a/planner/wait_test.go
+++ b/planner/wait_test.go
@@ -54,8 +54,23 @@
 			assert.Assert(t, a.Forced && a.Percent == planner.LowestPercent && a.Waited == 10*time.Second, "%s: %+v", name, a)
 		}
 	}
-	early := p.Plan(waited("1", 9*time.Second), []*planner.Host{hostWithMargin("a", 0.1)})
-	assert.Equal(t, len(early), 0, "forced before the bound")
+}
+
+// Guards against a start that is forced before the bound or only after it, and against
+// the long bound where less than half of the service's processors are requested.
+func TestForcedStartAtTheBound(t *testing.T) {
+	p := &planner.Planner{BestEffortWait: 10 * time.Second}
+	for _, test := range []struct {
+		requested int64
+		bound     time.Duration
+	}{{requested: 7900, bound: 2500 * time.Millisecond}, {requested: 8000, bound: 10 * time.Second}} {
+		for _, wait := range []time.Duration{test.bound - time.Millisecond, test.bound} {
+			host := hostWithMargin("a", 0.1)
+			host.AddPlanned("other", ordinary(1, test.requested))
+			plan := p.Plan(waited("1", wait), []*planner.Host{host})
+			assert.Equal(t, len(plan) == 1, wait == test.bound, "%d requested, waited %s", test.requested, wait)
+		}
+	}
 }
 
 // Guards against two forced starts on a host in one cycle, and against one for a job
--- a/validator/job_settings.go
+++ b/validator/job_settings.go
@@ -220,7 +220,7 @@
 
 func (s *JobScheduling) fields() []Field {
 	return []Field{
-		optional("best_effort_wait", "0s", "longest wait of a best-effort task that fits by capacity; 0 leaves it unbounded",
+		optional("best_effort_wait", "0s", "longest wait of a best-effort task that fits by capacity, a quarter of it while the service is mostly free; 0 leaves it unbounded",
 			duration(&s.bestEffortWait, 0, time.Hour)),
 		optional("best_effort_speed", "0.5", "share of its requested processors that a best-effort task must be predicted to get to start",
 			number(&s.bestEffortSpeed, 0.1, 1)),
