--- a/planner/host.go
+++ b/planner/host.go
@@ -65,7 +65,9 @@
 	// large task. reservedMemory means that the reservation includes memory, so
 	// that it excludes best-effort tasks as well.
 	reserved, reservedMemory bool
-	probation                probation
+	// reservedFor is the group of the large task.
+	reservedFor *tracker.Group
+	probation   probation
 }
 
 // Rack returns the label that names the host's rack, or "" without labels.
@@ -189,6 +191,7 @@
 		probes:               h.probes,
 		reserved:             h.reserved,
 		reservedMemory:       h.reservedMemory,
+		reservedFor:          h.reservedFor,
 		probation:            h.probation,
 	}
 }
--- a/planner/reserve.go
+++ b/planner/reserve.go
@@ -44,6 +44,7 @@
 		return false
 	}
 	best.reserved = true
+	best.reservedFor = group
 	best.reservedMemory = best.shortage(step, nil) == ObstacleMemory
 	return true
 }
