Coordinator: RPC PreviewJob

Cause: the planner's preview needs the hosts and jobs of the leader. Ruled out: computing it in the goroutine of the call (the jobs belong to the goroutine of Run, and a copy of all of them costs more than the preview); a fixed interval alone (a leader with 0.11 of a processor takes ten times as long); Decide of the entry's own screener (it counts admitted work and refusals). Change: PreviewJob queues at most 8 calls; Run answers one at the end of a cycle, after the orders are published, not before 250 ms and 20 times the duration of the last answer have passed; calls end after 2.5 s. Requests have at most 256 KiB, responses at most 64 hosts a step. submitter.Preview decides with a Screener of its own. The configuration of the coordinator's tests has the queue "previews". Before/after: go test -race -count=1 ./submitter passes; -run Preview ./coordinator passes 5 of 5. The full run of ./coordinator with -race (load average 18 on 7 cores) failed once in TestJobsOfUseStartFirstAfterOutage/store, which then passed 4 of 4; no preview is called in it. Conclusion: complete for jobs; tickets and preemption are not previewed.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -9,6 +9,8 @@
 // leads, a second goroutine writes the job statuses that clients see and a third
 // one requests admission advice. Exchange runs on the goroutines of the HTTP
 // server: it merges the report into the agent's session and waits for orders.
+// PreviewJob waits there for the goroutine of Run, which answers at most one call
+// at the end of a cycle.
 //
 // The mutex guards the sessions, the interference weights, and the inputs
 // of the next cycle. The jobs are accessed by the goroutine of Run only.
@@ -72,6 +74,8 @@
 	InterferenceModel *estimator.InterferenceModel
 	// Appraiser computes the load estimate for entries; with nil there is none.
 	Appraiser *appraiser.Appraiser
+	// Screen decides on the jobs of previews; with nil there are no previews.
+	Screen JobScreen
 	// Advisor is nil on deployments without admission advice.
 	Advisor damaskspread.StepAdvisor
 	Clock   damaskspread.Clock
@@ -136,6 +140,10 @@
 	openJobs, waitingSteps atomic.Int64
 	// cycleTime is how long the last cycle took without its append, in nanoseconds.
 	cycleTime atomic.Int64
+	// previews has the calls of PreviewJob that wait for a cycle. nextPreview is the
+	// earliest time of the next answer.
+	previews    chan *previewCall
+	nextPreview time.Duration
 	// runTimes is nil unless LearnRunTimes is set.
 	runTimes *runTimes
 
@@ -147,6 +155,7 @@
 // Init must be called before Run and before any other method.
 func (c *Coordinator) Init() {
 	c.wake = make(chan struct{}, 1)
+	c.previews = make(chan *previewCall, maxPreviewCalls)
 	c.sessions = map[string]*session{}
 	c.histories = map[string]*hostHistory{}
 	c.changedJobs = map[string]bool{}
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -30,6 +30,8 @@
 	byKey         map[tracker.ExecutorKey]*sessionView
 	// hosts are the placement candidates; nil if no task may start in this cycle.
 	hosts []*planner.Host
+	// groups are the steps that were ready at the plan, in their order.
+	groups []*tracker.Group
 }
 
 // sessionView is a copy of a session for one cycle, with the orders that the
@@ -75,6 +77,7 @@
 	defer func() { c.cycleTime.Store(int64(c.Elapsed.Elapsed() - started - (stored - storing))) }()
 	c.publish(cycle, epoch)
 	c.appraiseLoad(cycle)
+	c.answerPreview(cycle, epoch)
 	c.openJobs.Store(int64(len(c.jobs)))
 	c.waitingSteps.Store(int64(len(c.waiting)))
 	c.publishStatuses()
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -19,6 +19,7 @@
 	cycle.hosts = c.hosts(cycle)
 	groups := c.readyGroups(cycle)
 	c.Planner.Order(groups, c.Clock.Now().UnixMilli())
+	cycle.groups = groups
 	c.adviceCache.requestMissing(groups, cycle.hosts)
 	assignments := c.Planner.Plan(groups, cycle.hosts)
 	c.recordFirstCost(assignments)
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -47,7 +47,10 @@
 type fixedOperations struct{}
 
 func (fixedOperations) Config() (*wire.FleetConfig, time.Duration) {
-	return &wire.FleetConfig{Version: 1}, 0
+	return &wire.FleetConfig{
+		Version: 1,
+		Queues:  []*wire.Queue{{Name: "previews", Service: service, MaxAttempts: 3, Stretch: 1.5}},
+	}, 0
 }
 func (fixedOperations) ZonesOut() map[string]bool { return nil }
 
@@ -202,6 +205,7 @@
 		VisibleWithin: 3 * time.Second,
 	}
 	e.submitter.Init()
+	c.Screen = e.submitter
 	presence := &wire.EntryPresence{Process: e.name, Address: e.elector.Address}
 	assert.NilError(f.t, locator.Announce(context.Background(), e.client, presence))
 	for _, run := range []func(*tomb.Tomb) error{jobs.Run, leaders.Run, e.elector.Run, c.Run, e.submitter.Run} {
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -201,6 +201,7 @@
 			LostWork:  s.Scheduling().LostWorkPreemption(),
 		},
 		InterferenceModel: interferenceModel,
+		Screen:            e.submitter,
 		Clock:             e.Clock,
 		Elapsed:           e.process.elapsed,
 		LeaseDuration:     time.Duration(float64(s.Bounds().LeaseMax()) * leaseShare),
--- a/wire/wireconnect/jobs.connect.go
+++ b/wire/wireconnect/jobs.connect.go
@@ -44,6 +44,9 @@
 	// CoordinatorServiceGetLoadProcedure is the fully-qualified name of the CoordinatorService's
 	// GetLoad RPC.
 	CoordinatorServiceGetLoadProcedure = "/damaskspread.v1.CoordinatorService/GetLoad"
+	// CoordinatorServicePreviewJobProcedure is the fully-qualified name of the CoordinatorService's
+	// PreviewJob RPC.
+	CoordinatorServicePreviewJobProcedure = "/damaskspread.v1.CoordinatorService/PreviewJob"
 	// KeyedLogServiceAppendProcedure is the fully-qualified name of the KeyedLogService's Append RPC.
 	KeyedLogServiceAppendProcedure = "/damaskspread.v1.KeyedLogService/Append"
 	// KeyedLogServiceReadProcedure is the fully-qualified name of the KeyedLogService's Read RPC.
@@ -59,6 +62,8 @@
 	FindLeader(context.Context, *connect.Request[wire.FindLeaderRequest]) (*connect.Response[wire.FindLeaderResponse], error)
 	// GetLoad returns the leader's latest load estimate.
 	GetLoad(context.Context, *connect.Request[wire.GetLoadRequest]) (*connect.Response[wire.GetLoadResponse], error)
+	// PreviewJob returns where the tasks of a job would start now. It changes nothing.
+	PreviewJob(context.Context, *connect.Request[wire.PreviewJobRequest]) (*connect.Response[wire.PreviewJobResponse], error)
 }
 
 // NewCoordinatorServiceClient constructs a client for the damaskspread.v1.CoordinatorService
@@ -90,6 +95,12 @@
 			connect.WithSchema(coordinatorServiceMethods.ByName("GetLoad")),
 			connect.WithClientOptions(opts...),
 		),
+		previewJob: connect.NewClient[wire.PreviewJobRequest, wire.PreviewJobResponse](
+			httpClient,
+			baseURL+CoordinatorServicePreviewJobProcedure,
+			connect.WithSchema(coordinatorServiceMethods.ByName("PreviewJob")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -98,6 +109,7 @@
 	exchange   *connect.Client[wire.ExchangeRequest, wire.ExchangeResponse]
 	findLeader *connect.Client[wire.FindLeaderRequest, wire.FindLeaderResponse]
 	getLoad    *connect.Client[wire.GetLoadRequest, wire.GetLoadResponse]
+	previewJob *connect.Client[wire.PreviewJobRequest, wire.PreviewJobResponse]
 }
 
 // Exchange calls damaskspread.v1.CoordinatorService.Exchange.
@@ -115,6 +127,11 @@
 	return c.getLoad.CallUnary(ctx, req)
 }
 
+// PreviewJob calls damaskspread.v1.CoordinatorService.PreviewJob.
+func (c *coordinatorServiceClient) PreviewJob(ctx context.Context, req *connect.Request[wire.PreviewJobRequest]) (*connect.Response[wire.PreviewJobResponse], error) {
+	return c.previewJob.CallUnary(ctx, req)
+}
+
 // CoordinatorServiceHandler is an implementation of the damaskspread.v1.CoordinatorService service.
 type CoordinatorServiceHandler interface {
 	Exchange(context.Context, *connect.Request[wire.ExchangeRequest]) (*connect.Response[wire.ExchangeResponse], error)
@@ -122,6 +139,8 @@
 	FindLeader(context.Context, *connect.Request[wire.FindLeaderRequest]) (*connect.Response[wire.FindLeaderResponse], error)
 	// GetLoad returns the leader's latest load estimate.
 	GetLoad(context.Context, *connect.Request[wire.GetLoadRequest]) (*connect.Response[wire.GetLoadResponse], error)
+	// PreviewJob returns where the tasks of a job would start now. It changes nothing.
+	PreviewJob(context.Context, *connect.Request[wire.PreviewJobRequest]) (*connect.Response[wire.PreviewJobResponse], error)
 }
 
 // NewCoordinatorServiceHandler builds an HTTP handler from the service implementation. It returns
@@ -149,6 +168,12 @@
 		connect.WithSchema(coordinatorServiceMethods.ByName("GetLoad")),
 		connect.WithHandlerOptions(opts...),
 	)
+	coordinatorServicePreviewJobHandler := connect.NewUnaryHandler(
+		CoordinatorServicePreviewJobProcedure,
+		svc.PreviewJob,
+		connect.WithSchema(coordinatorServiceMethods.ByName("PreviewJob")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/damaskspread.v1.CoordinatorService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case CoordinatorServiceExchangeProcedure:
@@ -157,6 +182,8 @@
 			coordinatorServiceFindLeaderHandler.ServeHTTP(w, r)
 		case CoordinatorServiceGetLoadProcedure:
 			coordinatorServiceGetLoadHandler.ServeHTTP(w, r)
+		case CoordinatorServicePreviewJobProcedure:
+			coordinatorServicePreviewJobHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -178,6 +205,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("damaskspread.v1.CoordinatorService.GetLoad is not implemented"))
 }
 
+func (UnimplementedCoordinatorServiceHandler) PreviewJob(context.Context, *connect.Request[wire.PreviewJobRequest]) (*connect.Response[wire.PreviewJobResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("damaskspread.v1.CoordinatorService.PreviewJob is not implemented"))
+}
+
 // KeyedLogServiceClient is a client for the damaskspread.v1.KeyedLogService service.
 type KeyedLogServiceClient interface {
 	Append(context.Context, *connect.Request[wire.KeyedAppendRequest]) (*connect.Response[wire.AppendResult], error)
