Command where

Cause: operators need the preview of a job from the command line. Change: damaskspread where FILE asks the leader, through any entry, and prints starts, obstacles, order and admission as a table or JSON. Conclusion: complete for jobs.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -157,7 +157,7 @@
 	root.AddCommand(c.daemons()...)
 	root.AddCommand(c.jobDaemons()...)
 	root.AddCommand(c.configCommand(), c.zoneCommand(), c.taskCommand(), c.hostCommand(), c.endpointCommand(),
-		c.serviceCommand(), c.auditCommand(), c.statusCommand(), c.requestCommand(), c.explainCommand(), c.loadCommand(), c.versionCommand())
+		c.serviceCommand(), c.auditCommand(), c.statusCommand(), c.requestCommand(), c.explainCommand(), c.loadCommand(), c.whereCommand(), c.versionCommand())
 	root.InitDefaultCompletionCmd()
 	addCompletionExamples(root)
 	requireSubcommand(root)
--- a/commander/output.go
+++ b/commander/output.go
@@ -104,7 +104,7 @@
 	return time.UnixMilli(unixMs).UTC().Format(time.RFC3339)
 }
 
-func formatCounts(m map[string]int) string {
+func formatCounts[N int | int32](m map[string]N) string {
 	var parts []string
 	for _, name := range sortedKeys(m) {
 		parts = append(parts, fmt.Sprintf("%d %s", m[name], name))
