--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -20,6 +20,7 @@
 	groups := c.readyGroups(cycle)
 	c.countWaits(groups, cycle.now)
 	c.Planner.Order(groups, c.Clock.Now().UnixMilli())
+	cycle.groups = groups
 	c.adviceCache.requestMissing(groups, cycle.hosts)
 	assignments := c.Planner.Plan(groups, cycle.hosts)
 	c.recordFirstCost(assignments)
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -203,6 +203,7 @@
 			BestEffortSpeed: s.Scheduling().BestEffortSpeed(),
 		},
 		InterferenceModel: interferenceModel,
+		Screen:            e.submitter,
 		Clock:             e.Clock,
 		Elapsed:           e.process.elapsed,
 		LeaseDuration:     time.Duration(float64(s.Bounds().LeaseMax()) * leaseShare),
