Recovery test: deadlines that differ

Cause: 4 of 12 runs of TestJobsOfUseStartFirstAfterOutage/store failed: both batch jobs had been accepted in the same millisecond, so that their deadlines were equal and their names decided (seen in the output: c1 before c2). Ruled out: the overdue job going first; it was last in each failure. Change: the second batch job is submitted 2 ms later; the assertion is unchanged. Conclusion: the test was wrong, not the order.

--- a/coordinator/recovery_order_test.go
+++ b/coordinator/recovery_order_test.go
@@ -29,6 +29,9 @@
 			urgent := &wire.Queue{Name: "urgent", Service: service, MaxAttempts: 3, ObjectiveMs: 200}
 			batch := &wire.Queue{Name: "batch", Service: service, MaxAttempts: 3, ObjectiveMs: 60_000, Priority: 2}
 			f.submitTo(leader, batch, &wire.Job{Id: healthyJob(2), Steps: steps(1)})
+			// Deadlines are in milliseconds; jobs with the same one are in no
+			// particular order.
+			time.Sleep(2 * time.Millisecond)
 			f.submitTo(leader, batch, &wire.Job{Id: healthyJob(1), Steps: steps(1)})
 			f.submitTo(leader, urgent, &wire.Job{Id: healthyJob(0), Steps: steps(1)})
 			if outage == "leader" {
