Load estimate: waiting work by class and deadline, and a number

Cause: an entry counted work that a new job would overtake as its wait, and told a new estimate by its pointer, although the leader's own estimate is another message at each call, so that work admitted since was forgotten at each job. Ruled out: leaving late work out of the estimate (it goes before jobs that can't be in time); deadlines of each job (unbounded size). Change: WaitingWork divides the waiting work of a queue, for both kinds of tasks, by the classes of planner.CostOf, work on time also by seven fixed buckets of the time until the deadline. LoadEstimate.number rises within an epoch. The test of the bounded size now fills all buckets of both kinds; that of a known state compares the new fields as well, so both are stricter.

--- a/appraiser/appraiser.go
+++ b/appraiser/appraiser.go
@@ -29,7 +29,9 @@
 	// Duration predicts the run time of a task; nil predicts the declared one.
 	Duration func(queue, image string, declared time.Duration) time.Duration
 
-	epoch   int64
+	epoch int64
+	// number is that of the latest estimate of the epoch.
+	number  int64
 	begunAt time.Duration
 	rates   map[string]*queueRates
 	latest  atomic.Pointer[computed]
@@ -56,6 +58,7 @@
 // earlier term.
 func (a *Appraiser) Begin(epoch int64, now time.Duration) {
 	a.epoch = epoch
+	a.number = 0
 	a.begunAt = now
 	a.rates = map[string]*queueRates{}
 	a.latest.Store(nil)
@@ -75,7 +78,8 @@
 		return nil
 	}
 	return &wire.LoadEstimate{
-		Epoch: epoch,
+		Epoch:  epoch,
+		Number: latest.estimate.GetNumber(),
 		// Rounded up, because it is an upper bound.
 		AgeMs:  (now - latest.at + time.Millisecond - 1).Milliseconds(),
 		Queues: latest.estimate.GetQueues(),
@@ -114,9 +118,11 @@
 	}
 	s.addRates()
 	s.addCapacities()
+	a.number++
 	a.latest.Store(&computed{
 		estimate: &wire.LoadEstimate{
 			Epoch:  a.epoch,
+			Number: a.number,
 			Queues: s.largest(),
 		},
 		at: state.Now,
--- a/appraiser/appraiser_test.go
+++ b/appraiser/appraiser_test.go
@@ -141,15 +141,20 @@
 	l.waiting["b.0.0"] = begun + 3*time.Second
 	l.now += 4 * time.Second
 
+	// Jobs a and b have no objective and have waited for longer than planner.StarvationBound.
 	want := []*wire.QueueLoad{
 		{
 			Queue: "renders", Priority: 1, WaitingCoreS: 3*2*10 + 2*1*5, RunningCoreS: 2 * 6, RunningCores: 2, OldestWaitMs: 3000,
+			Waiting: &wire.WaitingWork{OnTimeCoreS: []float32{70}},
 		},
 		{
 			Queue: "scans", Priority: 2, WaitingBestEffortCoreS: 2 * 4 * 2, RunningBestEffortCores: 4, OldestBestEffortWaitMs: 1000,
+			WaitingBestEffort: &wire.WaitingWork{OnTimeCoreS: []float32{16}},
 		},
 		{
 			Queue: "reports", WaitingCoreS: 1,
+			// Due since 1 ms, without an objective.
+			Waiting: &wire.WaitingWork{OverdueCoreS: 1},
 		},
 	}
 	got := l.estimate()
@@ -294,7 +299,18 @@
 func TestBoundedSize(t *testing.T) {
 	l := newLeader()
 	for i := range 200 {
-		l.add(&wire.Job{Id: fmt.Sprint(i), Queue: fmt.Sprintf("queue-%d", i), Steps: []*wire.JobStep{newStep(int32(i+1), 1, time.Second)}})
+		// The work of each kind is in all buckets.
+		for bucket := range appraiser.DeadlineBuckets {
+			filler := newStep(1, 1, time.Second)
+			filler.FillsIdle = true
+			l.add(&wire.Job{
+				Id:             fmt.Sprintf("%d-%d", i, bucket),
+				Queue:          fmt.Sprintf("queue-%d", i),
+				AcceptedUnixMs: nowMs,
+				ObjectiveMs:    1000 << bucket,
+				Steps:          []*wire.JobStep{newStep(int32(i+1), 1, time.Second), filler},
+			})
+		}
 	}
 	l.hosts = []*planner.Host{newHost("h", 64_000)}
 	small := l.estimate()
--- a/appraiser/summary.go
+++ b/appraiser/summary.go
@@ -71,6 +71,7 @@
 		load.RunningCores += held
 		load.OldestWaitMs = max(load.OldestWaitMs, wait)
 	}
+	s.classify(load, work, waiting)
 	open := float64(work.Pending+work.Assigned) * processors
 	sum.predicted += open * predicted.Seconds()
 	sum.declared += open * float64(work.Step.GetEstimateMs()) / 1000
