Screener: only work that goes before a job counts as its wait

Best-effort jobs were judged by the wait of other tasks, and the rate of an idle queue passed for what its service can do. Ruled out, by trials of the model (docs/decisions.md): no hysteresis, other allowances for jobs that arrive later, running work left out. Change: counted is work on time with an earlier deadline; a job that can't be in time goes after all work that isn't overdue and counts one objective for later arrivals. Estimates are told apart by epoch and number; best-effort jobs use oldest_best_effort_wait_ms. Without the new fields all work counts. TestNoProgress sets the wait of best-effort work, which the screener now reads, and no other.

--- a/screener/screener.go
+++ b/screener/screener.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"damaskspread.example/damaskspread/appraiser"
 	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
 )
@@ -72,11 +73,32 @@
 // Refused reports whether the job is to be refused.
 func (d *Decision) Refused() bool { return d.Reason == ReasonTooLate }
 
-// kind is a queue and the power of two of the objective, in milliseconds, of a job. A
+// kind is a queue, a kind of tasks and the power of two of the objective, in
+// milliseconds, of a job. A
 // queue accepts jobs with a long objective while it refuses those with a short one.
 type kind struct {
-	queue     string
-	objective int
+	queue      string
+	bestEffort bool
+	objective  int
+}
+
+// estimateID identifies an estimate. The message itself doesn't: while this process
+// leads, each call returns another one. Leaders of an earlier version send no number;
+// their estimates have a message each.
+type estimateID struct {
+	epoch, number int64
+	message       *wire.LoadEstimate
+}
+
+func idOf(estimate *wire.LoadEstimate) estimateID {
+	id := estimateID{
+		epoch:  estimate.GetEpoch(),
+		number: estimate.GetNumber(),
+	}
+	if id.number == 0 {
+		id.message = estimate
+	}
+	return id
 }
 
 // Screener decides on jobs. Set its fields before use; it is then safe for
@@ -91,10 +113,10 @@
 	mu sync.Mutex
 	// refusing has the kinds of jobs that are being refused.
 	refusing map[kind]bool
-	// estimate is the one to which admitted refers: the core-seconds of each queue
-	// that were admitted since it was received.
-	estimate *wire.LoadEstimate
-	admitted map[string]float64
+	// seen identifies the estimate to which admitted refers: the core-seconds of each
+	// queue that were admitted since it was received, by the buckets of the deadline.
+	seen     estimateID
+	admitted map[string]*[appraiser.DeadlineBuckets]float64
 }
 
 // MayRefuse reports whether a job with the policy of its queue set can be refused
@@ -132,34 +154,66 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.estimate != estimate {
-		s.estimate = estimate
-		s.admitted = map[string]float64{}
+	if id := idOf(estimate); s.seen != id {
+		s.seen = id
+		s.admitted = map[string]*[appraiser.DeadlineBuckets]float64{}
 	}
 	s.predict(decision, estimate, queue, job)
 	if !decision.Refused() {
-		s.admitted[job.GetQueue()] += coreSeconds(job, queue)
+		s.addAdmitted(job, coreSeconds(job, queue))
 	}
 	return decision
 }
 
+func (s *Screener) addAdmitted(job *wire.Job, work float64) {
+	admitted := s.admitted[job.GetQueue()]
+	if admitted == nil {
+		admitted = &[appraiser.DeadlineBuckets]float64{}
+		s.admitted[job.GetQueue()] = admitted
+	}
+	admitted[appraiser.DeadlineBucket(Objective(job))] += work
+}
+
+// admittedAhead divides the work of a queue that was admitted since the estimate like
+// queueWork.ahead; all of it goes first if all is set.
+func (s *Screener) admittedAhead(queue string, objective time.Duration, all bool) (onTime, late float64) {
+	admitted := s.admitted[queue]
+	if admitted == nil {
+		return 0, 0
+	}
+	for bucket, work := range admitted {
+		// Of work with an equal objective, that which was admitted before goes first.
+		if all || bucket <= appraiser.DeadlineBucket(objective) {
+			onTime += work
+		} else {
+			late += work
+		}
+	}
+	return onTime, late
+}
+
 // predict sets the prediction, the reason and the retry time.
 func (s *Screener) predict(decision *Decision, estimate *wire.LoadEstimate, queue *wire.QueueLoad, job *wire.Job) {
-	if queue.GetOldestWaitMs() <= 0 {
-		maps.DeleteFunc(s.refusing, func(k kind, _ bool) bool { return k.queue == job.GetQueue() })
+	filler := bestEffort(job)
+	if work := workOf(queue, filler); work.oldestWait <= 0 {
+		maps.DeleteFunc(s.refusing, func(k kind, _ bool) bool { return k.queue == job.GetQueue() && k.bestEffort == filler })
 		decision.Reason = ReasonNoWait
 		return
 	}
 	objective := Objective(job)
 	of := kind{
-		queue:     job.GetQueue(),
-		objective: bits.Len64(uint64(objective.Milliseconds())),
+		queue:      job.GetQueue(),
+		bestEffort: filler,
+		objective:  bits.Len64(uint64(objective.Milliseconds())),
 	}
-	speed := 0.0
-	decision.Wait, speed = s.wait(estimate, queue, bestEffort(job))
+	predicted := s.wait(estimate, queue, job)
 	// A job's own width must not count against it beyond its objective, or large
 	// jobs would be refused for their size.
-	decision.Path = min(path(job, ratio(queue), speed), objective)
+	decision.Path = min(path(job, ratio(queue), predicted.speed), objective)
+	decision.Wait = predicted.onTime
+	if decision.Wait+decision.Path > objective {
+		decision.Wait = predicted.late
+	}
 	decision.Limit = refuseAbove * objective
 	if s.refusing[of] {
 		decision.Limit = acceptWithin * objective
@@ -178,38 +232,6 @@
 	decision.RetryAfter = after + time.Duration(s.Random()*float64(after)/2)
 }
 
-// wait predicts how long a job of the queue waits behind the work of the service
-// that goes first, and returns the cores at which that work advances. Work that is
-// still to arrive in more urgent queues isn't known and doesn't count.
-func (s *Screener) wait(estimate *wire.LoadEstimate, queue *wire.QueueLoad, bestEffort bool) (wait time.Duration, speed float64) {
-	ahead := 0.0
-	for _, other := range estimate.GetQueues() {
-		if other.GetService() != queue.GetService() || other.GetPriority() > queue.GetPriority() {
-			continue
-		}
-		ahead += s.admitted[other.GetQueue()]
-		if bestEffort {
-			ahead += other.GetWaitingBestEffortCoreS()
-			speed += other.GetRateBestEffortCores()
-		} else {
-			ahead += other.GetWaitingCoreS()
-			speed += other.GetRateCores()
-		}
-	}
-	// Capacity that is free now takes work as well, which matters while a queue
-	// begins to fill and little work has ended yet.
-	if bestEffort {
-		speed += float64(queue.GetIdleMillicores()) / 1000
-	} else {
-		speed += float64(queue.GetFreeMillicores()) / 1000
-	}
-	if speed <= 0 {
-		// Nothing has ended lately: what waits has waited at least for this.
-		return time.Duration(queue.GetOldestWaitMs()) * time.Millisecond, 0
-	}
-	return seconds(ahead / speed), speed
-}
-
 func find(estimate *wire.LoadEstimate, name string) *wire.QueueLoad {
 	for _, queue := range estimate.GetQueues() {
 		if queue.GetQueue() == name {
--- a/screener/screener_test.go
+++ b/screener/screener_test.go
@@ -212,6 +212,7 @@
 	job := newJob(1, second)
 	job.Steps[0].FillsIdle = true
 	estimate := waiting(20 * second)
+	estimate.Queues[0].OldestWaitMs, estimate.Queues[0].OldestBestEffortWaitMs = 0, estimate.Queues[0].OldestWaitMs
 	estimate.Queues[0].WaitingBestEffortCoreS = 1
 	decision := newScreener(0).Decide(estimate, 0, job)
 	assert.Assert(t, decision.Refused())
