Soak: admission under overload, and what refusals promise

Cause: the soak ran with the default [scheduling] settings and without overload. Ruled out: the same load on the existing queue (its jobs would not be exempt).

--- a/soak/processes_test.go
+++ b/soak/processes_test.go
@@ -51,6 +51,9 @@
 		listen += fmt.Sprintf("executors = %s\n", p.executorsAddress)
 	}
 	settings += listen + "[bounds]\nlease_max = 4s\ngrace = 4s\n"
+	if f.scheduling {
+		settings += "[scheduling]\nlearned_run_times = yes\norder = cost\npreemption = lost_work\nadmission = yes\nadmission_from_priority = 1\n"
+	}
 	p.settingsFile = filepath.Join(f.logDir, name+".ini")
 	assert.NilError(f.t, os.WriteFile(p.settingsFile, []byte(settings), 0o600))
 	f.start(p)
