Refusals: removal in parts, older records, job removed before it is read back

Cause: a split removal left a readmitted job in effect; a refusal that a new process reads again replaced a later one; confirm told 429 of a removed job. Ruled out: one append for each removal (the status writer batches). Change: order of RemovalRecords; older refusals ignored; 504 instead of 429.

--- a/indexer/indexer.go
+++ b/indexer/indexer.go
@@ -59,16 +59,6 @@
 	}, nil
 }
 
-// removalRecords returns tombstones (records without a value) of the keys that each
-// job may have.
-func removalRecords(id string) []*wire.KeyedRecord {
-	return []*wire.KeyedRecord{
-		{Key: id},
-		{Key: id + cancelSuffix},
-		{Key: id + statusSuffix},
-	}
-}
-
 // JobEntry is a copy of the recorded job, cancellation and state of one job id.
 type JobEntry struct {
 	// job is the job in effect; nil if there is none.
--- a/indexer/refusals.go
+++ b/indexer/refusals.go
@@ -71,6 +71,10 @@
 // its key after the id.
 func (x *Index) applyRefusalKey(entry *JobEntry, id, kind string, record *wire.KeyedRecord) {
 	if "."+kind == refusedSuffix {
+		// A new process reads some records again that are older than those it has.
+		if entry.refusal != nil && record.GetOffset() < entry.refusedAt {
+			return
+		}
 		refusal := &wire.JobRefusal{}
 		if err := proto.Unmarshal(record.GetValue(), refusal); err != nil {
 			// The record still refuses: callers may have been told so.
@@ -143,21 +147,27 @@
 }
 
 // RemovalRecords returns tombstones (records without a value) of all keys of an id,
-// which delete it from the log and from an Index. They belong into one append: a
-// record that is left when the refusal is gone would take effect.
+// which delete it from the log and from an Index. A writer may split an append and end
+// between the parts, so the order matters: a refusal follows the jobs that it voids, and
+// the state of a job follows all of them, or the job would run again.
 func (x *Index) RemovalRecords(id string) []*wire.KeyedRecord {
-	records := removalRecords(id)
 	x.mu.RLock()
 	defer x.mu.RUnlock()
-	entry := x.entries[id]
-	if entry == nil {
-		return records
+	var keys []string
+	if entry := x.entries[id]; entry != nil {
+		// The latest readmission goes first: the refusal voids the earlier ones.
+		for _, refusedAt := range slices.Backward(slices.Sorted(maps.Keys(entry.readmitted))) {
+			keys = append(keys, readmittedKey(id, refusedAt))
+		}
 	}
-	for _, refusedAt := range slices.Sorted(maps.Keys(entry.readmitted)) {
-		records = append(records, &wire.KeyedRecord{Key: readmittedKey(id, refusedAt)})
+	keys = append(keys, id)
+	if x.refused[id] {
+		keys = append(keys, id+refusedSuffix)
 	}
-	if entry.refusal != nil {
-		records = append(records, &wire.KeyedRecord{Key: id + refusedSuffix})
+	keys = append(keys, id+cancelSuffix, id+statusSuffix)
+	records := make([]*wire.KeyedRecord, len(keys))
+	for i, key := range keys {
+		records[i] = &wire.KeyedRecord{Key: key}
 	}
 	return records
 }
--- a/submitter/admission.go
+++ b/submitter/admission.go
@@ -96,6 +96,10 @@
 		return nil
 	}
 	refusal, _ := s.Index.Refusal(job.GetId())
+	if refusal == nil {
+		// Whatever voided or ended the job was removed with it.
+		return damaskspread.Unknown(damaskspread.ReasonAppendUnknown, "job stored, but removed before it was read back")
+	}
 	return overloaded(job, max(time.Duration(refusal.GetRetryAfterMs())*time.Millisecond, time.Second))
 }
 
--- a/submitter/admission_test.go
+++ b/submitter/admission_test.go
@@ -273,3 +273,22 @@
 	assert.Assert(t, time.Since(started) < time.Second)
 	assert.Equal(t, e.counted.appends.Load(), int64(1))
 }
+
+// Guards against an untrue refusal: the job was accepted, ran and was removed before the
+// entry has read its record back.
+func TestRemovedBeforeReadBack(t *testing.T) {
+	keyed := &emulator.KeyedLog{Clock: clockwork.NewRealClock()}
+	e, other := newEntry(t, keyed, true, 2*time.Second), newEntry(t, keyed, true, 0)
+	e.load.setWait(0)
+	// A read that may follow at once ends; then the entry pauses.
+	time.Sleep(500 * time.Millisecond)
+	result := make(chan error, 1)
+	go func() { result <- e.submit(t.Context(), id) }()
+	for known := false; !known; {
+		assert.NilError(t, other.tail.Refresh(t.Context()))
+		_, known = other.index.Lookup(id)
+	}
+	_, err := other.client.Append(t.Context(), indexer.Topic, other.index.RemovalRecords(id), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, reasonOf(<-result), damaskspread.ReasonAppendUnknown)
+}
