Trace of limited starts: the bound that applied

Cause: the event named best_effort_wait also where a quarter of it applied. Change: it names the bound of the host. Before/after: go test ./planner passes. Conclusion: explain shows the bound that decided.

--- a/coordinator/wait.go
+++ b/coordinator/wait.go
@@ -106,7 +106,7 @@
 		Host:    view.host,
 		Forced:  assignment.Forced,
 		Waited:  tracer.Milliseconds(assignment.Waited),
-		Bound:   tracer.Milliseconds(c.Planner.BestEffortWait),
+		Bound:   tracer.Milliseconds(c.Planner.WaitBound(assignment.Host)),
 		Margin:  assignment.Host.Margin,
 		Speed:   assignment.Speed,
 		Percent: int(assignment.Percent),
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -54,7 +54,7 @@
 	// LostWork makes ChooseVictims choose the victims that lose least.
 	LostWork bool
 	// BestEffortWait is the wait after which the start of a best-effort task that
-	// fits by capacity is forced; 0 leaves the wait unbounded.
+	// fits by capacity is forced, see WaitBound; 0 leaves the wait unbounded.
 	BestEffortWait time.Duration
 	// BestEffortSpeed is the share of its requested processors that a best-effort task
 	// must be predicted to get, otherwise it waits; 0 means defaultBestEffortSpeed.
--- a/planner/wait.go
+++ b/planner/wait.go
@@ -41,8 +41,8 @@
 	}
 }
 
-// waitBound returns the bound of the wait for hosts like the given one.
-func (p *Planner) waitBound(host *Host) time.Duration {
+// WaitBound returns the bound of the wait for hosts like the given one.
+func (p *Planner) WaitBound(host *Host) time.Duration {
 	if host.busy {
 		return p.BestEffortWait
 	}
@@ -57,7 +57,7 @@
 	if p.BestEffortWait <= 0 {
 		return speed
 	}
-	waited := min(relaxUntil, float64(group.Waited())/float64(p.waitBound(host)))
+	waited := min(relaxUntil, float64(group.Waited())/float64(p.WaitBound(host)))
 	if waited <= 1 {
 		return speed
 	}
@@ -115,7 +115,7 @@
 		return false
 	}
 	return slices.ContainsFunc(hosts, func(host *Host) bool {
-		return host.Service == group.Job().Spec().GetService() && group.Waited() >= p.waitBound(host)
+		return host.Service == group.Job().Spec().GetService() && group.Waited() >= p.WaitBound(host)
 	})
 }
 
