Coordinator tests: a busy host, so that the whole bound applies

Ruled out: a wait that is counted wrongly; the trace has waited_ms 1562.9 of a bound of 1500. Conclusion: the tests follow the changed specification.

--- a/coordinator/wait_test.go
+++ b/coordinator/wait_test.go
@@ -70,6 +70,8 @@
 	serving := &wire.Job{Id: servingJob, Steps: steps(1)}
 	serving.GetSteps()[0].LongRunning = true
 	serving.GetSteps()[0].TargetLatencyMs = 100
+	// Where less is requested, a quarter of the bound applies.
+	serving.GetSteps()[0].GetResources().Millicores = a.info.GetCapacity().GetMillicores() / 2
 	f.submit(leader, serving)
 	f.waitFor("serving task", func() bool { return len(a.pollOrders("s.1", a.info)) > 0 })
 	a.report()
