Bound of the best-effort wait: by reserved processors

Ruled out: a wait that is lost with a leader (the steps were ready for 25 s and more). Change: only reserved processors count. Conclusion: the bound applies where the users' rule does.

--- a/planner/host.go
+++ b/planner/host.go
@@ -66,7 +66,7 @@
 	// oneServingImage is set if serving images are kept on hosts of their own; see
 	// setServingLayout.
 	oneServingImage bool
-	// busy is set if the processors of the host's service are mostly requested; see
+	// busy is set if the processors of the host's service are mostly reserved; see
 	// setBusy.
 	busy bool
 	// probes counts the tasks that probe the host while it is suspect.
--- a/planner/wait.go
+++ b/planner/wait.go
@@ -13,9 +13,9 @@
 	// best-effort task is minRelaxedSpeed. It decreases from the bound on: before, slow
 	// starts beside each other would delay more jobs than they help.
 	relaxUntil = 4.0
-	// busyShare is the requested share of a service's processors below which the bound
-	// of the wait is BestEffortWait divided by calmDivisor: what waits there does not
-	// wait for other work to end.
+	// busyShare is the share of a service's processors that its tasks reserve below
+	// which the bound of the wait is BestEffortWait divided by calmDivisor: there is
+	// room for what waits. Best-effort tasks reserve no processors.
 	busyShare   = 0.5
 	calmDivisor = 4
 	// minRelaxedSpeed is the lowest required speed. It is above 0 because
@@ -27,12 +27,12 @@
 	LowestPercent = 10
 )
 
-// setBusy marks the hosts of the services whose processors are mostly requested.
+// setBusy marks the hosts of the services whose processors are mostly reserved.
 func setBusy(hosts []*Host) {
 	requested, capacity := map[string]int64{}, map[string]int64{}
 	for _, host := range hosts {
 		if host.Usable {
-			requested[host.Service] += host.requested.GetMillicores() + host.bestEffortMillicores
+			requested[host.Service] += host.requested.GetMillicores()
 			capacity[host.Service] += host.Capacity.GetMillicores()
 		}
 	}
