Coordinator tests: a session opens only once the leader has taken over

The takeover took 20 ms; before its end the process answers an opening with the leader it knows and without reopen, which the test took for an open session. Ruled out: an expired lease (no such line), a lost order (none was made). Change: manualAgent.open repeats the opening until the response names no leader. Conclusion: a fault of the tests; the agent handles this response (locator).

--- a/coordinator/adoption_test.go
+++ b/coordinator/adoption_test.go
@@ -30,7 +30,7 @@
 	leader := f.leader()
 	agent := newManualAgent(t, leader, "host-0")
 	first, restarted := executorInfo("executor", 1), executorInfo("executor", 2)
-	f.waitFor("takeover", func() bool { return !agent.send(agent.opening("s.1", first)).GetReopen() })
+	agent.open(f, "s.1", first)
 	f.submit(leader, &wire.Job{Id: jobID, Steps: steps(1)})
 	f.waitFor("order of run 1", func() bool {
 		started, _ := runsIn(agent.pollOrders("s.1", first))
--- a/coordinator/late_opening_after_departure_test.go
+++ b/coordinator/late_opening_after_departure_test.go
@@ -17,7 +17,7 @@
 	leader := f.leader()
 	agent, other := newManualAgent(t, leader, "host-0"), newManualAgent(t, leader, "host-1")
 	first, second := executorInfo("executor-1", 1), executorInfo("executor-2", 2)
-	f.waitFor("takeover", func() bool { return !agent.send(agent.opening("s.1", first)).GetReopen() })
+	agent.open(f, "s.1", first)
 	left := agent.request("s.2", first)
 	left.ExecutorLeft = true
 	agent.send(left)
--- a/coordinator/late_opening_unseen_test.go
+++ b/coordinator/late_opening_unseen_test.go
@@ -16,7 +16,7 @@
 	leader := f.leader()
 	agent := newManualAgent(t, leader, "host-0")
 	first, second := executorInfo("executor-1", 1), executorInfo("executor-2", 2)
-	f.waitFor("takeover", func() bool { return !agent.send(agent.opening("s.2", second)).GetReopen() })
+	agent.open(f, "s.2", second)
 	f.submit(leader, &wire.Job{Id: jobID, Steps: steps(1)})
 	var start *wire.StartOrder
 	f.waitFor("start order", func() bool {
--- a/coordinator/lost_stop_test.go
+++ b/coordinator/lost_stop_test.go
@@ -16,7 +16,7 @@
 	leader := f.leader()
 	agent := newManualAgent(t, leader, "host-0")
 	info := executorInfo("executor-1", 1)
-	f.waitFor("takeover", func() bool { return !agent.send(agent.opening("s.1", info)).GetReopen() })
+	agent.open(f, "s.1", info)
 	whole := func() []*wire.JobStep {
 		all := steps(1)
 		all[0].Resources.Millicores = info.GetCapacity().GetMillicores()
--- a/coordinator/manual_agent_test.go
+++ b/coordinator/manual_agent_test.go
@@ -59,6 +59,15 @@
 	return request
 }
 
+// open opens a session once the leader has taken over. Before, the process names the
+// leader that it knows and drops the request.
+func (a *manualAgent) open(f *testFleet, session string, info *wire.ExecutorInfo, running ...*wire.TaskRun) {
+	f.waitFor("takeover", func() bool {
+		response := a.send(a.opening(session, info, running...))
+		return response.GetLeader() == nil && !response.GetReopen()
+	})
+}
+
 func (a *manualAgent) send(request *wire.ExchangeRequest) *wire.ExchangeResponse {
 	a.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), recoveryBound)
--- a/coordinator/run_times_test.go
+++ b/coordinator/run_times_test.go
@@ -100,7 +100,7 @@
 	leader := f.leader()
 	agent := newManualAgent(t, leader, "host-0")
 	info := executorInfo("executor-1", 1)
-	f.waitFor("takeover", func() bool { return !agent.send(agent.opening("s.1", info)).GetReopen() })
+	agent.open(f, "s.1", info)
 	observed := func() int64 { return leader.coordinator.RunTimeStats().Observed }
 	number := int64(0)
 	end := func(request *wire.ExchangeRequest, job string, run int32, cause wire.EndCause, checkpoint string) {
--- a/coordinator/wait_test.go
+++ b/coordinator/wait_test.go
@@ -40,7 +40,7 @@
 		info:        executorInfo("executor-1", 1),
 		running:     []*wire.TaskRun{{Task: servingJob + ".0.0.0", Run: 1, Usage: 150}},
 	}
-	f.waitFor("takeover", func() bool { return !a.send(a.opening("s.1", a.info, known...)).GetReopen() })
+	a.open(f, "s.1", a.info, known...)
 	return a
 }
 
