One age limit of estimates; less work for forced starts in a cycle

The screener and the poller each had the age of 3 s above which an estimate is of no use, and the poller the interval of the appraiser again. The services' reserved processors were summed in each plan, also without a bounded wait, and each waiting step looked at all hosts of the fleet to learn its bound, although all hosts of a service have the same one. The predicted time of a task was converted twice. Ruled out: one classification for both orders (planner.Order and CostOf): the existing order would compute the work of each job in each cycle. Change: appraiser.MaxAge and appraiser.Interval serve all three; setBusy does nothing without a bound; mayForce looks at one host of the service; predictedTime. Before/after: go test -race ./planner ./screener ./poller ./appraiser ./submitter and the forced starts and previews of ./coordinator pass, as before; lint 0 issues. Conclusion: behavior unchanged.

--- a/appraiser/appraiser.go
+++ b/appraiser/appraiser.go
@@ -19,6 +19,9 @@
 const (
 	// Interval is the time between two estimates.
 	Interval = 500 * time.Millisecond
+	// MaxAge is the age above which an estimate is of no use and all jobs are admitted.
+	// It is several times Interval; a lost leader is replaced within about 2 s.
+	MaxAge = 3 * time.Second
 	// MaxQueues bounds the queues in an estimate and thereby its size.
 	MaxQueues = 64
 )
--- a/planner/lostwork.go
+++ b/planner/lostwork.go
@@ -122,9 +122,9 @@
 // endsBeforeStop reports whether the task is predicted to end on its own before a
 // stop would take effect.
 func endsBeforeStop(task *tracker.Task, now time.Duration) bool {
-	estimate := time.Duration(task.Job().TaskMs(task.ID().Step)) * time.Millisecond
+	predicted := predictedTime(task)
 	elapsed := now - task.AssignedAt()
-	return !task.Step().GetLongRunning() && task.AssignedAt() > 0 && elapsed < estimate && estimate-elapsed <= stopTime
+	return !task.Step().GetLongRunning() && task.AssignedAt() > 0 && elapsed < predicted && predicted-elapsed <= stopTime
 }
 
 // lostWork returns the core-seconds that are lost if the task is stopped: its
@@ -148,6 +148,11 @@
 	return loss
 }
 
+// predictedTime returns the predicted duration of a run of the task from its beginning.
+func predictedTime(task *tracker.Task) time.Duration {
+	return time.Duration(task.Job().TaskMs(task.ID().Step)) * time.Millisecond
+}
+
 // runTime returns how long the current run of the task has taken. A run taken over
 // by a new leader has an unknown start and counts with its predicted time. A task that
 // exceeds it is expected to end at once.
@@ -155,11 +160,11 @@
 	if task.AssignedAt() > 0 && task.Step().GetLongRunning() {
 		return now - task.AssignedAt()
 	}
-	estimate := time.Duration(task.Job().TaskMs(task.ID().Step)) * time.Millisecond
+	predicted := predictedTime(task)
 	if task.AssignedAt() > 0 {
-		return min(now-task.AssignedAt(), estimate)
+		return min(now-task.AssignedAt(), predicted)
 	}
-	return estimate
+	return predicted
 }
 
 // victimSearch finds the set of victims that loses least, one host after another.
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -68,7 +68,7 @@
 func (p *Planner) Plan(groups []*tracker.Group, hosts []*Host) []Assignment {
 	var plan []Assignment
 	setServingLayout(groups, hosts)
-	setBusy(hosts)
+	p.setBusy(hosts)
 	plan = append(plan, p.planSuspected(groups, hosts)...)
 	for _, group := range groups {
 		if !group.Step().GetGang() {
--- a/planner/wait.go
+++ b/planner/wait.go
@@ -27,8 +27,12 @@
 	LowestPercent = 10
 )
 
-// setBusy marks the hosts of the services whose processors are mostly reserved.
-func setBusy(hosts []*Host) {
+// setBusy marks the hosts of the services whose processors are mostly reserved, if
+// the wait is bounded. All hosts of a service are marked alike.
+func (p *Planner) setBusy(hosts []*Host) {
+	if p.BestEffortWait <= 0 {
+		return
+	}
 	requested, capacity := map[string]int64{}, map[string]int64{}
 	for _, host := range hosts {
 		if host.Usable {
@@ -114,9 +118,9 @@
 	if !step.GetFillsIdle() || step.GetGang() || group.Job().AssignedTasks() > 0 {
 		return false
 	}
-	return slices.ContainsFunc(hosts, func(host *Host) bool {
-		return host.Service == group.Job().Spec().GetService() && group.Waited() >= p.WaitBound(host)
-	})
+	service := group.Job().Spec().GetService()
+	i := slices.IndexFunc(hosts, func(host *Host) bool { return host.Service == service })
+	return i >= 0 && group.Waited() >= p.WaitBound(hosts[i])
 }
 
 // forceStart starts a task of the group at the lowest pace on the host that is
--- a/poller/poller.go
+++ b/poller/poller.go
@@ -16,17 +16,15 @@
 	"gopkg.in/tomb.v2"
 
 	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/appraiser"
 	"damaskspread.example/damaskspread/wire"
 )
 
 const (
-	// pollInterval is as long as the leader takes between two estimates.
-	pollInterval = 500 * time.Millisecond
-	// callTimeout lets two calls fail before the estimate is older than MaxAge. A
-	// shorter one would fail on entries with 0.11 of a processor.
+	pollInterval = appraiser.Interval
+	// callTimeout lets two calls fail before the estimate is older than
+	// appraiser.MaxAge. A shorter one would fail on entries with 0.11 of a processor.
 	callTimeout = time.Second
-	// MaxAge is the age above which an estimate is of no use: everything is admitted.
-	MaxAge = 3 * time.Second
 )
 
 var (
@@ -205,7 +203,7 @@
 	switch {
 	case estimate == nil:
 		next = stateMissing
-	case age > MaxAge:
+	case age > appraiser.MaxAge:
 		next = stateStale
 	}
 	p.mu.Lock()
--- a/screener/screener.go
+++ b/screener/screener.go
@@ -25,11 +25,8 @@
 	refuseAbove = 3
 	// acceptWithin is the multiple that jobs of a kind that is being refused have to
 	// reach before they are accepted again. One limit for both would alternate with each estimate.
-	acceptWithin = 2
-	// maxEstimateAge is several times the interval of estimates. A lost leader is
-	// replaced within about 2 s.
-	maxEstimateAge = 3 * time.Second
-	minRetryAfter  = time.Second
+	acceptWithin  = 2
+	minRetryAfter = time.Second
 	// maxRetryAfter keeps a prediction of almost no progress from sending callers
 	// away for hours.
 	maxRetryAfter = 5 * time.Minute
@@ -143,7 +140,7 @@
 		decision.Reason = ReasonExempt
 		return decision
 	}
-	if estimate == nil || age > maxEstimateAge {
+	if estimate == nil || age > appraiser.MaxAge {
 		decision.Reason = ReasonNoEstimate
 		return decision
 	}
