Logs: why a run was considered over, and two runs of one task

Cause: the leader's lines for a release named neither the incarnation nor the session nor, for a lost executor, the reason; the end of a run that was released before left no line. The agent did not log the stops that it orders by itself, the refusal that a look-up in the lists decides, what the list that opens a session shows, nor a run that it did not order. Change: log lines and counters only. Leader: executor, born and session in the lines of assignments, ends, refusals, lost runs and stops; cause and replaced_by of lost runs; the latest run in stops of runs that are not assigned; new events for ignored ends and released gang members. Agent: born and token in "task started" and "task stopped"; new events for the runs of the opening list, unexpected runs, completed stops, and two runs of one task (level error, metric damaskspread_run_overlaps_total). Each line is written once per run, order or session, none per renewal.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -103,7 +103,7 @@
 	histories   map[string]*hostHistory // of this leader's term, by host
 	changedJobs map[string]bool
 	// lostExecutors are executor incarnations that have left or were replaced.
-	lostExecutors []tracker.ExecutorKey
+	lostExecutors []lostExecutor
 	wake          chan struct{}
 	// pressures are the interference weights of image pairs sent to agents.
 	pressures       []*wire.ImagePressure
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -25,7 +25,7 @@
 type cycleState struct {
 	now           time.Duration
 	changedJobs   []string
-	lostExecutors []tracker.ExecutorKey
+	lostExecutors []lostExecutor
 	views         []*sessionView
 	byKey         map[tracker.ExecutorKey]*sessionView
 	// hosts are the placement candidates; nil if no task may start in this cycle.
@@ -105,7 +105,11 @@
 				Msg("executor lease expired; its runs are lost")
 			delete(c.sessions, host)
 			s.notify()
-			cycle.lostExecutors = append(cycle.lostExecutors, s.key)
+			cycle.lostExecutors = append(cycle.lostExecutors, lostExecutor{
+				key:     s.key,
+				session: s.id,
+				cause:   tracer.LossLeaseExpired,
+			})
 			continue
 		}
 		cycle.add(s)
@@ -165,6 +169,9 @@
 	event.Task = task
 	event.Run = run
 	event.Host = v.host
+	event.Executor = v.key.ID
+	event.Born = v.key.BornUnixMs
+	event.Session = v.session.id
 	tracer.Write(&event)
 	v.stops = append(v.stops, &wire.StopOrder{
 		Task: task,
--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/phuslu/log"
 
 	"damaskspread.example/damaskspread/elector"
+	"damaskspread.example/damaskspread/tracer"
 	"damaskspread.example/damaskspread/wire"
 )
 
@@ -80,7 +81,12 @@
 	if previous != nil {
 		previous.notify()
 		if previous.key != s.key {
-			c.lostExecutors = append(c.lostExecutors, previous.key)
+			c.lostExecutors = append(c.lostExecutors, lostExecutor{
+				key:        previous.key,
+				session:    previous.id,
+				cause:      tracer.LossReplaced,
+				replacedBy: s.id,
+			})
 		}
 	}
 	s.leaseEnd = c.Elapsed.Elapsed() + c.leaseBound()
@@ -89,7 +95,7 @@
 		c.histories[s.host] = &hostHistory{}
 	}
 	c.histories[s.host].add(s)
-	log.Info().Str("host", s.host).Str("session", s.id).Str("executor", s.key.ID).
+	log.Info().Str("host", s.host).Str("session", s.id).Str("executor", s.key.ID).Int64("born", s.key.BornUnixMs).
 		Int("running", len(report.GetRunning())).Int("ends", len(report.GetEnds())).Msg("session opened")
 	return s
 }
@@ -162,12 +168,16 @@
 // handleExecutorLeft closes the session of an executor that has left and releases
 // its tasks in the next cycle.
 func (c *Coordinator) handleExecutorLeft(report *wire.ExchangeRequest) *wire.ExchangeResponse {
-	key := keyOf(report.GetExecutor())
-	if s := c.sessions[report.GetHost()]; s != nil && s.key == key {
+	lost := lostExecutor{
+		key:   keyOf(report.GetExecutor()),
+		cause: tracer.LossLeft,
+	}
+	if s := c.sessions[report.GetHost()]; s != nil && s.key == lost.key {
+		lost.session = s.id
 		delete(c.sessions, report.GetHost())
 		s.notify()
 	}
-	c.lostExecutors = append(c.lostExecutors, key)
+	c.lostExecutors = append(c.lostExecutors, lost)
 	c.signal()
 	return &wire.ExchangeResponse{
 		Epoch: c.epoch,
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -35,6 +35,8 @@
 			Run:           assignment.Run,
 			Host:          view.host,
 			Executor:      view.key.ID,
+			Born:          view.key.BornUnixMs,
+			Session:       view.session.id,
 			Epoch:         epoch,
 			ConfigVersion: config.GetVersion(),
 			ConfigAge:     tracer.Milliseconds(configAge),
--- a/coordinator/reconcile.go
+++ b/coordinator/reconcile.go
@@ -13,15 +13,19 @@
 
 // takeReplacedOrphans removes and returns the orphans on the session's host, which
 // the session's executor has replaced.
-func (c *Coordinator) takeReplacedOrphans(view *sessionView) []tracker.ExecutorKey {
-	var keys []tracker.ExecutorKey
+func (c *Coordinator) takeReplacedOrphans(view *sessionView) []lostExecutor {
+	var lost []lostExecutor
 	for key, orphan := range c.orphans {
 		if orphan.host == view.host {
-			keys = append(keys, key)
+			lost = append(lost, lostExecutor{
+				key:        key,
+				cause:      tracer.LossReplaced,
+				replacedBy: view.session.id,
+			})
 			delete(c.orphans, key)
 		}
 	}
-	return keys
+	return lost
 }
 
 // reconcile adopts or stops runs that are not assigned to the executor, and sends
@@ -33,9 +37,7 @@
 			c.adopt(view, t)
 		}
 		if t == nil || !t.Assigned() || t.Run() != run.GetRun() || t.Executor() != view.key {
-			view.addStopOrder(run.GetTask(), run.GetRun(), tracer.StopOrdered{
-				Reason: tracer.StopNotAssigned,
-			})
+			view.addStopOrder(run.GetTask(), run.GetRun(), notAssigned(t))
 			continue
 		}
 		// The executor has outlived a lost connection that an earlier process of the
@@ -73,9 +75,31 @@
 	return t.Pending() || (t.Assigned() && t.Executor().ID == executor.ID)
 }
 
+// notAssigned returns the event for the stop of a run that is not assigned, with the
+// latest run of its task. The task is nil if the job is not open.
+func notAssigned(t *tracker.Task) tracer.StopOrdered {
+	event := tracer.StopOrdered{Reason: tracer.StopNotAssigned}
+	if t == nil {
+		return event
+	}
+	event.Latest = t.Run()
+	event.LatestExecutor = t.Executor().ID
+	event.LatestBorn = t.Executor().BornUnixMs
+	switch {
+	case t.Assigned():
+		event.LatestState = "assigned"
+	case t.Done():
+		event.LatestState = "done"
+	default:
+		event.LatestState = "pending"
+	}
+	return event
+}
+
 // adopt assigns the task's latest run to the executor on which it is in progress.
 // Otherwise the next run would start beside it.
 func (c *Coordinator) adopt(view *sessionView, t *tracker.Task) {
+	from := t.Executor()
 	t.Adopt(view.key, view.host)
 	tracer.Write(&tracer.RunAdopted{
 		Job:      t.ID().Job,
@@ -83,6 +107,10 @@
 		Run:      t.Run(),
 		Host:     view.host,
 		Executor: view.key.ID,
+		Born:     view.key.BornUnixMs,
+		Session:  view.session.id,
+		From:     from.ID,
+		FromBorn: from.BornUnixMs,
 	})
 }
 
--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -48,9 +48,12 @@
 	}
 	firstFailure := t.Failures() == 0
 	resumed := t.Checkpoint() != ""
+	gang := assignedGang(t)
 	if !t.End(end, view.key.ID) {
+		traceIgnoredEnd(view, t, end)
 		return
 	}
+	traceGangReleases(gang, t)
 	c.recordDoneWork(t)
 	c.recordEnd(view.key, end.GetCause(), firstFailure)
 	// An end that arrives with the opening of a session may be long past.
@@ -64,6 +67,9 @@
 		Host:     view.host,
 		Cause:    end.GetCause().String(),
 		Failures: t.Failures(),
+		Executor: view.key.ID,
+		Born:     view.key.BornUnixMs,
+		Session:  view.session.id,
 	})
 }
 
@@ -97,11 +103,14 @@
 	c.adviceCache.dropRefusedTickets(t, refusal.GetReason())
 	c.recordRefusal(view.key, refusal.GetReason())
 	tracer.Write(&tracer.StartRefused{
-		Job:    t.ID().Job,
-		Task:   refusal.GetTask(),
-		Run:    refusal.GetRun(),
-		Host:   view.host,
-		Reason: refusal.GetReason(),
+		Job:      t.ID().Job,
+		Task:     refusal.GetTask(),
+		Run:      refusal.GetRun(),
+		Host:     view.host,
+		Reason:   refusal.GetReason(),
+		Executor: view.key.ID,
+		Born:     view.key.BornUnixMs,
+		Session:  view.session.id,
 	})
 }
 
@@ -126,35 +135,3 @@
 		visit(t)
 	}
 }
-
-// releaseLostTasks releases the tasks of lost executors: those that have left or
-// were replaced, and those, orphans included, whose lease has expired.
-func (c *Coordinator) releaseLostTasks(cycle *cycleState) {
-	for key, orphan := range c.orphans {
-		if cycle.now > orphan.deadline {
-			delete(c.orphans, key)
-			cycle.lostExecutors = append(cycle.lostExecutors, key)
-		}
-	}
-	for _, key := range cycle.lostExecutors {
-		if cycle.byKey[key] != nil {
-			// The executor has opened a session meanwhile: its runs are in progress.
-			continue
-		}
-		released := 0
-		c.eachAssigned(key, func(t *tracker.Task) {
-			tracer.Write(&tracer.RunLost{
-				Job:      t.ID().Job,
-				Task:     t.ID().String(),
-				Run:      t.Run(),
-				Executor: key.ID,
-			})
-			run, host := t.Run(), t.Host()
-			if t.Lose() {
-				recordCrash(t, run, host)
-			}
-			released++
-		})
-		log.Info().Str("executor", key.ID).Int64("born", key.BornUnixMs).Int("tasks", released).Msg("executor lost; its tasks were released")
-	}
-}
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -145,6 +145,18 @@
 			events: []tracer.Event{&tracer.RunLost{Job: job, Task: task, Run: 1, Executor: "i-1"}},
 			kind:   explainer.FindingRunLost, subject: "i-1", detail: task + " run 1 ended with its executor",
 		},
+		"executor replaced": {
+			events: []tracer.Event{&tracer.RunLost{Job: job, Task: task, Run: 1, Executor: "i-1", Cause: tracer.LossReplaced, ReplacedBy: "s.2"}},
+			kind:   explainer.FindingRunLost, subject: "i-1", detail: task + " run 1 ended with its executor (replaced by session s.2)",
+		},
+		"overlap": {
+			events: []tracer.Event{&tracer.RunsOverlap{Job: job, Task: task, Run: 3, Other: 2, Executor: "i-1", Born: 7}},
+			kind:   explainer.FindingOverlap, subject: "i-1", detail: task + " runs 2 and 3 in progress, executor born at 7",
+		},
+		"not assigned": {
+			events: []tracer.Event{&tracer.StopOrdered{Job: job, Task: task, Run: 1, Host: "h", Reason: tracer.StopNotAssigned, Latest: 2, LatestState: "assigned"}},
+			kind:   explainer.FindingRunStopped, subject: "h", detail: task + " run 1: not_assigned, latest run 2 is assigned",
+		},
 		"lease expired": {
 			events: []tracer.Event{&tracer.RunEnded{Job: job, Task: task, Run: 1, Host: "h", Cause: "END_CAUSE_LEASE_EXPIRED"}},
 			kind:   explainer.FindingRunLost, subject: "h", detail: task + " run 1: its lease expired",
--- a/explainer/findings.go
+++ b/explainer/findings.go
@@ -43,6 +43,7 @@
 	FindingRunStopped    FindingKind = "run_stopped"
 	FindingRunLost       FindingKind = "run_lost"
 	FindingCrash         FindingKind = "executor_crashed"
+	FindingOverlap       FindingKind = "runs_overlap"
 	FindingPaced         FindingKind = "paced"
 	FindingCanceled      FindingKind = "canceled"
 	FindingUnfinished    FindingKind = "unfinished"
@@ -50,7 +51,7 @@
 
 var kindOrder = []FindingKind{
 	FindingRefused, FindingTooLate, FindingSlowAppend, FindingWaited, FindingStartLimited, FindingStartForced, FindingSlowOrder, FindingStartRefused, FindingStartRepeated,
-	FindingRunFailed, FindingRunStopped, FindingRunLost, FindingCrash, FindingPaced, FindingCanceled, FindingUnfinished,
+	FindingRunFailed, FindingRunStopped, FindingRunLost, FindingCrash, FindingOverlap, FindingPaced, FindingCanceled, FindingUnfinished,
 }
 
 // Finding is one cause of a delay, refusal or failure of the job, possibly with
@@ -161,7 +162,9 @@
 	case *tracer.RunEnded:
 		c.addRunEnd(e)
 	case *tracer.RunLost:
-		c.add(FindingRunLost, e.Executor, "%s run %d ended with its executor", e.Task, e.Run)
+		c.add(FindingRunLost, e.Executor, "%s run %d ended with its executor%s", e.Task, e.Run, lossDetail(e))
+	case *tracer.RunsOverlap:
+		c.add(FindingOverlap, e.Executor, "%s runs %d and %d in progress, executor born at %d", e.Task, e.Other, e.Run, e.Born)
 	case *tracer.CrashCounted:
 		c.add(FindingCrash, e.Host, "%s run %d: crash %d of an executor shortly after a start of the task%s", e.Task, e.Run, e.Crashes, crashDetail(e))
 	}
@@ -202,6 +205,18 @@
 	return ""
 }
 
+// lossDetail is empty for lines of versions that wrote no cause.
+func lossDetail(e *tracer.RunLost) string {
+	switch {
+	case e.Cause == "":
+		return ""
+	case e.ReplacedBy != "":
+		return fmt.Sprintf(" (%s by session %s)", e.Cause, e.ReplacedBy)
+	default:
+		return fmt.Sprintf(" (%s)", e.Cause)
+	}
+}
+
 func crashDetail(e *tracer.CrashCounted) string {
 	if e.GivenUp {
 		return "; the job fails"
@@ -213,6 +228,10 @@
 	switch {
 	case e.For != "":
 		return " " + e.For
+	case e.Refusal != "":
+		return ", " + e.Refusal
+	case e.Latest > 0:
+		return fmt.Sprintf(", latest run %d is %s", e.Latest, e.LatestState)
 	case e.Millicores > 0:
 		return fmt.Sprintf(", %d millicores in use", e.Millicores)
 	default:
--- a/launcher/agent.go
+++ b/launcher/agent.go
@@ -75,6 +75,7 @@
 		DrainFor:   s.Bounds().DrainFor(),
 	}
 	a.runner.Init()
+	a.process.metricsSet.NewGauge("damaskspread_run_overlaps_total", func() float64 { return float64(a.runner.Overlaps()) })
 	a.process.metricsSet.NewGauge("damaskspread_remembered_runs", func() float64 { return float64(a.runner.RememberedRuns()) })
 }
 
--- a/runner/drain.go
+++ b/runner/drain.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"damaskspread.example/damaskspread/tracer"
-	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
 )
 
@@ -21,13 +20,7 @@
 	r.pause(ctx, drainInterval)
 	info, runs := r.runsToDrain()
 	for _, run := range runs {
-		tracer.Write(&tracer.StopOrdered{
-			Job:    tracker.JobOf(run.GetTask()),
-			Task:   run.GetTask(),
-			Run:    run.GetRun(),
-			Host:   r.Host,
-			Reason: tracer.StopDraining,
-		})
+		r.traceOwnStop(info, runKey{run.GetTask(), run.GetRun()}, tracer.StopDraining, "")
 		r.activeOrders.Go(func() {
 			r.stop(ctx, info, &wire.StopOrder{
 				Task: run.GetTask(),
--- a/runner/exchange.go
+++ b/runner/exchange.go
@@ -216,7 +216,7 @@
 func (r *Runner) updateSession(request *wire.ExchangeRequest, response *wire.ExchangeResponse, sentAt time.Duration) {
 	if !r.sessionOpen {
 		r.sessionOpen = true
-		log.Info().Int64("epoch", r.epoch).Str("session", r.session).Msg("session opened")
+		r.traceOpening(request)
 	}
 	if lease := response.GetLeaseMs(); lease > 0 {
 		until := sentAt + time.Duration(response.GetHeldMs()+lease)*time.Millisecond
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -118,6 +118,7 @@
 		case decision.handled:
 			return
 		case decision.refusal != "" && mayHaveStarted && !decision.definite:
+			r.traceOwnStop(info, key, tracer.StopRefused, string(decision.refusal))
 			if !r.stop(ctx, info, &wire.StopOrder{Task: order.GetTask(), Run: order.GetRun()}) {
 				r.dropOwner(info, key)
 			}
@@ -141,6 +142,8 @@
 				Job:        tracker.JobOf(key.task),
 				Task:       key.task,
 				Run:        key.run,
+				Executor:   info.GetId(),
+				Born:       info.GetBornUnixMs(),
 				Token:      decision.lease.Token,
 				DeadlineMs: decision.lease.DeadlineMs,
 				Age:        tracer.Milliseconds(r.Elapsed.Elapsed() - decidedAt),
@@ -209,11 +212,7 @@
 		var fenced *damaskspread.FencedError
 		switch {
 		case err == nil:
-			tracer.Write(&tracer.TaskStopped{
-				Job:  tracker.JobOf(key.task),
-				Task: key.task,
-				Run:  key.run,
-			})
+			r.traceStop(info, key, token)
 			r.scheduleCheck(info, key, r.StopWithin)
 			return true
 		case errors.As(err, &wrong) || errors.As(err, &fenced):
--- a/runner/refusals.go
+++ b/runner/refusals.go
@@ -57,6 +57,15 @@
 		Run:    key.run,
 		Reason: string(reason),
 	})
+	tracer.Write(&tracer.StartRefused{
+		Job:      tracker.JobOf(key.task),
+		Task:     key.task,
+		Run:      key.run,
+		Host:     r.Host,
+		Reason:   string(reason),
+		Executor: r.info.GetId(),
+		Born:     r.info.GetBornUnixMs(),
+	})
 }
 
 func (r *Runner) rememberRefusal(key runKey, reason damaskspread.StartRefusal) {
@@ -122,13 +131,6 @@
 	if !present {
 		return
 	}
-	tracer.Write(&tracer.StartRefused{
-		Job:    tracker.JobOf(key.task),
-		Task:   key.task,
-		Run:    key.run,
-		Host:   r.Host,
-		Reason: string(reason),
-	})
 	signal(r.reportWake)
 }
 
--- a/runner/renew.go
+++ b/runner/renew.go
@@ -128,7 +128,7 @@
 	}
 	r.mu.Unlock()
 	if first {
-		log.Warn().Str("executor", call.info.GetId()).Int64("token", call.lease.Token).Err(err).Msg("executor lease renewal failed")
+		log.Warn().Str("executor", call.info.GetId()).Int64("born", call.info.GetBornUnixMs()).Int64("token", call.lease.Token).Err(err).Msg("executor lease renewal failed")
 	}
 	r.pause(ctx, renewRetry)
 }
@@ -165,6 +165,7 @@
 		r.listsRead = true
 	}
 	updated := r.addEnds(state.GetEnded())
+	r.traceLists(call.startedAt)
 	r.forgetEndedRuns()
 	return r.resolveChecks(call.startedAt) || updated
 }
@@ -181,7 +182,8 @@
 		Address:    r.info.GetAddress(),
 		Capacity:   &wire.Resources{},
 	}
-	log.Info().Str("executor", info.GetId()).Int64("born", born).Msg("executor restarted")
+	log.Info().Str("executor", info.GetId()).Int64("born", born).Int64("previous_born", r.info.GetBornUnixMs()).
+		Int("unsettled", len(r.unsettled)).Msg("executor restarted")
 	r.resetExecutor(info)
 }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -131,6 +131,7 @@
 	// drainStops holds the runs that drainOnce has ordered to stop.
 	drainStops map[runKey]bool
 	crashes    crashWatch
+	trace      runTrace
 	// pressureVersion is the version of the pacer's interference weights.
 	pressureVersion int64
 
@@ -203,6 +204,7 @@
 	r.pendingRefusals = nil
 	r.reportedCapacity = nil
 	r.keptSteps = map[string]*keptStep{}
+	r.trace.shown = map[runKey]bool{}
 }
 
 // resetExecutor clears the state of the last incarnation of the executor and
@@ -228,6 +230,7 @@
 	r.checksDue = map[runKey]time.Duration{}
 	r.unsettled = map[runKey]bool{}
 	r.crashes.reset()
+	r.trace.reset()
 	r.executorClock = clockReading{
 		clockMs: info.GetClockMs(),
 		at:      r.Elapsed.Elapsed(),
--- a/runner/unsettled.go
+++ b/runner/unsettled.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 
+	"damaskspread.example/damaskspread/tracer"
 	"damaskspread.example/damaskspread/wire"
 )
 
@@ -22,6 +23,7 @@
 	for key := range r.unsettled {
 		if !slices.Contains(r.restarted, key) {
 			r.restarted = append(r.restarted, key)
+			r.traceOwnStop(info, key, tracer.StopUnsettled, "")
 		}
 	}
 }
@@ -50,6 +52,7 @@
 		if err != nil {
 			return err
 		}
+		r.traceStop(call.info, key, call.lease.Token)
 		r.forgetRestarted(key)
 	}
 	return nil
--- a/tracer/events.go
+++ b/tracer/events.go
@@ -48,25 +48,31 @@
 
 // Kinds of events.
 const (
-	KindJobAccepted    Kind = "job accepted"
-	KindJobRefused     Kind = "job refused: it would end too late"
-	KindJobRepeated    Kind = "job was accepted before"
-	KindJobCanceled    Kind = "job canceled"
-	KindJobState       Kind = "job state changed"
-	KindRequestRefused Kind = "request refused"
-	KindTaskAssigned   Kind = "task assigned"
-	KindStartLimited   Kind = "start at a limited pace"
-	KindTasksWaiting   Kind = "tasks wait for a host"
-	KindStartRepeated  Kind = "start repeated"
-	KindStopOrdered    Kind = "stop ordered"
-	KindTaskStarted    Kind = "task started"
-	KindStartRefused   Kind = "start refused"
-	KindTaskPaced      Kind = "pace set"
-	KindTaskStopped    Kind = "task stopped"
-	KindRunEnded       Kind = "run ended"
-	KindRunLost        Kind = "run lost with its executor"
-	KindRunAdopted     Kind = "run adopted"
-	KindCrashCounted   Kind = "crash of executor counted for task"
+	KindJobAccepted     Kind = "job accepted"
+	KindJobRefused      Kind = "job refused: it would end too late"
+	KindJobRepeated     Kind = "job was accepted before"
+	KindJobCanceled     Kind = "job canceled"
+	KindJobState        Kind = "job state changed"
+	KindRequestRefused  Kind = "request refused"
+	KindTaskAssigned    Kind = "task assigned"
+	KindStartLimited    Kind = "start at a limited pace"
+	KindTasksWaiting    Kind = "tasks wait for a host"
+	KindStartRepeated   Kind = "start repeated"
+	KindStopOrdered     Kind = "stop ordered"
+	KindTaskStarted     Kind = "task started"
+	KindStartRefused    Kind = "start refused"
+	KindTaskPaced       Kind = "pace set"
+	KindTaskStopped     Kind = "task stopped"
+	KindRunEnded        Kind = "run ended"
+	KindRunLost         Kind = "run lost with its executor"
+	KindRunAdopted      Kind = "run adopted"
+	KindCrashCounted    Kind = "crash of executor counted for task"
+	KindRunEndIgnored   Kind = "run end ignored"
+	KindGangRunReleased Kind = "run released: another member of its gang is done"
+	KindRunListed       Kind = "run in the list that opens the session"
+	KindRunUnexpected   Kind = "run in progress without an order of this process"
+	KindRunsOverlap     Kind = "two runs of one task in progress"
+	KindStopCompleted   Kind = "stop completed"
 )
 
 // JobAccepted means that the record of a new job is in the log.
@@ -143,6 +149,8 @@
 	Run           int32        `json:"run"`
 	Host          string       `json:"host"`
 	Executor      string       `json:"executor"`
+	Born          int64        `json:"born"`
+	Session       string       `json:"session"`
 	Epoch         int64        `json:"epoch"`
 	ConfigVersion int64        `json:"config_version"`
 	ConfigAge     Milliseconds `json:"config_age_ms"`
@@ -203,6 +211,13 @@
 	StopNotAssigned StopReason = "not_assigned"
 	// StopRepeated: an earlier session of the agent had an order to stop the run.
 	StopRepeated StopReason = "repeated"
+	// StopUnsettled: the agent stops the run by itself before it opens a session,
+	// because the start had no definite response when the executor restarted under
+	// its id.
+	StopUnsettled StopReason = "start_unsettled"
+	// StopRefused: the agent stops the run by itself because it refuses the order
+	// and an earlier call may have started the run.
+	StopRefused StopReason = "start_refused"
 )
 
 // StopOrdered means that a run is to be stopped.
@@ -216,6 +231,20 @@
 	For string `json:"for,omitempty"`
 	// Millicores is the processor use of the run, if Reason is StopSlowRun.
 	Millicores int64 `json:"millicores,omitempty"`
+	// Refusal is the reason for which the start is refused, if Reason is StopRefused.
+	Refusal string `json:"refusal,omitempty"`
+	// Executor, Born and Session name the executor of the run, Session is empty for
+	// stops that the agent orders.
+	Executor string `json:"executor,omitempty"`
+	Born     int64  `json:"born,omitempty"`
+	Session  string `json:"session,omitempty"`
+	// Latest is the latest run of the task if Reason is StopNotAssigned, LatestState
+	// its state, and LatestExecutor and LatestBorn the executor to which it is
+	// assigned. They are empty if the job is not open.
+	Latest         int32  `json:"latest_run,omitempty"`
+	LatestState    string `json:"latest_state,omitempty"`
+	LatestExecutor string `json:"latest_executor,omitempty"`
+	LatestBorn     int64  `json:"latest_born,omitempty"`
 }
 
 // TaskStarted means that the executor accepted a start order.
@@ -223,6 +252,8 @@
 	Job        string `json:"job"`
 	Task       string `json:"task"`
 	Run        int32  `json:"run"`
+	Executor   string `json:"executor"`
+	Born       int64  `json:"born"`
 	Token      int64  `json:"token"`
 	DeadlineMs int64  `json:"deadline_ms"`
 	// Age is the time since the leader's decision.
@@ -236,6 +267,11 @@
 	Run    int32  `json:"run"`
 	Host   string `json:"host,omitempty"`
 	Reason string `json:"reason"`
+	// Executor and Born name the incarnation that the order was for, Session that
+	// of the report; the agent leaves Session empty.
+	Executor string `json:"executor"`
+	Born     int64  `json:"born"`
+	Session  string `json:"session,omitempty"`
 }
 
 // TaskPaced means that the pace of a run changed, to protect the latency of
@@ -255,9 +291,12 @@
 
 // TaskStopped means that the executor accepted a stop order.
 type TaskStopped struct {
-	Job  string `json:"job"`
-	Task string `json:"task"`
-	Run  int32  `json:"run"`
+	Job      string `json:"job"`
+	Task     string `json:"task"`
+	Run      int32  `json:"run"`
+	Executor string `json:"executor"`
+	Born     int64  `json:"born"`
+	Token    int64  `json:"token"`
 }
 
 // RunEnded means that the end of a run is recorded in the job's progress.
@@ -269,6 +308,10 @@
 	Cause string `json:"cause"`
 	// Failures counts the failed runs of the task so far.
 	Failures int32 `json:"failures"`
+	// Executor, Born and Session name the incarnation that listed the end.
+	Executor string `json:"executor"`
+	Born     int64  `json:"born"`
+	Session  string `json:"session"`
 }
 
 // RunLost means that a run no longer exists because its executor has certainly
@@ -277,7 +320,15 @@
 	Job      string `json:"job"`
 	Task     string `json:"task"`
 	Run      int32  `json:"run"`
+	Host     string `json:"host"`
 	Executor string `json:"executor"`
+	Born     int64  `json:"born"`
+	// Session is that of the executor, empty if it had none with this leader.
+	Session string    `json:"session,omitempty"`
+	Cause   LossCause `json:"cause"`
+	// ReplacedBy is the session of the executor that replaced this one, if Cause is
+	// LossReplaced.
+	ReplacedBy string `json:"replaced_by,omitempty"`
 }
 
 // RunAdopted means that the leader found the latest run of a task in progress on an
@@ -288,6 +339,12 @@
 	Run      int32  `json:"run"`
 	Host     string `json:"host"`
 	Executor string `json:"executor"`
+	Born     int64  `json:"born"`
+	Session  string `json:"session"`
+	// From and FromBorn name the executor to which the run was assigned before,
+	// empty if it was considered over.
+	From     string `json:"from,omitempty"`
+	FromBorn int64  `json:"from_born,omitempty"`
 }
 
 // CrashCounted means that an executor crashed shortly after it had started the
@@ -344,25 +401,31 @@
 
 // newEventByKind maps each kind to the constructor of an empty event.
 var newEventByKind = map[Kind]func() Event{
-	KindJobAccepted:    func() Event { return &JobAccepted{} },
-	KindJobRefused:     func() Event { return &JobRefused{} },
-	KindJobRepeated:    func() Event { return &JobRepeated{} },
-	KindJobCanceled:    func() Event { return &JobCanceled{} },
-	KindJobState:       func() Event { return &JobState{} },
-	KindRequestRefused: func() Event { return &RequestRefused{} },
-	KindTaskAssigned:   func() Event { return &TaskAssigned{} },
-	KindStartLimited:   func() Event { return &StartLimited{} },
-	KindTasksWaiting:   func() Event { return &TasksWaiting{} },
-	KindStartRepeated:  func() Event { return &StartRepeated{} },
-	KindStopOrdered:    func() Event { return &StopOrdered{} },
-	KindTaskStarted:    func() Event { return &TaskStarted{} },
-	KindStartRefused:   func() Event { return &StartRefused{} },
-	KindTaskPaced:      func() Event { return &TaskPaced{} },
-	KindTaskStopped:    func() Event { return &TaskStopped{} },
-	KindRunEnded:       func() Event { return &RunEnded{} },
-	KindRunLost:        func() Event { return &RunLost{} },
-	KindRunAdopted:     func() Event { return &RunAdopted{} },
-	KindCrashCounted:   func() Event { return &CrashCounted{} },
+	KindJobAccepted:     func() Event { return &JobAccepted{} },
+	KindJobRefused:      func() Event { return &JobRefused{} },
+	KindJobRepeated:     func() Event { return &JobRepeated{} },
+	KindJobCanceled:     func() Event { return &JobCanceled{} },
+	KindJobState:        func() Event { return &JobState{} },
+	KindRequestRefused:  func() Event { return &RequestRefused{} },
+	KindTaskAssigned:    func() Event { return &TaskAssigned{} },
+	KindStartLimited:    func() Event { return &StartLimited{} },
+	KindTasksWaiting:    func() Event { return &TasksWaiting{} },
+	KindStartRepeated:   func() Event { return &StartRepeated{} },
+	KindStopOrdered:     func() Event { return &StopOrdered{} },
+	KindTaskStarted:     func() Event { return &TaskStarted{} },
+	KindStartRefused:    func() Event { return &StartRefused{} },
+	KindTaskPaced:       func() Event { return &TaskPaced{} },
+	KindTaskStopped:     func() Event { return &TaskStopped{} },
+	KindRunEnded:        func() Event { return &RunEnded{} },
+	KindRunLost:         func() Event { return &RunLost{} },
+	KindRunAdopted:      func() Event { return &RunAdopted{} },
+	KindCrashCounted:    func() Event { return &CrashCounted{} },
+	KindRunEndIgnored:   func() Event { return &RunEndIgnored{} },
+	KindGangRunReleased: func() Event { return &GangRunReleased{} },
+	KindRunListed:       func() Event { return &RunListed{} },
+	KindRunUnexpected:   func() Event { return &RunUnexpected{} },
+	KindRunsOverlap:     func() Event { return &RunsOverlap{} },
+	KindStopCompleted:   func() Event { return &StopCompleted{} },
 }
 
 // Kinds returns all kinds of events, in no particular order.
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -119,6 +119,9 @@
 
 func writeLine(event Event) {
 	entry := log.Info()
+	if event.kind() == KindRunsOverlap {
+		entry = log.Error()
+	}
 	if entry == nil {
 		return
 	}
