Failing test: a task starts again after an older run of it is done

What callers see: a run starts after an end "done" of the same task. Cause: the leader ignores the end of a run that is not the latest one of its task (tracker.Task.End), also if the run is done. The latest run may have been refused and the task waits, so its next run is ordered. Ruled out: nothing else was looked at. Seen on, go test -race -count=5 -run TestNoRunAfter ./coordinator, in each run:

TestNoRunAfterAnOlderRunIsDone/listed_before, /not_listed_before older_run_test.go:176, 181: run 3 was ordered

--- a/coordinator/older_run_test.go
+++ b/coordinator/older_run_test.go
@@ -165,3 +165,19 @@
 	o.agent.send(o.endReport(wire.EndCause_END_CAUSE_STOPPED))
 	o.waitRun3()
 }
+
+// Guards against a start after an end "done": a run that is not the latest one of its
+// task is done, also before the stop that the leader ordered takes effect.
+func TestNoRunAfterAnOlderRunIsDone(t *testing.T) {
+	t.Run("listed before", func(t *testing.T) {
+		o := newOlderRun(t)
+		o.listInOpening()
+		o.agent.send(o.endReport(wire.EndCause_END_CAUSE_DONE))
+		o.assertNoRun3(500 * time.Millisecond)
+	})
+	t.Run("not listed before", func(t *testing.T) {
+		o := newOlderRun(t)
+		o.agent.send(o.refusing(o.endReport(wire.EndCause_END_CAUSE_DONE), 2))
+		o.assertNoRun3(500 * time.Millisecond)
+	})
+}
