A run that is done completes its task, also if it is not the latest one

Cause: the leader ignored the end of a run before the latest one of its task unless it had failed, and acknowledged it. If the latest run was refused, the task waited and its next run was ordered. Change: such an end completes the task; a later run that is assigned is ordered to stop, and its time does not count as that of the run that is done. After: go test -race -count=3 -run TestNoRunAfter ./coordinator passes.

--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -24,7 +24,7 @@
 		delete(c.orphans, view.key)
 		for _, end := range view.ends {
 			c.endUnassigned(view, end)
-			c.applyEnd(view, end)
+			c.applyEnd(cycle, view, end)
 		}
 		for _, exposure := range view.exposures {
 			c.applyExposure(view, exposure)
@@ -45,7 +45,7 @@
 	}
 }
 
-func (c *Coordinator) applyEnd(view *sessionView, end *wire.RunEnd) {
+func (c *Coordinator) applyEnd(cycle *cycleState, view *sessionView, end *wire.RunEnd) {
 	t := c.task(end.GetTask())
 	if t == nil {
 		return
@@ -53,15 +53,20 @@
 	firstFailure := t.Failures() == 0
 	resumed := t.Checkpoint() != ""
 	gang := assignedGang(t)
+	latest, executor := t.Run(), t.Executor()
 	if !t.End(end, view.key.ID) {
 		traceIgnoredEnd(view, t, end)
 		return
 	}
 	traceGangReleases(gang, t)
+	isLatest := end.GetRun() == latest
+	if superseding := cycle.byKey[executor]; superseding != nil && t.Done() && !isLatest {
+		superseding.addStopOrder(end.GetTask(), latest, notAssigned(t))
+	}
 	c.recordDoneWork(t)
 	c.recordEnd(view.key, end.GetCause(), firstFailure)
 	// An end that arrives with the opening of a session may be long past.
-	if !resumed && !view.opening {
+	if isLatest && !resumed && !view.opening {
 		c.runTimes.observe(t, c.Elapsed.Elapsed())
 	}
 	tracer.Write(&tracer.RunEnded{
--- a/tracker/ends.go
+++ b/tracker/ends.go
@@ -3,9 +3,9 @@
 import "damaskspread.example/damaskspread/wire"
 
 // End applies the end of a run on the executor with the given id and reports
-// whether the task changed. Ends of runs before the latest one are ignored, except
-// failures: each failed run counts as an attempt. Repeated reports of the same
-// failure count once.
+// whether the task changed. Of runs before the latest one only two kinds of ends
+// count: each failed run is an attempt, and a run that is done completes the task.
+// Repeated reports of the same failure count once.
 func (t *Task) End(end *wire.RunEnd, executor string) bool {
 	if t.Done() || end.GetRun() > t.run {
 		return false
@@ -16,14 +16,15 @@
 	if failed {
 		t.recordFailure(end.GetRun(), executor)
 	}
-	if end.GetRun() < t.run {
+	done := end.GetCause() == wire.EndCause_END_CAUSE_DONE && !t.Step().GetLongRunning()
+	if end.GetRun() < t.run && !done {
 		return failed
 	}
 	if checkpoint := end.GetCheckpoint(); checkpoint != "" {
 		t.setCheckpoint(checkpoint)
 	}
 	switch {
-	case end.GetCause() == wire.EndCause_END_CAUSE_DONE && !t.Step().GetLongRunning():
+	case done:
 		t.markDone()
 	case t.Assigned():
 		t.endWait()
