--- a/coordinator/late_start_test.go
+++ b/coordinator/late_start_test.go
@@ -63,8 +63,6 @@
 	case <-time.After(recoveryBound):
 		f.t.Fatalf("no session of the restarted executor within %s", recoveryBound)
 	}
-	// Longer than the leader and the agent need to order and start the next run.
-	time.Sleep(500 * time.Millisecond)
 }
 
 func isRun1(order *wire.StartOrder) bool { return order.GetRun() == 1 }
@@ -83,6 +81,8 @@
 	f.restart(h)
 	f.startAgent(h)
 	f.waitReleased(released)
+	// Longer than the leader and the agent need to order and start the next run.
+	time.Sleep(500 * time.Millisecond)
 	f.waitFor("run", func() bool { return h.executor.Running() > 0 })
 	f.assertNoDuplicateRuns()
 }
@@ -100,6 +100,8 @@
 	released := f.releaseAtNextOpening(h)
 	f.restart(h)
 	f.waitReleased(released)
+	// Longer than the leader and the agent need to order and start the next run.
+	time.Sleep(500 * time.Millisecond)
 	f.waitFor("run", func() bool { return h.executor.Running() > 0 })
 	f.assertNoDuplicateRuns()
 }
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -106,6 +106,9 @@
 	running       map[string]string
 	duplicateRuns []string
 	submitted     map[string]*wire.Job
+	// doneTasks have ended with the cause done; startsAfterDone are their later starts.
+	doneTasks       map[string]bool
+	startsAfterDone []string
 	// onOpening is called for each request that opened a session, before the agent
 	// gets the response; it may be nil.
 	onOpening func(request *wire.ExchangeRequest)
@@ -134,6 +137,7 @@
 		advisor:      &advisor{},
 		running:      map[string]string{},
 		submitted:    map[string]*wire.Job{},
+		doneTasks:    map[string]bool{},
 
 		announceInterval: 50 * time.Millisecond,
 	}
@@ -254,8 +258,14 @@
 		if f.running[event.Task] == event.Executor {
 			delete(f.running, event.Task)
 		}
+		if event.Cause == wire.EndCause_END_CAUSE_DONE {
+			f.doneTasks[event.Task] = true
+		}
 		return
 	}
+	if f.doneTasks[event.Task] {
+		f.startsAfterDone = append(f.startsAfterDone, fmt.Sprintf("run %d of %s on %s", event.Run, event.Task, event.Executor))
+	}
 	if other, runs := f.running[event.Task]; runs {
 		f.duplicateRuns = append(f.duplicateRuns, fmt.Sprintf("%s on %s and %s", event.Task, other, event.Executor))
 	}
