--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -97,11 +97,13 @@
 	mu sync.Mutex
 	// epoch is 0 while another process leads; leading is set once the takeover
 	// of the epoch has completed.
-	epoch       int64
-	leading     bool
-	sessions    map[string]*session     // by host
-	histories   map[string]*hostHistory // of this leader's term, by host
-	changedJobs map[string]bool
+	epoch   int64
+	leading bool
+	// issuedTokens is the number of fencing tokens given to sessions in this term.
+	issuedTokens int64
+	sessions     map[string]*session     // by host
+	histories    map[string]*hostHistory // of this leader's term, by host
+	changedJobs  map[string]bool
 	// lostExecutors are executor incarnations that have left or were replaced.
 	lostExecutors []lostExecutor
 	wake          chan struct{}
@@ -133,6 +135,9 @@
 	// heldUntil are jobs whose progress could not be decoded. None of their tasks
 	// starts before the leases of the runs that an earlier leader started are over.
 	heldUntil map[string]time.Duration
+	// unassigned are the runs in progress whose tasks are not assigned to their
+	// executors.
+	unassigned []unassignedRun
 	// closing are jobs whose final status is recorded but which still have runs
 	// that are stopping.
 	closing []string
--- a/coordinator/session.go
+++ b/coordinator/session.go
@@ -115,7 +115,7 @@
 	s.keepsSteps = request.GetKeepsSteps()
 	updated := s.applyInfo(request.GetExecutor())
 	s.acknowledge(request.GetOrdersReceived())
-	if request.GetHasRunning() {
+	if request.GetHasRunning() && lastKnownEnd(request) >= s.lastEnd {
 		s.running = request.GetRunning()
 		s.runsUpdated = true
 	}
@@ -140,6 +140,17 @@
 	return updated
 }
 
+// lastKnownEnd returns the highest number of a run end that the agent knew when it
+// made the request. Requests of one agent overlap, so a list of runs may be older than
+// an end that was received before, and still show its run.
+func lastKnownEnd(request *wire.ExchangeRequest) int64 {
+	last := request.GetEndsRecorded()
+	for _, end := range request.GetEnds() {
+		last = max(last, end.GetNumber())
+	}
+	return last
+}
+
 // applyInfo stores an announcement of the executor and reports whether it needs a
 // scheduling cycle. Requests of one agent overlap and may overtake each other, so
 // an older announcement can arrive after a newer one.
@@ -160,6 +171,8 @@
 	lastSession string
 	// executors are the latest executors that opened a session, the last one last.
 	executors []tracker.ExecutorKey
+	// lastToken is the fencing token that was given to the host last.
+	lastToken int64
 }
 
 // add records a new session.
@@ -173,12 +186,16 @@
 }
 
 // isLate reports whether an opening request was sent before the session that was opened
-// last: a later executor of the host has opened a session since, or a process of the
-// agent, which numbers its sessions, a later session. It is false without a history.
+// last: a later token was given to the host, a later executor of the host has opened a
+// session since, or a process of the agent, which numbers its sessions, a later session.
+// Agents of an earlier version send no token. It is false without a history.
 func (h *hostHistory) isLate(request *wire.ExchangeRequest) bool {
 	if h == nil {
 		return false
 	}
+	if token := request.GetToken(); token != 0 && token < h.lastToken {
+		return true
+	}
 	key := keyOf(request.GetExecutor())
 	if slices.Contains(h.executors, key) && h.executors[len(h.executors)-1] != key {
 		return true
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -50,6 +50,7 @@
 	c.leading = c.epoch == epoch
 	c.sessions = map[string]*session{}
 	c.histories = map[string]*hostHistory{}
+	c.issuedTokens = 0
 	c.mu.Unlock()
 	log.Info().Int64("epoch", epoch).Int("jobs", len(c.jobs)).Int("executors", len(c.orphans)).
 		Dur("took", c.Elapsed.Elapsed()-started).Msg("leader takeover completed")
@@ -116,6 +117,7 @@
 	c.firstCosts = map[string]*tracer.WaitCost{}
 	c.latencies = map[tracker.ExecutorKey]*hostLatency{}
 	c.heldUntil = map[string]time.Duration{}
+	c.unassigned = nil
 	c.closing = nil
 	c.tombstones = nil
 	c.publishedStates = map[string]wire.JobState{}
