Soak: series of restarts under one id, late calls, slow stops

Cause: the soak's crashes came one at a time, with refused connections only; a call without a response had already taken effect; stops ended at once; no task ran longer than 0.15 s, and no job was canceled.

Change: a fault of its own random stream restarts one executor three to eight times in a row under its id, down for 20 ms to 1 s, half of the crashes silent. Starts and stops lose their response and take effect 0.1 to 4 s later, in the incarnation that has the id then. Stops take 0.4 to 0.9 s. Agents and entries are killed or paused beside it. Long jobs are preempted or canceled.

The checker keeps each run in progress instead of one executor a task, so the end of one run no longer hides another one on the same executor, and it reports a start after the end of a run that was done was acknowledged. The ends of runs are observed each 2 ms: an executor noticed them only at its next call, so a run that was long over counted as in progress.

A late start has no effect if a later run of its task was called or the task is done, and the incarnation was not renewed yet by an agent that knows it. Calls name the executor by its id only, so until then nothing can keep the executor from starting it: it has seen no token and no stop. All other late starts take effect.

--- a/emulator/job_executor.go
+++ b/emulator/job_executor.go
@@ -25,6 +25,9 @@
 	// Observe is called at each start and end of a run, with the executor's lock
 	// held; it may be nil.
 	Observe func(event RunEvent)
+	// Acknowledged is called for each end that Renew drops from the list, with the
+	// executor's lock held; it may be nil.
+	Acknowledged func(end *wire.RunEnd)
 	// Crashes reports whether a task crashes the executor shortly after its start;
 	// nil if none does.
 	Crashes func(task string) bool
@@ -155,6 +158,13 @@
 	e.losesStartResponses = losing
 }
 
+// SetStopTime changes how long a run takes to end after a stop order from now on.
+func (e *JobExecutor) SetStopTime(stopTime time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.StopTime = stopTime
+}
+
 // Running returns the number of runs in progress.
 func (e *JobExecutor) Running() int {
 	e.mu.Lock()
--- a/emulator/job_executor_calls.go
+++ b/emulator/job_executor_calls.go
@@ -55,7 +55,7 @@
 	}
 	e.mu.Lock()
 	e.extendLease(lease.DeadlineMs)
-	e.ended = slices.DeleteFunc(e.ended, func(end *wire.RunEnd) bool { return end.GetNumber() <= seen })
+	e.dropEnds(seen)
 	e.mu.Unlock()
 	e.awaitEnd(ctx, id, wait)
 	e.mu.Lock()
@@ -78,6 +78,17 @@
 	return state, nil
 }
 
+// dropEnds drops the ends up to a number from the list. It requires the lock.
+func (e *JobExecutor) dropEnds(seen int64) {
+	e.ended = slices.DeleteFunc(e.ended, func(end *wire.RunEnd) bool {
+		dropped := end.GetNumber() <= seen
+		if dropped && e.Acknowledged != nil {
+			e.Acknowledged(end)
+		}
+		return dropped
+	})
+}
+
 // awaitEnd waits until an ended run is listed or another incarnation has replaced
 // the one with the given id. It polls, because only advance detects the end of a
 // run.
--- a/soak/bulk_test.go
+++ b/soak/bulk_test.go
@@ -14,6 +14,9 @@
 
 const (
 	bulkCallers = 4
+	// bulkCallersBesideRestarts leaves room for the long jobs, and for the tasks that run
+	// alone on a host because they are suspected of a crash.
+	bulkCallersBesideRestarts = 1
 	// firstBulkCaller is the first caller number in the ids of bulk jobs.
 	firstBulkCaller = 0x80
 	// Phases of overload alternate with phases without bulk jobs, in which refused
@@ -42,7 +45,7 @@
 
 // stepOf returns the specification of a task.
 func stepOf(task string) *wire.JobStep {
-	if isBulk(task) {
+	if isBulk(task) || isLong(task) {
 		return bulkStep
 	}
 	return submittedStep
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -53,7 +53,7 @@
 
 func (f *fleet) sendRequest(client *http.Client, method string, p *process, id, body string) response {
 	prefix := pathPrefix
-	if isBulk(id) {
+	if isBulk(id) || isLong(id) {
 		prefix = bulkPrefix
 	}
 	request, err := http.NewRequest(method, "http://"+p.callersAddress+prefix+id, strings.NewReader(body))
@@ -85,7 +85,8 @@
 	return response{}
 }
 
-// awaitJobs waits until every job has succeeded, and checks its tasks.
+// awaitJobs waits until every job has succeeded or its caller's cancellation has ended
+// it, and checks the tasks of those that succeeded.
 func (f *fleet) awaitJobs(jobs <-chan string) {
 	client := &http.Client{Timeout: time.Second}
 	deadline := time.Now().Add(recoveryLimit)
@@ -96,6 +97,9 @@
 				f.checker.checkFinished(id)
 				break
 			}
+			if response.status == http.StatusOK && strings.Contains(response.text, canceledState) && f.checker.endCanceled(id) {
+				break
+			}
 			if time.Now().After(deadline) {
 				f.t.Errorf("job %s did not succeed within %s after the faults: status %d %s", id, recoveryLimit, response.status, response.text)
 				break
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
@@ -20,10 +21,17 @@
 // uses no state of the system under test.
 type checker struct {
 	mu sync.Mutex
-	// running has the executor of each running task, done the number of
-	// successful runs of each task.
-	running  map[string]string
-	done     map[string]int
+	// running has the starts of the runs in progress of each task, done the number of
+	// successful runs of each task, latest the highest run that has started.
+	running map[string][]emulator.RunEvent
+	done    map[string]int
+	latest  map[string]int32
+	// ordered has the highest run of each task whose start was called.
+	ordered map[string]int32
+	// acknowledged has the tasks whose latest run was done and acknowledged.
+	acknowledged map[string]bool
+	// canceled has the jobs whose cancellation was requested.
+	canceled map[string]bool
 	starts   int
 	accepted map[string]bool
 	// finished has the jobs that the system reported as succeeded.
@@ -47,14 +55,18 @@
 
 func newChecker() *checker {
 	return &checker{
-		running:     map[string]string{},
-		done:        map[string]int{},
-		accepted:    map[string]bool{},
-		finished:    map[string]bool{},
-		mayHaveRun:  map[string]bool{},
-		late:        map[string]bool{},
-		refused:     map[string]bool{},
-		startedTask: map[string]string{},
+		running:      map[string][]emulator.RunEvent{},
+		done:         map[string]int{},
+		latest:       map[string]int32{},
+		ordered:      map[string]int32{},
+		acknowledged: map[string]bool{},
+		canceled:     map[string]bool{},
+		accepted:     map[string]bool{},
+		finished:     map[string]bool{},
+		mayHaveRun:   map[string]bool{},
+		late:         map[string]bool{},
+		refused:      map[string]bool{},
+		startedTask:  map[string]string{},
 		capacities: &emulator.CapacityChecker{
 			Clock: clockwork.NewRealClock(),
 			Step:  stepOf,
@@ -63,7 +75,7 @@
 }
 
 func (c *checker) addViolation(format string, args ...any) {
-	c.violations = append(c.violations, fmt.Sprintf(format, args...))
+	c.violations = append(c.violations, time.Now().Format("15:04:05.000000 ")+fmt.Sprintf(format, args...))
 }
 
 // recordAttempts records the responses to attempts to submit a job that were made at
@@ -100,19 +112,23 @@
 	defer c.mu.Unlock()
 	job, rest, _ := strings.Cut(event.Task, ".")
 	if event.Cause != wire.EndCause_END_CAUSE_UNSPECIFIED {
-		if c.running[event.Task] == event.Executor {
-			delete(c.running, event.Task)
-		}
+		c.running[event.Task] = slices.DeleteFunc(c.running[event.Task], func(start emulator.RunEvent) bool {
+			return start.Executor == event.Executor && start.Run == event.Run
+		})
 		if event.Cause == wire.EndCause_END_CAUSE_DONE {
 			c.done[event.Task]++
 		}
 		return
 	}
 	c.starts++
-	if other, isRunning := c.running[event.Task]; isRunning {
-		c.addViolation("%s runs on %s and %s", event.Task, other, event.Executor)
+	for _, other := range c.running[event.Task] {
+		c.addViolation("run %d of %s starts on %s while run %d is in progress on %s", event.Run, event.Task, event.Executor, other.Run, other.Executor)
+	}
+	if c.acknowledged[event.Task] {
+		c.addViolation("run %d of %s starts on %s after the end of a run that was done was acknowledged", event.Run, event.Task, event.Executor)
 	}
-	c.running[event.Task] = event.Executor
+	c.running[event.Task] = append(c.running[event.Task], event)
+	c.latest[event.Task] = max(c.latest[event.Task], event.Run)
 	c.startedTask[job] = event.Task
 	if strings.HasPrefix(rest, "0.1.") {
 		for i := range firstStepTasks {
@@ -123,6 +139,47 @@
 	}
 }
 
+// acknowledge records that the system has taken note of the end of a run. The end of a
+// run that a later one has replaced does not count: the system need not take it.
+func (c *checker) acknowledge(end *wire.RunEnd) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if end.GetCause() == wire.EndCause_END_CAUSE_DONE && end.GetRun() == c.latest[end.GetTask()] {
+		c.acknowledged[end.GetTask()] = true
+	}
+}
+
+// recordOrder records that the start of a run was called at an executor.
+func (c *checker) recordOrder(task string, run int32) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ordered[task] = max(c.ordered[task], run)
+}
+
+// superseded reports whether a later run of the task was started or called, or its end
+// was acknowledged.
+func (c *checker) superseded(task string, run int32) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return run < max(c.latest[task], c.ordered[task]) || c.acknowledged[task]
+}
+
+// requestCancellation records that a caller is about to cancel a job.
+func (c *checker) requestCancellation(job string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.canceled[job] = true
+}
+
+// endCanceled records that the system reported a job as canceled, and reports whether
+// its caller has canceled it.
+func (c *checker) endCanceled(job string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.finished[job] = c.finished[job] || c.canceled[job]
+	return c.canceled[job]
+}
+
 // checkFinished checks that every task is done of a job that the system reports
 // as succeeded.
 func (c *checker) checkFinished(job string) {
@@ -194,6 +251,23 @@
 	sameExecutor.observe(start("a.0.0.0", "x"))
 	sameExecutor.observe(emulator.RunEvent{Task: "a.0.0.0", Run: 2, Executor: "x"})
 	assert.Equal(t, len(sameExecutor.report()), 1)
+	sameID := newChecker()
+	sameID.capacities.Booted("x", defaultCapacity)
+	lost := emulator.RunEvent{Task: "a.0.0.0", Executor: "x", Cause: wire.EndCause_END_CAUSE_LEASE_EXPIRED}
+	sameID.observe(start("a.0.0.0", "x"))
+	sameID.observe(lost)
+	sameID.observe(start("a.0.0.0", "x"))
+	assert.Equal(t, len(sameID.report()), 0, "a run that was lost in a crash counts as running")
+	sameID.observe(emulator.RunEvent{Task: "a.0.0.0", Run: 2, Executor: "x"})
+	sameID.observe(lost)
+	sameID.observe(emulator.RunEvent{Task: "a.0.0.0", Run: 3, Executor: "x"})
+	assert.Equal(t, len(sameID.report()), 2, "the end of one run hides another one on the same executor")
+	afterDone := newChecker()
+	afterDone.observe(start("a.0.0.0", "x"))
+	afterDone.observe(emulator.RunEvent{Task: "a.0.0.0", Executor: "x", Cause: wire.EndCause_END_CAUSE_DONE})
+	afterDone.acknowledge(&wire.RunEnd{Task: "a.0.0.0", Cause: wire.EndCause_END_CAUSE_DONE})
+	afterDone.observe(emulator.RunEvent{Task: "a.0.0.0", Run: 1, Executor: "y"})
+	assert.Equal(t, len(afterDone.report()), 1)
 	overCapacity := newChecker()
 	overCapacity.observe(start("a.0.0.0", "x"))
 	overCapacity.observe(start("a.0.0.1", "x"))
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -11,6 +11,12 @@
 	"damaskspread.example/damaskspread/wire"
 )
 
+// The faults of a process that also occur beside series of restarts.
+const (
+	killed = 0
+	paused = 2
+)
+
 // setMillicores changes the capacity of a host's executor while it runs.
 func (f *fleet) setMillicores(i int, millicores int64) {
 	capacity := &wire.Resources{Millicores: millicores, MemoryBytes: defaultCapacity.GetMemoryBytes()}
@@ -76,6 +82,10 @@
 		busy[p] = ended
 		faults.Go(func() {
 			defer close(ended)
+			if !p.faulty.TryLock() {
+				return
+			}
+			defer p.faulty.Unlock()
 			f.inject(ctx, p, kind, host, duration, millicores)
 		})
 		time.Sleep(pause)
@@ -90,11 +100,11 @@
 		return
 	}
 	switch kind {
-	case 0:
+	case killed:
 		f.restart(p, syscall.SIGKILL, duration/4)
 	case 1:
 		f.restart(p, syscall.SIGTERM, duration/4)
-	case 2:
+	case paused:
 		p.signal(syscall.SIGSTOP)
 		time.Sleep(duration)
 		p.signal(syscall.SIGCONT)
@@ -134,10 +144,13 @@
 	}
 }
 
-// heal ends all connection faults and resumes paused processes.
+// heal ends all faults of connections and calls and resumes paused processes.
 func (f *fleet) heal() {
 	for _, p := range append(append([]*process{}, f.entries...), f.agents...) {
 		p.proxy.setMode(forwarding)
 		p.signal(syscall.SIGCONT)
 	}
+	for _, h := range f.executors {
+		h.dropLateCalls()
+	}
 }
--- a/soak/processes_test.go
+++ b/soak/processes_test.go
@@ -21,6 +21,8 @@
 	callersAddress   string
 	proxy            *proxy
 	executorsAddress string
+	// faulty is held during a fault of the process.
+	faulty sync.Mutex
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -51,6 +53,9 @@
 		listen += fmt.Sprintf("executors = %s\n", p.executorsAddress)
 	}
 	settings += listen + "[bounds]\nlease_max = 4s\ngrace = 4s\n"
+	if f.restarts {
+		settings += fmt.Sprintf("stop_within = %s\n", maxStopTime)
+	}
 	if f.scheduling {
 		settings += "[scheduling]\nlearned_run_times = yes\norder = cost\npreemption = lost_work\nadmission = yes\nadmission_from_priority = 1\n"
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -13,6 +13,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"log"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -49,6 +50,7 @@
 	// acknowledged is repeated after announcementRetry.
 	announcementInterval = 1500 * time.Millisecond
 	announcementRetry    = 200 * time.Millisecond
+	endsInterval         = 2 * time.Millisecond
 
 	megabyte   = 1 << 20
 	pathPrefix = "/jobs/"
@@ -71,10 +73,20 @@
 	defaultCapacity = &wire.Resources{Millicores: 8000, MemoryBytes: 64000 * megabyte}
 )
 
-// regressions maps seeds that once failed to the cause of the failure.
-var regressions = map[uint64]string{
-	3:  "starts at an executor that came back smaller under its id, before the agent noticed the restart",
-	16: "the check of a stopped start was dropped with the session, so that its task stayed assigned and never started",
+// regression is a seed that once failed.
+type regression struct {
+	cause string
+	// restarts is set if the failure needs the series of restarts under one id.
+	restarts bool
+}
+
+var regressions = map[uint64]regression{
+	3: {
+		cause: "starts at an executor that came back smaller under its id, before the agent noticed the restart",
+	},
+	16: {
+		cause: "the check of a stopped start was dropped with the session, so that its task stayed assigned and never started",
+	},
 }
 
 func TestMain(m *testing.M) {
@@ -128,6 +140,11 @@
 	logDir    string
 	// scheduling is set if the settings of the section [scheduling] are switched on.
 	scheduling bool
+	// restarts is set if executors restart in series under their ids, calls take effect
+	// late, stops are slow, and some jobs are long and canceled.
+	restarts bool
+	// executorLog records the calls and runs of the executors.
+	executorLog *log.Logger
 }
 
 func runSoak(t *testing.T, seed uint64, length time.Duration) {
@@ -139,11 +156,23 @@
 	for i := range 4 {
 		callers.Go(func() { f.submitJobs(ctx, i, seed, jobs) })
 	}
-	for i := range bulkCallers {
+	bulk := bulkCallers
+	if f.restarts {
+		bulk = bulkCallersBesideRestarts
+	}
+	for i := range bulk {
 		if f.scheduling {
 			callers.Go(func() { f.submitBulk(ctx, i, seed, jobs) })
 		}
 	}
+	for i := range longCallers {
+		if f.restarts {
+			callers.Go(func() { f.submitLong(ctx, i, seed, jobs) })
+		}
+	}
+	if f.restarts {
+		callers.Go(func() { f.injectRestarts(ctx, seed) })
+	}
 	f.injectFaults(ctx)
 	callers.Wait()
 	close(jobs)
@@ -165,7 +194,12 @@
 		logDir:  logDir(t, seed),
 		// Each fourth seed runs with the defaults.
 		scheduling: seed%4 != 0,
+		restarts:   seed != 0,
+	}
+	if kept, isKept := regressions[seed]; isKept {
+		f.restarts = kept.restarts
 	}
+	f.executorLog = newExecutorLog(t, f.logDir)
 	client := &emulator.KeyedLogClient{Log: f.log}
 	config := fmt.Sprintf(`{"version":1,"routes":[{"name":"q","host":%q,"pathPrefix":%q,"service":"s","maxAttempts":4,"stretch":2},{"name":"bulk","host":%q,"pathPrefix":%q,"service":"s","maxAttempts":4,"stretch":2,"sloMs":300,"priority":1}],"services":[{"name":"s"}]}`, hostHeader, pathPrefix, hostHeader, bulkPrefix)
 	_, err := client.Append(context.Background(), "op", []*wire.KeyedRecord{{Key: "config", Value: []byte(config)}}, nil)
@@ -193,13 +227,33 @@
 	return dir
 }
 
+// newExecutorLog opens the log of what the executors do, beside those of the processes.
+func newExecutorLog(t *testing.T, dir string) *log.Logger {
+	file, err := os.Create(filepath.Join(dir, "executors.txt"))
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = file.Close() })
+	return log.New(file, "", log.Lmicroseconds)
+}
+
+func (f *fleet) observe(event emulator.RunEvent) {
+	f.executorLog.Printf("%s: run %d of %s: %s", event.Executor, event.Run, event.Task, event.Cause)
+	f.checker.observe(event)
+}
+
 func (f *fleet) addHost(i int, clock clockwork.Clock) {
 	executor := &emulator.JobExecutor{
 		Clock:        clock,
-		TaskDuration: func(string) time.Duration { return taskDuration },
-		Observe:      f.checker.observe,
+		TaskDuration: durationOf,
+		Observe:      f.observe,
+		Acknowledged: f.checker.acknowledge,
+	}
+	handler := &executorHandler{
+		executor:  executor,
+		log:       f.executorLog,
+		checker:   f.checker,
+		slowStops: f.restarts,
+		wake:      make(chan struct{}, 1),
 	}
-	handler := &executorHandler{executor: executor}
 	f.executors = append(f.executors, handler)
 	f.boot(i)
 	handler.address = freeAddress(f.t)
@@ -210,6 +264,22 @@
 	stop := make(chan struct{})
 	f.t.Cleanup(func() { close(stop) })
 	go announce(handler, agent.executorsAddress, stop)
+	go observeEnds(executor, stop)
+}
+
+// observeEnds makes the ends of runs known to the checker at once until stop is closed:
+// an executor notices them only when it is called.
+func observeEnds(executor *emulator.JobExecutor, stop chan struct{}) {
+	ticker := time.NewTicker(endsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			executor.Running()
+		case <-stop:
+			return
+		}
+	}
 }
 
 // boot restarts the executor of a host as a new incarnation without state.
@@ -218,6 +288,7 @@
 }
 
 func (f *fleet) bootAs(i int, id string, capacity *wire.Resources) {
+	f.executorLog.Printf("%s starts", id)
 	f.checker.capacities.Booted(id, capacity)
 	f.executors[i].executor.SetCapacity(capacity)
 	f.executors[i].executor.Boot(id)
@@ -229,11 +300,14 @@
 	client := &http.Client{Timeout: time.Second}
 	for sequence := 1; ; sequence++ {
 		interval := announcementRetry
-		if !h.down.Load() && sendAnnouncement(client, h.executor.Info("s", "z", nil), address, sequence) {
+		info := h.executor.Info("s", "z", nil)
+		if !h.down.Load() && sendAnnouncement(client, info, address, sequence) {
+			h.noteAnnouncement(info.GetBornUnixMs())
 			interval = announcementInterval
 		}
 		select {
 		case <-time.After(interval):
+		case <-h.wake:
 		case <-stop:
 			return
 		}
--- a/soak/stand_in_test.go
+++ b/soak/stand_in_test.go
@@ -1,10 +1,12 @@
 package soak_test
 
 import (
+	"context"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -133,12 +135,28 @@
 	// down is set while the executor sends no announcements.
 	down atomic.Bool
 	// faulty is held during a fault that changes the capacity or the incarnation.
-	faulty sync.Mutex
+	faulty  sync.Mutex
+	log     *log.Logger
+	checker *checker
+	// slowStops makes each stop take the stopTime of its task.
+	slowStops bool
+	// wake makes the next announcement come at once.
+	wake chan struct{}
 
 	mu sync.Mutex
 	// lostResponses is the number of further orders that take effect but get no
 	// response.
 	lostResponses int
+	// lateCalls are how the next orders are delayed.
+	lateCalls []lateCall
+	// life counts the crashes of a series. silent is set while calls get no response.
+	life   int
+	silent bool
+	// token is that of the latest renewal.
+	token int64
+	// knownBorn is the latest incarnation of which the agent has been told, toldBorn the
+	// latest one that was renewed when the agent knew it.
+	knownBorn, toldBorn int64
 }
 
 // listen starts to serve at the handler's address.
@@ -181,23 +199,63 @@
 		return
 	}
 	id := r.Header.Get("X-Expected-Instance")
+	life, silent := h.currentLife()
+	if silent {
+		hang(r)
+	}
+	if r.URL.Path == "/run-start" {
+		h.checker.recordOrder(body.Task, body.Run)
+	}
+	if late, isLate := h.takeLateCall(r.URL.Path); isLate {
+		h.executeLate(r, id, &body, late)
+	}
+	state, err := h.execute(r.Context(), r.URL.Path, id, &body)
+	if now, _ := h.currentLife(); now != life {
+		hang(r)
+	}
+	if state != nil {
+		h.noteRenewal(state.GetBornUnixMs())
+	}
+	if err == nil && r.URL.Path != "/hold" && h.losesResponse() {
+		panic(http.ErrAbortHandler)
+	}
+	h.respond(w, state, err)
+}
+
+func (h *executorHandler) execute(ctx context.Context, path, id string, body *orderBody) (*wire.ExecutorState, error) {
 	lease := &damaskspread.Lease{Token: body.FencingToken, DeadlineMs: body.DeadlineMs}
-	var err error
-	var state *wire.ExecutorState
-	switch r.URL.Path {
+	switch path {
 	case "/hold":
-		state, err = h.executor.Renew(r.Context(), id, lease, body.LastSeen, time.Duration(body.WaitMs)*time.Millisecond)
+		h.logToken(id, body)
+		return h.executor.Renew(ctx, id, lease, body.LastSeen, time.Duration(body.WaitMs)*time.Millisecond)
 	case "/run-start":
-		err = h.executor.Start(r.Context(), id, &wire.StartOrder{Task: body.Task, Run: body.Run, Checkpoint: body.Checkpoint}, lease)
+		err := h.executor.Start(ctx, id, &wire.StartOrder{Task: body.Task, Run: body.Run, Checkpoint: body.Checkpoint}, lease)
+		h.logOrder(path, id, body, err)
+		return nil, err
 	case "/run-stop":
-		err = h.executor.Stop(r.Context(), id, &wire.StopOrder{Task: body.Task, Run: body.Run}, body.FencingToken)
-	case "/pace":
-		err = h.executor.Pace(r.Context(), id, body.Task, body.Run, body.Percent, body.FencingToken)
+		if h.slowStops {
+			h.executor.SetStopTime(stopTime(body.Task))
+		}
+		err := h.executor.Stop(ctx, id, &wire.StopOrder{Task: body.Task, Run: body.Run}, body.FencingToken)
+		h.logOrder(path, id, body, err)
+		return nil, err
+	default:
+		return nil, h.executor.Pace(ctx, id, body.Task, body.Run, body.Percent, body.FencingToken)
 	}
-	if err == nil && r.URL.Path != "/hold" && h.losesResponse() {
-		panic(http.ErrAbortHandler)
+}
+
+// logToken logs a renewal with another token than the one before.
+func (h *executorHandler) logToken(id string, body *orderBody) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if body.FencingToken != h.token {
+		h.token = body.FencingToken
+		h.log.Printf("%s is renewed with token %d, deadline %d", id, body.FencingToken, body.DeadlineMs)
 	}
-	h.respond(w, state, err)
+}
+
+func (h *executorHandler) logOrder(path, id string, body *orderBody, err error) {
+	h.log.Printf("%s %s of run %d of %s, token %d, deadline %d: %v", id, path, body.Run, body.Task, body.FencingToken, body.DeadlineMs, err)
 }
 
 // losesResponse reports whether the response of the current order is to be
