Crashes: the evidence decides whether a job is given up

Cause: tracker.countCrash failed a job at the third executor that crashed within 500 ms after a start, whatever else the leader had seen, and counted over the whole life of a task, also if it had run well in between. A leader decided about one suspect without looking at the executors without it. Ruled out: crashes long after a start (TestOldRunsAreNotExposed) and crashes counted twice (counts are of run numbers). Change: package assessor weighs each counted crash by the chance of such a crash, from the crashes of the service's executors without suspected tasks, or from the share that crashed in the same moment. From the third crash on a task is given up if its crashes by chance have a probability of at most 1e-6. A run that has outlived its start (lists over 1.5 s, another checkpoint, or an agent that lived through the crash and doesn't report the run) clears the crashes before as evidence. The budget stays hard: after three crashes all starts that don't end in success count, also without a report, and at the fifth counted one the job fails; one of the three starts that the rule allows is kept for a crash that no agent reports. No new wire field: the count stays in TaskProgress.crashes, the chances are the present leader's. Log, trace event and explain name chance, probability, verdict, starts left.

Tasks that crash executors have at most 2 starts after three crashes, 3 if one report is lost. go test -race ./coordinator ./tracker ./planner ./tracer ./explainer: pass.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -27,6 +27,7 @@
 
 	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/appraiser"
+	"damaskspread.example/damaskspread/assessor"
 	"damaskspread.example/damaskspread/elector"
 	"damaskspread.example/damaskspread/estimator"
 	"damaskspread.example/damaskspread/indexer"
@@ -104,6 +105,8 @@
 	changedJobs map[string]bool
 	// lostExecutors are executor incarnations that have left or were replaced.
 	lostExecutors []tracker.ExecutorKey
+	// witnessedEnds are those of lostExecutors whose agent has outlived them.
+	witnessedEnds []witnessedEnd
 	wake          chan struct{}
 	// pressures are the interference weights of image pairs sent to agents.
 	pressures       []*wire.ImagePressure
@@ -120,6 +123,8 @@
 	orphans map[tracker.ExecutorKey]orphan
 	// suspicions has the executors with recent failures.
 	suspicions map[tracker.ExecutorKey]*suspicion
+	// crashes are the crashes of executors that this leader has seen, by service.
+	crashes map[string]*assessor.Crashes
 	// publishedStates are the states last passed to the status writer, by job.
 	publishedStates map[string]wire.JobState
 	// waiting are the steps with tasks that wait for a host, by Group.Name.
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -26,8 +26,11 @@
 	now           time.Duration
 	changedJobs   []string
 	lostExecutors []tracker.ExecutorKey
-	views         []*sessionView
-	byKey         map[tracker.ExecutorKey]*sessionView
+	witnessedEnds []witnessedEnd
+	// witnessed has the keys of witnessedEnds.
+	witnessed map[tracker.ExecutorKey]bool
+	views     []*sessionView
+	byKey     map[tracker.ExecutorKey]*sessionView
 	// hosts are the placement candidates; nil if no task may start in this cycle.
 	hosts []*planner.Host
 	// groups are the steps that were ready at the plan, in their order.
@@ -43,6 +46,7 @@
 	info    *wire.ExecutorInfo
 	// usable is set if new tasks may be assigned to the executor.
 	usable      bool
+	reachable   bool
 	opening     bool
 	running     []*wire.TaskRun
 	runsUpdated bool
@@ -62,6 +66,7 @@
 	started := c.Elapsed.Elapsed()
 	cycle := c.takeInputs()
 	c.applyJobs(cycle.changedJobs)
+	c.observeCrashes(cycle)
 	c.applyReports(cycle)
 	c.releaseLostTasks(cycle)
 	c.stopFinishedJobs(cycle)
@@ -69,6 +74,7 @@
 	c.runTimes.predict(c.jobs, cycle.views, cycle.now)
 	c.observeLatencies(cycle)
 	c.plan(cycle, epoch)
+	c.observeCalm(cycle)
 	c.migrate(cycle)
 	storing := c.Elapsed.Elapsed()
 	if err := c.storeProgress(ctx, cycle.now); err != nil {
@@ -95,10 +101,13 @@
 		now:           c.Elapsed.Elapsed(),
 		changedJobs:   slices.Collect(maps.Keys(c.changedJobs)),
 		lostExecutors: c.lostExecutors,
+		witnessedEnds: c.witnessedEnds,
+		witnessed:     map[tracker.ExecutorKey]bool{},
 		byKey:         map[tracker.ExecutorKey]*sessionView{},
 	}
 	c.changedJobs = map[string]bool{}
 	c.lostExecutors = nil
+	c.witnessedEnds = nil
 	for host, s := range c.sessions {
 		if cycle.now > s.leaseEnd {
 			log.Warn().Str("host", host).Str("executor", s.key.ID).Dur("silent", cycle.now-s.lastReportAt).
@@ -121,6 +130,7 @@
 		key:          s.key,
 		info:         s.info,
 		usable:       s.reachable && !s.info.GetDraining() && cycle.now-s.lastReportAt < maxReportAge && cycle.now >= s.noRoomUntil,
+		reachable:    s.reachable,
 		opening:      s.opening,
 		running:      s.running,
 		runsUpdated:  s.runsUpdated,
--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -81,6 +81,9 @@
 		previous.notify()
 		if previous.key != s.key {
 			c.lostExecutors = append(c.lostExecutors, previous.key)
+			if end, witnessed := witnessedEndOf(previous, s); witnessed {
+				c.witnessedEnds = append(c.witnessedEnds, end)
+			}
 		}
 	}
 	s.leaseEnd = c.Elapsed.Elapsed() + c.leaseBound()
--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -26,7 +26,7 @@
 			c.applyEnd(view, end)
 		}
 		for _, exposure := range view.exposures {
-			c.applyExposure(view, exposure)
+			c.applyExposure(cycle, view, exposure)
 		}
 		for _, refusal := range view.refusals {
 			c.applyRefusal(view, refusal)
@@ -34,6 +34,9 @@
 		if view.runsUpdated && !view.opening {
 			c.repeatStarts(view, cycle.now)
 		}
+		if view.runsUpdated && view.reachable {
+			c.clearOutlived(view, cycle.now)
+		}
 		if view.opening {
 			cycle.lostExecutors = append(cycle.lostExecutors, c.takeReplacedOrphans(view)...)
 			c.reconcile(view)
@@ -48,9 +51,13 @@
 	}
 	firstFailure := t.Failures() == 0
 	resumed := t.Checkpoint() != ""
+	counted := t.CrashEvidence().Counted
 	if !t.End(end, view.key.ID) {
 		return
 	}
+	if t.CrashEvidence().Counted > counted {
+		recordCrash(t, end.GetRun(), view.host, false)
+	}
 	c.recordDoneWork(t)
 	c.recordEnd(view.key, end.GetCause(), firstFailure)
 	// An end that arrives with the opening of a session may be long past.
@@ -149,10 +156,7 @@
 				Run:      t.Run(),
 				Executor: key.ID,
 			})
-			run, host := t.Run(), t.Host()
-			if t.Lose() {
-				recordCrash(t, run, host)
-			}
+			c.loseTask(cycle, t, key)
 			released++
 		})
 		log.Info().Str("executor", key.ID).Int64("born", key.BornUnixMs).Int("tasks", released).Msg("executor lost; its tasks were released")
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/assessor"
 	"damaskspread.example/damaskspread/elector"
 	"damaskspread.example/damaskspread/indexer"
 	"damaskspread.example/damaskspread/tracer"
@@ -112,6 +113,7 @@
 	c.closed = map[string]time.Duration{}
 	c.orphans = map[tracker.ExecutorKey]orphan{}
 	c.suspicions = map[tracker.ExecutorKey]*suspicion{}
+	c.crashes = map[string]*assessor.Crashes{}
 	c.waiting = map[string]*waitingStep{}
 	c.firstCosts = map[string]*tracer.WaitCost{}
 	c.latencies = map[tracker.ExecutorKey]*hostLatency{}
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -153,6 +153,17 @@
 			events: []tracer.Event{&tracer.CrashCounted{Job: job, Task: task, Run: 3, Host: "h", Crashes: 3, GivenUp: true}},
 			kind:   explainer.FindingCrash, subject: "h", detail: task + " run 3: crash 3 of an executor shortly after a start of the task; the job fails",
 		},
+		"crash by chance": {
+			events: []tracer.Event{&tracer.CrashCounted{
+				Job: job, Task: task, Run: 3, Host: "h", Crashes: 3, Chance: 0.1, ByChance: 0.001, Verdict: "undecided", StartsLeft: new(int32),
+			}},
+			kind: explainer.FindingCrash, subject: "h",
+			detail: task + " run 3: crash 3 of an executor shortly after a start of the task; by chance 0.1 each now, 0.001 all of them: undecided, 0 starts left",
+		},
+		"cleared": {
+			events: []tracer.Event{&tracer.CrashesCleared{Job: job, Task: task, Run: 4, Host: "h", Crashes: 3}},
+			kind:   explainer.FindingCrashCleared, subject: "h", detail: task + " run 4 has outlived its start; 3 crashes are no longer held against the task",
+		},
 		"stopped": {
 			events: []tracer.Event{&tracer.StopOrdered{Job: job, Task: task, Run: 1, Host: "h", Reason: tracer.StopPreempted, For: "x.0.0.1"}},
 			kind:   explainer.FindingRunStopped, subject: "h", detail: task + " run 1: room_for_urgent x.0.0.1",
--- a/explainer/findings.go
+++ b/explainer/findings.go
@@ -43,6 +43,7 @@
 	FindingRunStopped    FindingKind = "run_stopped"
 	FindingRunLost       FindingKind = "run_lost"
 	FindingCrash         FindingKind = "executor_crashed"
+	FindingCrashCleared  FindingKind = "crashes_by_chance"
 	FindingPaced         FindingKind = "paced"
 	FindingCanceled      FindingKind = "canceled"
 	FindingUnfinished    FindingKind = "unfinished"
@@ -50,7 +51,7 @@
 
 var kindOrder = []FindingKind{
 	FindingRefused, FindingTooLate, FindingSlowAppend, FindingWaited, FindingStartLimited, FindingStartForced, FindingSlowOrder, FindingStartRefused, FindingStartRepeated,
-	FindingRunFailed, FindingRunStopped, FindingRunLost, FindingCrash, FindingPaced, FindingCanceled, FindingUnfinished,
+	FindingRunFailed, FindingRunStopped, FindingRunLost, FindingCrash, FindingCrashCleared, FindingPaced, FindingCanceled, FindingUnfinished,
 }
 
 // Finding is one cause of a delay, refusal or failure of the job, possibly with
@@ -163,7 +164,9 @@
 	case *tracer.RunLost:
 		c.add(FindingRunLost, e.Executor, "%s run %d ended with its executor", e.Task, e.Run)
 	case *tracer.CrashCounted:
-		c.add(FindingCrash, e.Host, "%s run %d: crash %d of an executor shortly after a start of the task%s", e.Task, e.Run, e.Crashes, crashDetail(e))
+		c.addCrash(e)
+	case *tracer.CrashesCleared:
+		c.add(FindingCrashCleared, e.Host, "%s run %d has outlived its start; %d crashes are no longer held against the task", e.Task, e.Run, e.Crashes)
 	}
 }
 
@@ -202,11 +205,26 @@
 	return ""
 }
 
+func (c *collector) addCrash(e *tracer.CrashCounted) {
+	what := fmt.Sprintf("crash %d of an executor shortly after a start of the task", e.Crashes)
+	if e.Unreported {
+		what = "no crash reported, counted as a start"
+	}
+	c.add(FindingCrash, e.Host, "%s run %d: %s%s", e.Task, e.Run, what, crashDetail(e))
+}
+
 func crashDetail(e *tracer.CrashCounted) string {
+	detail := ""
+	if e.Verdict != "" {
+		detail = fmt.Sprintf("; by chance %.1g each now, %.1g all of them: %s", e.Chance, e.ByChance, e.Verdict)
+	}
+	if e.StartsLeft != nil && !e.GivenUp {
+		detail += fmt.Sprintf(", %d starts left", *e.StartsLeft)
+	}
 	if e.GivenUp {
-		return "; the job fails"
+		detail += "; the job fails"
 	}
-	return ""
+	return detail
 }
 
 func stopDetail(e *tracer.StopOrdered) string {
--- a/planner/probation.go
+++ b/planner/probation.go
@@ -106,7 +106,7 @@
 
 // mayShareProbation reports whether the task may start together with other suspected
 // ones. A task under which a second executor has crashed starts alone, so that the
-// third crash, which fails its job, can't be that of another task.
+// crashes that may fail its job can't be those of another task.
 func mayShareProbation(task *tracker.Task) bool { return task.Crashes() == 1 }
 
 // suspectPenalty is subtracted from the score of a host for a suspected task. It
@@ -229,3 +229,6 @@
 	}
 	return slices.DeleteFunc(slices.Clone(group.Tasks()), suspected)
 }
+
+// InProbation reports whether a suspected task has just started on the host.
+func (h *Host) InProbation() bool { return h.probation.by != "" }
--- a/tracer/events.go
+++ b/tracer/events.go
@@ -67,6 +67,7 @@
 	KindRunLost        Kind = "run lost with its executor"
 	KindRunAdopted     Kind = "run adopted"
 	KindCrashCounted   Kind = "crash of executor counted for task"
+	KindCrashesCleared Kind = "crashes of executors no longer held against task"
 )
 
 // JobAccepted means that the record of a new job is in the log.
@@ -300,10 +301,32 @@
 	// Crashes counts the crashes under the task so far, for a gang under all its
 	// members.
 	Crashes int32 `json:"crashes"`
+	// Unreported is set if no crash was reported and the run counts as one of the
+	// limited starts only.
+	Unreported bool `json:"unreported,omitempty"`
+	// Chance is the probability of such a crash by chance, as other executors of the
+	// service have crashed lately. ByChance is that of all crashes under the task.
+	Chance   float64 `json:"chance"`
+	ByChance float64 `json:"by_chance"`
+	// StartsLeft is how often the task may be started yet; nil if that is not limited.
+	StartsLeft *int32 `json:"starts_left,omitempty"`
+	// Verdict is the conclusion: undecided, improbable_by_chance or starts_used_up.
+	Verdict string `json:"verdict"`
 	// GivenUp is set if the task is not started again and its job fails.
 	GivenUp bool `json:"given_up"`
 }
 
+// CrashesCleared means that a run of the task has outlived its start, so that the
+// crashes before it were by chance.
+type CrashesCleared struct {
+	Job  string `json:"job"`
+	Task string `json:"task"`
+	Run  int32  `json:"run"`
+	Host string `json:"host"`
+	// Crashes counts the crashes that are no longer held against the task.
+	Crashes int32 `json:"crashes"`
+}
+
 func (*JobAccepted) kind() Kind    { return KindJobAccepted }
 func (*JobRefused) kind() Kind     { return KindJobRefused }
 func (*JobRepeated) kind() Kind    { return KindJobRepeated }
@@ -322,6 +345,7 @@
 func (*RunLost) kind() Kind        { return KindRunLost }
 func (*RunAdopted) kind() Kind     { return KindRunAdopted }
 func (*CrashCounted) kind() Kind   { return KindCrashCounted }
+func (*CrashesCleared) kind() Kind { return KindCrashesCleared }
 
 func (e *JobAccepted) job() string    { return e.Job }
 func (e *JobRefused) job() string     { return e.Job }
@@ -341,6 +365,7 @@
 func (e *RunLost) job() string        { return e.Job }
 func (e *RunAdopted) job() string     { return e.Job }
 func (e *CrashCounted) job() string   { return e.Job }
+func (e *CrashesCleared) job() string { return e.Job }
 
 // newEventByKind maps each kind to the constructor of an empty event.
 var newEventByKind = map[Kind]func() Event{
@@ -363,6 +388,7 @@
 	KindRunLost:        func() Event { return &RunLost{} },
 	KindRunAdopted:     func() Event { return &RunAdopted{} },
 	KindCrashCounted:   func() Event { return &CrashCounted{} },
+	KindCrashesCleared: func() Event { return &CrashesCleared{} },
 }
 
 // Kinds returns all kinds of events, in no particular order.
--- a/tracker/crash.go
+++ b/tracker/crash.go
@@ -1,25 +1,38 @@
 package tracker
 
-// maxCrashes is the number of executors that may crash under one task before its
-// job fails. Two are too few: a healthy task that starts together with one that
-// crashes executors is lost with it, and may meet another such task at its next
-// start.
-const maxCrashes = 3
+import (
+	"math"
+	"time"
+
+	"damaskspread.example/damaskspread/assessor"
+)
+
+// exposureWindow is the time from the start of a run within which an agent reports that
+// its executor crashed; it is that of package runner.
+const exposureWindow = 500 * time.Millisecond
 
 // Crashes returns the number of runs, for a gang of all its members, during which
-// an executor crashed shortly after it had started them. From 1 on the task is
-// suspected to crash its executors.
+// an executor crashed shortly after it had started them, since a run has outlived its
+// start. From 1 on the task is suspected to crash its executors.
 func (t *Task) Crashes() int32 {
 	if !t.Step().GetGang() {
-		return t.crashes
+		return t.crashes - t.cleared
 	}
 	sum := int32(0)
 	for _, member := range t.siblings() {
-		sum += member.crashes
+		sum += member.crashes - member.cleared
 	}
 	return sum
 }
 
+// members returns all members of a gang, otherwise the task alone.
+func (t *Task) members() []*Task {
+	if t.Step().GetGang() {
+		return t.siblings()
+	}
+	return []*Task{t}
+}
+
 // Crashes returns the sum of the crashes of the job's tasks.
 func (j *Job) Crashes() int32 { return j.crashes }
 
@@ -47,13 +60,11 @@
 
 // WithdrawExposure takes back the report of Expose, because the executor responds
 // again, or because the run has ended there. A crash that was counted for the run,
-// because its lease had expired, is taken back too; a job that has failed stays failed.
+// because its lease had expired, is taken back too, unless the run counts as a start; a
+// job that has failed stays failed.
 func (t *Task) WithdrawExposure(run int32) {
-	if t.countedRun == run && run != 0 && t.crashes > 0 {
-		t.countedRun = 0
-		t.crashes--
-		t.job.crashes--
-		t.job.markChanged()
+	if t.countedRun == run && run != 0 {
+		t.uncount()
 	}
 	if t.exposedRun == run && run != 0 {
 		t.exposedRun = 0
@@ -66,43 +77,147 @@
 }
 
 // Lose releases a task whose executor has certainly ended. It reports whether the
-// loss counts as a crash.
+// loss is counted: as a crash, or as a start after assessor.MinCrashes crashes.
 func (t *Task) Lose() bool {
+	return t.lose(func(run int32) { t.countStart(run) })
+}
+
+// LoseWitnessed is Lose for an executor whose end its agent has outlived. If the agent
+// doesn't report the run, it has outlived its start, or has not started.
+func (t *Task) LoseWitnessed(now time.Duration) bool {
+	return t.lose(func(run int32) {
+		switch {
+		case t.listedRun == run:
+			t.outlive(run)
+			t.countStart(run)
+		case t.assignedAt == 0 || now-t.assignedAt > exposureWindow:
+			t.countStart(run)
+		}
+	})
+}
+
+// lose releases the task and calls unexposed if its run was not exposed.
+func (t *Task) lose(unexposed func(run int32)) bool {
 	run := t.run
 	t.lostRun = run
-	counts := t.exposedRun == run && run > t.crashedRun
-	if counts {
+	counted := t.crashedRun
+	if t.exposedRun == run && run > t.crashedRun {
 		t.countCrash(run)
+	} else {
+		unexposed(run)
 	}
 	t.endWait()
 	t.Release()
-	return counts
+	return t.crashedRun != counted
 }
 
-// countCrash counts a run that was lost in a crash, and fails the job at
-// maxCrashes. Steps without an end of their own fail too, because each further
+// SetCrashChance sets the probability that an executor crashes by chance shortly after
+// it has started the task. The crashes that are counted next are weighed with it;
+// without it with assessor.CalmChance.
+func (t *Task) SetCrashChance(chance float64) { t.crashChance = chance }
+
+// CrashChance returns the chance that SetCrashChance has set, or its default.
+func (t *Task) CrashChance() float64 {
+	if t.crashChance == 0 {
+		return assessor.CalmChance
+	}
+	return t.crashChance
+}
+
+// Exposed reports whether Expose was called for the latest run, and not withdrawn.
+func (t *Task) Exposed() bool { return t.run > 0 && t.exposedRun == t.run }
+
+// CrashEvidence returns what the crashes say against the task, for a gang those under
+// all its members. Crashes that an earlier leader counted are weighed with the present
+// chance.
+func (t *Task) CrashEvidence() assessor.Evidence {
+	evidence := assessor.Evidence{Crashes: t.Crashes()}
+	for _, member := range t.members() {
+		evidence.Counted += member.crashes
+		unweighed := member.crashes - member.cleared - member.weighed
+		evidence.LogChance += member.logChance + float64(unweighed)*t.logCrashChance()
+	}
+	return evidence
+}
+
+// logCrashChance returns the logarithm of the chance of a crash under the task, for a
+// gang under any of its members.
+func (t *Task) logCrashChance() float64 {
+	chance := t.CrashChance()
+	if t.Step().GetGang() {
+		chance = -math.Expm1(float64(len(t.siblings())) * math.Log1p(-chance))
+	}
+	return math.Log(chance)
+}
+
+// countCrash counts a run that was lost in a crash, and fails the job if the task is
+// given up. Steps without an end of their own fail too, because each further
 // start ends all that runs on the executor.
 func (t *Task) countCrash(run int32) {
-	t.crashedRun = run
-	t.exposedRun = 0
-	t.job.markChanged()
+	if run == t.clearedRun {
+		t.restoreCleared()
+	}
 	if t.crashedOn == nil {
 		t.crashedOn = map[string]bool{}
 	}
 	t.crashedOn[t.host] = true
-	// The members of a gang share their run numbers, and several may be lost in
-	// the same crash.
-	if t.Step().GetGang() && t.siblingCrashed(run) {
+	if !t.addCounted(run) {
 		return
 	}
-	t.crashes++
 	t.countedRun = run
+	t.countedLogChance = t.logCrashChance()
+	t.logChance += t.countedLogChance
+	t.weighed++
 	t.job.crashes++
-	if t.Crashes() >= maxCrashes {
+	t.giveUp()
+}
+
+// countStart counts a run that ended without success and without a report of a crash, if
+// as many executors have crashed under the task that its starts are limited. The report
+// may have been lost, so it says nothing for or against the task.
+func (t *Task) countStart(run int32) {
+	if !t.CrashEvidence().Limited() || run <= t.crashedRun || !t.addCounted(run) {
+		return
+	}
+	t.cleared++
+	t.giveUp()
+}
+
+// addCounted adds the run to those that limit the starts. It reports whether the run is
+// new: the members of a gang share their run numbers, and several may be lost in the
+// same crash.
+func (t *Task) addCounted(run int32) bool {
+	t.crashedRun = run
+	t.exposedRun = 0
+	t.job.markChanged()
+	if t.Step().GetGang() && t.siblingCrashed(run) {
+		return false
+	}
+	t.crashes++
+	return true
+}
+
+func (t *Task) giveUp() {
+	if t.CrashEvidence().Verdict().GivenUp() {
 		t.job.failed = true
 	}
 }
 
+// uncount takes back the latest crash, because its executor lives. The run still counts
+// as a start if starts were limited before it.
+func (t *Task) uncount() {
+	t.countedRun = 0
+	t.logChance -= t.countedLogChance
+	t.weighed--
+	t.job.crashes--
+	if t.CrashEvidence().Counted > assessor.MinCrashes {
+		t.cleared++
+	} else {
+		t.crashes--
+	}
+	t.job.markChanged()
+}
+
 func (t *Task) siblingCrashed(run int32) bool {
 	for _, member := range t.siblings() {
 		if member != t && member.crashedRun == run {
--- a/tracker/ends.go
+++ b/tracker/ends.go
@@ -26,6 +26,7 @@
 	case end.GetCause() == wire.EndCause_END_CAUSE_DONE && !t.Step().GetLongRunning():
 		t.markDone()
 	case t.Assigned():
+		t.countStart(end.GetRun())
 		t.endWait()
 		t.Release()
 	}
--- a/tracker/task.go
+++ b/tracker/task.go
@@ -18,12 +18,26 @@
 	failures  int32
 	// failedRun is the latest run that failed.
 	failedRun int32
-	// crashes counts the runs up to crashedRun in which an executor crashed;
-	// exposedRun and lostRun are the latest runs for which Expose and Lose were
-	// called. See Expose.
+	// crashes counts the runs up to crashedRun in which an executor crashed, and after
+	// assessor.MinCrashes of them all that did not succeed; exposedRun and lostRun are
+	// the latest runs for which Expose and Lose were called. See Expose.
 	crashes, crashedRun, exposedRun, lostRun int32
-	// countedRun is the latest run for which crashes was raised. It is not stored.
-	countedRun int32
+
+	// What follows about crashes is not stored.
+
+	// cleared is the part of crashes that says nothing against the task. clear has
+	// raised it from clearedBefore for clearedRun.
+	cleared, clearedRun, clearedBefore int32
+	// countedRun is the latest run that counts as a crash, and countedLogChance the
+	// logarithm of its probability by chance. logChance is that of the weighed crashes.
+	countedRun, weighed         int32
+	countedLogChance, logChance float64
+	// crashChance is set by SetCrashChance; 0 if not.
+	crashChance float64
+	// listedRun is the run that lists show since listedAt; outlivedRun has outlived its
+	// start.
+	listedRun, outlivedRun int32
+	listedAt               time.Duration
 
 	checkpoint string
 	// failedOn has the ids of the executors on which runs failed.
