--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -90,6 +90,9 @@
 				cause:      tracer.LossReplaced,
 				replacedBy: s.id,
 			})
+			if end, witnessed := witnessedEndOf(previous, s); witnessed {
+				c.witnessedEnds = append(c.witnessedEnds, end)
+			}
 		}
 	}
 	s.leaseEnd = c.Elapsed.Elapsed() + c.leaseBound()
--- a/coordinator/lost.go
+++ b/coordinator/lost.go
@@ -39,10 +39,7 @@
 		released := 0
 		c.eachAssigned(lost.key, func(t *tracker.Task) {
 			lost.traceRelease(t)
-			run, host := t.Run(), t.Host()
-			if t.Lose() {
-				recordCrash(t, run, host)
-			}
+			c.loseTask(cycle, t, lost.key)
 			released++
 		})
 		log.Info().Str("executor", lost.key.ID).Int64("born", lost.key.BornUnixMs).Str("session", lost.session).
--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -27,7 +27,7 @@
 			c.applyEnd(cycle, view, end)
 		}
 		for _, exposure := range view.exposures {
-			c.applyExposure(view, exposure)
+			c.applyExposure(cycle, view, exposure)
 		}
 		for _, refusal := range view.refusals {
 			c.applyRefusal(view, refusal)
@@ -35,6 +35,9 @@
 		if view.runsUpdated && !view.opening {
 			c.repeatStarts(view, cycle.now)
 		}
+		if view.runsUpdated && view.reachable {
+			c.clearOutlived(view, cycle.now)
+		}
 		if view.opening {
 			cycle.lostExecutors = append(cycle.lostExecutors, c.takeReplacedOrphans(view)...)
 			c.reconcile(view)
@@ -54,6 +57,7 @@
 	resumed := t.Checkpoint() != ""
 	gang := assignedGang(t)
 	latest, executor := t.Run(), t.Executor()
+	counted := t.CrashEvidence().Counted
 	if !t.End(end, view.key.ID) {
 		traceIgnoredEnd(view, t, end)
 		return
@@ -63,6 +67,9 @@
 	if superseding := cycle.byKey[executor]; superseding != nil && t.Done() && !isLatest {
 		superseding.addStopOrder(end.GetTask(), latest, notAssigned(t))
 	}
+	if t.CrashEvidence().Counted > counted {
+		recordCrash(t, end.GetRun(), view.host, false)
+	}
 	c.recordDoneWork(t)
 	c.recordEnd(view.key, end.GetCause(), firstFailure)
 	// An end that arrives with the opening of a session may be long past.
--- a/tracker/ends.go
+++ b/tracker/ends.go
@@ -27,6 +27,7 @@
 	case done:
 		t.markDone()
 	case t.Assigned():
+		t.countStart(end.GetRun())
 		t.endWait()
 		t.Release()
 	}
