--- a/coordinator/older_run_test.go
+++ b/coordinator/older_run_test.go
@@ -21,10 +21,18 @@
 	session string
 }
 
-const olderRunTask = jobID + ".0.0.0"
+const (
+	olderRunTask = jobID + ".0.0.0"
+	// heldBackFor is the time of several scheduling cycles.
+	heldBackFor = 500 * time.Millisecond
+)
 
 func newOlderRun(t *testing.T) *olderRun {
-	f := newTestFleet(t, 1, 0, fixedRunTime(-1))
+	return newOlderRunIn(t, newTestFleet(t, 1, 0, fixedRunTime(-1)))
+}
+
+// newOlderRunIn is newOlderRun in a fleet without hosts.
+func newOlderRunIn(t *testing.T, f *testFleet) *olderRun {
 	leader := f.leader()
 	o := &olderRun{
 		f:       f,
@@ -78,12 +86,12 @@
 		assert.Assert(o.f.t, !slices.Contains(started, 3), "run 3 was ordered while run 1 is in progress")
 		return slices.Contains(stopped, 1)
 	})
-	o.assertNoRun3(500 * time.Millisecond)
+	o.assertNoRun3()
 }
 
-func (o *olderRun) assertNoRun3(within time.Duration) {
+func (o *olderRun) assertNoRun3() {
 	o.f.t.Helper()
-	for deadline := time.Now().Add(within); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+	for deadline := time.Now().Add(heldBackFor); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
 		started, _ := o.orders()
 		assert.Assert(o.f.t, !slices.Contains(started, 3), "run 3 was ordered")
 	}
@@ -173,11 +181,11 @@
 		o := newOlderRun(t)
 		o.listInOpening()
 		o.agent.send(o.endReport(wire.EndCause_END_CAUSE_DONE))
-		o.assertNoRun3(500 * time.Millisecond)
+		o.assertNoRun3()
 	})
 	t.Run("not listed before", func(t *testing.T) {
 		o := newOlderRun(t)
 		o.agent.send(o.refusing(o.endReport(wire.EndCause_END_CAUSE_DONE), 2))
-		o.assertNoRun3(500 * time.Millisecond)
+		o.assertNoRun3()
 	})
 }
