No start follows an earlier run of its task that is done

What callers see: a start after a run has ended "done". Cause: a start that waits for another run of its task goes ahead as soon as that run is not listed any more, also if it is done and the leader, which ordered the start before, has not received the end. Ruled out: to wait until the leader has stored the end; its stop of the start arrives with that answer, and the start may be carried out first. Change: the agent refuses a start while an earlier run of the task has an end "done" that is not recorded. After: go test -race -count=5 -run TestNextRun ./runner passes.

--- a/runner/orders.go
+++ b/runner/orders.go
@@ -87,6 +87,8 @@
 		decision.refusal = damaskspread.RefusedOrderExpired
 	case decision.lease.DeadlineMs == 0:
 		decision.refusal = damaskspread.RefusedLeaseOver
+	case r.earlierRunDone(key):
+		decision.refusal = damaskspread.RefusedOldRun
 	case r.renewFailures > 0 || r.token == 0 || r.otherRunInProgress(key):
 		decision.wait = true
 	case r.exceedsCapacity(key):
--- a/runner/refusals.go
+++ b/runner/refusals.go
@@ -64,6 +64,18 @@
 	return false
 }
 
+// earlierRunDone reports whether an earlier run of the same task is done by an end that
+// the leader is not known to have stored: it has decided the start without the end. The
+// caller holds the mutex.
+func (r *Runner) earlierRunDone(key runKey) bool {
+	for _, end := range r.unrecordedEnds {
+		if end.GetTask() == key.task && end.GetRun() < key.run && end.GetCause() == wire.EndCause_END_CAUSE_DONE {
+			return true
+		}
+	}
+	return false
+}
+
 // addRefusal queues the report that a run does not start here. The leader then
 // gives the task to another executor, so repeated orders for the run are refused
 // too.
