A start that waits leaves its order slot to others

What callers see: runs are refused with order_expired, and stops are carried out up to 1.5 s late. Cause: a start that waits for an earlier run of its task holds one of the eight order slots. Eight of them keep out the stops of the runs for which they wait. Change: the slot is free while an order waits. After: go test -race -count=5 -run 'TestNextRun|TestWaiting' ./runner passes.

--- a/runner/orders.go
+++ b/runner/orders.go
@@ -38,6 +38,14 @@
 	}
 }
 
+// pauseWithoutSlot pauses an order that waits and leaves its slot to others: the stop for
+// which it waits needs one.
+func (r *Runner) pauseWithoutSlot(ctx context.Context) {
+	<-r.orderSlots
+	r.pause(ctx, orderRetry)
+	r.orderSlots <- struct{}{}
+}
+
 // startDecision says whether a start order may be sent to the executor now.
 type startDecision struct {
 	lease damaskspread.Lease
@@ -128,7 +136,7 @@
 			r.reportRefusal(info, key, decision.refusal)
 			return
 		case decision.wait:
-			r.pause(ctx, orderRetry)
+			r.pauseWithoutSlot(ctx)
 			continue
 		}
 		err := r.callStart(ctx, info, order, &decision.lease)
