Only tokens that opened a session make an opening late

What callers see: while two processes of an agent overlap, or calls of an earlier session are answered late, the host has no session and gets no tasks; with requests that alternate, for ever. Cause: each request for a token made the opening with any token before late, also if the new token opened nothing. Ruled out: that an opening between a later token and its session does harm. The session that follows replaces it and its list. Change: an opening is late if its token is not higher than those of the sessions before. The token of a session that has ended opens none again either: a late copy of an opening opened one for an executor that had left.

--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -53,7 +53,7 @@
 		// numbers them from 1 again. A late opening would release the runs of
 		// the present executor.
 		if c.histories[report.GetHost()].isLate(report) || !report.GetOpening() || !report.GetHasRunning() || report.GetEpoch() != c.epoch {
-			return nil, c.reopen(report.GetHost())
+			return nil, c.reopen()
 		}
 		s = c.openSession(report)
 	}
@@ -75,6 +75,7 @@
 		zone:    report.GetZone(),
 		info:    report.GetExecutor(),
 		key:     keyOf(report.GetExecutor()),
+		token:   report.GetToken(),
 		opening: true,
 
 		sentSteps: map[string]bool{},
@@ -94,33 +95,25 @@
 	}
 	s.leaseEnd = c.Elapsed.Elapsed() + c.leaseBound()
 	c.sessions[s.host] = s
-	c.history(s.host).add(s)
+	if c.histories[s.host] == nil {
+		c.histories[s.host] = &hostHistory{}
+	}
+	c.histories[s.host].add(s)
 	log.Info().Str("host", s.host).Str("session", s.id).Str("executor", s.key.ID).Int64("born", s.key.BornUnixMs).
 		Int("running", len(report.GetRunning())).Int("ends", len(report.GetEnds())).Msg("session opened")
 	return s
 }
 
-// history returns the history of a host, which begins with the first call. The caller
-// holds the mutex.
-func (c *Coordinator) history(host string) *hostHistory {
-	if c.histories[host] == nil {
-		c.histories[host] = &hostHistory{}
-	}
-	return c.histories[host]
-}
-
-// reopen makes the agent of a host open a new session, with a fencing token of its
-// own: once the executor has seen it, calls that were sent for an earlier session, by
-// an earlier process of the agent or for an earlier incarnation under the same id have
-// no effect. The caller holds the mutex.
-func (c *Coordinator) reopen(host string) *wire.ExchangeResponse {
+// reopen makes an agent open a new session, with a fencing token of its own: once the
+// executor has seen it, calls that were sent for an earlier session, by an earlier
+// process of the agent or for an earlier incarnation under the same id have no effect.
+// The caller holds the mutex.
+func (c *Coordinator) reopen() *wire.ExchangeResponse {
 	c.issuedTokens++
-	token := c.epoch<<sessionTokenBits + c.issuedTokens
-	c.history(host).lastToken = token
 	return &wire.ExchangeResponse{
 		Epoch:  c.epoch,
 		Reopen: true,
-		Token:  token,
+		Token:  c.epoch<<sessionTokenBits + c.issuedTokens,
 	}
 }
 
@@ -165,7 +158,7 @@
 		}
 	}
 	if c.sessions[s.host] != s {
-		return c.reopen(s.host)
+		return c.reopen()
 	}
 	now := c.Elapsed.Elapsed()
 	response := &wire.ExchangeResponse{
--- a/coordinator/session.go
+++ b/coordinator/session.go
@@ -24,6 +24,8 @@
 	zone string
 	info *wire.ExecutorInfo
 	key  tracker.ExecutorKey
+	// token is the fencing token of the session, 0 if the agent has an earlier version.
+	token int64
 
 	reachable bool
 	// leaseEnd is the latest time at which the executor may hold a lease.
@@ -171,13 +173,14 @@
 	lastSession string
 	// executors are the latest executors that opened a session, the last one last.
 	executors []tracker.ExecutorKey
-	// lastToken is the fencing token that was given to the host last.
+	// lastToken is the highest fencing token of these sessions.
 	lastToken int64
 }
 
 // add records a new session.
 func (h *hostHistory) add(s *session) {
 	h.lastSession = s.id
+	h.lastToken = max(h.lastToken, s.token)
 	h.executors = slices.DeleteFunc(h.executors, func(other tracker.ExecutorKey) bool { return other == s.key })
 	h.executors = append(h.executors, s.key)
 	if len(h.executors) > maxHostExecutors {
@@ -186,14 +189,16 @@
 }
 
 // isLate reports whether an opening request was sent before the session that was opened
-// last: a later token was given to the host, a later executor of the host has opened a
-// session since, or a process of the agent, which numbers its sessions, a later session.
-// Agents of an earlier version send no token. It is false without a history.
+// last, or opened a session that has ended: its token is not higher than those of all
+// sessions before, a later executor of the host has opened a session since, or a process
+// of the agent, which numbers its sessions, a later session. Tokens that opened no session
+// don't count: two processes of an agent would keep each other from opening one. Agents
+// of an earlier version send no token. It is false without a history.
 func (h *hostHistory) isLate(request *wire.ExchangeRequest) bool {
 	if h == nil {
 		return false
 	}
-	if token := request.GetToken(); token != 0 && token < h.lastToken {
+	if token := request.GetToken(); token != 0 && token <= h.lastToken {
 		return true
 	}
 	key := keyOf(request.GetExecutor())
--- a/coordinator/token_test.go
+++ b/coordinator/token_test.go
@@ -32,7 +32,8 @@
 }
 
 // Guards against the list of an earlier token, which may lack runs that have started
-// since, in the place of the present session.
+// since, in the place of the present session, and against a session that opens again by a
+// late copy of its opening.
 func TestOpeningWithAnEarlierTokenIsLate(t *testing.T) {
 	f := newTestFleet(t, 1, 0, fixedRunTime(-1))
 	agent, info := newManualAgent(t, f.leader(), "host-0"), executorInfo("executor-0", 1)
@@ -43,4 +44,8 @@
 	assert.Assert(t, first.GetToken() < second.GetToken())
 	assert.Assert(t, !agent.send(second).GetReopen())
 	assert.Assert(t, agent.send(first).GetReopen(), "the session with the earlier token opens")
+	left := agent.request("b.1", info)
+	left.ExecutorLeft = true
+	agent.send(left)
+	assert.Assert(t, agent.send(second).GetReopen(), "a session opens again that has ended")
 }
