--- a/runner/next_run_done_test.go
+++ b/runner/next_run_done_test.go
@@ -51,7 +51,7 @@
 	}
 	var starts, stops []*wire.Order
 	for i := range tasks {
-		start, earlier, stop := startOfRun(3), startOfRun(2).GetStart(), stopOfRun(2)
+		start, earlier, stop := startOfRun(3), startOfRun(2).GetStart(), stopOfRun2()
 		earlier.Task = fmt.Sprintf("a.0.0.%d", i)
 		start.GetStart().Task, stop.GetStop().Task = earlier.GetTask(), earlier.GetTask()
 		assert.NilError(t, executor.Start(t.Context(), "executor-1", earlier, lease))
--- a/runner/next_run_test.go
+++ b/runner/next_run_test.go
@@ -76,9 +76,9 @@
 	return order
 }
 
-func stopOfRun(run int32) *wire.Order {
+func stopOfRun2() *wire.Order {
 	order := stopOrder(repeatedTask)
-	order.GetStop().Run = run
+	order.GetStop().Run = 2
 	return order
 }
 
@@ -104,7 +104,7 @@
 	startRunner(t, &q.fakeLeader, executor, executor)
 	q.send(startOfRun(2))
 	waitFor(t, "list with run 2", func() bool { return q.received(listsRun2) })
-	q.send(stopOfRun(2), startOfRun(3))
+	q.send(stopOfRun2(), startOfRun(3))
 	checker.waitForRun3(t, q)
 	checker.assertNoOverlap(t)
 }
@@ -119,7 +119,7 @@
 		DeadlineMs: 5000,
 	}
 	assert.NilError(t, executor.Start(t.Context(), "executor-1", startOfRun(2).GetStart(), lease))
-	assert.NilError(t, executor.Stop(t.Context(), "executor-1", stopOfRun(2).GetStop(), lease.Token))
+	assert.NilError(t, executor.Stop(t.Context(), "executor-1", stopOfRun2().GetStop(), lease.Token))
 	q.send(startOfRun(3))
 	startRunner(t, &q.fakeLeader, executor, executor)
 	checker.waitForRun3(t, q)
