A start that waits ends with its session

Cause: orders were bound to the executor's incarnation only. A start that waits is carried out with the token of the next session. Ruled out: to end each order with its session. One whose call may have taken effect has to find out the outcome (TestStartInProgressWhileTheExecutorIsHidden fails then). Change: a start that has not called the executor yet ends with its session; the leader repeats at the opening what it still wants to start. A stop that was refused with an earlier token is repeated with the present one. After: go test -race -count=3 -run 'TestStartEnds|TestStartInProgress|TestNextRun| TestLateStart' ./runner passes.

--- a/runner/exchange.go
+++ b/runner/exchange.go
@@ -266,7 +266,7 @@
 			r.learnStep(start)
 		}
 		decidedAt := sentAt + held - time.Duration(order.GetAgeMs())*time.Millisecond
-		info := r.info
-		r.activeOrders.Go(func() { r.executeOrder(ctx, info, order, decidedAt) })
+		info, session := r.info, r.session
+		r.activeOrders.Go(func() { r.executeOrder(ctx, info, session, order, decidedAt) })
 	}
 }
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -23,7 +23,7 @@
 
 // executeOrder waits for one of the order slots and carries out the order on the
 // executor for which it was given. The caller does not hold the mutex.
-func (r *Runner) executeOrder(ctx context.Context, info *wire.ExecutorInfo, order *wire.Order, decidedAt time.Duration) {
+func (r *Runner) executeOrder(ctx context.Context, info *wire.ExecutorInfo, session string, order *wire.Order, decidedAt time.Duration) {
 	select {
 	case r.orderSlots <- struct{}{}:
 	case <-ctx.Done():
@@ -32,7 +32,7 @@
 	defer func() { <-r.orderSlots }()
 	switch kind := order.GetKind().(type) {
 	case *wire.Order_Start:
-		r.start(ctx, info, kind.Start, decidedAt)
+		r.start(ctx, info, session, kind.Start, decidedAt)
 	case *wire.Order_Stop:
 		r.stop(ctx, info, kind.Stop)
 	}
@@ -66,18 +66,20 @@
 // the run are skipped. With mayHaveStarted, a call of this or of an earlier order may
 // still be executed, so a refusal isn't definite. An order ends with its executor: the
 // leader releases the runs of an executor that was replaced or has left, and orders
-// their next runs.
-func (r *Runner) decideStart(info *wire.ExecutorInfo, order *wire.StartOrder, decidedAt time.Duration, mayHaveStarted bool) startDecision {
+// their next runs. It ends with its session too, because the leader repeats at the
+// opening what it still wants to start; once the order has called the executor, session
+// is empty, and it goes on until the outcome is known.
+func (r *Runner) decideStart(info *wire.ExecutorInfo, session string, order *wire.StartOrder, decidedAt time.Duration, mayHaveStarted bool) startDecision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	key := runKey{order.GetTask(), order.GetRun()}
 	decision := startDecision{lease: r.executorLease()}
-	if !r.isPresent(info) {
+	owner := r.startOwners[key]
+	if !r.isPresent(info) || session != "" && session != r.session {
 		decision.handled = true
 		return decision
 	}
 	r.learnStep(order)
-	owner := r.startOwners[key]
 	switch {
 	case r.isRunning(key):
 		r.learnRamp(key, order)
@@ -118,11 +120,11 @@
 	return decision
 }
 
-func (r *Runner) start(ctx context.Context, info *wire.ExecutorInfo, order *wire.StartOrder, decidedAt time.Duration) {
+func (r *Runner) start(ctx context.Context, info *wire.ExecutorInfo, session string, order *wire.StartOrder, decidedAt time.Duration) {
 	key := runKey{order.GetTask(), order.GetRun()}
 	mayHaveStarted := order.GetRepeated()
 	for ctx.Err() == nil {
-		decision := r.decideStart(info, order, decidedAt, mayHaveStarted)
+		decision := r.decideStart(info, session, order, decidedAt, mayHaveStarted)
 		switch {
 		case decision.handled:
 			return
@@ -139,6 +141,7 @@
 			r.pauseWithoutSlot(ctx)
 			continue
 		}
+		session = ""
 		err := r.callStart(ctx, info, order, &decision.lease)
 		var unknown *damaskspread.WorkerUnknownError
 		mayHaveStarted = mayHaveStarted || errors.As(err, &unknown)
@@ -200,8 +203,15 @@
 	}
 }
 
+// hasToken reports whether the token is still that of the session.
+func (r *Runner) hasToken(token int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.token == token
+}
+
 // stop repeats the order until the executor accepts it, has left or has been
-// replaced, or rejects the token. It reports whether the executor accepted it.
+// replaced, or rejects the present token. It reports whether the executor accepted it.
 func (r *Runner) stop(ctx context.Context, info *wire.ExecutorInfo, order *wire.StopOrder) bool {
 	key := runKey{order.GetTask(), order.GetRun()}
 	for ctx.Err() == nil {
@@ -225,7 +235,9 @@
 			r.traceStop(info, key, token)
 			r.scheduleCheck(info, key, r.StopWithin)
 			return true
-		case errors.As(err, &wrong) || errors.As(err, &fenced):
+		case errors.As(err, &wrong):
+			return false
+		case errors.As(err, &fenced) && r.hasToken(token):
 			return false
 		}
 		log.Debug().Str("task", key.task).Int32("run", key.run).Err(err).Msg("stop call failed; retrying")
