One crash window and one name of the suspect

The time in which a crash is related to a start stood three times (runner, tracker, assessor), with comments that they are the same; it is assessor.CrashWindow now. The name under which crashes are held against a task or its gang stood in planner and coordinator; it is tracker.Task.SuspectName. No behaviour changes. go test -race of tracker, planner, assessor, and of the crash tests in runner and coordinator: ok; vet, lint and format clean.

--- a/assessor/crashes.go
+++ b/assessor/crashes.go
@@ -6,10 +6,12 @@
 	"time"
 )
 
+// CrashWindow is the time from the start of a run to the crash of its executor within
+// which the run may have caused the crash. Tasks that crash an executor do so some
+// milliseconds after their start.
+const CrashWindow = 500 * time.Millisecond
+
 const (
-	// window is the time from the start of a task within which a crash of its executor
-	// is reported; it is that of package runner.
-	window = 500 * time.Millisecond
 	// momentWindow is the time between crashes of several executors within which one
 	// cause is assumed. Agents notice a crash within some 10 ms if they are not busy.
 	momentWindow = 300 * time.Millisecond
@@ -103,7 +105,7 @@
 	if i := c.index(executor); i >= 0 {
 		moment = c.crashes[i].at
 	}
-	chance := -math.Expm1(-c.rate(task, now) * window.Seconds())
+	chance := -math.Expm1(-c.rate(task, now) * CrashWindow.Seconds())
 	others := 0
 	for _, other := range c.crashes {
 		if other.speaksForChance(task) && (other.at-moment).Abs() <= momentWindow {
--- a/coordinator/crash.go
+++ b/coordinator/crash.go
@@ -63,20 +63,11 @@
 	}
 }
 
-// blamedName is the name under which crashes are held against a task: that of its gang,
-// or its own.
-func blamedName(t *tracker.Task) string {
-	if t.Step().GetGang() {
-		return t.GroupName()
-	}
-	return t.ID().String()
-}
-
 // weighCrash sets the chance with which a crash of the executor under the task is
 // weighed.
 func (c *Coordinator) weighCrash(t *tracker.Task, key tracker.ExecutorKey, now time.Duration) {
 	crashes := c.crashesOf(t.Job().Spec().GetService())
-	t.SetCrashChance(crashes.Chance(assessor.Executor(key), blamedName(t), now))
+	t.SetCrashChance(crashes.Chance(assessor.Executor(key), t.SuspectName(), now))
 }
 
 // applyExposure applies an agent's report that its executor lost its connections
@@ -95,7 +86,7 @@
 		return
 	}
 	if current {
-		c.crashesOf(view.info.GetService()).Add(assessor.Executor(t.Executor()), blamedName(t), t.Crashes() > 0, cycle.now)
+		c.crashesOf(view.info.GetService()).Add(assessor.Executor(t.Executor()), t.SuspectName(), t.Crashes() > 0, cycle.now)
 	}
 	c.weighCrash(t, t.Executor(), cycle.now)
 	if t.Expose(exposure.GetRun()) {
--- a/planner/probation.go
+++ b/planner/probation.go
@@ -52,14 +52,6 @@
 	workAtRisk float64
 }
 
-// suspectName identifies what is blamed if the host crashes under the task.
-func suspectName(task *tracker.Task) string {
-	if task.Step().GetGang() {
-		return task.GroupName()
-	}
-	return task.ID().String()
-}
-
 func suspected(task *tracker.Task) bool { return task.Job().Crashes() > 0 && task.Crashes() > 0 }
 
 // addAssigned adds a task that was assigned in an earlier cycle.
@@ -67,7 +59,7 @@
 	if task.AssignedAt() >= from {
 		p.recentStart = true
 		if suspected(task) {
-			p.by = suspectName(task)
+			p.by = task.SuspectName()
 		}
 		return
 	}
@@ -79,7 +71,7 @@
 func (p *probation) addPlanned(task *tracker.Task) {
 	p.planned = true
 	if suspected(task) {
-		p.by = suspectName(task)
+		p.by = task.SuspectName()
 	}
 }
 
@@ -99,7 +91,7 @@
 		return p.room == 0 || !mayShareProbation(task)
 	}
 	if p.by != "" {
-		return p.by != suspectName(task)
+		return p.by != task.SuspectName()
 	}
 	return p.planned && suspected(task)
 }
--- a/runner/crash.go
+++ b/runner/crash.go
@@ -8,14 +8,10 @@
 	"github.com/phuslu/log"
 
 	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/assessor"
 	"damaskspread.example/damaskspread/wire"
 )
 
-// crashWindow is the time from the start of a run to the crash of its executor
-// within which the run may have caused the crash. Tasks that crash an executor do
-// so some milliseconds after their start.
-const crashWindow = 500 * time.Millisecond
-
 // maxPendingExposures bounds the exposures that wait for the leader. Beyond it the
 // oldest are dropped, so that crashes without a leader don't fill the requests.
 const maxPendingExposures = 1000
@@ -27,7 +23,7 @@
 // crash, or a reset of connections, which the next successful call shows. The
 // runner's mutex guards it.
 type crashWatch struct {
-	// startedAt has the runs that were started within crashWindow, or may have
+	// startedAt has the runs that were started within assessor.CrashWindow, or may have
 	// been.
 	startedAt map[runKey]time.Duration
 	// unseen has the runs whose start was called without a response and that no list
@@ -62,11 +58,11 @@
 func (w *crashWatch) addStart(key runKey, now time.Duration) {
 	w.startedAt[key] = now
 	for other, at := range w.startedAt {
-		if now-at > crashWindow {
+		if now-at > assessor.CrashWindow {
 			delete(w.startedAt, other)
 		}
 	}
-	if w.down() && now-w.downSince <= crashWindow {
+	if w.down() && now-w.downSince <= assessor.CrashWindow {
 		w.expose(key)
 	}
 }
@@ -79,7 +75,7 @@
 	}
 	w.downSince = now
 	for key, at := range w.startedAt {
-		if now-at <= crashWindow {
+		if now-at <= assessor.CrashWindow {
 			w.expose(key)
 		}
 	}
--- a/tracker/crash.go
+++ b/tracker/crash.go
@@ -7,10 +7,6 @@
 	"damaskspread.example/damaskspread/assessor"
 )
 
-// exposureWindow is the time from the start of a run within which an agent reports that
-// its executor crashed; it is that of package runner.
-const exposureWindow = 500 * time.Millisecond
-
 // Crashes returns the number of runs, for a gang of all its members, during which
 // an executor crashed shortly after it had started them, since a run has outlived its
 // start. From 1 on the task is suspected to crash its executors.
@@ -25,6 +21,15 @@
 	return sum
 }
 
+// SuspectName identifies what crashes of executors are held against: the task, or its
+// gang.
+func (t *Task) SuspectName() string {
+	if t.Step().GetGang() {
+		return t.GroupName()
+	}
+	return t.ID().String()
+}
+
 // members returns all members of a gang, otherwise the task alone.
 func (t *Task) members() []*Task {
 	if t.Step().GetGang() {
@@ -90,7 +95,7 @@
 		case t.listedRun == run:
 			t.outlive(run)
 			t.countStart(run)
-		case t.assignedAt == 0 || now-t.assignedAt > exposureWindow:
+		case t.assignedAt == 0 || now-t.assignedAt > assessor.CrashWindow:
 			t.countStart(run)
 		}
 	})
