--- a/review/standins/executor.go
+++ b/review/standins/executor.go
@@ -24,6 +24,7 @@
 	id, zone, address, agent string
 	rec                      *recorder
 	cpu                      int
+	labels                   []string
 
 	mu       sync.Mutex
 	started  time.Time
@@ -54,12 +55,19 @@
 
 func newExecutor(id, zone, address, agent string, rec *recorder) *executor {
 	return &executor{
-		id: id, zone: zone, address: address, agent: agent, rec: rec, cpu: 16000,
+		id: id, zone: zone, address: address, agent: agent, rec: rec, cpu: 16000, labels: []string{"a", "r1"},
 		started: time.Now(), born: time.Now().UnixMilli(),
 		runs: map[string]*run{}, highest: map[string]int{}, changed: make(chan struct{}), dead: make(chan struct{}),
 	}
 }
 
+// next returns the next life of the executor, under another id.
+func (e *executor) next() *executor {
+	life := newExecutor(e.id+"x", e.zone, e.address, e.agent, e.rec)
+	life.labels = e.labels
+	return life
+}
+
 func (e *executor) clock() time.Duration { return time.Since(e.started) + time.Second }
 
 // start serves and sends heartbeats until crash.
@@ -115,7 +123,7 @@
 		}
 		body := map[string]any{
 			"service": serviceName, "address": e.address, "zone": e.zone, "version": "v1", "slots": 8, "state": state,
-			"coldRemainingMs": 0, "capacity": map[string]int{"cpu": e.cpu, "memMb": 64000, "gpu": 0}, "labels": []string{"a", "r1"},
+			"coldRemainingMs": 0, "capacity": map[string]int{"cpu": e.cpu, "memMb": 64000, "gpu": 0}, "labels": e.labels,
 			"clockMs": e.clock().Milliseconds(), "sequence": e.sequence, "born": e.born,
 		}
 		quiet := e.silent
--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -165,10 +165,15 @@
 }
 
 // addHost adds an agent with its executor.
-func (f *fleet) addHost(zone string) (*process, *executor) {
+func (f *fleet) addHost(zone string) *executor {
+	return f.addHostWithLabels(zone, []string{"a", "r1"})
+}
+
+func (f *fleet) addHostWithLabels(zone string, labels []string) *executor {
 	n := len(f.agents) + 1
 	p := &process{role: "job-agent", name: fmt.Sprintf("side-%d", n), executors: freeAddress()}
 	e := newExecutor(fmt.Sprintf("i-%04d", n), zone, freeAddress(), p.executors, f.rec)
+	e.labels = labels
 	listen := fmt.Sprintf("executors = %s\n", p.executors)
 	f.create(p, f.settingsText(p, zone, listen, fmt.Sprintf("executor = %s\n", e.address), 152, 0.24))
 	f.agents = append(f.agents, p)
@@ -176,7 +181,7 @@
 	if err := e.start(); err != nil {
 		panic(err)
 	}
-	return p, e
+	return e
 }
 
 func (f *fleet) create(p *process, settings string) {
--- a/review/standins/lost.go
+++ b/review/standins/lost.go
@@ -17,7 +17,7 @@
 	for _, zone := range []string{"a", "b", "c"} {
 		f.addEntry(zone)
 	}
-	for _, zone := range []string{"a", "b", "c", "a"} {
+	for _, zone := range []string{"a", "b", "c", "a", "b", "c", "a"} {
 		f.addHost(zone)
 	}
 	const id = "00000000000000a1"
