--- a/review/standins/big.go
+++ b/review/standins/big.go
@@ -11,7 +11,7 @@
 // over, and under half of the service's capacity is in use".
 func repeatedJob(f *fleet, trouble bool) int {
 	const (
-		occurrences = 3
+		occurrences = 4
 		count       = 4000
 		darkFor     = 9500 * time.Millisecond
 		// contact is the time without disruption after which machines are in touch;
@@ -32,7 +32,7 @@
 	if !f.submit("00000000000000b1", large) {
 		return couldNot
 	}
-	if !waitUntil(40*time.Second, func() bool { return f.tasksRunning() == occurrences*count }) {
+	if !waitUntil(50*time.Second, func() bool { return f.tasksRunning() == occurrences*count }) {
 		f.rec.write("only %d tasks of the large job run", f.tasksRunning())
 		return couldNot
 	}
--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
@@ -24,7 +25,7 @@
 // recorder writes what was sent, answered and run.
 type recorder struct {
 	mu      sync.Mutex
-	out     *os.File
+	out     *bufio.Writer
 	started time.Time
 	runs    []*taskRun
 }
@@ -44,6 +45,13 @@
 	r.line(format, args...)
 }
 
+// flush writes what is buffered. Lines of executors that still run may follow.
+func (r *recorder) flush() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = r.out.Flush()
+}
+
 func (r *recorder) line(format string, args ...any) {
 	_, _ = fmt.Fprintf(r.out, "%8.3f  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
 }
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -6,6 +6,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -43,7 +44,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(couldNot)
 	}
-	rec := &recorder{out: out, started: time.Now()}
+	rec := &recorder{out: bufio.NewWriter(out), started: time.Now()}
 	status := couldNot
 	f := newFleet(dir, os.Args[2], rec)
 	finished := make(chan int, 1)
@@ -63,6 +64,7 @@
 	}
 	f.stopAll()
 	rec.write("exit status %d", status)
+	rec.flush()
 	_ = out.Close()
 	if keep := os.Getenv("REVIEW_KEEP"); keep != "" {
 		fmt.Fprintln(os.Stderr, "kept:", dir)
