A record that the log rejects stops one job, not the writer

Cause: a status 400 of the log became LogUnavailableError, and every writer repeats an append with that error without end: the leader's progress and statuses, and the entries' batches of accepted jobs.

On the code before, TestRejectedRecordStopsNoOtherJob fails (no success within 12 s), and TestOversizedJobIsRefused hangs until the timeout of 20 s.

Ruled out: giving up the leadership. The next leader would append the same record.

Change: AppendRejectedError. The leader and the entries search for the bad record by halves and go on with the others. A job whose progress is rejected starts no further run, because a new leader would not know of it. An entry refuses a job above 240 KiB before it appends it, with 413.

Result: both tests pass, and all tests of the packages touched.

--- a/coordinator/closing.go
+++ b/coordinator/closing.go
@@ -59,6 +59,7 @@
 	c.forgetSentSteps(job)
 	c.runTimes.forget(job)
 	delete(c.jobs, id)
+	delete(c.suspended, id)
 	delete(c.publishedStates, id)
 	c.closed[id] = now
 	c.tombstones = append(c.tombstones, &wire.KeyedRecord{Key: id})
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -140,6 +140,8 @@
 	// heldUntil are jobs whose progress could not be decoded. None of their tasks
 	// starts before the leases of the runs that an earlier leader started are over.
 	heldUntil map[string]time.Duration
+	// suspended are jobs whose progress the log rejects.
+	suspended map[string]bool
 	// unassigned are the runs in progress whose tasks are not assigned to their
 	// executors.
 	unassigned []unassignedRun
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -77,7 +77,7 @@
 	c.observeCalm(cycle)
 	c.migrate(cycle)
 	storing := c.Elapsed.Elapsed()
-	if err := c.storeProgress(ctx, cycle.now); err != nil {
+	if err := c.storeProgress(ctx, cycle); err != nil {
 		return err
 	}
 	stored := c.Elapsed.Elapsed()
@@ -232,7 +232,7 @@
 
 // storeProgress appends the progress of all changed jobs, and the learned run times
 // if they are due, to the log.
-func (c *Coordinator) storeProgress(ctx context.Context, now time.Duration) error {
+func (c *Coordinator) storeProgress(ctx context.Context, cycle *cycleState) error {
 	records := c.tombstones
 	c.tombstones = nil
 	for id, job := range c.jobs {
@@ -248,7 +248,7 @@
 			Value: value,
 		})
 	}
-	learned, err := c.runTimes.record(now)
+	learned, err := c.runTimes.record(cycle.now)
 	if err != nil {
 		return err
 	}
@@ -258,7 +258,29 @@
 	if len(records) == 0 {
 		return nil
 	}
-	return c.progress.append(ctx, records)
+	rejected, err := c.progress.append(ctx, records)
+	if err != nil {
+		return err
+	}
+	for _, record := range rejected {
+		c.suspendJob(cycle, record.GetKey())
+	}
+	return nil
+}
+
+// suspendJob starts no further run of a job whose progress the log rejects: a new leader
+// would not know of the run. The starts of the cycle are not ordered.
+func (c *Coordinator) suspendJob(cycle *cycleState, id string) {
+	if c.jobs[id] == nil {
+		return
+	}
+	c.suspended[id] = true
+	log.Error().Str("job", id).Msg("job suspended: its progress cannot be stored")
+	for _, view := range cycle.views {
+		view.starts = slices.DeleteFunc(view.starts, func(order *wire.StartOrder) bool {
+			return tracker.JobOf(order.GetTask()) == id
+		})
+	}
 }
 
 // publish adds the cycle's orders to the sessions and acknowledges the run ends
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -87,7 +87,7 @@
 	now := c.Clock.Now().UnixMilli()
 	var groups []*tracker.Group
 	for id, job := range c.jobs {
-		if until, held := c.heldUntil[id]; held && cycle.now < until {
+		if until, held := c.heldUntil[id]; c.suspended[id] || held && cycle.now < until {
 			continue
 		}
 		groups = append(groups, job.Ready(now)...)
--- a/coordinator/statuses.go
+++ b/coordinator/statuses.go
@@ -66,7 +66,7 @@
 		if len(records) == 0 {
 			continue
 		}
-		if err := s.writer.append(ctx, records); err != nil {
+		if _, err := s.writer.append(ctx, records); err != nil {
 			log.Warn().Int("records", len(records)).Err(err).Msg("job statuses not recorded: leadership ended")
 			return
 		}
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -119,6 +119,7 @@
 	c.firstCosts = map[string]*tracer.WaitCost{}
 	c.latencies = map[tracker.ExecutorKey]*hostLatency{}
 	c.heldUntil = map[string]time.Duration{}
+	c.suspended = map[string]bool{}
 	c.unassigned = nil
 	c.closing = nil
 	c.tombstones = nil
--- a/coordinator/writer.go
+++ b/coordinator/writer.go
@@ -34,17 +34,45 @@
 func (w *writer) fence(ctx context.Context) error { return w.appendPart(ctx, nil) }
 
 // append retries until the log has accepted the records, in several appends if they
-// are large. It fails if the epoch is fenced or the context ends; the first of the
-// records may then be in the log.
-func (w *writer) append(ctx context.Context, records []*wire.KeyedRecord) error {
+// are large. It returns the records that the log rejects, which are left out. It fails if
+// the epoch is fenced or the context ends; the first of the records may then be in the
+// log.
+func (w *writer) append(ctx context.Context, records []*wire.KeyedRecord) (rejected []*wire.KeyedRecord, err error) {
 	for len(records) > 0 {
 		count := damaskspread.CountWithin(len(records), w.maxBytes, func(i int) int { return damaskspread.RecordBytes(records[i]) })
-		if err := w.appendPart(ctx, records[:count]); err != nil {
-			return err
+		part, err := w.appendAccepted(ctx, records[:count])
+		if err != nil {
+			return nil, err
 		}
+		rejected = append(rejected, part...)
 		records = records[count:]
 	}
-	return nil
+	return rejected, nil
+}
+
+// appendAccepted appends the records of one append. If the log rejects them, it appends
+// each half alone, so that one bad record doesn't keep back the others. It returns those
+// that are rejected alone.
+func (w *writer) appendAccepted(ctx context.Context, records []*wire.KeyedRecord) (rejected []*wire.KeyedRecord, err error) {
+	err = w.appendPart(ctx, records)
+	var refusal *damaskspread.AppendRejectedError
+	if !errors.As(err, &refusal) {
+		return nil, err
+	}
+	if len(records) == 1 {
+		log.Error().Str("topic", w.topic).Str("key", records[0].GetKey()).Int("bytes", damaskspread.RecordBytes(records[0])).Err(err).
+			Msg("record rejected by the log and left out")
+		return records, nil
+	}
+	half := len(records) / 2
+	for _, part := range [][]*wire.KeyedRecord{records[:half], records[half:]} {
+		more, err := w.appendAccepted(ctx, part)
+		if err != nil {
+			return nil, err
+		}
+		rejected = append(rejected, more...)
+	}
+	return rejected, nil
 }
 
 func (w *writer) appendPart(ctx context.Context, records []*wire.KeyedRecord) error {
@@ -56,7 +84,8 @@
 			return nil
 		}
 		var fenced *damaskspread.FencedError
-		if errors.As(err, &fenced) || ctx.Err() != nil {
+		var rejected *damaskspread.AppendRejectedError
+		if errors.As(err, &fenced) || errors.As(err, &rejected) || ctx.Err() != nil {
 			return err
 		}
 		var mismatch *damaskspread.SequenceError
--- a/emulator/keyed_log.go
+++ b/emulator/keyed_log.go
@@ -30,6 +30,8 @@
 	// MaxCallBytes is the size of the records from which an append is refused; 0
 	// takes any.
 	MaxCallBytes int
+	// MaxRecordBytes is the size from which a record is refused; 0 takes any.
+	MaxRecordBytes int
 
 	mu     sync.Mutex
 	topics map[string]*keyedTopic
@@ -139,7 +141,7 @@
 		return nil, err
 	}
 	if c.Log.tooLarge(records) {
-		return nil, &damaskspread.LogUnavailableError{Cause: errTooLarge}
+		return nil, &damaskspread.AppendRejectedError{Cause: errTooLarge}
 	}
 	result, err := c.Log.append(topic, records, condition)
 	if err == nil && c.recordAppend() {
@@ -151,6 +153,9 @@
 func (l *KeyedLog) tooLarge(records []*wire.KeyedRecord) bool {
 	size := 0
 	for _, record := range records {
+		if l.MaxRecordBytes > 0 && damaskspread.RecordBytes(record) > l.MaxRecordBytes {
+			return true
+		}
 		size += damaskspread.RecordBytes(record)
 	}
 	return l.MaxCallBytes > 0 && size > l.MaxCallBytes
--- a/errors.go
+++ b/errors.go
@@ -97,6 +97,16 @@
 
 func (e *LogUnavailableError) Unwrap() error { return e.Cause }
 
+// AppendRejectedError means that the log rejects an append because of its records, such
+// as one that is too large. It had no effect, and a repetition is rejected as well.
+type AppendRejectedError struct {
+	Cause error
+}
+
+func (e *AppendRejectedError) Error() string { return fmt.Sprintf("append rejected: %v", e.Cause) }
+
+func (e *AppendRejectedError) Unwrap() error { return e.Cause }
+
 // AppendUnknownError means that an append may have taken effect.
 type AppendUnknownError struct {
 	Cause error
--- a/jobs.go
+++ b/jobs.go
@@ -12,9 +12,9 @@
 // Kafka: the newest record of each key is retained forever, older ones expire.
 type KeyedLog interface {
 	// Append adds all records or none. It is unconditional if condition is nil.
-	// A LogUnavailableError means that nothing was appended, an
-	// AppendUnknownError that the records may have been appended or may still
-	// be. A condition that does not hold yields a ConditionFailedError,
+	// A LogUnavailableError means that nothing was appended, an AppendRejectedError
+	// that the same records never will be, an AppendUnknownError that they may have
+	// been appended or may still be. A condition that does not hold yields a ConditionFailedError,
 	// FencedError or SequenceError.
 	Append(ctx context.Context, topic string, records []*wire.KeyedRecord, condition *wire.AppendCondition) (*wire.AppendResult, error)
 	// Read returns records from offset from on. If there are none yet, it waits
@@ -30,6 +30,9 @@
 // one call. A larger append would be refused, again with each repetition.
 const MaxAppendBytes = 1 << 20
 
+// MaxRecordBytes bounds one record below what a log takes, with its framing.
+const MaxRecordBytes = 240 << 10
+
 // RecordBytes returns the size of a record without its framing.
 func RecordBytes(record *wire.KeyedRecord) int { return len(record.GetKey()) + len(record.GetValue()) }
 
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -40,14 +40,19 @@
 	return connect.NewResponse(result), nil
 }
 
-// appendCode returns CodeUnavailable if the append had no effect, or CodeUnknown
-// if it may have had one.
+// appendCode returns CodeUnavailable if the append had no effect, CodeInvalidArgument if
+// the log rejects its records, or CodeUnknown if it may have had an effect.
 func appendCode(err error) connect.Code {
 	var unavailable *damaskspread.LogUnavailableError
-	if errors.As(err, &unavailable) {
+	var rejected *damaskspread.AppendRejectedError
+	switch {
+	case errors.As(err, &unavailable):
 		return connect.CodeUnavailable
+	case errors.As(err, &rejected):
+		return connect.CodeInvalidArgument
+	default:
+		return connect.CodeUnknown
 	}
-	return connect.CodeUnknown
 }
 
 // Read implements wireconnect.KeyedLogServiceHandler.
--- a/submitter/committer.go
+++ b/submitter/committer.go
@@ -1,6 +1,7 @@
 package submitter
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -42,6 +43,17 @@
 	outcomeUnknown bool
 	// err is the error of the last append.
 	err error
+	// rejected is set once the log has rejected the record, before done is closed.
+	rejected bool
+}
+
+// result returns the offset of a record, or the refusal of one that the log rejects. It
+// may be called once done is closed.
+func (q *queuedRecord) result() (int64, error) {
+	if q.rejected {
+		return 0, damaskspread.NotRun(damaskspread.ReasonTooLarge, "%v", q.err)
+	}
+	return q.offset, nil
 }
 
 // batchAppender appends the records of concurrent calls in batches, one append
@@ -55,6 +67,9 @@
 	// oldest first, including those of an append in flight.
 	pending []*queuedRecord
 	wake    chan struct{}
+	// batchLimit is the largest number of records in the next append. It is lower than
+	// maxBatchRecords while a record that the log rejects is searched for.
+	batchLimit int
 	// failingSince is when the first append after the last success began; zero if it
 	// has not failed.
 	failingSince time.Time
@@ -108,7 +123,7 @@
 func (c *batchAppender) nextBatch() []*queuedRecord {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	count := damaskspread.CountWithin(min(len(c.pending), maxBatchRecords), damaskspread.MaxAppendBytes,
+	count := damaskspread.CountWithin(min(len(c.pending), cmp.Or(c.batchLimit, maxBatchRecords)), damaskspread.MaxAppendBytes,
 		func(i int) int { return damaskspread.RecordBytes(c.pending[i].record) })
 	batch := c.pending[:count]
 	for _, queued := range batch {
@@ -135,7 +150,8 @@
 		result, outcomeCertain, err := c.appendHedged(ctx, batch)
 		c.recordHealth(began, err)
 		c.complete(batch, result, outcomeCertain, err)
-		if err == nil {
+		var rejected *damaskspread.AppendRejectedError
+		if err == nil || errors.As(err, &rejected) {
 			delay = minRetryDelay
 			continue
 		}
@@ -158,29 +174,41 @@
 	}
 }
 
-// complete ends the calls of an appended batch. After a failed append its records
-// stay pending and are appended again.
+// complete ends the calls of an appended batch, and that of a record which the log
+// rejects alone. After another failed append the records stay pending and are appended
+// again.
 func (c *batchAppender) complete(batch []*queuedRecord, result *wire.AppendResult, outcomeCertain bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	appended := map[*queuedRecord]bool{}
+	settled := map[*queuedRecord]bool{}
+	c.batchLimit = 0
+	var rejected *damaskspread.AppendRejectedError
+	if errors.As(err, &rejected) && outcomeCertain {
+		// One bad record must not keep back the others.
+		c.batchLimit = max(1, len(batch)/2)
+	}
 	for i, queued := range batch {
 		queued.err = err
 		if err == nil {
 			queued.offset = result.GetOffset() + int64(i)
-			appended[queued] = true
+			settled[queued] = true
 			close(queued.done)
 			continue
 		}
 		queued.outcomeUnknown = queued.outcomeUnknown || !outcomeCertain
 		queued.maybeAppended = queued.outcomeUnknown
+		if rejected != nil && len(batch) == 1 && !queued.outcomeUnknown {
+			queued.rejected = true
+			settled[queued] = true
+			close(queued.done)
+		}
 	}
-	if len(appended) == 0 {
+	if len(settled) == 0 {
 		return
 	}
 	var remaining []*queuedRecord
 	for _, queued := range c.pending {
-		if !appended[queued] {
+		if !settled[queued] {
 			remaining = append(remaining, queued)
 		}
 	}
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -21,6 +21,7 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gopkg.in/tomb.v2"
 
 	"damaskspread.example/damaskspread"
@@ -81,6 +82,9 @@
 		return nil
 	}
 	s.applyPolicy(queue, job)
+	if size := proto.Size(job); size > damaskspread.MaxRecordBytes {
+		return damaskspread.NotRun(damaskspread.ReasonTooLarge, "job has %d bytes, allowed are at most %d", size, damaskspread.MaxRecordBytes)
+	}
 	// The record names the refusal that this attempt overrides. It must not name one
 	// that is recorded later, because its caller may then be told of that one alone.
 	record, err := s.Index.AcceptanceRecord(job)
@@ -141,20 +145,20 @@
 	job.AcceptedUnixMs = s.Clock.Now().UnixMilli()
 }
 
-// append returns the offset of the record once it is in the log. If ctx ends
-// first, the outcome of the refusal is not_run if no append can have taken effect,
+// append returns the offset of the record once it is in the log. A record that the log
+// rejects is refused with ReasonTooLarge. If ctx ends first, the outcome of the refusal is not_run if no append can have taken effect,
 // otherwise unknown.
 func (s *Submitter) append(ctx context.Context, record *wire.KeyedRecord) (int64, error) {
 	queued := s.appender.add(record)
 	select {
 	case <-queued.done:
-		return queued.offset, nil
+		return queued.result()
 	case <-ctx.Done():
 	}
 	maybeAppended, cause := s.appender.abandon(queued)
 	select {
 	case <-queued.done:
-		return queued.offset, nil
+		return queued.result()
 	default:
 		return 0, appendRefusal(maybeAppended, cause)
 	}
