--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -53,10 +53,10 @@
 	listed map[string]int32
 	// startsRepeated is set once the starts that were due are ordered again.
 	startsDue, startsRepeated bool
-	ends        []*wire.RunEnd
-	lastEnd     int64
-	refusals    []*wire.StartRefusal
-	exposures   []*wire.CrashExposure
+	ends                      []*wire.RunEnd
+	lastEnd                   int64
+	refusals                  []*wire.StartRefusal
+	exposures                 []*wire.CrashExposure
 	// lastExposure is the highest number of a received exposure.
 	lastExposure int64
 	starts       []*wire.StartOrder
