What only an agent knows of its executor reaches each new leader

Cause: the end of the executor's lease, its departure and the ends that no leader had stored were known to its agent only. The agent opens no session without the lists of the executor; it dropped the report of a departure with the first response of any leader; and a host that is removed takes its agent along a second later.

Ruled out: a shorter bound in the leader, which is right where the agent is lost too.

Change: an agent whose executor does not respond tells a new leader how long its lease lasts at most. Departures go with their ends, and are repeated until a leader has stored their effects.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -109,7 +109,9 @@
 	lostExecutors []lostExecutor
 	// witnessedEnds are those of lostExecutors whose agent has outlived them.
 	witnessedEnds []witnessedEnd
-	wake          chan struct{}
+	// absences are the reports without a session since the last cycle.
+	absences []*absence
+	wake     chan struct{}
 	// pressures are the interference weights of image pairs sent to agents.
 	pressures       []*wire.ImagePressure
 	pressureVersion int64
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -26,6 +26,7 @@
 	changedJobs   []string
 	lostExecutors []lostExecutor
 	witnessedEnds []witnessedEnd
+	absences      []*absence
 	// witnessed has the keys of witnessedEnds.
 	witnessed map[tracker.ExecutorKey]bool
 	views     []*sessionView
@@ -71,6 +72,7 @@
 	c.applyJobs(cycle.changedJobs)
 	c.observeCrashes(cycle)
 	c.applyReports(cycle)
+	c.applyAbsences(cycle)
 	c.releaseLostTasks(cycle)
 	c.stopFinishedJobs(cycle)
 	c.observeUsage(cycle)
@@ -106,12 +108,14 @@
 		changedJobs:   slices.Collect(maps.Keys(c.changedJobs)),
 		lostExecutors: c.lostExecutors,
 		witnessedEnds: c.witnessedEnds,
+		absences:      c.absences,
 		witnessed:     map[tracker.ExecutorKey]bool{},
 		byKey:         map[tracker.ExecutorKey]*sessionView{},
 	}
 	c.changedJobs = map[string]bool{}
 	c.lostExecutors = nil
 	c.witnessedEnds = nil
+	c.absences = nil
 	for host, s := range c.sessions {
 		if cycle.now > s.leaseEnd {
 			log.Warn().Str("host", host).Str("executor", s.key.ID).Dur("silent", cycle.now-s.lastReportAt).
@@ -235,14 +239,17 @@
 	}
 }
 
-// publish adds the cycle's orders to the sessions and acknowledges the run ends
-// and exposures whose effects are stored.
+// publish adds the cycle's orders to the sessions and acknowledges the run ends,
+// exposures and absences whose effects are stored.
 func (c *Coordinator) publish(cycle *cycleState, epoch int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.epoch != epoch {
 		return
 	}
+	for _, a := range cycle.absences {
+		close(a.stored)
+	}
 	for _, view := range cycle.views {
 		s := view.session
 		if c.sessions[view.host] != s {
--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -23,6 +23,9 @@
 // the requested wait has passed.
 func (c *Coordinator) Exchange(ctx context.Context, request *connect.Request[wire.ExchangeRequest]) (*connect.Response[wire.ExchangeResponse], error) {
 	report := request.Msg
+	if report.GetExecutorLeft() || report.GetExecutorSilent() {
+		return connect.NewResponse(c.exchangeAbsence(ctx, report)), nil
+	}
 	receivedAt := c.Elapsed.Elapsed()
 	s, response := c.mergeReport(report)
 	if response != nil {
@@ -32,8 +35,8 @@
 	return connect.NewResponse(c.respond(s, report, receivedAt)), nil
 }
 
-// mergeReport merges a report into the agent's session. If the report can't be
-// used or the executor has left, the session is nil and the response is final.
+// mergeReport merges a report into the agent's session. If the report can't be used, the
+// session is nil and the response is final.
 func (c *Coordinator) mergeReport(report *wire.ExchangeRequest) (*session, *wire.ExchangeResponse) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -44,9 +47,6 @@
 	}
 	now := c.Elapsed.Elapsed()
 	s := c.sessions[report.GetHost()]
-	if report.GetExecutorLeft() {
-		return nil, c.handleExecutorLeft(report)
-	}
 	if s == nil || s.id != report.GetSession() || report.GetEpoch() != c.epoch {
 		// The agent may still consider a session open that has ended here. It
 		// would drop new orders as already received, because a new session
@@ -189,25 +189,6 @@
 	return response
 }
 
-// handleExecutorLeft closes the session of an executor that has left and releases
-// its tasks in the next cycle.
-func (c *Coordinator) handleExecutorLeft(report *wire.ExchangeRequest) *wire.ExchangeResponse {
-	lost := lostExecutor{
-		key:   keyOf(report.GetExecutor()),
-		cause: tracer.LossLeft,
-	}
-	if s := c.sessions[report.GetHost()]; s != nil && s.key == lost.key {
-		lost.session = s.id
-		delete(c.sessions, report.GetHost())
-		s.notify()
-	}
-	c.lostExecutors = append(c.lostExecutors, lost)
-	c.signal()
-	return &wire.ExchangeResponse{
-		Epoch: c.epoch,
-	}
-}
-
 // FindLeader implements wireconnect.CoordinatorServiceHandler. Every entry process
 // responds to it, also while another one leads.
 func (c *Coordinator) FindLeader(context.Context, *connect.Request[wire.FindLeaderRequest]) (*connect.Response[wire.FindLeaderResponse], error) {
--- a/runner/departure_test.go
+++ b/runner/departure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,6 +56,80 @@
 	assert.Assert(t, time.Since(leftAt) < 1700*time.Millisecond)
 }
 
+// Guards against an agent that forgets a departure, and the ends that go with it, once any
+// leader has responded: one that dies before it has stored them leaves no trace.
+func TestDepartureIsRepeatedUntilItIsStored(t *testing.T) {
+	l := newIdleLeader()
+	var stored, departures atomic.Int64
+	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
+		time.Sleep(5 * time.Millisecond)
+		response := &wire.ExchangeResponse{}
+		switch {
+		case request.GetExecutorLeft():
+			departures.Add(1)
+			response.AbsenceStored = stored.Load() > 0
+		case request.GetOrdersReceived() == 0:
+			order := &wire.StartOrder{Task: "a.0.0.0", Run: 1}
+			response.Orders = []*wire.Order{{Number: 1, Kind: &wire.Order_Start{Start: order}}}
+		}
+		return response
+	}
+	executor := newExecutor()
+	executor.TaskDuration = func(string) time.Duration { return 50 * time.Millisecond }
+	crashing := &crashingExecutor{JobExecutor: executor}
+	r := startRunner(t, l, executor, crashing)
+	waitFor(t, "end", func() bool {
+		return l.received(func(request *wire.ExchangeRequest) bool { return len(request.GetEnds()) > 0 })
+	})
+	leave(r, executor)
+	crashing.setDown(true)
+	waitFor(t, "repeated reports", func() bool { return departures.Load() >= 3 })
+	assert.Assert(t, r.Departing())
+	// The executor that takes the place of the one that left does not hide the departure.
+	executor.Boot("executor-2")
+	crashing.setDown(false)
+	r.ExecutorAnnounced(executor.Info("planning", "zone", &wire.Resources{Millicores: 8000}))
+	seen := departures.Load()
+	waitFor(t, "reports beside another executor", func() bool { return departures.Load() >= seen+2 })
+	assert.Assert(t, !l.received(func(request *wire.ExchangeRequest) bool {
+		return request.GetExecutorLeft() && (len(request.GetEnds()) != 1 || request.GetExecutor().GetId() != "executor-1")
+	}))
+	stored.Store(1)
+	time.Sleep(500 * time.Millisecond)
+	seen = departures.Load()
+	time.Sleep(1200 * time.Millisecond)
+	assert.Equal(t, departures.Load(), seen, "reported after it was stored")
+	assert.Assert(t, !r.Departing())
+}
+
+// Guards against a new leader that does not learn when the lease of an executor ends which
+// does not respond: its agent can open no session without the executor's lists.
+func TestSilenceIsReportedToANewLeader(t *testing.T) {
+	l := newIdleLeader()
+	executor := newExecutor()
+	crashing := &crashingExecutor{JobExecutor: executor}
+	var reopened atomic.Bool
+	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
+		time.Sleep(5 * time.Millisecond)
+		isNew := crashing.isDown() && !request.GetExecutorSilent() && reopened.CompareAndSwap(false, true)
+		return &wire.ExchangeResponse{Reopen: isNew}
+	}
+	startRunner(t, l, executor, crashing)
+	waitFor(t, "session", func() bool {
+		return l.received(func(request *wire.ExchangeRequest) bool { return request.GetWaitMs() > 0 })
+	})
+	crashing.setDown(true)
+	silent := func(request *wire.ExchangeRequest) bool { return request.GetExecutorSilent() }
+	waitFor(t, "report", func() bool { return l.received(silent) })
+	// The lease of the fake leader is 2 s.
+	assert.Assert(t, !l.received(func(request *wire.ExchangeRequest) bool {
+		return silent(request) && (request.GetLeaseLeftMs() <= 0 || request.GetLeaseLeftMs() > 2001)
+	}))
+	waitFor(t, "report of a lease that is over", func() bool {
+		return l.received(func(request *wire.ExchangeRequest) bool { return silent(request) && request.GetLeaseLeftMs() == 1 })
+	})
+}
+
 // leave announces that the executor drains, and deregisters it.
 func leave(r *runner.Runner, executor *emulator.JobExecutor) {
 	draining := executor.Info("planning", "zone", &wire.Resources{})
--- a/runner/exchange.go
+++ b/runner/exchange.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -46,12 +47,19 @@
 func (r *Runner) reportOnce(ctx context.Context) {
 	r.waitForSignal(ctx, r.reportWake, pollWait)
 	r.pause(ctx, reportDelay)
+	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	if request := r.pendingDeparture(); request != nil {
+		r.exchange(ctx, callCtx, request)
+		if r.pendingDeparture() != nil {
+			// Not stored yet: reported again without waiting for another signal.
+			signal(r.reportWake)
+		}
+	}
 	if !r.hasUpdates() {
 		return
 	}
 	if request := r.buildRequest(false); request != nil {
-		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
-		defer cancel()
 		r.exchange(ctx, callCtx, request)
 	}
 }
@@ -66,18 +74,19 @@
 		r.info.GetDraining() || r.capacityUnreported()
 }
 
-// buildRequest returns the next request to the leader, or nil if none can be
-// sent yet: no executor is known, or the session needs the executor's lists
-// first. A poll opens the session and includes the running runs.
+// buildRequest returns the next request to the leader, or nil if none can be sent yet. A
+// poll opens the session and includes the running runs. Without an executor the request
+// reports the departure of the last one, and while the session needs the lists of an
+// executor that does not respond, it reports that.
 func (r *Runner) buildRequest(poll bool) *wire.ExchangeRequest {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.info == nil {
-		return r.departureRequest(poll)
+		return r.departureRequest()
 	}
 	if r.token != 0 && !r.sessionOpen && !r.listsRead {
 		signal(r.renewWake)
-		return nil
+		return r.silenceRequest()
 	}
 	epoch := r.epoch
 	if r.token == 0 {
@@ -101,10 +110,7 @@
 		Exposures:         slices.Clone(r.crashes.pending),
 		ExposuresRecorded: r.crashes.recorded,
 	}
-	for _, end := range r.unrecordedEnds {
-		request.Ends = append(request.Ends, end)
-	}
-	slices.SortFunc(request.Ends, func(a, b *wire.RunEnd) int { return int(a.GetNumber() - b.GetNumber()) })
+	request.Ends = r.sortedEnds()
 	if poll && r.token != 0 {
 		if r.sessionOpen {
 			request.WaitMs = pollWait.Milliseconds()
@@ -114,6 +120,14 @@
 	return request
 }
 
+// sortedEnds returns the ends that no leader is known to have stored, by their numbers.
+// The caller holds the mutex.
+func (r *Runner) sortedEnds() []*wire.RunEnd {
+	return slices.SortedFunc(maps.Values(r.unrecordedEnds), func(a, b *wire.RunEnd) int {
+		return cmp.Compare(a.GetNumber(), b.GetNumber())
+	})
+}
+
 // addRunning adds the list of runs to a request that opens the session, and later
 // when the list is new, at most once in reportInterval: ends and refusals are
 // reported on their own, and the list is large.
@@ -129,22 +143,6 @@
 	r.reportedAt = now
 }
 
-// departureRequest returns the request that reports the executor as left, or
-// nil if the executor may still be running.
-func (r *Runner) departureRequest(poll bool) *wire.ExchangeRequest {
-	if !poll || r.left == nil || !r.leftEnded {
-		return nil
-	}
-	return &wire.ExchangeRequest{
-		Host:         r.Host,
-		Zone:         r.Zone,
-		Session:      r.session,
-		Epoch:        r.epoch,
-		Executor:     r.left,
-		ExecutorLeft: true,
-	}
-}
-
 // exchange sends a request with callCtx. Orders in the response are carried out
 // with ctx, which outlives the call.
 func (r *Runner) exchange(ctx, callCtx context.Context, request *wire.ExchangeRequest) {
@@ -191,14 +189,15 @@
 		// successor.
 		r.Leader.Redirect(nil)
 		return false
-	case request.GetSession() != r.session:
-		return true
 	case request.GetExecutorLeft():
-		r.left = nil
+		return r.forgetDeparture(request, response)
+	case request.GetSession() != r.session:
 		return true
 	case response.GetReopen():
 		r.reopenSession(response)
 		return true
+	case request.GetExecutorSilent():
+		return false
 	}
 	r.updateSession(request, response, sentAt)
 	r.updateInterferenceWeights(response)
--- a/runner/incarnation_test.go
+++ b/runner/incarnation_test.go
@@ -38,6 +38,12 @@
 	e.down = down
 }
 
+func (e *crashingExecutor) isDown() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.down
+}
+
 // calls returns how many starts were held and how many renewals were refused.
 func (e *crashingExecutor) calls() (starts, renews int) {
 	e.mu.Lock()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -75,11 +75,17 @@
 	info *wire.ExecutorInfo
 	// drainAt is when the draining executor ends; 0 if it is not draining.
 	drainAt time.Duration
-	// left is the executor that left and was not yet reported to the leader.
+	// left is the executor that left last, nil once another one was announced.
 	left   *wire.ExecutorInfo
 	leftAt time.Duration
 	// leftEnded is set once left has ended or its lease is over.
 	leftEnded bool
+	// departures are the executors that have left and ended, until a leader has stored
+	// that, the latest last.
+	departures []*departure
+	// silenceReportedAt is when the leader was last told that the executor doesn't
+	// respond; 0 in a new session.
+	silenceReportedAt time.Duration
 	// outdated counts the latest announcements with a lower sequence number than
 	// that of info, outdatedSequence is the number of the last of them.
 	outdated         int
@@ -203,6 +209,7 @@
 	r.token = 0
 	r.sessionOpen = false
 	r.listsRead = false
+	r.silenceReportedAt = 0
 	r.ordersReceived = 0
 	r.pendingRefusals = nil
 	r.reportedCapacity = nil
@@ -214,6 +221,10 @@
 // begins with a new one. The caller holds the mutex.
 func (r *Runner) resetExecutor(info *wire.ExecutorInfo) {
 	r.resetSession()
+	if r.left != nil && !r.leftEnded {
+		// Another executor in its place proves that it has ended.
+		r.markEnded()
+	}
 	r.info = info
 	r.left = nil
 	r.outdated = 0
