An odd entry of another writer names nothing, and the others hold

Cause: decoders took numbers that fit their type and overflow when they are converted or added, and extreme sequence numbers, times of start and clocks; one bad row failed an executor's whole list; an announcement of another incarnation hid the executor that responds; a bad record in the leader topic made conditional appends fail or, with a high epoch, ended the leadership; a job record could run under another job's id.

Ruled out: panics in the decoders by nesting; encoding/json and protobuf bound it.

The soak's executors announced the address "x", which is none; they announce 127.0.0.1:80.

--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,10 @@
 fuzz:
 	$(GO) test ./validator -run '^$$' -fuzz FuzzCheckText -fuzztime $(FUZZ_TIME)
 	$(GO) test ./parser -run '^$$' -fuzz FuzzParseBody -fuzztime $(FUZZ_TIME)
+	$(GO) test ./platform -run '^$$' -fuzz FuzzDecodeAnnouncement -fuzztime $(FUZZ_TIME)
+	$(GO) test ./platform -run '^$$' -fuzz FuzzExecutorLists -fuzztime $(FUZZ_TIME)
+	$(GO) test ./platform -run '^$$' -fuzz FuzzPlatformRecords -fuzztime $(FUZZ_TIME)
+	$(GO) test ./platform -run '^$$' -fuzz FuzzSubmittedJob -fuzztime $(FUZZ_TIME)
 	$(GO) test ./replayer -run '^$$' -fuzz FuzzApply -fuzztime $(FUZZ_TIME)
 
 # Measures the resource use of each role and writes the measured part of
--- a/appraiser/appraiser.go
+++ b/appraiser/appraiser.go
@@ -134,7 +134,7 @@
 
 // predict returns the predicted run time of a task of the step.
 func (a *Appraiser) predict(job *wire.Job, step *wire.JobStep) time.Duration {
-	declared := time.Duration(step.GetEstimateMs()) * time.Millisecond
+	declared := time.Duration(min(step.GetEstimateMs(), tracker.MaxEstimate.Milliseconds())) * time.Millisecond
 	if a.Duration == nil {
 		return declared
 	}
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -97,24 +98,48 @@
 	}
 }
 
-func (e *Elector) applyRecord(record *wire.KeyedRecord) {
-	leadership := &wire.Leadership{}
+// BadRecordError is the error for a record of the leader topic that no leader has written.
+type BadRecordError struct {
+	Detail string
+}
+
+func (e *BadRecordError) Error() string { return "malformed leader record: " + e.Detail }
+
+// Decode returns the claim, renewal or resignation of a record of the leader topic. The
+// error is a *BadRecordError.
+func Decode(record *wire.KeyedRecord) (*wire.Leadership, error) {
 	if record.GetKey() != leaderKey {
-		return
+		return nil, &BadRecordError{Detail: fmt.Sprintf("unknown key %q", record.GetKey())}
 	}
+	leadership := &wire.Leadership{}
 	if err := proto.Unmarshal(record.GetValue(), leadership); err != nil {
-		log.Error().Int64("offset", record.GetOffset()).Err(err).Msg("leader record ignored: decoding failed")
-		return
+		return nil, &BadRecordError{Detail: err.Error()}
 	}
+	// The epoch is the offset of the claim plus one.
+	if leadership.GetEpoch() < 0 || leadership.GetEpoch() > record.GetOffset()+1 {
+		return nil, &BadRecordError{Detail: fmt.Sprintf("epoch %d in the record at offset %d", leadership.GetEpoch(), record.GetOffset())}
+	}
+	return leadership, nil
+}
+
+func (e *Elector) applyRecord(record *wire.KeyedRecord) {
+	leadership, err := Decode(record)
 	e.mu.Lock()
-	if record.GetOffset() < e.topicEnd && e.leader != nil {
-		// Already known, such as an own append.
+	known := record.GetOffset() < e.topicEnd && e.leader != nil
+	// Appends are conditional on the end of the topic, whatever its last record holds.
+	e.topicEnd = max(e.topicEnd, record.GetOffset()+1)
+	if err != nil {
+		e.mu.Unlock()
+		log.Error().Int64("offset", record.GetOffset()).Err(err).Msg("leader record ignored")
+		return
+	}
+	if known {
+		// Such as an own append.
 		e.mu.Unlock()
 		return
 	}
 	previous := e.leader
 	e.leader = leadership
-	e.topicEnd = record.GetOffset() + 1
 	e.lastHeardAt = e.Elapsed.Elapsed()
 	lost := e.epoch != 0 && leadership.GetEpoch() > e.epoch
 	if lost {
--- a/indexer/indexer.go
+++ b/indexer/indexer.go
@@ -193,6 +193,10 @@
 		log.Error().Str("job", id).Err(err).Msg("job record ignored: it cannot be decoded")
 		return nil
 	}
+	if job.GetId() != id {
+		log.Error().Str("job", id).Str("id", job.GetId()).Msg("job record ignored: its key names another job")
+		return nil
+	}
 	if err := tracker.Validate(job); err != nil {
 		log.Error().Str("job", id).Err(err).Msg("job record ignored: the job is invalid")
 		return nil
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -96,6 +96,10 @@
 			log.Warn().Str("key", record.GetKey()).Err(err).Msg("entry process ignored: record cannot be decoded")
 			continue
 		}
+		if !damaskspread.ValidAddress(presence.GetAddress()) {
+			log.Warn().Str("key", record.GetKey()).Str("address", presence.GetAddress()).Msg("entry process ignored: its address has no host or port")
+			continue
+		}
 		presences = append(presences, presence)
 	}
 	return presences
@@ -205,14 +209,15 @@
 		return nil, err
 	}
 	l.loadEntryAddresses(callCtx)
-	if len(page.GetRecords()) == 0 {
-		return nil, nil
-	}
-	leader := &wire.Leadership{}
-	if err := proto.Unmarshal(page.GetRecords()[0].GetValue(), leader); err != nil {
-		return nil, err
+	var malformed error
+	for _, record := range page.GetRecords() {
+		leader, err := elector.Decode(record)
+		if err == nil {
+			return leader, nil
+		}
+		malformed = err
 	}
-	return leader, nil
+	return nil, malformed
 }
 
 // loadEntryAddresses stores the addresses of the entry processes, for searches
--- a/planner/cost.go
+++ b/planner/cost.go
@@ -79,14 +79,14 @@
 func WaitingOf(g *tracker.Group, nowUnixMs int64) Waiting {
 	job := g.Job()
 	objective := objectiveMs(job)
-	start := earliestStartMs(g)
+	start := boundedMs(earliestStartMs(g), nowUnixMs)
 	pending, total := g.Work()
 	return Waiting{
 		Priority:    job.Spec().GetPriority(),
 		Deadline:    time.UnixMilli(start + objective),
 		Overdue:     time.UnixMilli(start + overdueFactor*objective),
 		Now:         time.UnixMilli(nowUnixMs),
-		Remaining:   time.Duration(job.CriticalPathMs(g.StepIndex())) * time.Millisecond,
+		Remaining:   time.Duration(min(job.CriticalPathMs(g.StepIndex()), maxSpanMs)) * time.Millisecond,
 		Work:        pending,
 		Begun:       (total - pending) / max(total, minWork),
 		Waited:      time.Duration(nowUnixMs-start) * time.Millisecond,
@@ -94,6 +94,11 @@
 	}
 }
 
+// boundedMs returns a time that is at most maxSpanMs away from now.
+func boundedMs(unixMs, nowUnixMs int64) int64 {
+	return min(max(unixMs, nowUnixMs-maxSpanMs), nowUnixMs+maxSpanMs)
+}
+
 // CostOf returns what it costs callers if the step waits. The core-seconds that
 // the job still needs count by the share that was begun only: a cost per
 // core-second would keep large jobs from being served.
--- a/planner/order.go
+++ b/planner/order.go
@@ -2,11 +2,16 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"damaskspread.example/damaskspread/tracker"
 )
 
+// maxSpanMs bounds times from now, in milliseconds, so that their sums fit: a year is more
+// than any job declares, and numbers of other writers may be anything.
+const maxSpanMs = 365 * 24 * 3600 * 1000
+
 // overdueFactor times the objective is the response time beyond which a job is
 // worth nothing to its caller.
 const overdueFactor = 3
@@ -55,12 +60,12 @@
 // long-running step has no end and is therefore never late.
 func sortKeyOf(g *tracker.Group, nowUnixMs int64) sortKey {
 	objective := objectiveMs(g.Job())
-	start := earliestStartMs(g)
+	start := boundedMs(earliestStartMs(g), nowUnixMs)
 	key := sortKey{
 		group:      g,
 		deadlineMs: start + objective,
 	}
-	end := nowUnixMs + g.Job().CriticalPathMs(g.StepIndex())
+	end := nowUnixMs + min(g.Job().CriticalPathMs(g.StepIndex()), maxSpanMs)
 	switch {
 	case g.Step().GetLongRunning() || end <= key.deadlineMs:
 		key.lateness = onTime
@@ -74,7 +79,11 @@
 
 // objectiveMs returns the response time that the queue of the job promises.
 func objectiveMs(j *tracker.Job) int64 {
-	return int64(float64(j.LongestPathMs())*j.Spec().GetStretch()) + j.Spec().GetObjectiveMs()
+	objective := float64(j.LongestPathMs())*j.Spec().GetStretch() + float64(j.Spec().GetObjectiveMs())
+	if math.IsNaN(objective) || objective < 0 {
+		return 0
+	}
+	return int64(min(objective, maxSpanMs))
 }
 
 // earliestStartMs returns the time, in Unix milliseconds, at which the occurrence
--- a/runner/announcement.go
+++ b/runner/announcement.go
@@ -8,6 +8,15 @@
 	"damaskspread.example/damaskspread/wire"
 )
 
+const (
+	// candidateRetention is how long an executor that was announced once may replace the
+	// present one. Heartbeats come about each 1.5 s.
+	candidateRetention = 3 * time.Second
+	// maxSequenceJump bounds by how much the sequence number of an announcement exceeds
+	// the one before. Executors count their calls.
+	maxSequenceJump = 1 << 20
+)
+
 // maxOutdated is how many outdated announcements in a row are ignored. A burst of
 // late ones is followed by a newer one within the interval of heartbeats.
 const maxOutdated = 4
@@ -21,9 +30,11 @@
 	switch {
 	case r.info == nil && r.left != nil && sameIncarnation(r.left, info):
 		return
+	case r.info != nil && !sameIncarnation(r.info, info) && info.GetBornUnixMs() >= r.info.GetBornUnixMs() && r.responds():
+		r.addCandidate(info)
+		return
 	case r.info == nil || (!sameIncarnation(r.info, info) && info.GetBornUnixMs() >= r.info.GetBornUnixMs()):
-		r.resetExecutor(info)
-		log.Info().Str("executor", info.GetId()).Int64("born", info.GetBornUnixMs()).Msg("executor discovered")
+		r.discover(info)
 	case !sameIncarnation(r.info, info) || r.isOutdated(info):
 		log.Warn().Str("executor", info.GetId()).Int64("born", info.GetBornUnixMs()).Int64("sequence", info.GetSequence()).
 			Msg("outdated executor announcement ignored")
@@ -37,11 +48,56 @@
 	}
 }
 
+// discover begins with another executor. The caller holds the mutex.
+func (r *Runner) discover(info *wire.ExecutorInfo) {
+	r.resetExecutor(info)
+	log.Info().Str("executor", info.GetId()).Int64("born", info.GetBornUnixMs()).Msg("executor discovered")
+}
+
+// responds reports whether the present executor, under its id and with its time of start,
+// has responded to the latest call, lately. The caller holds the mutex.
+func (r *Runner) responds() bool {
+	return r.lastContact > 0 && r.renewFailures == 0 && !r.crashes.down() && r.Elapsed.Elapsed()-r.lastContact < unreachableAfter
+}
+
+// addCandidate keeps the announcement of an executor while the present one responds, and
+// calls the latter: if it has been replaced, the call fails or its response has another time
+// of start. The announcement may come from another writer, and then the present executor
+// goes on. The caller holds the mutex.
+func (r *Runner) addCandidate(info *wire.ExecutorInfo) {
+	if r.candidate == nil || !sameIncarnation(r.candidate, info) {
+		log.Info().Str("executor", info.GetId()).Int64("born", info.GetBornUnixMs()).Str("present", r.info.GetId()).
+			Msg("another executor announced; the present one is called")
+	}
+	r.candidate = info
+	r.candidateAt = r.Elapsed.Elapsed()
+	r.checkDue = true
+	if r.cancelRenewal != nil {
+		r.cancelRenewal()
+	}
+	signal(r.renewWake)
+}
+
+// takeCandidate begins with the announced executor, because the present one does not
+// respond, and reports whether there is one. The caller holds the mutex.
+func (r *Runner) takeCandidate() bool {
+	if r.candidate == nil || r.Elapsed.Elapsed()-r.candidateAt > candidateRetention {
+		r.candidate = nil
+		return false
+	}
+	r.discover(r.candidate)
+	signal(r.renewWake)
+	return true
+}
+
 // isOutdated reports whether an announcement of the present executor is older than
-// the latest one. After maxOutdated of them in ascending order with none that is newer,
+// the latest one, or so far ahead that the executor can't have sent it. After maxOutdated of them in ascending order with none that is newer,
 // the latest one can't have come from the executor, and the next one is taken. The
 // caller holds the mutex.
 func (r *Runner) isOutdated(info *wire.ExecutorInfo) bool {
+	if info.GetSequence()-r.info.GetSequence() > maxSequenceJump {
+		return true
+	}
 	if info.GetSequence() >= r.info.GetSequence() {
 		r.outdated = 0
 		return false
--- a/runner/renew.go
+++ b/runner/renew.go
@@ -92,9 +92,10 @@
 		call.dropUpTo = 0
 		call.wait = 0
 	}
-	if !r.listsRead || len(r.unrecordedEnds) > 0 || len(r.checksDue) > 0 {
+	if !r.listsRead || len(r.unrecordedEnds) > 0 || len(r.checksDue) > 0 || r.checkDue {
 		call.wait = 0
 	}
+	r.checkDue = false
 	return call
 }
 
@@ -127,7 +128,10 @@
 	r.mu.Lock()
 	r.renewFailures++
 	first := r.renewFailures == 1
-	if errors.As(err, &wrong) && r.isPresent(call.info) {
+	switch {
+	case !r.isPresent(call.info):
+	case r.takeCandidate():
+	case errors.As(err, &wrong):
 		r.discardExecutor()
 	}
 	if errors.As(err, &fenced) && r.token == call.lease.Token {
@@ -154,6 +158,7 @@
 		r.handleRestart(born)
 		return false
 	}
+	r.candidate = nil
 	now := r.Elapsed.Elapsed()
 	if r.renewFailures > 0 {
 		log.Info().Str("executor", call.info.GetId()).Int("failures", r.renewFailures).Msg("executor lease renewal recovered")
@@ -183,6 +188,9 @@
 // id. Its capacity and labels may differ from those before, so it gets no tasks
 // until it announces them.
 func (r *Runner) handleRestart(born int64) {
+	if r.candidate.GetId() == r.info.GetId() && r.candidate.GetBornUnixMs() == born && r.takeCandidate() {
+		return
+	}
 	info := &wire.ExecutorInfo{
 		Id:         r.info.GetId(),
 		BornUnixMs: born,
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -88,7 +88,13 @@
 	silenceReportedAt time.Duration
 	// outdated counts the latest announcements with a lower sequence number than
 	// that of info, outdatedSequence is the number of the last of them.
-	outdated         int
+	outdated int
+	// candidate is an announced executor that may have replaced the present one, which
+	// responded lately; candidateAt is when it was announced last.
+	candidate   *wire.ExecutorInfo
+	candidateAt time.Duration
+	// checkDue is set until the present executor was called because of a candidate.
+	checkDue         bool
 	outdatedSequence int64
 	executorClock    clockReading
 	lastContact      time.Duration
@@ -226,6 +232,7 @@
 		r.markEnded()
 	}
 	r.info = info
+	r.candidate = nil
 	r.left = nil
 	r.outdated = 0
 	r.drainAt = 0
--- a/screener/screener.go
+++ b/screener/screener.go
@@ -241,7 +241,11 @@
 // Objective returns the latency objective of a job with the policy of its queue set.
 func Objective(job *wire.Job) time.Duration {
 	chain := float64(tracker.LongestChainMs(job.GetSteps()))
-	return time.Duration(job.GetStretch()*chain+float64(job.GetObjectiveMs())) * time.Millisecond
+	objective := job.GetStretch()*chain + float64(job.GetObjectiveMs())
+	if math.IsNaN(objective) || objective < 0 {
+		return 0
+	}
+	return time.Duration(min(objective, float64(tracker.MaxEstimate.Milliseconds()))) * time.Millisecond
 }
 
 func bestEffort(job *wire.Job) bool {
@@ -263,7 +267,7 @@
 			waves = math.Ceil(cores / speed)
 		}
 		steps[i] = &wire.JobStep{
-			EstimateMs: int64(float64(step.GetEstimateMs()) * ratio * waves),
+			EstimateMs: int64(min(float64(step.GetEstimateMs())*ratio*waves, float64(tracker.MaxEstimate.Milliseconds()))),
 			After:      step.GetAfter(),
 		}
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -319,7 +319,7 @@
 func sendAnnouncement(client *http.Client, info *wire.ExecutorInfo, address string, sequence int) bool {
 	capacity := info.GetCapacity()
 	body, _ := json.Marshal(map[string]any{
-		"service": "s", "address": "x", "zone": "z", "state": "ready", "sequence": sequence, "clockMs": info.GetClockMs(),
+		"service": "s", "address": "127.0.0.1:80", "zone": "z", "state": "ready", "sequence": sequence, "clockMs": info.GetClockMs(),
 		"born": info.GetBornUnixMs(), "capacity": map[string]int64{"cpu": capacity.GetMillicores(), "memMb": capacity.GetMemoryBytes() / megabyte}, "labels": []string{"a", "r"},
 	})
 	response, err := client.Post("http://"+address+"/Instances.Heartbeat/"+info.GetId(), "application/json", bytes.NewReader(body))
--- a/tracker/names.go
+++ b/tracker/names.go
@@ -51,7 +51,7 @@
 	id := TaskID{Job: parts[0]}
 	for i, target := range []*int{&id.Occurrence, &id.Step, &id.Index} {
 		number, err := strconv.Atoi(parts[i+1])
-		if err != nil || number < 0 {
+		if err != nil || number < 0 || parts[i+1] != strconv.Itoa(number) {
 			return TaskID{}, &BadTaskNameError{Name: name}
 		}
 		*target = number
