Runs that hold a task back are stored, so a new leader waits for them too

Cause: the runs in progress whose tasks are not assigned to their executors were known to one leader only, and their executors were no orphans of the next one.

Change: the progress of a task has its older runs with their executors. A new leader holds the task back, and counts the executors as orphans: they are released when their host opens a session, leaves or is replaced, or their lease is over. Two executors of one task share the list of executors of the part.

--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -95,6 +95,7 @@
 					deadline: deadline,
 				}
 			}
+			c.restoreUnassigned(t, deadline)
 		})
 	}
 }
--- a/coordinator/unassigned.go
+++ b/coordinator/unassigned.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
@@ -36,13 +37,20 @@
 			continue
 		}
 		c.unassigned = append(c.unassigned, listed)
+		if t != nil {
+			t.AddOlderRun(tracker.OlderRun{
+				Run:      listed.run,
+				Executor: view.key,
+				Host:     view.host,
+			})
+		}
 		view.addStopOrder(listed.task, listed.run, notAssigned(t))
 	}
 }
 
 // forgetUnassignedOn drops the unassigned runs of an executor.
 func (c *Coordinator) forgetUnassignedOn(executor tracker.ExecutorKey) {
-	c.unassigned = slices.DeleteFunc(c.unassigned, func(run unassignedRun) bool { return run.executor == executor })
+	c.forgetUnassigned(func(run unassignedRun) bool { return run.executor == executor })
 }
 
 // endUnassigned drops an unassigned run that has ended.
@@ -52,7 +60,36 @@
 		run:      end.GetRun(),
 		executor: view.key,
 	}
-	c.unassigned = slices.DeleteFunc(c.unassigned, func(run unassignedRun) bool { return run == ended })
+	c.forgetUnassigned(func(run unassignedRun) bool { return run == ended })
+}
+
+// forgetUnassigned drops the unassigned runs for which over returns true.
+func (c *Coordinator) forgetUnassigned(over func(unassignedRun) bool) {
+	c.unassigned = slices.DeleteFunc(c.unassigned, func(run unassignedRun) bool {
+		if !over(run) {
+			return false
+		}
+		if t := c.task(run.task); t != nil {
+			t.RemoveOlderRun(run.run, run.executor)
+		}
+		return true
+	})
+}
+
+// restoreUnassigned takes over the unassigned runs of a task that an earlier leader has
+// stored. Their executors are orphans like those of assigned tasks.
+func (c *Coordinator) restoreUnassigned(t *tracker.Task, deadline time.Duration) {
+	for _, older := range t.OlderRuns() {
+		c.unassigned = append(c.unassigned, unassignedRun{
+			task:     t.ID().String(),
+			run:      older.Run,
+			executor: older.Executor,
+		})
+		c.orphans[older.Executor] = orphan{
+			host:     older.Host,
+			deadline: deadline,
+		}
+	}
 }
 
 // withoutUnassigned returns the groups without the tasks that have an unassigned run.
--- a/tracker/progress.go
+++ b/tracker/progress.go
@@ -102,6 +102,7 @@
 	t.exposedRun = progress.GetExposedRun()
 	t.lostRun = progress.GetLastLostRun()
 	t.checkpoint = progress.GetCheckpoint()
+	t.restoreOlderRuns(progress.GetOlderRuns(), executors)
 	t.step.begun = true
 	t.Job().started = true
 	switch progress.GetState() {
@@ -212,22 +213,28 @@
 	progress.LastLostRun = t.lostRun
 	progress.Checkpoint = t.checkpoint
 	if t.Assigned() {
-		progress.ExecutorIndex = w.executorIndex(t)
+		progress.ExecutorIndex = w.executorIndex(t.executor, t.host)
+	}
+	for _, older := range t.olderRuns {
+		progress.OlderRuns = append(progress.OlderRuns, &wire.OlderRun{
+			Run:           older.Run,
+			ExecutorIndex: w.executorIndex(older.Executor, older.Host),
+		})
 	}
 	return progress
 }
 
-func (w *progressWriter) executorIndex(t *Task) int32 {
-	index := w.executors[t.executor]
+func (w *progressWriter) executorIndex(executor ExecutorKey, host string) int32 {
+	index := w.executors[executor]
 	if index > 0 {
 		return index
 	}
 	w.progress.Executors = append(w.progress.Executors, &wire.ExecutorRef{
-		Id:         t.executor.ID,
-		BornUnixMs: t.executor.BornUnixMs,
-		Host:       t.host,
+		Id:         executor.ID,
+		BornUnixMs: executor.BornUnixMs,
+		Host:       host,
 	})
 	index = int32(len(w.progress.Executors))
-	w.executors[t.executor] = index
+	w.executors[executor] = index
 	return index
 }
--- a/tracker/task.go
+++ b/tracker/task.go
@@ -42,7 +42,9 @@
 	// failedOn has the ids of the executors on which runs failed.
 	failedOn map[string]bool
 	// crashedOn has the hosts on which an executor crashed under the task.
-	crashedOn  map[string]bool
+	crashedOn map[string]bool
+	// olderRuns are runs in progress elsewhere; see OlderRun.
+	olderRuns  []OlderRun
 	stopping   bool
 	assignedAt time.Duration
 	// startPercent is the pace with which the latest run begins; 0 if not limited.
