A job is running once a task of it has started, not once it is assigned

Cause: a job counted as started when a task was assigned, and as queued never again.

Change: a job has started once a list shows a run of it, a run has ended, or an executor has crashed after a start of it. What callers see is in the recorded status, so nothing more is stored. TestGraph asked for `running` after an assignment; it marks the start now. TestShrunkWhileAgentIsAway took that state for the sign of an assignment; it looks for the assignment in the stored progress now.

--- a/coordinator/capacity_test.go
+++ b/coordinator/capacity_test.go
@@ -78,7 +78,7 @@
 	f.killAgent(host)
 	const waiting = "00000000000000a2"
 	f.submit(leader, &wire.Job{Id: waiting, Steps: steps(16)})
-	f.waitFor("assignment", func() bool { return f.jobState(leader, waiting) == wire.JobState_JOB_STATE_RUNNING })
+	f.waitFor("assignment", func() bool { return f.assignedTasks(waiting) > 0 })
 	f.setMillicores(host, shrunkMillicores)
 	f.killEntry(leader)
 	time.Sleep(pastGrace)
--- a/coordinator/repeated_start_test.go
+++ b/coordinator/repeated_start_test.go
@@ -140,3 +140,20 @@
 		assert.DeepEqual(t, stopped, []int32{1})
 	}
 }
+
+// Guards against jobs that are not counted as pending, although none of their tasks has
+// started anywhere, because they are assigned to an executor whose agent is silent.
+func TestJobOfASilentHostIsPending(t *testing.T) {
+	f := newTestFleet(t, 1, 1, fixedRunTime(5*time.Second))
+	leader := f.leader()
+	f.waitFor("session", func() bool { return leader.coordinator.Sessions() == 1 })
+	f.killAgent(f.hosts[0])
+	f.submit(leader, oneTask())
+	f.waitFor("assignment", func() bool { return f.assignedTasks(jobID) > 0 })
+	time.Sleep(heldBackFor)
+	count, err := leader.submitter.QueuedCount(t.Context(), &wire.Queue{Name: "previews"})
+	assert.NilError(t, err)
+	assert.Equal(t, count, 1)
+	f.startAgent(f.hosts[0])
+	f.waitFor("running", func() bool { return f.jobState(leader, jobID) == wire.JobState_JOB_STATE_RUNNING })
+}
--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -35,6 +35,9 @@
 		if view.runsUpdated && view.reachable {
 			c.clearOutlived(view, cycle.now)
 		}
+		if view.runsUpdated {
+			c.markStarted(view)
+		}
 		if view.opening {
 			cycle.lostExecutors = append(cycle.lostExecutors, c.takeReplacedOrphans(view)...)
 			c.reconcile(view)
@@ -86,6 +89,15 @@
 	})
 }
 
+// markStarted marks the jobs of which the list shows the first run.
+func (c *Coordinator) markStarted(view *sessionView) {
+	for _, t := range c.assignments.On(view.key) {
+		if !t.Job().Started() && view.lists(t) {
+			t.Job().MarkStarted()
+		}
+	}
+}
+
 // task returns the task with this name, or nil if the name is invalid or the job
 // is not open.
 func (c *Coordinator) task(name string) *tracker.Task {
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -119,6 +119,9 @@
 	if entry.Canceled() {
 		job.Cancel()
 	}
+	if entry.RecordedState() == wire.JobState_JOB_STATE_RUNNING {
+		job.MarkStarted()
+	}
 	c.assignments.Add(job)
 	c.jobs[id] = job
 	c.publishedStates[id] = entry.RecordedState()
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -14,6 +14,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
 	"gopkg.in/tomb.v2"
 	"gotest.tools/v3/assert"
 
@@ -338,6 +339,27 @@
 	return jobState
 }
 
+// assignedTasks returns the number of assigned tasks in the stored progress of a job.
+func (f *testFleet) assignedTasks(job string) int {
+	page, err := (&emulator.KeyedLogClient{Log: f.log}).Newest(f.t.Context(), "progress", "")
+	assert.NilError(f.t, err)
+	assigned := 0
+	for _, record := range page.GetRecords() {
+		progress := &wire.JobProgress{}
+		if record.GetKey() != job || proto.Unmarshal(record.GetValue(), progress) != nil {
+			continue
+		}
+		for _, step := range progress.GetOccurrences()[0].GetSteps() {
+			for _, task := range step.GetTasks() {
+				if task.GetState() == wire.JobTaskState_JOB_TASK_STATE_ASSIGNED {
+					assigned++
+				}
+			}
+		}
+	}
+	return assigned
+}
+
 func (f *testFleet) waitSucceeded(e *entry, id string) {
 	f.t.Helper()
 	f.waitFor("success of "+id, func() bool { return f.jobState(e, id) == wire.JobState_JOB_STATE_SUCCEEDED })
--- a/tracker/clearance.go
+++ b/tracker/clearance.go
@@ -14,6 +14,7 @@
 	if !t.Assigned() || run != t.run || t.exposedRun == run || t.Job().Over() {
 		return false
 	}
+	t.Job().MarkStarted()
 	if t.listedRun != run {
 		t.listedRun = run
 		t.listedAt = now
--- a/tracker/crash.go
+++ b/tracker/crash.go
@@ -51,6 +51,7 @@
 // with that executor. Expose reports whether it was lost before and is counted
 // now. Repeated reports have no effect.
 func (t *Task) Expose(run int32) bool {
+	t.Job().MarkStarted()
 	switch {
 	case t.Done() || run <= t.crashedRun:
 		return false
--- a/tracker/ends.go
+++ b/tracker/ends.go
@@ -10,6 +10,7 @@
 	if t.Done() || end.GetRun() > t.run {
 		return false
 	}
+	t.Job().MarkStarted()
 	// An executor that lists the end of a run has outlived it.
 	t.WithdrawExposure(end.GetRun())
 	failed := end.GetCause() == wire.EndCause_END_CAUSE_FAILED && end.GetRun() > t.failedRun
--- a/tracker/progress.go
+++ b/tracker/progress.go
@@ -24,6 +24,7 @@
 	if progress == nil {
 		return
 	}
+	j.started = j.started || progress.GetState() == wire.JobState_JOB_STATE_RUNNING
 	j.failed = j.failed || progress.GetState() == wire.JobState_JOB_STATE_FAILED
 	j.canceled = j.canceled || progress.GetState() == wire.JobState_JOB_STATE_CANCELED
 	for _, stored := range progress.GetOccurrences() {
@@ -104,7 +105,6 @@
 	t.checkpoint = progress.GetCheckpoint()
 	t.restoreOlderRuns(progress.GetOlderRuns(), executors)
 	t.step.begun = true
-	t.Job().started = true
 	switch progress.GetState() {
 	case wire.JobTaskState_JOB_TASK_STATE_ASSIGNED:
 		t.setState(progress.GetState(), executor)
--- a/tracker/task.go
+++ b/tracker/task.go
@@ -145,7 +145,6 @@
 	t.startPercent = 0
 	t.assignedAt = now
 	t.step.begun = true
-	t.Job().started = true
 	t.markChanged()
 }
 
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -108,6 +108,14 @@
 	return j.doneOccurrences == len(j.occurrences) || j.tasks == 0
 }
 
+// MarkStarted records that a task of the job has started: an executor lists its run, a run
+// has ended, or an executor has crashed after it had started one. An assignment alone is no start, since its executor may not respond. It is
+// not stored, because the status that callers see is.
+func (j *Job) MarkStarted() { j.started = true }
+
+// Started reports whether MarkStarted was called.
+func (j *Job) Started() bool { return j.started }
+
 // State returns the state of the job as callers see it.
 func (j *Job) State() wire.JobState {
 	switch {
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -41,6 +41,7 @@
 		task := firstReady(t, j)
 		assert.Equal(t, task.ID().Step, 0)
 		task.Assign(executorKey, "host", 1, 0)
+		j.MarkStarted()
 		assert.Equal(t, j.State(), wire.JobState_JOB_STATE_RUNNING)
 		task.End(runEnd(1, wire.EndCause_END_CAUSE_DONE, ""), executorKey.ID)
 	}
@@ -182,6 +183,25 @@
 	assert.Equal(t, j.Ready(9000)[2].Tasks()[0].ID().String(), "a1.2.0.0")
 }
 
+// Guards against a job that is taken for one that runs while its task is only assigned: the
+// executor may be silent, and the job has not begun.
+func TestAssignedJobIsQueuedUntilItStarts(t *testing.T) {
+	j := tracker.New(jobWith(&wire.JobStep{Count: 1}))
+	task := firstReady(t, j)
+	task.Assign(executorKey, "host", 1, 0)
+	assert.Equal(t, j.State(), wire.JobState_JOB_STATE_QUEUED)
+	restored := tracker.Restore(j.Spec(), j.Progress(0))
+	assert.Equal(t, restored.State(), wire.JobState_JOB_STATE_QUEUED)
+	task.Release()
+	assert.Equal(t, j.State(), wire.JobState_JOB_STATE_QUEUED)
+	task.Assign(executorKey, "host", 2, 0)
+	task.AddListed(2, "", time.Second)
+	assert.Equal(t, j.State(), wire.JobState_JOB_STATE_RUNNING)
+	task.Release()
+	assert.Equal(t, j.State(), wire.JobState_JOB_STATE_RUNNING)
+	assert.Equal(t, tracker.Restore(j.Spec(), j.Progress(0)).State(), wire.JobState_JOB_STATE_RUNNING)
+}
+
 // Guards against accepting names that are not task names.
 func TestParseTaskID(t *testing.T) {
 	id, err := tracker.ParseTaskID("5c0e.2.1.17")
