Tickets of steps that are done are dropped

By reading, for the class of the leader's memory: the cache of advice kept the tickets of each step that it had ever asked for, with up to 100 executors each, for the whole term of a leader.

--- a/coordinator/advice.go
+++ b/coordinator/advice.go
@@ -125,6 +125,17 @@
 	}
 }
 
+// forget drops the tickets of steps that are done or whose job is closed, and returns the
+// number of steps that are left.
+func (a *adviceCache) forget(groups []string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, group := range groups {
+		delete(a.steps, group)
+	}
+	return len(a.steps)
+}
+
 func (a *adviceCache) run(ctx context.Context) {
 	for {
 		select {
--- a/coordinator/closing.go
+++ b/coordinator/closing.go
@@ -56,7 +56,7 @@
 	if job.AssignedTasks() > 0 {
 		return false
 	}
-	c.forgetSentSteps(append(job.TakeDoneGroups(), job.GroupNames()...))
+	c.forgetSteps(append(job.TakeDoneGroups(), job.GroupNames()...))
 	c.runTimes.forget(job)
 	delete(c.jobs, id)
 	delete(c.publishedStates, id)
@@ -68,18 +68,20 @@
 	return true
 }
 
-// forgetDoneSteps frees what the sessions remember of the steps that are done.
+// forgetDoneSteps frees what is remembered of the steps that are done.
 func (c *Coordinator) forgetDoneSteps() {
 	for _, job := range c.jobs {
-		c.forgetSentSteps(job.TakeDoneGroups())
+		c.forgetSteps(job.TakeDoneGroups())
 	}
 }
 
-// forgetSentSteps frees what the sessions remember of the groups with the given names.
-func (c *Coordinator) forgetSentSteps(groups []string) {
+// forgetSteps frees what the sessions and the cache of advice remember of the groups with
+// the given names.
+func (c *Coordinator) forgetSteps(groups []string) {
 	if len(groups) == 0 {
 		return
 	}
+	c.advisedSteps.Store(int64(c.adviceCache.forget(groups)))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, group := range groups {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -155,6 +155,8 @@
 	// openJobs and waitingSteps are the sizes of jobs and waiting, for readers on
 	// other goroutines.
 	openJobs, waitingSteps atomic.Int64
+	// advisedSteps is the number of steps in adviceCache, as of the last removal.
+	advisedSteps atomic.Int64
 	// cycleTime is how long the last cycle took without its append, in nanoseconds.
 	cycleTime atomic.Int64
 	// previews has the calls of PreviewJob that wait for a cycle. nextPreview is the
@@ -223,6 +225,10 @@
 // this process does not lead.
 func (c *Coordinator) WaitingSteps() int64 { return c.waitingSteps.Load() }
 
+// AdvisedSteps is the number of steps whose tickets this process keeps, as of the latest
+// step that was done.
+func (c *Coordinator) AdvisedSteps() int64 { return c.advisedSteps.Load() }
+
 // Sessions is the number of agents with an open session.
 func (c *Coordinator) Sessions() int {
 	c.mu.Lock()
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -239,6 +239,22 @@
 	}
 }
 
+// Guards against tickets that a leader keeps for each step that it ever had: they take its
+// memory in weeks.
+func TestTicketsOfDoneStepsAreDropped(t *testing.T) {
+	f := newTestFleet(t, 1, 1, fixedRunTime(5*time.Millisecond))
+	f.advisor.host = "host-0"
+	queue := &wire.Queue{Name: "advised", Service: service, MaxAttempts: 3, Advice: &wire.AdvicePolicy{}}
+	for i := range 5 {
+		id := fmt.Sprintf("%016x", i+1)
+		f.submitTo(f.entries[0], queue, &wire.Job{Id: id, RepeatCount: 4, Steps: steps(2, 2)})
+		f.waitSucceeded(f.entries[0], id)
+	}
+	calls := f.advisor.calls.Load()
+	assert.Assert(t, calls >= 40, "%d steps were advised", calls)
+	f.waitFor("removal", func() bool { return f.leader().coordinator.AdvisedSteps() <= 1 })
+}
+
 // Guards against a restarted leader that waits for its own earlier leadership to
 // time out. After a power loss that delays the whole fleet.
 func TestLeaderRestarts(t *testing.T) {
