A far sequence number is taken after five, relayed appends keep their rejection

The code invalid_argument meant a rejected append for the product's own log as well, whose recorder would have looked for its records until its timeout; it now does for relayed appends of the keyed log only (TestRejectionPassesThroughPeers). Group has a file of its own.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -67,13 +67,9 @@
 	return connect.IsWireError(err) && noEffectCodes[connect.CodeOf(err)]
 }
 
-// appendError returns the typed error of a failed append: AppendRejectedError if the log
-// rejects its records, LogUnavailableError if it had no effect, or else
-// AppendUnknownError.
+// appendError returns the typed error of a failed append: LogUnavailableError if
+// it had no effect, or else AppendUnknownError.
 func (t *callTracker) appendError(err error) error {
-	if connect.IsWireError(err) && connect.CodeOf(err) == connect.CodeInvalidArgument {
-		return &damaskspread.AppendRejectedError{Cause: err}
-	}
 	if t.hadNoEffect(err) {
 		return &damaskspread.LogUnavailableError{Cause: err}
 	}
--- a/connector/keyed_log.go
+++ b/connector/keyed_log.go
@@ -37,7 +37,8 @@
 func (*ConditionError) Error() string { return "conditional appends are not relayed" }
 
 // Append implements damaskspread.KeyedLog. An append with a condition fails with
-// a ConditionError in a LogUnavailableError.
+// a ConditionError in a LogUnavailableError. The other process tells with the code
+// invalid_argument that the log rejects the records.
 func (l *KeyedLog) Append(ctx context.Context, topic string, records []*wire.KeyedRecord, condition *wire.AppendCondition) (*wire.AppendResult, error) {
 	if condition != nil {
 		return nil, &damaskspread.LogUnavailableError{Cause: &ConditionError{}}
@@ -48,10 +49,14 @@
 		Topic:   topic,
 		Records: records,
 	}))
-	if err != nil {
+	switch {
+	case err == nil:
+		return response.Msg, nil
+	case connect.IsWireError(err) && connect.CodeOf(err) == connect.CodeInvalidArgument:
+		return nil, &damaskspread.AppendRejectedError{Cause: err}
+	default:
 		return nil, tracker.appendError(err)
 	}
-	return response.Msg, nil
 }
 
 // beginRead bounds a read by its progress if the caller asked for that, and
--- a/planner/probation.go
+++ b/planner/probation.go
@@ -135,7 +135,7 @@
 			}
 			continue
 		}
-		for task := range group.EachPendingRetry() {
+		for task := range group.EachKnownPending() {
 			if suspected(task) {
 				plan = append(plan, p.planSuspectedTask(group, task, hosts, shared)...)
 			}
@@ -174,7 +174,7 @@
 			continue
 		}
 		places = max(places, probationLimit(group, hosts))
-		for task := range group.EachPendingRetry() {
+		for task := range group.EachKnownPending() {
 			if suspected(task) && mayShareProbation(task) {
 				waiting++
 			}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -168,6 +168,15 @@
 	assert.Equal(t, len(page.GetRecords()), 1)
 }
 
+// Guards against a record that the log rejects and that an entry, which reaches the log
+// through a peer, takes for one to repeat.
+func TestRejectionPassesThroughPeers(t *testing.T) {
+	keyed, processes := newProcesses(t, "a", "b")
+	keyed.MaxRecordBytes = 1
+	processes[0].client.SetDown(true)
+	assert.ErrorType(t, processes[0].append("one"), &damaskspread.AppendRejectedError{})
+}
+
 // Guards against a claim of the leadership by a process that cannot reach the
 // log itself.
 func TestConditionalAppendsAreNotRelayed(t *testing.T) {
--- a/runner/announcement.go
+++ b/runner/announcement.go
@@ -15,27 +15,28 @@
 	// maxSequenceJump bounds by how much the sequence number of an announcement exceeds
 	// the one before. Executors count their calls.
 	maxSequenceJump = 1 << 20
+	// maxOutdated is how many outdated announcements in a row are ignored. A burst of
+	// late ones is followed by a newer one within the interval of heartbeats.
+	maxOutdated = 4
 )
 
-// maxOutdated is how many outdated announcements in a row are ignored. A burst of
-// late ones is followed by a newer one within the interval of heartbeats.
-const maxOutdated = 4
-
 // ExecutorAnnounced implements damaskspread.ExecutorObserver. It ignores
 // announcements that are older than the latest one or come from an executor that
 // has left.
 func (r *Runner) ExecutorAnnounced(info *wire.ExecutorInfo) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	other := r.info != nil && !sameIncarnation(r.info, info)
+	later := other && info.GetBornUnixMs() >= r.info.GetBornUnixMs()
 	switch {
 	case r.info == nil && r.left != nil && sameIncarnation(r.left, info):
 		return
-	case r.info != nil && !sameIncarnation(r.info, info) && info.GetBornUnixMs() >= r.info.GetBornUnixMs() && r.responds():
+	case later && r.responds():
 		r.addCandidate(info)
 		return
-	case r.info == nil || (!sameIncarnation(r.info, info) && info.GetBornUnixMs() >= r.info.GetBornUnixMs()):
+	case r.info == nil || later:
 		r.discover(info)
-	case !sameIncarnation(r.info, info) || r.isOutdated(info):
+	case other || r.isOutdated(info):
 		log.Warn().Str("executor", info.GetId()).Int64("born", info.GetBornUnixMs()).Int64("sequence", info.GetSequence()).
 			Msg("outdated executor announcement ignored")
 		return
@@ -90,15 +91,13 @@
 	return true
 }
 
-// isOutdated reports whether an announcement of the present executor is older than
-// the latest one, or so far ahead that the executor can't have sent it. After maxOutdated of them in ascending order with none that is newer,
-// the latest one can't have come from the executor, and the next one is taken. The
-// caller holds the mutex.
+// isOutdated reports whether an announcement of the present executor is older than the
+// latest one, or so far ahead that the executor can't have sent it. After maxOutdated of
+// them in ascending order with none that is plausible, the latest one can't have come from
+// the executor, and the next one is taken. The caller holds the mutex.
 func (r *Runner) isOutdated(info *wire.ExecutorInfo) bool {
-	if info.GetSequence()-r.info.GetSequence() > maxSequenceJump {
-		return true
-	}
-	if info.GetSequence() >= r.info.GetSequence() {
+	ahead := info.GetSequence() - r.info.GetSequence()
+	if ahead >= 0 && ahead <= maxSequenceJump {
 		r.outdated = 0
 		return false
 	}
--- a/runner/odd_announcement_test.go
+++ b/runner/odd_announcement_test.go
@@ -55,3 +55,19 @@
 		})
 	}
 }
+
+// Guards against an executor that is never followed, because the first announcement of
+// another writer has a sequence number far below its own.
+func TestExecutorWithAFarSequenceIsFollowed(t *testing.T) {
+	l := newIdleLeader()
+	r, executor := startWithEmulator(t, l)
+	waitFor(t, "change of its capacity", func() bool {
+		info := executor.Info("planning", "zone", &wire.Resources{Millicores: 8000})
+		info.Capacity = &wire.Resources{Millicores: 4000}
+		info.Sequence = time.Now().UnixNano()
+		r.ExecutorAnnounced(info)
+		return l.received(func(request *wire.ExchangeRequest) bool {
+			return request.GetExecutor().GetCapacity().GetMillicores() == 4000
+		})
+	})
+}
--- /dev/null
+++ b/tracker/group.go
@@ -0,0 +1,173 @@
+package tracker
+
+import (
+	"iter"
+	"slices"
+	"time"
+
+	"damaskspread.example/damaskspread/wire"
+)
+
+// Group is a step in one occurrence with tasks that wait for a run.
+type Group struct {
+	job        *Job
+	occurrence int
+	step       int
+	// tasks are those of the first call of Tasks.
+	tasks []*Task
+	// excluded has the indexes of waiting tasks that Without has taken out.
+	excluded map[int]bool
+	waited   time.Duration
+}
+
+func (j *Job) group(occurrence, step int) *Group {
+	return &Group{
+		job:        j,
+		occurrence: occurrence,
+		step:       step,
+	}
+}
+
+// Job returns the job of the tasks.
+func (g *Group) Job() *Job { return g.job }
+
+// Step returns the specification of the tasks.
+func (g *Group) Step() *wire.JobStep { return g.job.spec.GetSteps()[g.step] }
+
+// StepIndex returns the index of the step in the job, from 0.
+func (g *Group) StepIndex() int { return g.step }
+
+// Occurrence returns the index of the tasks' occurrence, from 0.
+func (g *Group) Occurrence() int { return g.occurrence }
+
+// Size returns the number of tasks of the step, whatever their state.
+func (g *Group) Size() int { return g.job.stepSize(g.step) }
+
+// Pending returns the number of tasks that wait for a run now.
+func (g *Group) Pending() int { return g.job.pending(g.occurrence, g.step) - len(g.excluded) }
+
+// Name returns "JOB.OCCURRENCE.STEP", which identifies the group.
+func (g *Group) Name() string {
+	if state := g.state(); state != nil {
+		return state.groupName
+	}
+	return groupName(g.job.spec.GetId(), g.occurrence, g.step)
+}
+
+// state returns the state of the step, nil before it is ready and once it is done.
+func (g *Group) state() *stepState {
+	if state := g.job.step(g.occurrence, g.step); state != doneStep {
+		return state
+	}
+	return nil
+}
+
+// EachPending iterates over the tasks that wait for a run. Tasks that never had one take
+// memory only once the iteration has reached them.
+func (g *Group) EachPending() iter.Seq[*Task] {
+	return func(yield func(*Task) bool) {
+		if g.Pending() == 0 {
+			return
+		}
+		state := g.job.openStep(g.occurrence, g.step)
+		for i := range state.size() {
+			if g.excluded[i] || state.tasks != nil && state.tasks[i] != nil && !state.tasks[i].Pending() {
+				continue
+			}
+			if !yield(state.task(i)) {
+				return
+			}
+		}
+	}
+}
+
+// EachKnownPending iterates over the waiting tasks that had a run, and some that had none.
+func (g *Group) EachKnownPending() iter.Seq[*Task] {
+	return g.eachKnown(func(t *Task) bool { return t.Pending() && !g.excluded[t.index] })
+}
+
+// EachAssigned iterates over the tasks that are assigned.
+func (g *Group) EachAssigned() iter.Seq[*Task] { return g.eachKnown((*Task).Assigned) }
+
+// eachKnown iterates over the tasks of the step that were needed so far and are accepted.
+func (g *Group) eachKnown(accept func(*Task) bool) iter.Seq[*Task] {
+	return func(yield func(*Task) bool) {
+		state := g.state()
+		if state == nil {
+			return
+		}
+		for t := range state.known() {
+			if accept(t) && !yield(t) {
+				return
+			}
+		}
+	}
+}
+
+// First returns the first task that waits for a run, nil if there is none.
+func (g *Group) First() *Task {
+	for t := range g.EachPending() {
+		return t
+	}
+	return nil
+}
+
+// Tasks returns the tasks that waited for a run at its first call. It creates all of them.
+func (g *Group) Tasks() []*Task {
+	if g.tasks == nil {
+		g.tasks = slices.Collect(g.EachPending())
+	}
+	return g.tasks
+}
+
+// Without returns the group without the tasks with the given names, or nil if none of
+// its tasks is left. Of a gang, which starts as a whole, none is left without any one.
+func (g *Group) Without(names map[string]bool) *Group {
+	rest := *g
+	rest.tasks = nil
+	rest.excluded = map[int]bool{}
+	for name := range names {
+		if GroupOf(name) != g.Name() {
+			continue
+		}
+		id, err := ParseTaskID(name)
+		if err == nil && id.Index < g.Size() && g.isPending(id.Index) {
+			rest.excluded[id.Index] = true
+		}
+	}
+	if rest.Pending() == 0 || g.Step().GetGang() && len(rest.excluded) > 0 {
+		return nil
+	}
+	return &rest
+}
+
+func (g *Group) isPending(index int) bool {
+	state := g.state()
+	if state == nil || state.tasks == nil || state.tasks[index] == nil {
+		return true
+	}
+	return state.tasks[index].Pending()
+}
+
+// NextRun returns the run number for the next start of a gang, which all its
+// tasks share.
+func (g *Group) NextRun() int32 {
+	run := int32(0)
+	if state := g.state(); state != nil {
+		for t := range state.known() {
+			run = max(run, t.run)
+		}
+	}
+	return run + 1
+}
+
+// Group returns the group of the task. Its Tasks returns this task only, whatever
+// the task's state.
+func (t *Task) Group() *Group {
+	g := t.Job().group(t.step.occurrence.index, t.step.index)
+	g.tasks = []*Task{t}
+	return g
+}
+
+// Members returns all tasks of the task's gang, or the task alone.
+func (t *Task) Members() []*Task { return t.members() }
