--- a/tracker/parts.go
+++ b/tracker/parts.go
@@ -50,6 +50,9 @@
 // TakeChangedParts returns the numbers of the parts of the progress that changed since
 // the last call, in ascending order. The caller stores what Progress returns for them.
 func (j *Job) TakeChangedParts() []int {
+	if len(j.parts.changed) == 0 {
+		return nil
+	}
 	changed := slices.Sorted(maps.Keys(j.parts.changed))
 	for _, part := range changed {
 		j.parts.markStored(part)
