A list with two runs of one task shows both

The list was kept by task, so that an older run after the latest one hid it, and a start that is not permitted any more would have stopped a run in progress. By reading; TestRunBesideAnOlderOneStays.

--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -50,8 +50,8 @@
 	opening     bool
 	running     []*wire.TaskRun
 	runsUpdated bool
-	// listed is the result of listedRuns, nil before its first call.
-	listed map[string]int32
+	// listed has the runs of running, nil before lists is called.
+	listed map[listedRun]bool
 	// startsRepeated is set once the starts that were due are ordered again.
 	startsDue, startsRepeated bool
 	ends                      []*wire.RunEnd
--- a/coordinator/repeated_start_test.go
+++ b/coordinator/repeated_start_test.go
@@ -92,6 +92,15 @@
 	assert.Equal(t, len(stopped), 0, "stopped %v", stopped)
 }
 
+// Guards against a run in progress that is stopped because the list shows an older run of
+// its task after it.
+func TestRunBesideAnOlderOneStays(t *testing.T) {
+	o := newOrderedBefore(t, oneTask())
+	o.f.operations.takeOut("zone")
+	_, stopped := o.orders(&wire.TaskRun{Task: olderRunTask, Run: 1}, &wire.TaskRun{Task: olderRunTask, Run: 7})
+	assert.Assert(t, !slices.Contains(stopped, 1), "stopped %v", stopped)
+}
+
 // Guards against a start that is repeated on a configuration that is too old to decide, and
 // against one that is then not repeated at all.
 func TestStartIsRepeatedOnceTheConfigurationIsCurrent(t *testing.T) {
--- a/coordinator/repeated_starts.go
+++ b/coordinator/repeated_starts.go
@@ -12,21 +12,28 @@
 // does not list its run as running.
 const startRepeatInterval = 3 * time.Second
 
-// lists reports whether the latest list of runs shows the latest run of a task.
-func (v *sessionView) lists(t *tracker.Task) bool {
-	run, listed := v.listedRuns()[t.ID().String()]
-	return listed && run == t.Run()
+// listedRun is a run in a list. A list may show several runs of one task.
+type listedRun struct {
+	task string
+	run  int32
 }
 
-// listedRuns returns the runs of the latest list by task.
-func (v *sessionView) listedRuns() map[string]int32 {
+// lists reports whether the latest list of runs shows the latest run of a task.
+func (v *sessionView) lists(t *tracker.Task) bool {
 	if v.listed == nil {
-		v.listed = make(map[string]int32, len(v.running))
+		v.listed = make(map[listedRun]bool, len(v.running))
 		for _, run := range v.running {
-			v.listed[run.GetTask()] = run.GetRun()
+			v.listed[newListedRun(run.GetTask(), run.GetRun())] = true
 		}
 	}
-	return v.listed
+	return v.listed[newListedRun(t.ID().String(), t.Run())]
+}
+
+func newListedRun(task string, run int32) listedRun {
+	return listedRun{
+		task: task,
+		run:  run,
+	}
 }
 
 // repeatStarts orders again the starts of assigned runs that are not listed: those of a
@@ -81,9 +88,7 @@
 	}
 	var due []*repeatedStart
 	c.eachAssigned(view.key, func(t *tracker.Task) {
-		// A task that the cycle itself has assigned is not listed yet.
-		isNew := t.AssignedAt() == now
-		if t.Stopping() || t.Job().Over() || view.lists(t) || isNew || !view.startsDue && !t.Overdue(now, startRepeatInterval) {
+		if t.Stopping() || t.Job().Over() || view.lists(t) || !view.startsDue && !t.Overdue(now, startRepeatInterval) {
 			return
 		}
 		due = append(due, &repeatedStart{
