A new life of an executor gets no numbers of the life before

The executor had restarted under its id and carried out a late start; it forgot the end of that run.

Change: while another executor is announced and the present one has not responded since, calls are made as after a failed renewal: without deadline and last end, and starts wait.

--- a/runner/announcement.go
+++ b/runner/announcement.go
@@ -72,7 +72,6 @@
 	}
 	r.candidate = info
 	r.candidateAt = r.Elapsed.Elapsed()
-	r.checkDue = true
 	if r.cancelRenewal != nil {
 		r.cancelRenewal()
 	}
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -53,8 +53,8 @@
 	// order, or that the executor for which the order was given has ended.
 	handled bool
 	// wait means that another run of the task is in progress on the executor, that the
-	// session has no token yet, or that the last renewal failed: the executor may have
-	// restarted under its id, and would carry out the order of the incarnation before.
+	// session has no token yet, or that the executor may have restarted under its id, and
+	// would carry out the order of the incarnation before.
 	wait    bool
 	refusal damaskspread.StartRefusal
 	// definite means that the run was refused before and can't start any more.
@@ -99,7 +99,7 @@
 		decision.refusal = damaskspread.RefusedLeaseOver
 	case r.earlierRunDone(key):
 		decision.refusal = damaskspread.RefusedOldRun
-	case r.renewFailures > 0 || r.token == 0 || r.otherRunInProgress(key):
+	case r.mayHaveRestarted() || r.token == 0 || r.otherRunInProgress(key):
 		decision.wait = true
 	case r.exceedsCapacity(key):
 		decision.refusal = damaskspread.RefusedNoRoom
--- a/runner/renew.go
+++ b/runner/renew.go
@@ -85,20 +85,24 @@
 		dropUpTo:  r.endsRecorded,
 		wait:      renewWait,
 	}
-	if r.renewFailures > 0 {
+	if r.mayHaveRestarted() {
 		// The executor may have restarted under its id: the deadline is a reading
 		// of its earlier clock, and the number counts earlier ends.
 		call.lease.DeadlineMs = 0
 		call.dropUpTo = 0
 		call.wait = 0
 	}
-	if !r.listsRead || len(r.unrecordedEnds) > 0 || len(r.checksDue) > 0 || r.checkDue {
+	if !r.listsRead || len(r.unrecordedEnds) > 0 || len(r.checksDue) > 0 {
 		call.wait = 0
 	}
-	r.checkDue = false
 	return call
 }
 
+// mayHaveRestarted reports whether another life may respond under the executor's id: the
+// last renewal failed, or another executor was announced and the present one has not
+// responded since. The caller holds the mutex.
+func (r *Runner) mayHaveRestarted() bool { return r.renewFailures > 0 || r.candidate != nil }
+
 // beginRenewal makes the renewal end with its session: the executor may hold the call
 // without a response. It returns false if the session has ended.
 func (r *Runner) beginRenewal(call *renewal, cancel context.CancelFunc) bool {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -91,10 +91,8 @@
 	outdated int
 	// candidate is an announced executor that may have replaced the present one, which
 	// responded lately; candidateAt is when it was announced last.
-	candidate   *wire.ExecutorInfo
-	candidateAt time.Duration
-	// checkDue is set until the present executor was called because of a candidate.
-	checkDue         bool
+	candidate        *wire.ExecutorInfo
+	candidateAt      time.Duration
 	outdatedSequence int64
 	executorClock    clockReading
 	lastContact      time.Duration
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -87,6 +87,10 @@
 	16: {
 		cause: "the check of a stopped start was dropped with the session, so that its task stayed assigned and never started",
 	},
+	119: {
+		cause:    "the call that checks whether an executor has restarted carried the number of its last end in the life before, so that the new life forgot an end",
+		restarts: true,
+	},
 }
 
 func TestMain(m *testing.M) {
