Re-reading the change: one piece of code where it had written two

What callers see: nothing; behaviour, bounds and assertions stay.

Found in the diff since: - The objective of a job stood in screener and in planner, each with its own bound and its own check of NaN; the bounded declared run time stood in four packages, and the year that bounds both in two constants of the same value. tracker.Objective, Job.Objective, DeclaredRunTime and MaxSpan serve all. - repeatStarts and migrate each built a map of the placement candidates in every cycle, also when nothing was due. The session's view holds its candidate instead. - forgetDoneSteps took the lock of the coordinator and that of the advice once per job with ended steps; it takes them once per cycle. - constraintObstacle looked up the ticket and the label before it knew whether the host is usable. It follows the order of the constants again, which now say that order: label before anti-affinity. - Group.Tasks, with a cache in the group, had no caller left outside tests. It is gone; the tests collect EachPending themselves. One (TestGang) relied on the cache to keep its list of tasks, which it now keeps itself. - Task.Members wrapped members; the index of an executor in a record was resolved in two places; the numbers of a job's parts were sorted by hand; EachPending and isPending had the same condition. - Lines of comments beyond the width, and a field between a comment and what it describes.

--- a/appraiser/appraiser.go
+++ b/appraiser/appraiser.go
@@ -134,7 +134,7 @@
 
 // predict returns the predicted run time of a task of the step.
 func (a *Appraiser) predict(job *wire.Job, step *wire.JobStep) time.Duration {
-	declared := time.Duration(min(step.GetEstimateMs(), tracker.MaxEstimate.Milliseconds())) * time.Millisecond
+	declared := tracker.DeclaredRunTime(step)
 	if a.Duration == nil {
 		return declared
 	}
--- a/coordinator/closing.go
+++ b/coordinator/closing.go
@@ -70,9 +70,11 @@
 
 // forgetDoneSteps frees what is remembered of the steps that are done.
 func (c *Coordinator) forgetDoneSteps() {
+	var groups []string
 	for _, job := range c.jobs {
-		c.forgetSteps(job.TakeDoneGroups())
+		groups = append(groups, job.TakeDoneGroups()...)
 	}
+	c.forgetSteps(groups)
 }
 
 // forgetSteps frees what the sessions and the cache of advice remember of the groups with
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -44,6 +44,8 @@
 	host    string
 	key     tracker.ExecutorKey
 	info    *wire.ExecutorInfo
+	// candidate is the one of cycleState.hosts for the executor, nil without them.
+	candidate *planner.Host
 	// usable is set if new tasks may be assigned to the executor.
 	usable      bool
 	reachable   bool
--- a/coordinator/interference.go
+++ b/coordinator/interference.go
@@ -7,7 +7,6 @@
 	"github.com/phuslu/log"
 
 	"damaskspread.example/damaskspread/estimator"
-	"damaskspread.example/damaskspread/planner"
 	"damaskspread.example/damaskspread/tracer"
 	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
@@ -126,10 +125,6 @@
 	if cycle.hosts == nil {
 		return
 	}
-	byKey := map[tracker.ExecutorKey]*planner.Host{}
-	for _, host := range cycle.hosts {
-		byKey[host.Key] = host
-	}
 	moves := 0
 	for _, view := range cycle.views {
 		if !view.runsUpdated || moves >= maxMovesPerCycle {
@@ -137,7 +132,7 @@
 		}
 		for _, run := range view.running {
 			t := c.slowTask(run, view, cycle.now)
-			if t == nil || !c.Planner.HasFasterHost(t, byKey[view.key], cycle.hosts, minMoveShare) {
+			if t == nil || !c.Planner.HasFasterHost(t, view.candidate, cycle.hosts, minMoveShare) {
 				continue
 			}
 			t.MarkStopping()
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -118,6 +118,7 @@
 			host.AddAssigned(t)
 		}
 		hosts = append(hosts, host)
+		view.candidate = host
 	}
 	slices.SortFunc(hosts, func(a, b *planner.Host) int {
 		if a.Name < b.Name {
--- a/coordinator/progress.go
+++ b/coordinator/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 
 	"github.com/phuslu/log"
@@ -62,12 +63,7 @@
 func (s storedJob) restore(spec *wire.Job) (job *tracker.Job, complete bool) {
 	job = tracker.New(spec)
 	complete = true
-	numbers := make([]int, 0, len(s))
-	for part := range s {
-		numbers = append(numbers, part)
-	}
-	slices.Sort(numbers)
-	for _, part := range numbers {
+	for _, part := range slices.Sorted(maps.Keys(s)) {
 		progress := &wire.JobProgress{}
 		if err := proto.Unmarshal(s[part], progress); err != nil {
 			log.Error().Str("job", spec.GetId()).Int("part", part).Err(err).
--- a/coordinator/repeated_starts.go
+++ b/coordinator/repeated_starts.go
@@ -44,15 +44,11 @@
 // late, and its task is released once the agent reports that it isn't there. A gang is
 // started as a whole or not.
 func (c *Coordinator) repeatStarts(cycle *cycleState) {
-	hosts := map[tracker.ExecutorKey]*planner.Host{}
-	for _, host := range cycle.hosts {
-		hosts[host.Key] = host
-	}
 	zonesOut := c.Operations.ZonesOut()
 	gangsOut := map[string]planner.Obstacle{}
 	var due []*repeatedStart
 	for _, view := range cycle.views {
-		for _, start := range c.dueStarts(view, hosts[view.key], cycle.now) {
+		for _, start := range c.dueStarts(view, cycle.now) {
 			start.obstacle = c.startObstacle(start, zonesOut)
 			if start.obstacle != planner.NoObstacle && start.task.Step().GetGang() {
 				gangsOut[start.task.GroupName()] = start.obstacle
@@ -72,7 +68,6 @@
 // repeatedStart is the start of an assigned run that is to be ordered again.
 type repeatedStart struct {
 	view *sessionView
-	host *planner.Host
 	task *tracker.Task
 	// obstacle is set if the task may not start on the host any more.
 	obstacle planner.Obstacle
@@ -80,9 +75,9 @@
 	opening bool
 }
 
-// dueStarts returns the starts that are due on a host. None is due while the executor
-// does not respond.
-func (c *Coordinator) dueStarts(view *sessionView, host *planner.Host, now time.Duration) []*repeatedStart {
+// dueStarts returns the starts that are due on an executor. None is due while it does not
+// respond.
+func (c *Coordinator) dueStarts(view *sessionView, now time.Duration) []*repeatedStart {
 	if !view.startsDue && !view.runsUpdated || !view.reachable {
 		return nil
 	}
@@ -93,7 +88,6 @@
 		}
 		due = append(due, &repeatedStart{
 			view:    view,
-			host:    host,
 			task:    t,
 			opening: view.startsDue,
 		})
@@ -104,10 +98,11 @@
 // startObstacle returns what keeps the task from starting on its host now, other than
 // obstacles that will pass.
 func (c *Coordinator) startObstacle(start *repeatedStart, zonesOut map[string]bool) planner.Obstacle {
-	if zonesOut[start.host.Zone] || start.view.info.GetDraining() {
+	host := start.view.candidate
+	if zonesOut[host.Zone] || start.view.info.GetDraining() {
 		return planner.ObstacleUnusable
 	}
-	return c.Planner.PermissionObstacle(start.host, start.task.Group())
+	return c.Planner.PermissionObstacle(host, start.task.Group())
 }
 
 // repeatStart orders the start again, or the stop of the run if there is an obstacle.
--- a/coordinator/run_times.go
+++ b/coordinator/run_times.go
@@ -122,7 +122,7 @@
 		siblings = &predictor.Siblings{}
 		r.siblings[key] = siblings
 	}
-	queue, declared, actual := t.Job().Spec().GetQueue(), declaredRunTime(step), now-t.AssignedAt()
+	queue, declared, actual := t.Job().Spec().GetQueue(), tracker.DeclaredRunTime(step), now-t.AssignedAt()
 	predicted := r.learned.StepDuration(queue, step.GetImage(), siblings, declared)
 	r.learned.ObserveStep(queue, step.GetImage(), siblings, declared, actual)
 	r.changed = true
@@ -173,7 +173,7 @@
 	step := spec.GetSteps()[index]
 	siblings := r.siblings[stepKey{spec.GetId(), index}]
 	return tracker.StepPrediction{
-		Task:  r.learned.StepDuration(spec.GetQueue(), step.GetImage(), siblings, declaredRunTime(step)),
+		Task:  r.learned.StepDuration(spec.GetQueue(), step.GetImage(), siblings, tracker.DeclaredRunTime(step)),
 		Waves: capacities.Waves(spec.GetService(), step, int64(job.OpenTasks(index))),
 	}
 }
@@ -188,10 +188,6 @@
 	return capacities
 }
 
-func declaredRunTime(step *wire.JobStep) time.Duration {
-	return time.Duration(min(step.GetEstimateMs(), tracker.MaxEstimate.Milliseconds())) * time.Millisecond
-}
-
 // forget drops the ended tasks of a closed job.
 func (r *runTimes) forget(job *tracker.Job) {
 	if r == nil {
--- a/jobs.go
+++ b/jobs.go
@@ -14,8 +14,8 @@
 	// Append adds all records or none. It is unconditional if condition is nil.
 	// A LogUnavailableError means that nothing was appended, an AppendRejectedError
 	// that the same records never will be, an AppendUnknownError that they may have
-	// been appended or may still be. A condition that does not hold yields a ConditionFailedError,
-	// FencedError or SequenceError.
+	// been appended or may still be. A condition that does not hold yields a
+	// ConditionFailedError, FencedError or SequenceError.
 	Append(ctx context.Context, topic string, records []*wire.KeyedRecord, condition *wire.AppendCondition) (*wire.AppendResult, error)
 	// Read returns records from offset from on. If there are none yet, it waits
 	// up to wait for the first one.
--- a/planner/cost.go
+++ b/planner/cost.go
@@ -78,7 +78,7 @@
 // WaitingOf describes the job of a group at nowUnixMs.
 func WaitingOf(g *tracker.Group, nowUnixMs int64) Waiting {
 	job := g.Job()
-	objective := objectiveMs(job)
+	objective := job.Objective().Milliseconds()
 	start := boundedMs(earliestStartMs(g), nowUnixMs)
 	pending, total := g.Work()
 	return Waiting{
--- a/planner/cost_test.go
+++ b/planner/cost_test.go
@@ -60,7 +60,7 @@
 // begun and have a slightly earlier deadline.
 func TestCostOrderPrefersBegunJobs(t *testing.T) {
 	begun := chainJob("begun", 500, 2)
-	for _, task := range begun.Ready(0)[0].Tasks() {
+	for _, task := range waitingTasks(begun.Ready(0)[0]) {
 		task.Assign(tracker.ExecutorKey{ID: "i"}, "h", 1, time.Second)
 		task.End(&wire.RunEnd{Run: 1, Cause: wire.EndCause_END_CAUSE_DONE}, "i")
 	}
@@ -69,7 +69,7 @@
 	// A deadline that is earlier by more than the credit goes first. The objective is
 	// 5 s, so the credit of a job that is half done is 1.25 s.
 	later := chainJob("later", 3000, 2)
-	for _, task := range later.Ready(0)[0].Tasks() {
+	for _, task := range waitingTasks(later.Ready(0)[0]) {
 		task.Assign(tracker.ExecutorKey{ID: "i"}, "h", 1, time.Second)
 		task.End(&wire.RunEnd{Run: 1, Cause: wire.EndCause_END_CAUSE_DONE}, "i")
 	}
--- a/planner/lostwork_test.go
+++ b/planner/lostwork_test.go
@@ -27,7 +27,7 @@
 		ObjectiveMs:    objectiveMs,
 		Steps:          []*wire.JobStep{step},
 	})
-	for _, task := range readyGroups(job)[0].Tasks() {
+	for _, task := range waitingTasks(readyGroups(job)[0]) {
 		task.Assign(host.Key, host.Name, 1, preemptNow-age)
 		host.AddAssigned(task)
 	}
@@ -38,7 +38,7 @@
 	p := &planner.Planner{LostWork: true}
 	group := urgent.Ready(10_000)[0]
 	jobs := []string{}
-	for _, victim := range p.ChooseVictims(group, group.Tasks()[0], hosts, preemptNow, 10_000) {
+	for _, victim := range p.ChooseVictims(group, group.First(), hosts, preemptNow, 10_000) {
 		jobs = append(jobs, victim.ID().Job)
 	}
 	return jobs
@@ -108,7 +108,7 @@
 	}{{costOrder: false, victims: 1}, {costOrder: true, victims: 0}} {
 		group := urgentJob(0, 4000).Ready(10_000)[0]
 		p := &planner.Planner{CostOrder: test.costOrder}
-		victims := p.ChooseVictims(group, group.Tasks()[0], []*planner.Host{host}, preemptNow, 10_000)
+		victims := p.ChooseVictims(group, group.First(), []*planner.Host{host}, preemptNow, 10_000)
 		assert.Equal(t, len(victims), test.victims)
 	}
 }
--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -10,7 +10,7 @@
 // explanations of waiting tasks.
 type Obstacle string
 
-// Obstacles.
+// Obstacles, in the order in which they are checked.
 const (
 	NoObstacle               Obstacle = ""
 	ObstacleService          Obstacle = "other_service"
@@ -18,8 +18,8 @@
 	ObstacleSuspect          Obstacle = "set_aside"
 	ObstacleProbation        Obstacle = "probation"
 	ObstacleTicket           Obstacle = "no_ticket"
-	ObstacleAntiAffinity     Obstacle = "anti_affinity"
 	ObstacleLabel            Obstacle = "label"
+	ObstacleAntiAffinity     Obstacle = "anti_affinity"
 	ObstacleMemory           Obstacle = "memory"
 	ObstacleAccelerators     Obstacle = "accelerators"
 	ObstacleProcessors       Obstacle = "processors"
@@ -67,21 +67,23 @@
 // constraintObstacle returns the first obstacle that does not depend on the free
 // capacity of the host.
 func (p *Planner) constraintObstacle(host *Host, group *tracker.Group, task *tracker.Task) Obstacle {
-	permission := p.PermissionObstacle(host, group)
 	switch {
-	case permission == ObstacleService:
-		return permission
+	case host.Service != group.Job().Spec().GetService():
+		return ObstacleService
 	case !host.Usable:
 		return ObstacleUnusable
 	case host.Suspect && !host.admitsProbe(group, task):
 		return ObstacleSuspect
 	case host.probation.excludes(task):
 		return ObstacleProbation
-	case permission == NoObstacle && host.antiAffinityReached(group.Name(), group.Step()):
+	}
+	if obstacle := p.PermissionObstacle(host, group); obstacle != NoObstacle {
+		return obstacle
+	}
+	if host.antiAffinityReached(group.Name(), group.Step()) {
 		return ObstacleAntiAffinity
-	default:
-		return permission
 	}
+	return NoObstacle
 }
 
 // PermissionObstacle returns the obstacle that keeps all tasks of the group from the host
--- a/planner/order.go
+++ b/planner/order.go
@@ -2,15 +2,15 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
+	"time"
 
 	"damaskspread.example/damaskspread/tracker"
 )
 
-// maxSpanMs bounds times from now, in milliseconds, so that their sums fit: a year is more
-// than any job declares, and numbers of other writers may be anything.
-const maxSpanMs = 365 * 24 * 3600 * 1000
+// maxSpanMs bounds times from now, in milliseconds, because numbers of other writers may be
+// anything.
+const maxSpanMs = int64(tracker.MaxSpan / time.Millisecond)
 
 // overdueFactor times the objective is the response time beyond which a job is
 // worth nothing to its caller.
@@ -35,8 +35,9 @@
 }
 
 // Order sorts groups in place by the order in which they should start: by the
-// priority of the queue, lowest number first; then by lateness,
-// because under overload jobs that are late anyway would make all others late; then by deadline, and then by acceptance time.
+// priority of the queue, lowest number first; then by lateness, because under overload
+// jobs that are late anyway would make all others late; then by deadline, and then by
+// acceptance time.
 func Order(groups []*tracker.Group, nowUnixMs int64) {
 	keys := make([]sortKey, len(groups))
 	for i, group := range groups {
@@ -59,7 +60,7 @@
 // sortKeyOf compares the remaining work of the job with its objective. A
 // long-running step has no end and is therefore never late.
 func sortKeyOf(g *tracker.Group, nowUnixMs int64) sortKey {
-	objective := objectiveMs(g.Job())
+	objective := g.Job().Objective().Milliseconds()
 	start := boundedMs(earliestStartMs(g), nowUnixMs)
 	key := sortKey{
 		group:      g,
@@ -77,15 +78,6 @@
 	return key
 }
 
-// objectiveMs returns the response time that the queue of the job promises.
-func objectiveMs(j *tracker.Job) int64 {
-	objective := float64(j.LongestPathMs())*j.Spec().GetStretch() + float64(j.Spec().GetObjectiveMs())
-	if math.IsNaN(objective) || objective < 0 {
-		return 0
-	}
-	return int64(min(objective, maxSpanMs))
-}
-
 // earliestStartMs returns the time, in Unix milliseconds, at which the occurrence
 // of the group could begin.
 func earliestStartMs(g *tracker.Group) int64 {
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -62,6 +63,9 @@
 	return groups
 }
 
+// waitingTasks returns the tasks of the group that wait for a run now.
+func waitingTasks(group *tracker.Group) []*tracker.Task { return slices.Collect(group.EachPending()) }
+
 func countByHost(plan []planner.Assignment) map[string]int {
 	byHost := map[string]int{}
 	for _, a := range plan {
@@ -176,25 +180,25 @@
 	p := &planner.Planner{}
 	host := newHost("a", 8)
 	batch := newJob("batch", 2, ordinary(6, 1000))
-	for _, task := range readyGroups(batch)[0].Tasks() {
+	for _, task := range waitingTasks(readyGroups(batch)[0]) {
 		task.Assign(host.Key, host.Name, 1, 0)
 		host.AddAssigned(task)
 	}
 	urgent := readyGroups(newJob("urgent", 0, serving("im")))[0]
-	victims := p.Preempt(urgent, urgent.Tasks()[0], []*planner.Host{host}, 0)
+	victims := p.Preempt(urgent, urgent.First(), []*planner.Host{host}, 0)
 	assert.Equal(t, len(victims), 2)
 	equal := readyGroups(newJob("equal", 2, serving("im")))[0]
-	assert.Equal(t, len(p.Preempt(equal, equal.Tasks()[0], []*planner.Host{host}, 0)), 0)
+	assert.Equal(t, len(p.Preempt(equal, equal.First(), []*planner.Host{host}, 0)), 0)
 
 	stopping := newHost("a", 8)
-	for i, task := range readyGroups(newJob("again", 2, ordinary(6, 1000)))[0].Tasks() {
+	for i, task := range waitingTasks(readyGroups(newJob("again", 2, ordinary(6, 1000)))[0]) {
 		task.Assign(stopping.Key, stopping.Name, 1, 0)
 		if i < 2 {
 			task.MarkStopping()
 		}
 		stopping.AddAssigned(task)
 	}
-	assert.Equal(t, len(p.Preempt(urgent, urgent.Tasks()[0], []*planner.Host{stopping}, 0)), 0)
+	assert.Equal(t, len(p.Preempt(urgent, urgent.First(), []*planner.Host{stopping}, 0)), 0)
 }
 
 // Guards against a suspect host that gets more than one probe.
@@ -235,7 +239,7 @@
 	suspect := newHost("a", 16)
 	suspect.Suspect = true
 	suspect.ProbesFrom = time.Minute
-	longRunning := readyGroups(newJob("1", 0, serving("im")))[0].Tasks()[0]
+	longRunning := readyGroups(newJob("1", 0, serving("im")))[0].First()
 	longRunning.Assign(suspect.Key, suspect.Name, 1, time.Second)
 	suspect.AddAssigned(longRunning)
 	p := &planner.Planner{}
@@ -245,7 +249,7 @@
 	probed := newHost("a", 16)
 	probed.Suspect = true
 	probed.ProbesFrom = time.Minute
-	probe := readyGroups(newJob("4", 0, ordinary(1, 500)))[0].Tasks()[0]
+	probe := readyGroups(newJob("4", 0, ordinary(1, 500)))[0].First()
 	probe.Assign(probed.Key, probed.Name, 1, 2*time.Minute)
 	probed.AddAssigned(probe)
 	assert.Equal(t, len(p.Plan(readyGroups(newJob("5", 0, ordinary(4, 500))), []*planner.Host{probed})), 0)
@@ -289,12 +293,12 @@
 			step.MaxUnavailable = test.limit
 			host := newHost("a", 6)
 			now := time.Hour
-			for _, task := range newJob("lasting", 5, step).Ready(0)[0].Tasks()[:test.assigned] {
+			for _, task := range waitingTasks(newJob("lasting", 5, step).Ready(0)[0])[:test.assigned] {
 				task.Assign(host.Key, host.Name, 1, now-cmp.Or(test.assignedAgo, time.Minute))
 				host.AddAssigned(task)
 			}
 			group := newJob("urgent", 0, ordinary(1, int64(test.urgentCores)*1000)).Ready(0)[0]
-			victims := (&planner.Planner{}).Preempt(group, group.Tasks()[0], []*planner.Host{host}, now)
+			victims := (&planner.Planner{}).Preempt(group, group.First(), []*planner.Host{host}, now)
 			assert.Equal(t, len(victims), test.victims)
 		})
 	}
--- a/planner/preview_test.go
+++ b/planner/preview_test.go
@@ -24,7 +24,7 @@
 	}
 	var waiting []*tracker.Group
 	for _, group := range groups {
-		if placed[group.Name()] < len(group.Tasks()) {
+		if placed[group.Name()] < len(waitingTasks(group)) {
 			waiting = append(waiting, group)
 		}
 	}
--- a/planner/probation_test.go
+++ b/planner/probation_test.go
@@ -15,7 +15,7 @@
 // suspectedJob returns a job whose tasks were lost in a crash on a host "crashed".
 func suspectedJob(id string, tasks int32) *tracker.Job {
 	j := newJob(id, 1, ordinary(tasks, 1000))
-	for _, task := range j.Ready(0)[0].Tasks() {
+	for _, task := range waitingTasks(j.Ready(0)[0]) {
 		task.Assign(tracker.ExecutorKey{ID: "crashed"}, "crashed", 1, time.Second)
 		task.Expose(1)
 		task.Lose()
@@ -32,7 +32,7 @@
 
 // assignedTo returns a task that was assigned to the host some time ago.
 func assignedTo(j *tracker.Job, name string, ago time.Duration) *tracker.Task {
-	task := j.Ready(0)[0].Tasks()[0]
+	task := j.Ready(0)[0].First()
 	task.Assign(tracker.ExecutorKey{ID: name}, name, task.Run()+1, planTime-ago)
 	return task
 }
@@ -60,7 +60,7 @@
 		assert.Equal(t, tasks[name], 1, "%v", tasks)
 	}
 	assert.Equal(t, len(plan), 22)
-	waiting := suspectedGroups[0].Tasks()[4]
+	waiting := waitingTasks(suspectedGroups[0])[4]
 	assert.DeepEqual(t, p.Obstacles(suspectedGroups[0], waiting, hosts), map[planner.Obstacle]int{planner.ObstacleProbation: len(hosts)})
 }
 
@@ -133,7 +133,7 @@
 	step := ordinary(6, 1000)
 	step.Gang = true
 	j := newJob("1", 1, step)
-	member := j.Ready(0)[0].Tasks()[0]
+	member := j.Ready(0)[0].First()
 	member.Assign(tracker.ExecutorKey{ID: "crashed"}, "crashed", 1, time.Second)
 	member.Expose(1)
 	member.Lose()
--- a/planner/probation_wait_test.go
+++ b/planner/probation_wait_test.go
@@ -83,6 +83,6 @@
 	assert.Equal(t, len(p.Plan(groups, hosts)), 0)
 	// The only host that may be in probation is: a start after this stop is refused
 	// in the next cycle as well.
-	victims := p.Preempt(groups[0], groups[0].Tasks()[0], hosts, planTime)
+	victims := p.Preempt(groups[0], groups[0].First(), hosts, planTime)
 	assert.Equal(t, len(victims), 0)
 }
--- a/planner/swings_test.go
+++ b/planner/swings_test.go
@@ -45,7 +45,7 @@
 		s.latencies[name] = &planner.LatencyHistory{}
 		busy := newJob("busy-"+name, 0, serving("serving"), bestEffort(running, "batch"))
 		for _, group := range busy.Ready(0) {
-			for _, task := range group.Tasks() {
+			for _, task := range waitingTasks(group) {
 				task.Assign(tracker.ExecutorKey{ID: name}, name, 1, time.Second)
 				s.tasks[name] = append(s.tasks[name], task)
 			}
--- a/planner/wait_test.go
+++ b/planner/wait_test.go
@@ -104,7 +104,7 @@
 	} {
 		host := newHost("a", 16)
 		busy := newJob("0", 0, ordinary(1, test.busy))
-		task := readyGroups(busy)[0].Tasks()[0]
+		task := readyGroups(busy)[0].First()
 		task.Assign(host.Key, "a", 1, time.Second)
 		host.AddAssigned(task)
 		var percents []int32
@@ -127,7 +127,7 @@
 	assert.Equal(t, l.Ratio(), 0.8)
 	assert.Assert(t, l.Measured())
 
-	task := readyGroups(newJob("1", 2, bestEffort(1, "batch")))[0].Tasks()[0]
+	task := readyGroups(newJob("1", 2, bestEffort(1, "batch")))[0].First()
 	task.Assign(tracker.ExecutorKey{ID: "a"}, "a", 1, time.Second)
 	l.Force(task)
 	listed := []*wire.TaskRun{{Task: task.ID().String(), Run: 1}}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -88,15 +88,15 @@
 	silenceReportedAt time.Duration
 	// outdated counts the latest announcements with a lower sequence number than
 	// that of info, outdatedSequence is the number of the last of them.
-	outdated int
+	outdated         int
+	outdatedSequence int64
 	// candidate is an announced executor that may have replaced the present one, which
 	// responded lately; candidateAt is when it was announced last.
-	candidate        *wire.ExecutorInfo
-	candidateAt      time.Duration
-	outdatedSequence int64
-	executorClock    clockReading
-	lastContact      time.Duration
-	renewFailures    int
+	candidate     *wire.ExecutorInfo
+	candidateAt   time.Duration
+	executorClock clockReading
+	lastContact   time.Duration
+	renewFailures int
 	// reportedCapacity is the latest capacity that the leader is known to have
 	// received in this session.
 	reportedCapacity *wire.Resources
--- a/screener/model_test.go
+++ b/screener/model_test.go
@@ -9,7 +9,7 @@
 
 	"damaskspread.example/damaskspread/appraiser"
 	"damaskspread.example/damaskspread/planner"
-	"damaskspread.example/damaskspread/screener"
+	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
 )
 
@@ -172,7 +172,7 @@
 	for c, at := range acceptedAt {
 		o.accepted++
 		o.acceptedBySize[c.size]++
-		objective := screener.Objective(c.job)
+		objective := tracker.Objective(c.job)
 		switch took := c.ended - at; {
 		case took <= objective:
 			o.inTime++
@@ -229,7 +229,7 @@
 // waitingOf describes a waiting job to the planner.
 func waitingOf(c *caller, acceptedAt, now time.Duration) planner.Waiting {
 	start := time.Unix(0, 0).Add(acceptedAt)
-	objective := screener.Objective(c.job)
+	objective := tracker.Objective(c.job)
 	return planner.Waiting{
 		Deadline:  start.Add(objective),
 		Overdue:   start.Add(3 * objective),
--- a/screener/screener.go
+++ b/screener/screener.go
@@ -119,7 +119,7 @@
 // MayRefuse reports whether a job with the policy of its queue set can be refused
 // under some load.
 func (s *Screener) MayRefuse(job *wire.Job) bool {
-	if job.GetPriority() < s.FromPriority || job.GetRepeatCount() > 1 || Objective(job) <= 0 {
+	if job.GetPriority() < s.FromPriority || job.GetRepeatCount() > 1 || tracker.Objective(job) <= 0 {
 		return false
 	}
 	for _, step := range job.GetSteps() {
@@ -168,7 +168,7 @@
 		admitted = &[appraiser.DeadlineBuckets]float64{}
 		s.admitted[job.GetQueue()] = admitted
 	}
-	admitted[appraiser.DeadlineBucket(Objective(job))] += work
+	admitted[appraiser.DeadlineBucket(tracker.Objective(job))] += work
 }
 
 // admittedAhead divides the work of a queue that was admitted since the estimate like
@@ -197,7 +197,7 @@
 		decision.Reason = ReasonNoWait
 		return
 	}
-	objective := Objective(job)
+	objective := tracker.Objective(job)
 	of := kind{
 		queue:      job.GetQueue(),
 		bestEffort: filler,
@@ -238,16 +238,6 @@
 	return nil
 }
 
-// Objective returns the latency objective of a job with the policy of its queue set.
-func Objective(job *wire.Job) time.Duration {
-	chain := float64(tracker.LongestChainMs(job.GetSteps()))
-	objective := job.GetStretch()*chain + float64(job.GetObjectiveMs())
-	if math.IsNaN(objective) || objective < 0 {
-		return 0
-	}
-	return time.Duration(min(objective, float64(tracker.MaxEstimate.Milliseconds()))) * time.Millisecond
-}
-
 func bestEffort(job *wire.Job) bool {
 	for _, step := range job.GetSteps() {
 		if step.GetFillsIdle() {
@@ -267,7 +257,7 @@
 			waves = math.Ceil(cores / speed)
 		}
 		steps[i] = &wire.JobStep{
-			EstimateMs: int64(min(float64(step.GetEstimateMs())*ratio*waves, float64(tracker.MaxEstimate.Milliseconds()))),
+			EstimateMs: int64(min(float64(step.GetEstimateMs())*ratio*waves, float64(tracker.MaxSpan.Milliseconds()))),
 			After:      step.GetAfter(),
 		}
 	}
--- a/screener/wait.go
+++ b/screener/wait.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"damaskspread.example/damaskspread/appraiser"
+	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
 )
 
@@ -87,7 +88,7 @@
 // wait predicts how long a job of the queue waits behind the work of the service that
 // goes first. Work that is still to arrive isn't known and doesn't count.
 func (s *Screener) wait(estimate *wire.LoadEstimate, queue *wire.QueueLoad, job *wire.Job) waits {
-	objective, filler := Objective(job), bestEffort(job)
+	objective, filler := tracker.Objective(job), bestEffort(job)
 	own := workOf(queue, filler)
 	var onTime, late, running, rate float64
 	oldest := time.Duration(0)
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -146,8 +146,8 @@
 }
 
 // append returns the offset of the record once it is in the log. A record that the log
-// rejects is refused with ReasonTooLarge. If ctx ends first, the outcome of the refusal is not_run if no append can have taken effect,
-// otherwise unknown.
+// rejects is refused with ReasonTooLarge. If ctx ends first, the outcome of the refusal is
+// not_run if no append can have taken effect, otherwise unknown.
 func (s *Submitter) append(ctx context.Context, record *wire.KeyedRecord) (int64, error) {
 	queued := s.appender.add(record)
 	select {
--- a/tracker/clearance.go
+++ b/tracker/clearance.go
@@ -30,13 +30,13 @@
 // task; those of a gang, once all its members have outlived theirs.
 func (t *Task) outlive(run int32) bool {
 	t.outlivedRun = run
-	for _, member := range t.members() {
+	for _, member := range t.Members() {
 		if member.outlivedRun != run {
 			return false
 		}
 	}
 	dropped := false
-	for _, member := range t.members() {
+	for _, member := range t.Members() {
 		dropped = member.clear(run) || dropped
 	}
 	return dropped
--- a/tracker/clearance_test.go
+++ b/tracker/clearance_test.go
@@ -130,7 +130,7 @@
 // Guards against a gang that is cleared although one of its members crashes executors.
 func TestGangIsClearedByAllMembers(t *testing.T) {
 	j := tracker.New(jobWith(&wire.JobStep{Count: 2, Gang: true}))
-	members := j.Ready(0)[0].Tasks()
+	members := waitingTasks(j.Ready(0)[0])
 	loseExposed(members[0], 1)
 	assert.Assert(t, !outlive(members[0], 2))
 	assert.Equal(t, members[0].Crashes(), int32(1))
--- a/tracker/crash.go
+++ b/tracker/crash.go
@@ -31,8 +31,8 @@
 	return t.ID().String()
 }
 
-// members returns all members of a gang, otherwise the task alone.
-func (t *Task) members() []*Task {
+// Members returns all members of a gang, otherwise the task alone.
+func (t *Task) Members() []*Task {
 	if t.Step().GetGang() {
 		return slices.Collect(t.step.known())
 	}
@@ -139,7 +139,7 @@
 // chance.
 func (t *Task) CrashEvidence() assessor.Evidence {
 	evidence := assessor.Evidence{Crashes: t.Crashes()}
-	for _, member := range t.members() {
+	for _, member := range t.Members() {
 		evidence.Counted += member.crashes
 		unweighed := member.crashes - member.cleared - member.weighed
 		evidence.LogChance += member.logChance + float64(unweighed)*t.logCrashChance()
--- a/tracker/crash_test.go
+++ b/tracker/crash_test.go
@@ -92,12 +92,12 @@
 // lost in one crash, or never because each crash takes another member.
 func TestGangCrashes(t *testing.T) {
 	j := tracker.New(jobWith(&wire.JobStep{Count: 3, Gang: true}))
-	members := j.Ready(0)[0].Tasks()
+	members := waitingTasks(j.Ready(0)[0])
 	for _, member := range members {
 		assert.Equal(t, loseExposed(member, 1), true)
 	}
 	j = restored(j)
-	members = j.Ready(0)[0].Tasks()
+	members = waitingTasks(j.Ready(0)[0])
 	assert.Equal(t, members[0].Crashes(), int32(1))
 	loseExposed(members[1], 2)
 	assert.Equal(t, members[0].Crashes(), int32(2))
--- a/tracker/ends.go
+++ b/tracker/ends.go
@@ -49,7 +49,7 @@
 
 // markDone marks the task as done. A gang is done as soon as one member is.
 func (t *Task) markDone() {
-	for _, member := range t.members() {
+	for _, member := range t.Members() {
 		member.setState(wire.JobTaskState_JOB_TASK_STATE_DONE, ExecutorKey{})
 		member.stopping = false
 		member.markChanged()
--- a/tracker/group.go
+++ b/tracker/group.go
@@ -2,7 +2,6 @@
 
 import (
 	"iter"
-	"slices"
 	"time"
 
 	"damaskspread.example/damaskspread/wire"
@@ -13,8 +12,6 @@
 	job        *Job
 	occurrence int
 	step       int
-	// tasks are those of the first call of Tasks.
-	tasks []*Task
 	// excluded has the indexes of waiting tasks that Without has taken out.
 	excluded map[int]bool
 	waited   time.Duration
@@ -71,10 +68,7 @@
 		}
 		state := g.job.openStep(g.occurrence, g.step)
 		for i := range state.size() {
-			if g.excluded[i] || state.tasks != nil && state.tasks[i] != nil && !state.tasks[i].Pending() {
-				continue
-			}
-			if !yield(state.task(i)) {
+			if !g.excluded[i] && state.isPending(i) && !yield(state.task(i)) {
 				return
 			}
 		}
@@ -112,26 +106,17 @@
 	return nil
 }
 
-// Tasks returns the tasks that waited for a run at its first call. It creates all of them.
-func (g *Group) Tasks() []*Task {
-	if g.tasks == nil {
-		g.tasks = slices.Collect(g.EachPending())
-	}
-	return g.tasks
-}
-
 // Without returns the group without the tasks with the given names, or nil if none of
 // its tasks is left. Of a gang, which starts as a whole, none is left without any one.
 func (g *Group) Without(names map[string]bool) *Group {
 	rest := *g
-	rest.tasks = nil
 	rest.excluded = map[int]bool{}
 	for name := range names {
 		if GroupOf(name) != g.Name() {
 			continue
 		}
 		id, err := ParseTaskID(name)
-		if err == nil && id.Index < g.Size() && g.isPending(id.Index) {
+		if err == nil && id.Index < g.Size() && g.state().isPending(id.Index) {
 			rest.excluded[id.Index] = true
 		}
 	}
@@ -141,14 +126,6 @@
 	return &rest
 }
 
-func (g *Group) isPending(index int) bool {
-	state := g.state()
-	if state == nil || state.tasks == nil || state.tasks[index] == nil {
-		return true
-	}
-	return state.tasks[index].Pending()
-}
-
 // NextRun returns the run number for the next start of a gang, which all its
 // tasks share.
 func (g *Group) NextRun() int32 {
@@ -161,13 +138,5 @@
 	return run + 1
 }
 
-// Group returns the group of the task. Its Tasks returns this task only, whatever
-// the task's state.
-func (t *Task) Group() *Group {
-	g := t.Job().group(t.step.occurrence.index, t.step.index)
-	g.tasks = []*Task{t}
-	return g
-}
-
-// Members returns all tasks of the task's gang, or the task alone.
-func (t *Task) Members() []*Task { return t.members() }
+// Group returns the group of the task, whatever its state.
+func (t *Task) Group() *Group { return t.Job().group(t.step.occurrence.index, t.step.index) }
--- a/tracker/occurrence.go
+++ b/tracker/occurrence.go
@@ -114,6 +114,12 @@
 	return s.tasks[index]
 }
 
+// isPending reports whether the task with the given index waits for a run. All tasks of a
+// step without a state do.
+func (s *stepState) isPending(index int) bool {
+	return s == nil || s.tasks == nil || s.tasks[index] == nil || s.tasks[index].Pending()
+}
+
 // known iterates over the tasks that were needed so far. All others are pending and never
 // had a run.
 func (s *stepState) known() iter.Seq[*Task] {
--- a/tracker/older_runs.go
+++ b/tracker/older_runs.go
@@ -41,18 +41,14 @@
 func (t *Task) restoreOlderRuns(stored []*wire.OlderRun, executors []*wire.ExecutorRef) {
 	t.olderRuns = nil
 	for _, older := range stored {
-		index := int(older.GetExecutorIndex())
-		if index <= 0 || index > len(executors) {
+		ref := executorAt(executors, older.GetExecutorIndex())
+		if ref == nil {
 			continue
 		}
-		ref := executors[index-1]
 		t.olderRuns = append(t.olderRuns, OlderRun{
-			Run: older.GetRun(),
-			Executor: ExecutorKey{
-				ID:         ref.GetId(),
-				BornUnixMs: ref.GetBornUnixMs(),
-			},
-			Host: ref.GetHost(),
+			Run:      older.GetRun(),
+			Executor: keyOf(ref),
+			Host:     ref.GetHost(),
 		})
 	}
 }
--- a/tracker/predictions.go
+++ b/tracker/predictions.go
@@ -34,7 +34,7 @@
 	if j.predictedTaskMs != nil {
 		return j.predictedTaskMs[step]
 	}
-	return min(j.spec.GetSteps()[step].GetEstimateMs(), MaxEstimate.Milliseconds())
+	return DeclaredRunTime(j.spec.GetSteps()[step]).Milliseconds()
 }
 
 // OpenTasks returns the number of tasks of a step that are not done, in the
--- a/tracker/progress.go
+++ b/tracker/progress.go
@@ -86,13 +86,8 @@
 		BornUnixMs: progress.GetExecutorBornUnixMs(),
 	}
 	t.host = progress.GetHost()
-	if index := int(progress.GetExecutorIndex()); index > 0 && index <= len(executors) {
-		ref := executors[index-1]
-		executor = ExecutorKey{
-			ID:         ref.GetId(),
-			BornUnixMs: ref.GetBornUnixMs(),
-		}
-		t.host = ref.GetHost()
+	if ref := executorAt(executors, progress.GetExecutorIndex()); ref != nil {
+		executor, t.host = keyOf(ref), ref.GetHost()
 	}
 	t.run = progress.GetRun()
 	t.failures = progress.GetFailures()
@@ -224,6 +219,7 @@
 	return progress
 }
 
+// executorIndex returns the index of an executor for executorAt, and adds it once.
 func (w *progressWriter) executorIndex(executor ExecutorKey, host string) int32 {
 	index := w.executors[executor]
 	if index > 0 {
@@ -238,3 +234,18 @@
 	w.executors[executor] = index
 	return index
 }
+
+// executorAt returns the executor with an index that counts from 1, nil if there is none.
+func executorAt(executors []*wire.ExecutorRef, index int32) *wire.ExecutorRef {
+	if index <= 0 || int(index) > len(executors) {
+		return nil
+	}
+	return executors[index-1]
+}
+
+func keyOf(executor *wire.ExecutorRef) ExecutorKey {
+	return ExecutorKey{
+		ID:         executor.GetId(),
+		BornUnixMs: executor.GetBornUnixMs(),
+	}
+}
--- a/tracker/size_test.go
+++ b/tracker/size_test.go
@@ -84,7 +84,7 @@
 	grown := heapBytes(func() any {
 		for k := range int64(1000) {
 			for _, group := range j.Ready((k + 1) * hourMs) {
-				for _, task := range group.Tasks() {
+				for _, task := range waitingTasks(group) {
 					task.Assign(tracker.ExecutorKey{ID: "i"}, "host", 1, time.Hour)
 					assert.Assert(t, task.End(runEnd(1, wire.EndCause_END_CAUSE_DONE, ""), "i"))
 					ends++
@@ -135,7 +135,7 @@
 	j := tracker.New(spec)
 	checkpoint := strings.Repeat("c", tracker.MaxCheckpointBytes)
 	for _, group := range j.Ready(0) {
-		for i, task := range group.Tasks() {
+		for i, task := range waitingTasks(group) {
 			executor := tracker.ExecutorKey{ID: fmt.Sprintf("executor-%d", i), BornUnixMs: 1_800_000_000_000}
 			task.Assign(executor, "host-"+executor.ID, 7, time.Hour)
 			if i%3 > 0 {
@@ -243,7 +243,7 @@
 		Steps:            []*wire.JobStep{{Count: 1, EstimateMs: far}, {Count: 1, EstimateMs: far, After: []int32{0}}},
 	})
 	assert.Equal(t, len(j.Ready(1_800_000_000_000)), 1)
-	assert.Equal(t, j.LongestPathMs(), 2*tracker.MaxEstimate.Milliseconds())
+	assert.Equal(t, j.LongestPathMs(), 2*tracker.MaxSpan.Milliseconds())
 }
 
 // BenchmarkJobMemory reports the bytes of the live heap for an open job, a due occurrence
@@ -275,7 +275,7 @@
 		}},
 		{name: "assigned task", build: func() any {
 			j := tracker.New(&wire.Job{Id: "a1", Steps: []*wire.JobStep{{Count: count}}})
-			for _, task := range j.Ready(0)[0].Tasks() {
+			for _, task := range waitingTasks(j.Ready(0)[0]) {
 				task.Assign(tracker.ExecutorKey{ID: "i"}, "host", 1, time.Hour)
 			}
 			return j
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -13,7 +13,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"damaskspread.example/damaskspread/wire"
 )
@@ -109,8 +108,9 @@
 }
 
 // MarkStarted records that a task of the job has started: an executor lists its run, a run
-// has ended, or an executor has crashed after it had started one. An assignment alone is no start, since its executor may not respond. It is
-// not stored, because the status that callers see is.
+// has ended, or an executor has crashed after it had started one. An assignment alone is
+// no start, since its executor may not respond. It is not stored, because the status that
+// callers see is.
 func (j *Job) MarkStarted() { j.started = true }
 
 // Started reports whether MarkStarted was called.
@@ -149,15 +149,11 @@
 // steps by the declared estimates, which the objective of the job is defined by.
 func (j *Job) LongestPathMs() int64 { return slices.Max(j.remainingMs) }
 
-// MaxEstimate bounds declared run times to a year, so that the sum of a chain in waves
-// doesn't overflow.
-const MaxEstimate = 365 * 24 * time.Hour
-
-// declaredMs returns the declared estimate of each step, at most MaxEstimate.
+// declaredMs returns the declared run time of each step.
 func declaredMs(steps []*wire.JobStep) []int64 {
 	estimates := make([]int64, len(steps))
 	for i, step := range steps {
-		estimates[i] = min(step.GetEstimateMs(), MaxEstimate.Milliseconds())
+		estimates[i] = DeclaredRunTime(step).Milliseconds()
 	}
 	return estimates
 }
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -25,11 +26,14 @@
 	return &wire.RunEnd{Run: run, Cause: cause, Checkpoint: checkpoint}
 }
 
+// waitingTasks returns the tasks of the group that wait for a run now.
+func waitingTasks(group *tracker.Group) []*tracker.Task { return slices.Collect(group.EachPending()) }
+
 func firstReady(t *testing.T, j *tracker.Job) *tracker.Task {
 	t.Helper()
 	groups := j.Ready(0)
-	assert.Assert(t, len(groups) > 0 && len(groups[0].Tasks()) > 0)
-	return groups[0].Tasks()[0]
+	assert.Assert(t, len(groups) > 0 && len(waitingTasks(groups[0])) > 0)
+	return groups[0].First()
 }
 
 // Guards against steps that become ready before the steps they depend on are
@@ -127,7 +131,7 @@
 	assert.Equal(t, restoredTask.Executor(), executorKey)
 	assert.Equal(t, restoredTask.Host(), "host")
 	assert.Equal(t, restoredTask.Checkpoint(), "cp")
-	assert.Equal(t, len(restored.Ready(0)[0].Tasks()), 1)
+	assert.Equal(t, len(waitingTasks(restored.Ready(0)[0])), 1)
 	assert.Equal(t, restored.State(), wire.JobState_JOB_STATE_RUNNING)
 }
 
@@ -153,17 +157,17 @@
 	j := tracker.New(jobWith(&wire.JobStep{Count: 3, Gang: true}))
 	group := j.Ready(0)[0]
 	assert.Equal(t, group.NextRun(), int32(1))
-	for _, task := range group.Tasks() {
+	tasks := waitingTasks(group)
+	for _, task := range tasks {
 		task.Assign(executorKey, "host", 1, 0)
 	}
-	tasks := group.Tasks()
 	tasks[0].End(runEnd(1, wire.EndCause_END_CAUSE_FAILED, "cp"), executorKey.ID)
 	tasks[1].End(runEnd(1, wire.EndCause_END_CAUSE_GANG_BROKEN, ""), executorKey.ID)
-	assert.Equal(t, len(j.Ready(0)[0].Tasks()), 2)
+	assert.Equal(t, len(waitingTasks(j.Ready(0)[0])), 2)
 	tasks[2].End(runEnd(1, wire.EndCause_END_CAUSE_GANG_BROKEN, ""), executorKey.ID)
 	group = j.Ready(0)[0]
 	assert.Equal(t, group.NextRun(), int32(2))
-	for _, task := range group.Tasks() {
+	for _, task := range waitingTasks(group) {
 		assert.Equal(t, task.Checkpoint(), "cp")
 		task.Assign(executorKey, "host", 2, 0)
 	}
@@ -180,7 +184,7 @@
 	assert.Equal(t, len(j.Ready(1499)), 1)
 	assert.Equal(t, len(j.Ready(1500)), 2)
 	assert.Equal(t, len(j.Ready(9000)), 3)
-	assert.Equal(t, j.Ready(9000)[2].Tasks()[0].ID().String(), "a1.2.0.0")
+	assert.Equal(t, j.Ready(9000)[2].First().ID().String(), "a1.2.0.0")
 }
 
 // Guards against a job that is taken for one that runs while its task is only assigned: the
@@ -272,7 +276,7 @@
 // tasks on 20 executors is stored again with each start and end.
 func TestProgressIsCompact(t *testing.T) {
 	j := tracker.New(jobWith(&wire.JobStep{Count: 40}, &wire.JobStep{Count: 40, After: []int32{0}}))
-	for i, task := range j.Ready(0)[0].Tasks() {
+	for i, task := range waitingTasks(j.Ready(0)[0]) {
 		name := strconv.Itoa(i % 20)
 		task.Assign(tracker.ExecutorKey{ID: "i-1c87246b5" + name, BornUnixMs: 1_800_000_000_000}, "side-qc-est-a-"+name, 1, time.Hour)
 	}
--- a/tracker/work_test.go
+++ b/tracker/work_test.go
@@ -23,7 +23,7 @@
 	}
 	job := tracker.New(&wire.Job{Id: "j", Steps: []*wire.JobStep{step(4, 500, 2000), step(2, 2000, 1000, 0)}})
 	group := job.Ready(0)[0]
-	tasks := group.Tasks()
+	tasks := waitingTasks(group)
 	pending, total := group.Work()
 	assert.Equal(t, pending, 8.0)
 	assert.Equal(t, total, 8.0)
