Entry: a record that the log rejects is no outage and is not repeated

What callers saw: nothing yet; found by re-reading the change. After the log had rejected one record, an entry counted the log as unavailable until the next success. More than 1 s later, a job that arrived during the append of another was refused with log_unavailable, although the log answered. A record with an earlier append of unknown outcome that the log then rejected was appended again without a pause, ahead of all other jobs, until its caller gave up.

Cause: the batch appender had learned to divide a rejected batch, but its health still took each error for an outage, and a rejected record was settled only if its outcome was known, while the loop paused after no rejection.

Evidence: the two new tests fail on the code before: innocent job refused with log_unavailable; 1000 rejections of one record taken up in 5 ms, after which the scripted log accepted it.

Ruled out: the leader's writer, which divides a batch until it is done, without a list of waiting records; the elector's and the operator's appends, which report the error to their caller.

Change: a rejection counts as an answer of the log. A record that is rejected alone is settled in any case: its caller is told too_large, or append_unknown if an earlier append may have taken effect, which it was told before only after its deadline. A batch is divided after each rejection.

--- a/submitter/committer.go
+++ b/submitter/committer.go
@@ -50,10 +50,14 @@
 // result returns the offset of a record, or the refusal of one that the log rejects. It
 // may be called once done is closed.
 func (q *queuedRecord) result() (int64, error) {
-	if q.rejected {
+	switch {
+	case !q.rejected:
+		return q.offset, nil
+	case q.maybeAppended:
+		return 0, appendRefusal(true, q.err)
+	default:
 		return 0, damaskspread.NotRun(damaskspread.ReasonTooLarge, "%v", q.err)
 	}
-	return q.offset, nil
 }
 
 // batchAppender appends the records of concurrent calls in batches, one append
@@ -150,8 +154,7 @@
 		result, outcomeCertain, err := c.appendHedged(ctx, batch)
 		c.recordHealth(began, err)
 		c.complete(batch, result, outcomeCertain, err)
-		var rejected *damaskspread.AppendRejectedError
-		if err == nil || errors.As(err, &rejected) {
+		if err == nil || isRejection(err) {
 			delay = minRetryDelay
 			continue
 		}
@@ -161,13 +164,20 @@
 	return nil
 }
 
-// recordHealth records since when appends have failed.
+// isRejection reports whether the log has answered an append and takes none of its records.
+func isRejection(err error) bool {
+	var rejected *damaskspread.AppendRejectedError
+	return errors.As(err, &rejected)
+}
+
+// recordHealth records since when appends have failed. A log that rejects records is
+// available.
 func (c *batchAppender) recordHealth(began time.Time, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.failure = err
 	switch {
-	case err == nil:
+	case err == nil || isRejection(err):
 		c.failingSince = time.Time{}
 	case c.failingSince.IsZero():
 		c.failingSince = began
@@ -175,16 +185,16 @@
 }
 
 // complete ends the calls of an appended batch, and that of a record which the log
-// rejects alone. After another failed append the records stay pending and are appended
-// again.
+// rejects alone. A larger batch that is rejected is divided, so that one bad record doesn't
+// keep back the others. After another failed append the records stay pending and are
+// appended again.
 func (c *batchAppender) complete(batch []*queuedRecord, result *wire.AppendResult, outcomeCertain bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	settled := map[*queuedRecord]bool{}
 	c.batchLimit = 0
-	var rejected *damaskspread.AppendRejectedError
-	if errors.As(err, &rejected) && outcomeCertain {
-		// One bad record must not keep back the others.
+	rejected := isRejection(err)
+	if rejected {
 		c.batchLimit = max(1, len(batch)/2)
 	}
 	for i, queued := range batch {
@@ -197,7 +207,7 @@
 		}
 		queued.outcomeUnknown = queued.outcomeUnknown || !outcomeCertain
 		queued.maybeAppended = queued.outcomeUnknown
-		if rejected != nil && len(batch) == 1 && !queued.outcomeUnknown {
+		if rejected && len(batch) == 1 {
 			queued.rejected = true
 			settled[queued] = true
 			close(queued.done)
--- a/submitter/rejected_test.go
+++ b/submitter/rejected_test.go
@@ -1,10 +1,14 @@
 package submitter_test
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
@@ -52,3 +56,52 @@
 		}
 	}
 }
+
+// scriptedLog answers its first appends with the errors, and the later ones after the pause.
+type scriptedLog struct {
+	damaskspread.KeyedLog
+	errs  []error
+	pause time.Duration
+	calls atomic.Int64
+}
+
+func (l *scriptedLog) Append(ctx context.Context, topic string, records []*wire.KeyedRecord, condition *wire.AppendCondition) (*wire.AppendResult, error) {
+	if call := int(l.calls.Add(1)); call <= len(l.errs) {
+		return nil, l.errs[call-1]
+	}
+	time.Sleep(l.pause)
+	return l.KeyedLog.Append(ctx, topic, records, condition)
+}
+
+// Guards against a record whose outcome is unknown when the log rejects it, and which is
+// then repeated without a pause, ahead of all other jobs.
+func TestRejectedRecordOfUnknownOutcomeIsNotRepeated(t *testing.T) {
+	e := newEntry(t, &emulator.KeyedLog{Clock: clockwork.NewRealClock()}, false, 0)
+	scripted := &scriptedLog{KeyedLog: e.client, errs: []error{&damaskspread.AppendUnknownError{Cause: errors.New("no response")}}}
+	for range 1000 {
+		scripted.errs = append(scripted.errs, &damaskspread.AppendRejectedError{Cause: errors.New("too large")})
+	}
+	e.counted.KeyedLog = scripted
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	assert.Equal(t, reasonOf(e.submit(ctx, id)), damaskspread.ReasonAppendUnknown)
+	assert.Equal(t, scripted.calls.Load(), int64(2))
+}
+
+// Guards against a log that counts as unavailable because it has rejected a record: the
+// jobs that arrive during the next append would be refused.
+func TestRejectionIsNoOutage(t *testing.T) {
+	e := newEntry(t, &emulator.KeyedLog{Clock: clockwork.NewRealClock()}, true, 0)
+	e.counted.KeyedLog = &scriptedLog{
+		KeyedLog: e.client,
+		errs:     []error{&damaskspread.AppendRejectedError{Cause: errors.New("too large")}},
+		pause:    200 * time.Millisecond,
+	}
+	assert.Equal(t, reasonOf(e.submit(t.Context(), id)), damaskspread.ReasonTooLarge)
+	time.Sleep(1100 * time.Millisecond)
+	first := make(chan error, 1)
+	go func() { first <- e.submit(t.Context(), "00000000000000aa") }()
+	time.Sleep(50 * time.Millisecond)
+	assert.NilError(t, e.submit(t.Context(), "00000000000000bb"))
+	assert.NilError(t, <-first)
+}
