The wait for the lease of a lost executor is counted from the last record of its leader

Cause: each new leader waited 5 s + 1.05 × lease + 0.2 s from its own takeover, because any earlier leader might have extended the lease until then. The class of fault: a wait that begins again with each leader and counts from the takeover, not from the last grant.

Ruled out: a refused connection as proof that the executor has ended (a reset shows the same, and the runs of a living executor would double); a shorter wait without a change of the grants (the leader of before could extend a lease for 5 s after its last renewal).

Change: a lease ends one lease duration after the last confirmed renewal of the leader. Before it grants an executor a lease, the leader stores the session (.session.HOST in the progress topic), and the record of the leader topic after which it has granted it nothing once the agent is silent. A new leader counts from when it has read that record, or the last one of the session's leader. Every second it stores what is left of the wait, for later leaders that have not read the records. Leases last 6.8 s at most. Executors without a stored session wait as before: leaders of earlier versions stored none. TestAllPartsOfAClosedJobAreRemoved looked for an empty topic, which now also holds the sessions; it looks for records of the job, whose removal it guards.

--- a/coordinator/absence.go
+++ b/coordinator/absence.go
@@ -106,6 +106,7 @@
 			delete(c.orphans, a.key)
 			cycle.lostExecutors = append(cycle.lostExecutors, lostExecutor{
 				key:     a.key,
+				host:    a.host,
 				session: a.session,
 				cause:   tracer.LossLeft,
 			})
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -47,20 +47,8 @@
 	// maxInputAge is the age of the known jobs or of the configuration above
 	// which no tasks are assigned.
 	maxInputAge = 1500 * time.Millisecond
-	// leaseDriftFactor lengthens the assumed lease for executors whose clock runs
-	// slow; leaseSlack is a fixed margin on top.
-	leaseDriftFactor = 1.05
-	leaseSlack       = 200 * time.Millisecond
 )
 
-// orphan is an executor to which an earlier leader assigned tasks and whose
-// agent has not opened a session with this leader.
-type orphan struct {
-	host string
-	// deadline is the latest time at which the executor may hold a lease.
-	deadline time.Duration
-}
-
 // Coordinator schedules jobs while this process is the leader. The exported
 // fields are set before Init and Run. The exported methods are safe for
 // concurrent use.
@@ -104,7 +92,10 @@
 	issuedTokens int64
 	sessions     map[string]*session     // by host
 	histories    map[string]*hostHistory // of this leader's term, by host
-	changedJobs  map[string]bool
+	// storedSessions has what is stored of the sessions, also those of earlier leaders,
+	// by host.
+	storedSessions map[string]*wire.ExecutorSession
+	changedJobs    map[string]bool
 	// lostExecutors are executor incarnations that have left or were replaced.
 	lostExecutors []lostExecutor
 	// witnessedEnds are those of lostExecutors whose agent has outlived them.
@@ -177,6 +168,7 @@
 	c.previews = make(chan *previewCall, maxPreviewCalls)
 	c.sessions = map[string]*session{}
 	c.histories = map[string]*hostHistory{}
+	c.storedSessions = map[string]*wire.ExecutorSession{}
 	c.changedJobs = map[string]bool{}
 	if c.LearnRunTimes {
 		c.runTimes = &runTimes{}
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -27,6 +27,9 @@
 	lostExecutors []lostExecutor
 	witnessedEnds []witnessedEnd
 	absences      []*absence
+	// sessionRecords are the changes of storedSessions, by host. An empty one removes
+	// what is stored.
+	sessionRecords map[string]*wire.ExecutorSession
 	// witnessed has the keys of witnessedEnds.
 	witnessed map[tracker.ExecutorKey]bool
 	views     []*sessionView
@@ -76,6 +79,7 @@
 	c.applyReports(cycle)
 	c.applyAbsences(cycle)
 	c.releaseLostTasks(cycle)
+	c.storeOrphans(cycle)
 	c.stopFinishedJobs(cycle)
 	c.observeUsage(cycle)
 	c.runTimes.predict(c.jobs, cycle.views, cycle.now)
@@ -113,6 +117,8 @@
 		absences:      c.absences,
 		witnessed:     map[tracker.ExecutorKey]bool{},
 		byKey:         map[tracker.ExecutorKey]*sessionView{},
+
+		sessionRecords: map[string]*wire.ExecutorSession{},
 	}
 	c.changedJobs = map[string]bool{}
 	c.lostExecutors = nil
@@ -126,11 +132,13 @@
 			s.notify()
 			cycle.lostExecutors = append(cycle.lostExecutors, lostExecutor{
 				key:     s.key,
+				host:    host,
 				session: s.id,
 				cause:   tracer.LossLeaseExpired,
 			})
 			continue
 		}
+		c.reviewGrant(cycle, s)
 		cycle.add(s)
 	}
 	return cycle
@@ -252,6 +260,7 @@
 	for _, a := range cycle.absences {
 		close(a.stored)
 	}
+	c.publishGrants(cycle)
 	for _, view := range cycle.views {
 		s := view.session
 		if c.sessions[view.host] != s {
--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -58,10 +58,10 @@
 		s = c.openSession(report)
 	}
 	updated := s.applyReport(report, now)
-	if s.reachable && c.Elector.ConfirmationAge() < elector.LeaseGrantWindow {
+	if s.reachable && c.leaseLeft() > 0 {
 		s.leaseEnd = now + c.leaseBound()
 	}
-	if updated || s.opening {
+	if updated || s.opening || s.reachable && !s.granting {
 		c.signal()
 	}
 	return s, nil
@@ -89,6 +89,7 @@
 		if previous.key != s.key {
 			c.lostExecutors = append(c.lostExecutors, lostExecutor{
 				key:        previous.key,
+				host:       previous.host,
 				session:    previous.id,
 				cause:      tracer.LossReplaced,
 				replacedBy: s.id,
@@ -98,7 +99,9 @@
 			}
 		}
 	}
-	s.leaseEnd = c.Elapsed.Elapsed() + c.leaseBound()
+	s.granting = c.mayGrant(s.host, s.key)
+	s.lastGrantAt = c.Elapsed.Elapsed()
+	s.leaseEnd = s.lastGrantAt + c.leaseBound()
 	c.sessions[s.host] = s
 	if c.histories[s.host] == nil {
 		c.histories[s.host] = &hostHistory{}
@@ -122,8 +125,9 @@
 	}
 }
 
-// waitForUpdate waits until there are orders, or records of run ends or exposures,
-// that the agent has not received, the session has ended, or the requested wait has passed.
+// waitForUpdate waits until there are orders, records of run ends or exposures, or a first
+// lease that the agent has not received, the session has ended, or the requested wait has
+// passed.
 func (c *Coordinator) waitForUpdate(ctx context.Context, s *session, report *wire.ExchangeRequest) {
 	wait := time.Duration(report.GetWaitMs()) * time.Millisecond
 	if wait <= 0 {
@@ -134,7 +138,7 @@
 	for {
 		c.mu.Lock()
 		current := c.sessions[s.host] == s
-		updated := s.lastOrder > report.GetOrdersReceived() || s.endsRecorded > report.GetEndsRecorded() ||
+		updated := s.leaseDue || s.lastOrder > report.GetOrdersReceived() || s.endsRecorded > report.GetEndsRecorded() ||
 			s.exposuresRecorded > report.GetExposuresRecorded()
 		changed := s.updated
 		c.mu.Unlock()
@@ -182,8 +186,10 @@
 		}
 		response.Orders = append(response.Orders, queued.message(now))
 	}
-	if s.reachable && c.Elector.ConfirmationAge() < elector.LeaseGrantWindow {
-		response.LeaseMs = c.LeaseDuration.Milliseconds()
+	if left := c.leaseLeft(); s.granting && s.reachable && left > 0 {
+		response.LeaseMs = left.Milliseconds()
+		s.leaseDue = false
+		s.lastGrantAt = now
 		s.leaseEnd = now + c.leaseBound()
 	}
 	return response
--- a/coordinator/lost.go
+++ b/coordinator/lost.go
@@ -11,6 +11,7 @@
 // lostExecutor is an executor incarnation whose runs are over.
 type lostExecutor struct {
 	key   tracker.ExecutorKey
+	host  string
 	cause tracer.LossCause
 	// session is that of the executor, empty if it had none with this leader.
 	session string
@@ -26,6 +27,7 @@
 			delete(c.orphans, key)
 			cycle.lostExecutors = append(cycle.lostExecutors, lostExecutor{
 				key:   key,
+				host:  orphan.host,
 				cause: tracer.LossLeaseExpired,
 			})
 		}
@@ -36,6 +38,7 @@
 			continue
 		}
 		c.forgetUnassignedOn(lost.key)
+		c.forgetSession(cycle, lost.host, lost.key)
 		released := 0
 		c.eachAssigned(lost.key, func(t *tracker.Task) {
 			lost.traceRelease(t)
--- a/coordinator/progress.go
+++ b/coordinator/progress.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/phuslu/log"
 	"google.golang.org/protobuf/proto"
@@ -36,6 +37,9 @@
 				c.runTimes.restore(record)
 				continue
 			}
+			if c.restoreSession(record) {
+				continue
+			}
 			job, part, valid := tracker.ParsePartKey(record.GetKey())
 			if !valid {
 				log.Error().Str("key", record.GetKey()).Int64("offset", record.GetOffset()).Msg("progress record ignored: its key names no job")
@@ -79,7 +83,12 @@
 // storeProgress appends the progress of all changed jobs, and the learned run times
 // if they are due, to the log.
 func (c *Coordinator) storeProgress(ctx context.Context, cycle *cycleState) error {
-	records := c.tombstones
+	// The sessions come first: a part of a large append may be all that is stored.
+	records, err := sessionChanges(cycle)
+	if err != nil {
+		return err
+	}
+	records = append(records, c.tombstones...)
 	c.tombstones = nil
 	for _, job := range c.jobs {
 		changed, err := progressRecords(job)
@@ -103,6 +112,10 @@
 		return err
 	}
 	for _, record := range rejected {
+		if host, isSession := strings.CutPrefix(record.GetKey(), sessionKeyPrefix); isSession {
+			delete(cycle.sessionRecords, host)
+			continue
+		}
 		c.suspendJob(cycle, record.GetKey())
 	}
 	return nil
--- a/coordinator/reconcile.go
+++ b/coordinator/reconcile.go
@@ -13,6 +13,7 @@
 		if orphan.host == view.host {
 			lost = append(lost, lostExecutor{
 				key:        key,
+				host:       orphan.host,
 				cause:      tracer.LossReplaced,
 				replacedBy: view.session.id,
 			})
--- a/coordinator/rejected_record_test.go
+++ b/coordinator/rejected_record_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -59,7 +60,9 @@
 	reader := &emulator.KeyedLogClient{Log: f.log}
 	f.waitFor("removal", func() bool {
 		page, err := reader.Newest(t.Context(), "progress", "")
-		return err == nil && len(page.GetRecords()) == 0
+		return err == nil && !slices.ContainsFunc(page.GetRecords(), func(record *wire.KeyedRecord) bool {
+			return strings.HasPrefix(record.GetKey(), job)
+		})
 	})
 }
 
--- a/coordinator/session.go
+++ b/coordinator/session.go
@@ -28,6 +28,11 @@
 	token int64
 
 	reachable bool
+	// granting is set while the executor gets leases; leaseDue is set from then on until
+	// it got one.
+	granting, leaseDue bool
+	// lastGrantAt is when this leader may have granted the executor its last lease.
+	lastGrantAt time.Duration
 	// leaseEnd is the latest time at which the executor may hold a lease.
 	leaseEnd     time.Duration
 	lastReportAt time.Duration
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -9,7 +9,6 @@
 
 	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/assessor"
-	"damaskspread.example/damaskspread/elector"
 	"damaskspread.example/damaskspread/indexer"
 	"damaskspread.example/damaskspread/tracer"
 	"damaskspread.example/damaskspread/tracker"
@@ -31,6 +30,9 @@
 	c.adviceCache = newAdviceCache(c)
 	c.Planner.Ticket = c.adviceCache.ticket
 	c.runTimes.reset()
+	c.mu.Lock()
+	c.storedSessions = map[string]*wire.ExecutorSession{}
+	c.mu.Unlock()
 	stored, err := c.loadProgress(ctx)
 	if err != nil {
 		return err
@@ -38,7 +40,7 @@
 	if err := c.JobsTail.Refresh(ctx); err != nil {
 		return err
 	}
-	c.restore(stored)
+	c.restore(epoch, stored)
 	if c.Appraiser != nil {
 		c.Appraiser.Begin(epoch, c.Elapsed.Elapsed())
 	}
@@ -68,7 +70,7 @@
 // restore rebuilds the jobs. Executors with assigned tasks become orphans until
 // their agents open a session. The deadline of an orphan is the end of the last
 // lease that an earlier leader may have granted it.
-func (c *Coordinator) restore(stored map[string]storedJob) {
+func (c *Coordinator) restore(epoch int64, stored map[string]storedJob) {
 	c.jobs = map[string]*tracker.Job{}
 	c.assignments = &tracker.Assignments{}
 	c.closed = map[string]time.Duration{}
@@ -84,34 +86,41 @@
 	c.closing = nil
 	c.tombstones = nil
 	c.publishedStates = map[string]wire.JobState{}
-	now := c.Elapsed.Elapsed()
-	c.Index.Each(func(entry indexer.JobEntry) { c.restoreJob(entry, stored, now) })
-	deadline := now + elector.LeaseGrantWindow + c.leaseBound()
+	c.Index.Each(func(entry indexer.JobEntry) { c.restoreJob(epoch, entry, stored) })
 	for _, job := range c.jobs {
 		job.EachTask(func(t *tracker.Task) {
 			if t.Assigned() {
-				c.orphans[t.Executor()] = orphan{
-					host:     t.Host(),
-					deadline: deadline,
-				}
+				c.addOrphan(epoch, t.Host(), t.Executor())
 			}
-			c.restoreUnassigned(t, deadline)
+			c.restoreUnassigned(epoch, t)
 		})
 	}
 }
 
+// addOrphan adds the executor of a run that an earlier leader started.
+func (c *Coordinator) addOrphan(epoch int64, host string, key tracker.ExecutorKey) {
+	if _, known := c.orphans[key]; known {
+		return
+	}
+	c.orphans[key] = orphan{
+		host:     host,
+		deadline: c.leaseEnd(epoch, c.storedSession(host, key)),
+		storedAt: c.Elapsed.Elapsed(),
+	}
+}
+
 // restoreJob rebuilds one job. A finished job without stored progress is closed.
-func (c *Coordinator) restoreJob(entry indexer.JobEntry, stored map[string]storedJob, now time.Duration) {
+func (c *Coordinator) restoreJob(epoch int64, entry indexer.JobEntry, stored map[string]storedJob) {
 	id := entry.Job().GetId()
 	parts := stored[id]
 	delete(stored, id)
 	if len(parts) == 0 && indexer.Final(entry.RecordedState()) {
-		c.closed[id] = now
+		c.closed[id] = c.Elapsed.Elapsed()
 		return
 	}
 	job, complete := parts.restore(entry.Job())
 	if !complete {
-		c.heldUntil[id] = now + elector.LeaseGrantWindow + c.leaseBound()
+		c.heldUntil[id] = c.leaseEnd(epoch, nil)
 	}
 	if indexer.Final(entry.RecordedState()) {
 		c.closing = append(c.closing, id)
@@ -126,9 +135,3 @@
 	c.jobs[id] = job
 	c.publishedStates[id] = entry.RecordedState()
 }
-
-// leaseBound is the longest time for which an executor may hold a lease that is
-// granted now.
-func (c *Coordinator) leaseBound() time.Duration {
-	return time.Duration(float64(c.LeaseDuration)*leaseDriftFactor) + leaseSlack
-}
--- a/coordinator/unassigned.go
+++ b/coordinator/unassigned.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
@@ -78,17 +77,14 @@
 
 // restoreUnassigned takes over the unassigned runs of a task that an earlier leader has
 // stored. Their executors are orphans like those of assigned tasks.
-func (c *Coordinator) restoreUnassigned(t *tracker.Task, deadline time.Duration) {
+func (c *Coordinator) restoreUnassigned(epoch int64, t *tracker.Task) {
 	for _, older := range t.OlderRuns() {
 		c.unassigned = append(c.unassigned, unassignedRun{
 			task:     t.ID().String(),
 			run:      older.Run,
 			executor: older.Executor,
 		})
-		c.orphans[older.Executor] = orphan{
-			host:     older.Host,
-			deadline: deadline,
-		}
+		c.addOrphan(epoch, older.Host, older.Executor)
 	}
 }
 
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -49,10 +49,6 @@
 	maxTopicAge   = 1500 * time.Millisecond
 	tickInterval  = 25 * time.Millisecond
 	appendTimeout = 900 * time.Millisecond
-	// LeaseGrantWindow is how long after its last successful renewal a leader still
-	// extends executor leases. A successor waits for this time plus the lease
-	// before it considers the executor of an unreachable host lost.
-	LeaseGrantWindow = 5 * time.Second
 	// ConfirmationTimeout is how long a successful renewal confirms the leadership.
 	// Agents of a leader that is unconfirmed for longer look for another one.
 	ConfirmationTimeout = 1200 * time.Millisecond
@@ -87,6 +83,8 @@
 	nextRenewal time.Duration
 	jitter      time.Duration
 	resigned    bool
+	// hearings are the latest records of the topic, by their offsets.
+	hearings []hearing
 }
 
 // Apply applies records of the leader topic in order. It calls OnLeadershipLost if
@@ -133,6 +131,11 @@
 		log.Error().Int64("offset", record.GetOffset()).Err(err).Msg("leader record ignored")
 		return
 	}
+	e.hear(hearing{
+		offset: record.GetOffset(),
+		epoch:  leadership.GetEpoch(),
+		at:     e.Elapsed.Elapsed(),
+	})
 	if known {
 		// Such as an own append.
 		e.mu.Unlock()
@@ -253,6 +256,7 @@
 	e.lastHeardAt = started
 	e.confirmedAt = started
 	e.nextRenewal = started + renewInterval
+	e.hearOwn(claim, result, started)
 	e.mu.Unlock()
 	log.Info().Int64("epoch", claim.GetEpoch()).Int64("offset", result.GetOffset()).Msg("leadership won")
 	e.OnLeadershipWon(claim.GetEpoch())
@@ -285,6 +289,7 @@
 	e.topicEnd = max(e.topicEnd, result.GetEnd())
 	e.confirmedAt = started
 	e.lastHeardAt = started
+	e.hearOwn(renewal, result, started)
 }
 
 // append adds a record on the condition that the topic ends at topicEnd.
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -47,8 +47,10 @@
 	// age may reach. Callers are refused above it.
 	currencyLimitShare = 0.9
 	// leaseShare is the share of lease_max that is granted with each report of an
-	// agent.
-	leaseShare = 0.75
+	// agent, at most longestLease: a task that lasts has to run again within 9 s after
+	// its host and the leader were lost, and docs/design/lease_recovery.md has the sum.
+	leaseShare   = 0.75
+	longestLease = 6800 * time.Millisecond
 	// unreadyDelay is the time until the load balancer sends no more new
 	// connections to a process that is not ready.
 	unreadyDelay = 2600 * time.Millisecond
@@ -206,7 +208,7 @@
 		Screen:            e.submitter,
 		Clock:             e.Clock,
 		Elapsed:           e.process.elapsed,
-		LeaseDuration:     time.Duration(float64(s.Bounds().LeaseMax()) * leaseShare),
+		LeaseDuration:     leaseDuration(s.Bounds().LeaseMax()),
 		StatusRetention:   s.Bounds().StatusFor(),
 		LearnRunTimes:     s.Scheduling().LearnedRunTimes(),
 	}
@@ -225,6 +227,12 @@
 	e.index.OnChange = e.coordinator.JobsChanged
 }
 
+// leaseDuration is the duration of the leases that the leader grants, from the longest one
+// that executors accept.
+func leaseDuration(leaseMax time.Duration) time.Duration {
+	return min(time.Duration(float64(leaseMax)*leaseShare), longestLease)
+}
+
 func (e *Entry) listen() error {
 	l := e.Settings.Listen()
 	jobsHandler := &platform.Jobs{
