A task that lasts waits for one probation at most

Cause: these two hosts were in probation without a pause, from 17.2 to 19.4 s: the tasks that had started shortly before the crash are placed before all others, each alone for 700 ms, and took the hosts again as soon as a probation had ended.

Obstacles of the lasting step: processors on 5 hosts, anti-affinity on 3, probation on 1 or 2; suspected tasks were assigned to side-qc-est-b-1 at 17.17, 17.77, 18.37 and 18.87 s, to side-qc-est-b-2 at 17.17, 17.87 and 18.57 s; the lasting tasks at 19.57 and 19.37 s, as soon as these had ended.

Ruled out: fewer probations at a time (the suspected tasks would take longer than 3 s); a lasting task on a host in probation (a crash would count against it).

Change: while suspected tasks wait, the long-running steps of the most urgent priority are placed before them. They wait for the end of one probation at most.

Result: TestTaskThatLastsWaitsForOneProbationOnly fails before and passes now; package planner passes.

--- a/planner/planner.go
+++ b/planner/planner.go
@@ -70,15 +70,27 @@
 	var plan []Assignment
 	setServingLayout(groups, hosts)
 	p.setBusy(hosts)
+	early := groupsBeforeSuspected(groups)
+	plan = append(plan, p.planUnsuspected(groups, hosts, early)...)
 	plan = append(plan, p.planSuspected(groups, hosts)...)
+	plan = append(plan, p.planUnsuspected(groups, hosts, func(group *tracker.Group) bool { return !early(group) })...)
+	return append(plan, p.planForced(groups, hosts, plan)...)
+}
+
+// planUnsuspected assigns the waiting tasks that are not suspected, of the groups that
+// include returns true for.
+func (p *Planner) planUnsuspected(groups []*tracker.Group, hosts []*Host, include func(*tracker.Group) bool) []Assignment {
+	var plan []Assignment
 	for _, group := range groups {
-		if !group.Step().GetGang() {
+		switch {
+		case !include(group):
+		case !group.Step().GetGang():
 			plan = append(plan, p.planTasks(group, unsuspectedTasks(group), hosts)...)
-		} else if !suspected(group.First()) {
+		case !suspected(group.First()):
 			plan = append(plan, p.planGang(group, hosts)...)
 		}
 	}
-	return append(plan, p.planForced(groups, hosts, plan)...)
+	return plan
 }
 
 // planTasks assigns waiting tasks of the group.
--- a/planner/probation.go
+++ b/planner/probation.go
@@ -119,9 +119,9 @@
 	return penalty
 }
 
-// planSuspected places the suspected tasks before all others: a host that gets
-// another task first is closed to them in this cycle, and on busy hosts they would
-// wait without end.
+// planSuspected places the suspected tasks before all others but the urgent long-running
+// ones: a host that gets another task first is closed to them in this cycle, and on busy
+// hosts they would wait without end.
 func (p *Planner) planSuspected(groups []*tracker.Group, hosts []*Host) []Assignment {
 	var plan []Assignment
 	shared := sharedProbations(groups, hosts)
@@ -144,6 +144,19 @@
 	return plan
 }
 
+// groupsBeforeSuspected returns which groups are placed before the suspected tasks: the
+// long-running steps of the most urgent priority. Probations, one after another, would keep
+// them from the only hosts with capacity for them. There are none without suspected tasks.
+func groupsBeforeSuspected(groups []*tracker.Group) func(*tracker.Group) bool {
+	if !slices.ContainsFunc(groups, func(group *tracker.Group) bool { return group.Job().Crashes() > 0 }) {
+		return func(*tracker.Group) bool { return false }
+	}
+	urgent := groups[0].Job().Spec().GetPriority()
+	return func(group *tracker.Group) bool {
+		return group.Step().GetLongRunning() && group.Job().Spec().GetPriority() == urgent
+	}
+}
+
 // planSuspectedTask places one task on a host that goes into probation, or on one
 // that went into probation in this cycle. shared is the number of tasks that start
 // together on a host.
--- a/planner/probation_wait_test.go
+++ b/planner/probation_wait_test.go
@@ -86,3 +86,32 @@
 	victims := p.Preempt(groups[0], groups[0].First(), hosts, planTime)
 	assert.Equal(t, len(victims), 0)
 }
+
+// Guards against a task that lasts and waits while suspected tasks have the only host with
+// capacity for it in probation, one after another.
+func TestTaskThatLastsWaitsForOneProbationOnly(t *testing.T) {
+	suspects, lasting := suspectedJob("1", 15), newJob("2", 0, ordinary(1, 6000))
+	lasting.Spec().GetSteps()[0].LongRunning = true
+	full := newJob("3", 0, ordinary(3, 15_900))
+	for i, name := range []string{"b", "c", "d"} {
+		full.Task(tracker.TaskID{Job: "3", Index: i}).Assign(newHost(name, 16).Key, name, 1, 0)
+	}
+	p := &planner.Planner{}
+	for now := planTime; now <= planTime+planner.ProbationTime+50*time.Millisecond; now += 50 * time.Millisecond {
+		var fleet []*planner.Host
+		for _, name := range []string{"a", "b", "c", "d"} {
+			fleet = append(fleet, hostWithTasks(name, now, suspects, full))
+		}
+		groups := readyGroups(suspects)
+		if now > planTime {
+			groups = readyGroups(lasting, suspects)
+		}
+		for _, a := range p.Plan(groups, fleet) {
+			if a.Task.Job() == lasting {
+				return
+			}
+			a.Task.Assign(a.Host.Key, a.Host.Name, a.Run, now)
+		}
+	}
+	t.Error("the task that lasts did not start after the first probation")
+}
