Soak: executors, agents and leaders are lost together

Cause of the gap: the soak lost executors, agents and entries one by one, had no task that lasts, and checked no time within which a task runs again. Change: on the seeds from 200 on, one or two executors end for good, then the agents of all hosts or some, then the process that leads, by the newest record of the topic of the leaders, and up to two leaders after it. Some leaders are paused instead. The random numbers are a stream of their own. On odd seeds there are no other faults, so it is calm between two losses. Callers submit jobs with tasks that last, and the checker reports one that has no run for 9 s, in a calm time and with room. A lasting run counts as exposed to a crash only for 3 s, so that the budget of crashes isn't used up by runs that never end. Whether the seeds pass with the fix was not run yet.

--- a/soak/bulk_test.go
+++ b/soak/bulk_test.go
@@ -45,10 +45,14 @@
 
 // stepOf returns the specification of a task.
 func stepOf(task string) *wire.JobStep {
-	if isBulk(task) || isLarge(task) {
+	switch {
+	case isBulk(task) || isLarge(task):
 		return bulkStep
+	case isLasting(task):
+		return lastingStep
+	default:
+		return submittedStep
 	}
-	return submittedStep
 }
 
 // submitBulk submits jobs in phases of overload until ctx ends. The callers of refused
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -60,9 +60,11 @@
 	startedTask map[string]string
 	violations  []string
 	capacities  *emulator.CapacityChecker
+	lasting     lastingChecker
 }
 
 func newChecker() *checker {
+	clock := clockwork.NewRealClock()
 	return &checker{
 		running:      map[string][]emulator.RunEvent{},
 		done:         map[string]int{},
@@ -79,9 +81,10 @@
 		refused:      map[string]bool{},
 		startedTask:  map[string]string{},
 		capacities: &emulator.CapacityChecker{
-			Clock: clockwork.NewRealClock(),
+			Clock: clock,
 			Step:  stepOf,
 		},
+		lasting: newLastingChecker(clock),
 	}
 }
 
@@ -126,12 +129,14 @@
 		c.running[event.Task] = slices.DeleteFunc(c.running[event.Task], func(start emulator.RunEvent) bool {
 			return start.Executor == event.Executor && start.Run == event.Run
 		})
+		c.lasting.observe(event, len(c.running[event.Task]))
 		if event.Cause == wire.EndCause_END_CAUSE_DONE {
 			c.done[event.Task]++
 		}
 		return
 	}
 	c.starts++
+	c.lasting.observe(event, len(c.running[event.Task]))
 	for _, other := range c.running[event.Task] {
 		c.addViolation("run %d of %s starts on %s while run %d is in progress on %s (unexpected: %t, %t)", event.Run, event.Task, event.Executor,
 			other.Run, other.Executor, c.unexpected[run{event.Task, event.Run}], c.unexpected[run{event.Task, other.Run}])
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"syscall"
 	"time"
@@ -21,7 +20,9 @@
 func (f *fleet) setMillicores(i int, millicores int64) {
 	capacity := &wire.Resources{Millicores: millicores, MemoryBytes: defaultCapacity.GetMemoryBytes()}
 	executor := f.executors[i].executor
-	f.checker.capacities.CapacityChanged(executor.Info("s", "z", nil).GetId(), capacity)
+	id := executor.Info("s", "z", nil).GetId()
+	f.checker.capacities.CapacityChanged(id, capacity)
+	f.checker.setCapacity(id, millicores)
 	executor.SetCapacity(capacity)
 }
 
@@ -36,15 +37,29 @@
 // crash ends the executor of a host with its runs. Connections to it are refused
 // until it starts again, under its id or a new one, with the given capacity.
 func (f *fleet) crash(i int, sameID bool, millicores int64, downtime time.Duration) {
+	id := f.end(i)
+	time.Sleep(downtime)
+	if !sameID {
+		id = f.nextID(i)
+	}
+	f.startAgain(i, id, millicores)
+}
+
+// end ends the executor of a host with its runs and returns its id.
+func (f *fleet) end(i int) string {
 	h := f.executors[i]
 	id := h.executor.Info("s", "z", nil).GetId()
+	f.executorLog.Printf("%s ends", id)
+	f.checker.setDown(id)
 	h.down.Store(true)
 	h.close()
 	h.executor.Boot(id + "-down")
-	time.Sleep(downtime)
-	if !sameID {
-		id = fmt.Sprintf("i-%d-%d", i, f.bootCount.Add(1))
-	}
+	return id
+}
+
+// startAgain starts an executor on a host whose executor has ended.
+func (f *fleet) startAgain(i int, id string, millicores int64) {
+	h := f.executors[i]
 	f.bootAs(i, id, &wire.Resources{Millicores: millicores, MemoryBytes: defaultCapacity.GetMemoryBytes()})
 	h.listen(f.t)
 	h.down.Store(false)
@@ -95,6 +110,8 @@
 
 func (f *fleet) inject(ctx context.Context, p *process, kind, host int, duration time.Duration, millicores int64) {
 	f.t.Logf("fault %d on %s for %s (host %d)", kind, p.name, duration, host)
+	f.checker.beginFault()
+	defer f.checker.endFault()
 	if kind >= 9 {
 		f.injectExecutorFault(ctx, kind, host, duration, millicores)
 		return
@@ -149,6 +166,8 @@
 
 // heal ends all faults of connections and calls and resumes paused processes.
 func (f *fleet) heal() {
+	f.checker.beginFault()
+	defer f.checker.endFault()
 	for _, p := range append(append([]*process{}, f.entries...), f.agents...) {
 		p.proxy.setMode(forwarding)
 		p.signal(syscall.SIGCONT)
--- a/soak/long_jobs_test.go
+++ b/soak/long_jobs_test.go
@@ -32,8 +32,11 @@
 func isLarge(id string) bool { return isLong(id) && id[9] == '0' }
 
 // durationOf returns how long a task runs. The first step of a long job runs for
-// seconds; of a large one only its first task.
+// seconds; of a large one only its first task. Lasting tasks run until they are stopped.
 func durationOf(task string) time.Duration {
+	if isLasting(task) {
+		return -1
+	}
 	_, rest, _ := strings.Cut(task, ".")
 	if !isLong(task) || !strings.HasPrefix(rest, "0.0.") || isLarge(task) && rest != "0.0.0" {
 		return taskDuration
@@ -66,10 +69,16 @@
 	defer client.CloseIdleConnections()
 	pause(ctx, delay)
 	f.checker.requestCancellation(id)
+	f.cancel(client, id, entry)
+}
+
+// cancel reports whether an entry has accepted the cancellation of a job.
+func (f *fleet) cancel(client *http.Client, id string, entry int) bool {
 	for i := range entryCount {
 		response := f.sendRequest(client, http.MethodDelete, f.entries[(entry+i)%entryCount], id, "")
 		if response.accepted() {
-			return
+			return true
 		}
 	}
+	return false
 }
--- a/soak/restarts_test.go
+++ b/soak/restarts_test.go
@@ -108,6 +108,8 @@
 		return
 	}
 	defer h.faulty.Unlock()
+	f.checker.beginFault()
+	defer f.checker.endFault()
 	f.t.Logf("%d restarts in series (host %d)", len(crashes), host)
 	for _, crash := range crashes {
 		h.addLateCalls(crash.lateCalls)
@@ -126,6 +128,7 @@
 	h := f.executors[host]
 	id := h.executor.Info("s", "z", nil).GetId()
 	f.executorLog.Printf("%s crashes for %s, silent: %t", id, crash.downtime, crash.silent)
+	f.checker.setDown(id)
 	h.down.Store(true)
 	h.endLife(crash.silent)
 	h.executor.Crash()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -147,6 +147,10 @@
 	// restarts is set if executors restart in series under their ids, calls take effect
 	// late, stops are slow, and some jobs are long and canceled.
 	restarts bool
+	// losses is set if executors, agents and leaders are lost together, and some jobs have
+	// tasks that last. onlyLosses is set if there are no other faults, and no jobs that leave
+	// no room for these tasks.
+	losses, onlyLosses bool
 	// executorLog records the calls and runs of the executors.
 	executorLog *log.Logger
 }
@@ -155,11 +159,45 @@
 	f := newFleet(t, seed)
 	ctx, cancel := context.WithTimeout(context.Background(), length)
 	defer cancel()
-	var callers sync.WaitGroup
+	watched, stopWatching := context.WithCancel(context.Background())
+	defer stopWatching()
+	var callers, watching sync.WaitGroup
+	watching.Go(func() { f.watchLasting(watched) })
 	jobs := make(chan string, 10_000)
 	for i := range 4 {
 		callers.Go(func() { f.submitJobs(ctx, i, seed, jobs) })
 	}
+	var lasting []string
+	if f.losses {
+		callers.Go(func() { lasting = f.submitLasting(ctx, seed) })
+		callers.Go(func() { f.injectLosses(ctx, seed) })
+	}
+	if f.onlyLosses {
+		<-ctx.Done()
+	} else {
+		f.submitDemanding(ctx, &callers, seed, jobs)
+		if f.restarts {
+			callers.Go(func() { f.injectRestarts(ctx, seed) })
+		}
+		f.injectFaults(ctx)
+	}
+	callers.Wait()
+	close(jobs)
+	f.heal()
+	var awaiting sync.WaitGroup
+	awaiting.Go(func() { f.awaitLasting(lasting) })
+	f.awaitJobs(jobs)
+	awaiting.Wait()
+	stopWatching()
+	watching.Wait()
+	for _, violation := range f.checker.report() {
+		t.Errorf("seed %d: %s", seed, violation)
+	}
+	t.Logf("seed %d: %s, logs in %s", seed, f.checker.summary(), f.logDir)
+}
+
+// submitDemanding submits the jobs that need whole hosts or run for seconds.
+func (f *fleet) submitDemanding(ctx context.Context, callers *sync.WaitGroup, seed uint64, jobs chan<- string) {
 	bulk := bulkCallers
 	if f.restarts {
 		bulk = bulkCallersBesideRestarts
@@ -174,18 +212,6 @@
 			callers.Go(func() { f.submitLong(ctx, i, seed, jobs) })
 		}
 	}
-	if f.restarts {
-		callers.Go(func() { f.injectRestarts(ctx, seed) })
-	}
-	f.injectFaults(ctx)
-	callers.Wait()
-	close(jobs)
-	f.heal()
-	f.awaitJobs(jobs)
-	for _, violation := range f.checker.report() {
-		t.Errorf("seed %d: %s", seed, violation)
-	}
-	t.Logf("seed %d: %s, logs in %s", seed, f.checker.summary(), f.logDir)
 }
 
 func newFleet(t *testing.T, seed uint64) *fleet {
@@ -199,6 +225,8 @@
 		// Each fourth seed runs with the defaults.
 		scheduling: seed%4 != 0,
 		restarts:   seed != 0,
+		losses:     seed >= firstLossSeed,
+		onlyLosses: seed >= firstLossSeed && seed%2 != 0,
 	}
 	if kept, isKept := regressions[seed]; isKept {
 		f.restarts = kept.restarts
@@ -289,12 +317,16 @@
 
 // boot restarts the executor of a host as a new incarnation without state.
 func (f *fleet) boot(i int) {
-	f.bootAs(i, fmt.Sprintf("i-%d-%d", i, f.bootCount.Add(1)), defaultCapacity)
+	f.bootAs(i, f.nextID(i), defaultCapacity)
 }
 
+// nextID returns the id of another incarnation on a host.
+func (f *fleet) nextID(i int) string { return fmt.Sprintf("i-%d-%d", i, f.bootCount.Add(1)) }
+
 func (f *fleet) bootAs(i int, id string, capacity *wire.Resources) {
 	f.executorLog.Printf("%s starts", id)
 	f.checker.capacities.Booted(id, capacity)
+	f.checker.setCapacity(id, capacity.GetMillicores())
 	f.executors[i].executor.SetCapacity(capacity)
 	f.executors[i].executor.Boot(id)
 }
