Leases outlive a log outage that is a little shorter than they are

Callers would see: with leases that are counted from the last confirmed renewal, all runs lost their lease in an outage of the log well below the duration of the lease.

Cause: after the outage an agent's poll waited at the leader for up to a second before it brought an extension, and the renewal that the executor held for up to 0.9 s before it was passed on.

Ruled out: grants beyond the last confirmed renewal, as before; a later leader would have to wait for them.

Change: the leader ends the waiting polls once its leadership is confirmed again; an agent renews each 200 ms while runs are in progress and the executor's lease ends within 2.5 s.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -88,6 +88,9 @@
 	// of the epoch has completed.
 	epoch   int64
 	leading bool
+	// unconfirmed is set while the last confirmed renewal of the leadership is older than
+	// elector.ConfirmationTimeout, as of the last cycle.
+	unconfirmed bool
 	// issuedTokens is the number of fencing tokens given to sessions in this term.
 	issuedTokens int64
 	sessions     map[string]*session     // by host
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -124,6 +124,7 @@
 	c.lostExecutors = nil
 	c.witnessedEnds = nil
 	c.absences = nil
+	c.extendAfterOutage()
 	for host, s := range c.sessions {
 		if cycle.now > s.leaseEnd {
 			log.Warn().Str("host", host).Str("executor", s.key.ID).Dur("silent", cycle.now-s.lastReportAt).
--- a/coordinator/leases.go
+++ b/coordinator/leases.go
@@ -7,6 +7,7 @@
 	"github.com/phuslu/log"
 	"google.golang.org/protobuf/proto"
 
+	"damaskspread.example/damaskspread/elector"
 	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
 )
@@ -121,6 +122,21 @@
 	}
 }
 
+// extendAfterOutage ends the waiting polls of all agents once the leadership is confirmed
+// again: leases were not extended meanwhile, and each response extends one. The caller
+// holds the mutex.
+func (c *Coordinator) extendAfterOutage() {
+	wasUnconfirmed := c.unconfirmed
+	c.unconfirmed = c.Elector.ConfirmationAge() > elector.ConfirmationTimeout
+	if !wasUnconfirmed || c.unconfirmed {
+		return
+	}
+	for _, s := range c.sessions {
+		s.leaseDue = s.granting
+		s.notify()
+	}
+}
+
 func (c *Coordinator) sessionRecord(key tracker.ExecutorKey, silentSince int64, bound time.Duration) *wire.ExecutorSession {
 	return &wire.ExecutorSession{
 		Executor:     key.ID,
--- a/runner/renew.go
+++ b/runner/renew.go
@@ -14,7 +14,11 @@
 
 const (
 	// renewWait is how long a renewal waits at the executor for another end.
-	renewWait          = 900 * time.Millisecond
+	renewWait = 900 * time.Millisecond
+	// shortRenewWait is used instead while runs are in progress and the executor's lease
+	// ends within shortLease, so that an extension reaches it in time.
+	shortRenewWait     = 200 * time.Millisecond
+	shortLease         = 2500 * time.Millisecond
 	renewTimeoutMargin = 900 * time.Millisecond
 	renewRetry         = 150 * time.Millisecond
 	idleWait           = 300 * time.Millisecond
@@ -67,6 +71,8 @@
 	info      *wire.ExecutorInfo
 	startedAt time.Duration
 	lease     damaskspread.Lease
+	// leaseUntil is the end of the lease on the clock of this process.
+	leaseUntil time.Duration
 	// dropUpTo is the number of the last end that the executor may drop.
 	dropUpTo int64
 	wait     time.Duration
@@ -84,11 +90,17 @@
 		lease:     r.executorLease(),
 		dropUpTo:  r.endsRecorded,
 		wait:      renewWait,
+
+		leaseUntil: r.leaseUntil,
+	}
+	if len(r.running) > 0 && r.renewedUntil-call.startedAt < shortLease {
+		call.wait = shortRenewWait
 	}
 	if r.mayHaveRestarted() {
 		// The executor may have restarted under its id: the deadline is a reading
 		// of its earlier clock, and the number counts earlier ends.
 		call.lease.DeadlineMs = 0
+		call.leaseUntil = 0
 		call.dropUpTo = 0
 		call.wait = 0
 	}
@@ -169,6 +181,7 @@
 	}
 	r.renewFailures = 0
 	r.lastContact = now
+	r.renewedUntil = max(r.renewedUntil, call.leaseUntil)
 	r.crashes.addContact()
 	r.executorClock = clockReading{
 		clockMs: state.GetClockMs(),
--- a/runner/renewal_test.go
+++ b/runner/renewal_test.go
@@ -165,3 +165,51 @@
 	}
 	assert.Assert(t, extended > 0)
 }
+
+// heldRenewals records how long each renewal may wait at the executor.
+type heldRenewals struct {
+	*emulator.JobExecutor
+
+	mu    sync.Mutex
+	waits []time.Duration
+}
+
+func (e *heldRenewals) Renew(ctx context.Context, id string, lease *damaskspread.Lease, seen int64, wait time.Duration) (*wire.ExecutorState, error) {
+	e.mu.Lock()
+	e.waits = append(e.waits, wait)
+	e.mu.Unlock()
+	return e.JobExecutor.Renew(ctx, id, lease, seen, wait)
+}
+
+// longest returns the longest wait since the n-th renewal, and the number of renewals.
+func (e *heldRenewals) longest(n int) (time.Duration, int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Max(append(slices.Clone(e.waits[n:]), 0)), len(e.waits)
+}
+
+// Guards against a lease that ends while its extension waits for a renewal that the
+// executor holds.
+func TestRenewalsAreShortWhileTheLeaseEndsSoon(t *testing.T) {
+	executor := &heldRenewals{JobExecutor: newExecutor()}
+	l := &fakeLeader{}
+	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
+		time.Sleep(5 * time.Millisecond)
+		if request.GetOrdersReceived() > 0 {
+			return &wire.ExchangeResponse{}
+		}
+		order := &wire.StartOrder{Task: "a.0.0.0", Run: 1}
+		return &wire.ExchangeResponse{Orders: []*wire.Order{{Number: 1, Kind: &wire.Order_Start{Start: order}}}}
+	}
+	startRunner(t, l, executor.JobExecutor, executor)
+	waitFor(t, "run in a list", func() bool {
+		return l.received(func(request *wire.ExchangeRequest) bool { return len(request.GetRunning()) > 0 })
+	})
+	_, first := executor.longest(0)
+	waitFor(t, "renewals", func() bool {
+		_, n := executor.longest(first)
+		return n > first+3
+	})
+	longest, _ := executor.longest(first)
+	assert.Assert(t, longest < 500*time.Millisecond, "%s", longest)
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -114,7 +114,9 @@
 	// the first.
 	cancelPoll, cancelRenewal context.CancelFunc
 
-	leaseUntil     time.Duration
+	leaseUntil time.Duration
+	// renewedUntil is the end of the lease that the executor is known to have.
+	renewedUntil   time.Duration
 	ordersReceived int64
 	endsRecorded   int64
 	unrecordedEnds map[int64]*wire.RunEnd
@@ -238,6 +240,7 @@
 	r.outdated = 0
 	r.drainAt = 0
 	r.leaseUntil = 0
+	r.renewedUntil = 0
 	r.endsRecorded = 0
 	r.renewFailures = 0
 	r.unrecordedEnds = map[int64]*wire.RunEnd{}
