Operator: no change is confirmed as unchanged from an old state

What callers saw: nothing yet; found while tracing the calls of zones to a paused entry. An entry that was paused, or is cut off from the log, answered `zone in` and `zone out` with 200 and "unchanged" from its own state, however old, though others had reverted the change since. An operator would have believed a zone out of service that was in service. Publications of an equal text were answered the same way.

Cause: the comparison with the state that makes an append needless never asked for the age of the state. Changes that are appended are safe, because they name the position that they replace.

Ruled out: appending in any case, which would write a record for each repetition.

Change: before the answer "unchanged", the handler waits until the state covers all that was appended before the request arrived, then looks again; if that takes longer than currency_limit the request is refused as not_run, stale_configuration, which the client repeats at the next entry. Refusals (conflict, not_owner, not_found) are as before: nothing was done, as they say.

--- a/operator/config.go
+++ b/operator/config.go
@@ -113,6 +113,8 @@
 	record *wire.Record
 }
 
+func isUnchanged(p preparedSection) bool { return p.result.Result == client.ResultUnchanged }
+
 func (h *Handler) publish(w http.ResponseWriter, r bunrouter.Request) error {
 	var request client.PublishRequest
 	if err := decodeBody(r, &request); err != nil {
@@ -124,6 +126,7 @@
 	if strings.TrimSpace(request.Text) == "" && len(request.Remove) == 0 {
 		return damaskspread.NotRun(damaskspread.ReasonBadRequest, "text or remove is required")
 	}
+	arrived := h.Clock.Now()
 	newestBase := int64(-1)
 	for _, base := range request.Base {
 		newestBase = max(newestBase, base.Offset)
@@ -134,6 +137,12 @@
 		h.waitForOffset(r.Context(), newestBase, auditTimeout)
 	}
 	prepared := h.prepareSections(&request, actorName(r, request.Team))
+	if slices.ContainsFunc(prepared, isUnchanged) {
+		if err := h.waitForViewSince(r.Context(), arrived); err != nil {
+			return err
+		}
+		prepared = h.prepareSections(&request, actorName(r, request.Team))
+	}
 	if err := h.appendSections(r.Context(), prepared); err != nil {
 		for _, p := range prepared {
 			if p.record != nil {
--- a/operator/confirm.go
+++ b/operator/confirm.go
@@ -167,3 +167,24 @@
 	defer cancel()
 	_ = h.State.Wait(ctx, offset)
 }
+
+// waitForViewSince waits until the state covers all records that were appended
+// before a time, and refuses the request if that takes longer than CurrencyLimit.
+// An entry process that was paused or cut off from the log has an old state, in
+// which a change may seem to be in force that was reverted since.
+func (h *Handler) waitForViewSince(ctx context.Context, since time.Time) error {
+	ctx, cancel := context.WithTimeout(ctx, h.CurrencyLimit)
+	defer cancel()
+	for {
+		elapsed := h.Clock.Since(since)
+		age := h.State.Age()
+		if age <= elapsed {
+			return nil
+		}
+		select {
+		case <-h.Clock.After(viewPollInterval):
+		case <-ctx.Done():
+			return damaskspread.NotRun(damaskspread.ReasonStaleConfiguration, "the entry's configuration is %s", damaskspread.AgeText(age))
+		}
+	}
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -42,6 +42,9 @@
 	// auditTimeout covers the delay between the replay of a record and its
 	// observation by the auditor, both in this process.
 	auditTimeout = 2 * time.Second
+	// viewPollInterval is the time between two looks at the age of the state,
+	// which a log read renews each 300 ms or with the next record.
+	viewPollInterval = 20 * time.Millisecond
 )
 
 // StateView gives access to the replayed state of the entry process.
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -44,6 +44,8 @@
 	appendOutcome func() (apply bool, err error)
 	// noAudit is set if the auditor gets no changes.
 	noAudit bool
+	// age, if set, returns the age of the state.
+	age func() time.Duration
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -76,7 +78,12 @@
 	read(f.state)
 }
 
-func (f *fixture) Age() time.Duration { return time.Second }
+func (f *fixture) Age() time.Duration {
+	if f.age == nil {
+		return 0
+	}
+	return f.age()
+}
 
 func (f *fixture) Wait(ctx context.Context, offset int64) error {
 	f.mu.Lock()
--- a/operator/zones.go
+++ b/operator/zones.go
@@ -122,11 +122,19 @@
 }
 
 // editZone publishes the zone's section with the new value and repeats the edit
-// after a conflict. It returns false if the zone already had the value.
+// after a conflict. It returns false if the zone already had the value when the
+// request arrived or later.
 func (h *Handler) editZone(ctx context.Context, name, team, actor string, inService bool) (bool, error) {
+	arrived := h.Clock.Now()
 	var lastErr error
 	for range maxZoneEdits {
 		record, err := h.zoneRecord(name, team, actor, inService)
+		if err == nil && record == nil {
+			if err := h.waitForViewSince(ctx, arrived); err != nil {
+				return false, err
+			}
+			record, err = h.zoneRecord(name, team, actor, inService)
+		}
 		if err != nil || record == nil {
 			return false, err
 		}
