Planner: a long-running task starts on a suspect host where no other has room

Cause: a first failure of a task counts against its executor. A job of many tasks that all fail makes each executor of its service suspect at once, with the longest backoff, because the failures of one batch are counted one by one. After a backoff the next task of the same job is the probe, fails, and begins the next backoff of 6 s. Long-running tasks are no probes, so they wait until the failing job is over.

Ruled out: the failing job using up its attempts soon: a task that has failed may not probe, so each host fails one task in 6 s.

Change: a long-running task that fits on no other host may start on an executor that has been suspect for a second, unless it has failed there or the executor itself has refused a start as unhealthy. It doesn't count as a probe.

Finite jobs still share the probes with the failing job.

--- a/coordinator/suspicion.go
+++ b/coordinator/suspicion.go
@@ -24,6 +24,9 @@
 	// suspectClearAfter is the time after the backoff without another failure
 	// after which an executor is trusted again, even if no task probed it.
 	suspectClearAfter = 3 * time.Second
+	// suspectLastingAfter is the time after which a long-running task that fits
+	// nowhere else may start on a suspect executor.
+	suspectLastingAfter = time.Second
 )
 
 // suspicion counts the consecutive failures of an executor.
@@ -31,6 +34,10 @@
 	failures     int
 	backoff      time.Duration // after the next failure
 	backoffUntil time.Duration
+	// since is when the executor became suspect.
+	since time.Duration
+	// unhealthy is set if the executor has refused a start because it is unhealthy.
+	unhealthy bool
 }
 
 // recordEnd updates the suspicion of an executor after a run has ended.
@@ -49,6 +56,7 @@
 func (c *Coordinator) recordRefusal(key tracker.ExecutorKey, reason string) {
 	if reason == string(damaskspread.RefusedUnhealthy) {
 		c.recordFailure(key)
+		c.suspicions[key].unhealthy = true
 	}
 }
 
@@ -64,13 +72,17 @@
 	if s.failures < suspectThreshold {
 		return
 	}
+	if s.failures == suspectThreshold {
+		s.since = c.Elapsed.Elapsed()
+	}
 	s.backoffUntil = c.Elapsed.Elapsed() + s.backoff
 	s.backoff = min(backoffFactor*s.backoff, maxBackoff)
 	log.Warn().Str("executor", key.ID).Int("failures", s.failures).Dur("pause", s.backoff).Msg("executor suspect: no starts until its backoff ends")
 }
 
 // markSuspect marks the host of a suspect executor. The host is not usable during
-// the backoff; afterwards one task at a time probes it.
+// the backoff; afterwards one task at a time probes it. Long-running tasks are no
+// probes, and are admitted unless the executor itself has said that it is unhealthy.
 func (c *Coordinator) markSuspect(host *planner.Host, now time.Duration) {
 	s := c.suspicions[host.Key]
 	if s == nil || s.failures < suspectThreshold {
@@ -78,6 +90,7 @@
 	}
 	host.Suspect = true
 	host.ProbesFrom = s.backoffUntil
+	host.AdmitsLasting = host.Usable && !s.unhealthy && now >= s.since+suspectLastingAfter
 	if now < s.backoffUntil {
 		host.Usable = false
 	}
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -303,10 +303,15 @@
 
 func (f *testFleet) waitFor(what string, condition func() bool) {
 	f.t.Helper()
-	deadline := time.Now().Add(recoveryBound)
+	f.waitWithin(recoveryBound, what, condition)
+}
+
+func (f *testFleet) waitWithin(bound time.Duration, what string, condition func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(bound)
 	for !condition() {
 		if time.Now().After(deadline) {
-			f.t.Fatalf("no %s within %s", what, recoveryBound)
+			f.t.Fatalf("no %s within %s", what, bound)
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
--- a/emulator/job_executor.go
+++ b/emulator/job_executor.go
@@ -40,12 +40,13 @@
 	leaseEnd     time.Time
 	runs         map[runID]*jobRun
 	// endedRun has the highest run of each task that was stopped or has ended.
-	endedRun            map[string]int32
-	ended               []*wire.RunEnd
-	lastEndNumber       int64
-	unresponsive        bool
-	resetting           bool
-	failsTasks          bool
+	endedRun      map[string]int32
+	ended         []*wire.RunEnd
+	lastEndNumber int64
+	unresponsive  bool
+	resetting     bool
+	// fails reports whether a task fails at once; nil if none does.
+	fails               func(task string) bool
 	losesStartResponses bool
 	// holdsStart tells the start calls that get no response; heldStarts are those of
 	// them that were not carried out yet.
@@ -151,7 +152,18 @@
 func (e *JobExecutor) SetFailingTasks(failing bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.failsTasks = failing
+	e.fails = nil
+	if failing {
+		e.fails = func(string) bool { return true }
+	}
+}
+
+// SetFailing makes the tasks for which fails returns true, and that start from now on, fail
+// at once.
+func (e *JobExecutor) SetFailing(fails func(task string) bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fails = fails
 }
 
 // SetLosingStartResponses makes starts take effect and fail with an unknown
--- a/emulator/job_executor_calls.go
+++ b/emulator/job_executor_calls.go
@@ -142,13 +142,14 @@
 
 func (e *JobExecutor) startRun(id runID, order *wire.StartOrder) {
 	work := e.TaskDuration(id.task)
+	fails := e.fails != nil && e.fails(id.task)
 	run := &jobRun{
 		longRunning: work < 0,
-		fails:       e.failsTasks,
+		fails:       fails,
 		checkpoint:  order.GetCheckpoint(),
 		endsAt:      e.Clock.Now().Add(work),
 	}
-	if e.failsTasks {
+	if fails {
 		run.endsAt = e.Clock.Now()
 		run.longRunning = false
 	}
--- a/planner/host.go
+++ b/planner/host.go
@@ -40,6 +40,9 @@
 	// count as probes.
 	Suspect    bool
 	ProbesFrom time.Duration
+	// AdmitsLasting means that a long-running task that fits on no other host may
+	// start on the suspect host, also while the suspicion alone makes it unusable.
+	AdmitsLasting bool
 	// ProbationFrom is ProbationTime before the present monotonic time.
 	ProbationFrom time.Duration
 
@@ -90,10 +93,10 @@
 }
 
 // AddPlanned adds a task that this cycle places on the host; see AddAssigned for the
-// others. On a suspect host it counts as a probe.
+// others. On a suspect host it counts as a probe, unless it is long-running.
 func (h *Host) AddPlanned(group string, step *wire.JobStep) {
 	h.addTask(group, step)
-	if h.Suspect {
+	if h.Suspect && !step.GetLongRunning() {
 		h.probes++
 	}
 }
@@ -182,6 +185,9 @@
 		Usable:     h.Usable,
 		NearTarget: h.NearTarget,
 		Suspect:    h.Suspect,
+
+		AdmitsLasting: h.AdmitsLasting,
+
 		requested: wire.Resources{
 			Millicores:   h.requested.Millicores,
 			MemoryBytes:  h.requested.MemoryBytes,
--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -48,6 +48,11 @@
 	if constraintObstacle := p.constraintObstacle(host, group, task); constraintObstacle != NoObstacle {
 		return constraintObstacle
 	}
+	return p.roomObstacle(host, group)
+}
+
+// roomObstacle returns the first obstacle that depends on the tasks of the host.
+func (p *Planner) roomObstacle(host *Host, group *tracker.Group) Obstacle {
 	step := group.Step()
 	if shortage := host.shortage(step, nil); shortage != NoObstacle {
 		return shortage
@@ -74,7 +79,14 @@
 		return ObstacleUnusable
 	case host.Suspect && !host.admitsProbe(group, task):
 		return ObstacleSuspect
-	case host.probation.excludes(task):
+	default:
+		return p.taskObstacle(host, group, task)
+	}
+}
+
+// taskObstacle is constraintObstacle for a host that may be used.
+func (p *Planner) taskObstacle(host *Host, group *tracker.Group, task *tracker.Task) Obstacle {
+	if host.probation.excludes(task) {
 		return ObstacleProbation
 	}
 	if obstacle := p.PermissionObstacle(host, group); obstacle != NoObstacle {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -91,6 +91,9 @@
 		var host *Host
 		if fits {
 			host = p.chooseHost(group, task, groupName, hosts, rack)
+			if host == nil {
+				host = p.chooseSuspect(group, task, hosts)
+			}
 		}
 		if host == nil {
 			// The other tasks of the step have the same needs. Only a task that
@@ -168,6 +171,27 @@
 	return best
 }
 
+// chooseSuspect returns the suspect host with the largest idle share that admits the
+// long-running task and on which it hasn't failed, nil if there is none. One job whose
+// tasks all fail makes each host suspect, again with each probe, so that a long-running
+// task would wait until that job is over. Its own failure on a host costs it no attempt.
+func (p *Planner) chooseSuspect(group *tracker.Group, task *tracker.Task, hosts []*Host) *Host {
+	if !group.Step().GetLongRunning() {
+		return nil
+	}
+	var best *Host
+	for _, host := range hosts {
+		if !host.Suspect || !host.AdmitsLasting || task.FailedOn(host.Key.ID) ||
+			p.taskObstacle(host, group, task) != NoObstacle || p.roomObstacle(host, group) != NoObstacle {
+			continue
+		}
+		if best == nil || host.idleShare() > best.idleShare() {
+			best = host
+		}
+	}
+	return best
+}
+
 // ticketSuffices reports whether the host has a ticket for the step or the job
 // needs none.
 func (p *Planner) ticketSuffices(host *Host, group *tracker.Group) bool {
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -255,6 +255,30 @@
 	assert.Equal(t, len(p.Plan(readyGroups(newJob("5", 0, ordinary(4, 500))), []*planner.Host{probed})), 0)
 }
 
+// Guards against a long-running task on a suspect host beside a free one, on one where it
+// has failed, and on one that it would keep from being probed.
+func TestSuspectHostAdmitsLastingTask(t *testing.T) {
+	lasting := readyGroups(newJob("1", 0, serving("im")))
+	hostsOf := func(freeCores int64) []*planner.Host {
+		suspect := newHost("a", 16)
+		suspect.Suspect = true
+		suspect.Usable = false
+		suspect.AdmitsLasting = true
+		return []*planner.Host{suspect, newHost("b", freeCores)}
+	}
+	p := &planner.Planner{}
+	assert.DeepEqual(t, countByHost(p.Plan(lasting, hostsOf(4))), map[string]int{"b": 1})
+	hosts := hostsOf(1)
+	assert.DeepEqual(t, countByHost(p.Plan(lasting, hosts)), map[string]int{"a": 1})
+	assert.Assert(t, !hosts[0].HasProbe())
+	assert.Equal(t, len(p.Plan(readyGroups(newJob("2", 0, ordinary(1, 4000))), hostsOf(1))), 0)
+
+	task := lasting[0].First()
+	task.Assign(hosts[0].Key, "a", 1, time.Second)
+	task.End(&wire.RunEnd{Run: 1, Cause: wire.EndCause_END_CAUSE_FAILED}, "a")
+	assert.Equal(t, len(p.Plan(lasting, hostsOf(1))), 0)
+}
+
 // Guards against spreading serving tasks over all hosts: then no host is left on
 // which best-effort tasks interfere with none.
 func TestServingTasksShareHosts(t *testing.T) {
--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -21,7 +21,7 @@
 func (h *Host) AddAssigned(task *tracker.Task) {
 	h.addTask(task.GroupName(), task.Step())
 	h.probation.addAssigned(task, h.ProbationFrom)
-	if h.Suspect && task.AssignedAt() >= h.ProbesFrom {
+	if h.Suspect && task.AssignedAt() >= h.ProbesFrom && !task.Step().GetLongRunning() {
 		h.probes++
 	}
 	if task.Stopping() {
