Coordinator: appends that time out are split

Cause: an append has 0.9 s for all of its records, up to 1 MiB. Over a link that takes longer for them, each try is aborted and repeated. A renewal is small and succeeds. On a link of 2 Mbit/s the bound is 225 kB, less with other traffic; the progress of 4,000 tasks that are assigned in one cycle takes 33 kB.

Ruled out: a rejected append: it is split already.

Change: the writer halves an append of more than 16 KiB that has timed out, and keeps later ones within that size until they take less than a quarter of the timeout. The records are the same and nobody else writes the topic, so it doesn't matter whether the first try took effect: the log takes the first half for its repetition. The topic of jobs has other writers; appends to it are repeated as a whole as before.

Before/after: go test -race -run TestAppendOverSlowLink ./coordinator (30 kB/s): no start within 12 s (2 of 2); starts, the tests take 2.9 to 3.4 s (5 of 5).

--- a/coordinator/writer.go
+++ b/coordinator/writer.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -16,8 +17,21 @@
 	appendTimeout = 900 * time.Millisecond
 	minRetryPause = 40 * time.Millisecond
 	maxRetryPause = 300 * time.Millisecond
+	// minSplitBytes is the size up to which an append that times out is repeated as a
+	// whole. Larger ones are split, because the link may be too slow for them.
+	minSplitBytes = 16 << 10
 )
 
+// appendTimeoutError means that an append of more than minSplitBytes got no response in
+// time. It may have taken effect.
+type appendTimeoutError struct {
+	cause error
+}
+
+func (e *appendTimeoutError) Error() string { return "append timed out: " + e.cause.Error() }
+
+func (e *appendTimeoutError) Unwrap() error { return e.cause }
+
 // writer appends to one topic under the epoch of the leader. Sequence numbers
 // make a retried append take effect once. After a writer with a higher epoch has
 // appended, all appends fail.
@@ -27,7 +41,10 @@
 	topic    string
 	epoch    int64
 	maxBytes int // of one append
-	sequence int64
+	// slowBytes replaces maxBytes after appends that timed out, 0 before. It grows again
+	// with each append that takes little of its timeout.
+	slowBytes int
+	sequence  int64
 }
 
 // fence makes the log reject all later appends of earlier epochs.
@@ -39,7 +56,7 @@
 // log.
 func (w *writer) append(ctx context.Context, records []*wire.KeyedRecord) (rejected []*wire.KeyedRecord, err error) {
 	for len(records) > 0 {
-		count := damaskspread.CountWithin(len(records), w.maxBytes, func(i int) int { return damaskspread.RecordBytes(records[i]) })
+		count := damaskspread.CountWithin(len(records), cmp.Or(w.slowBytes, w.maxBytes), func(i int) int { return damaskspread.RecordBytes(records[i]) })
 		part, err := w.appendAccepted(ctx, records[:count])
 		if err != nil {
 			return nil, err
@@ -52,14 +69,17 @@
 
 // appendAccepted appends the records of one append. If the log rejects them, it appends
 // each half alone, so that one bad record doesn't keep back the others. It returns those
-// that are rejected alone.
+// that are rejected alone. Appends that time out are split as well, see maySplit. If such an
+// append took effect, the log takes the first half for its repetition.
 func (w *writer) appendAccepted(ctx context.Context, records []*wire.KeyedRecord) (rejected []*wire.KeyedRecord, err error) {
 	err = w.appendPart(ctx, records)
 	var refusal *damaskspread.AppendRejectedError
-	if !errors.As(err, &refusal) {
+	var timeout *appendTimeoutError
+	isRefused := errors.As(err, &refusal)
+	if !isRefused && !errors.As(err, &timeout) {
 		return nil, err
 	}
-	if len(records) == 1 {
+	if isRefused && len(records) == 1 {
 		log.Error().Str("topic", w.topic).Str("key", records[0].GetKey()).Int("bytes", damaskspread.RecordBytes(records[0])).Err(err).
 			Msg("record rejected by the log and left out")
 		return records, nil
@@ -78,9 +98,11 @@
 func (w *writer) appendPart(ctx context.Context, records []*wire.KeyedRecord) error {
 	pause := minRetryPause
 	for {
+		started := w.clock.Now()
 		err := w.appendOnce(ctx, records)
 		if err == nil {
 			w.sequence++
+			w.growAppends(recordsBytes(records), w.clock.Since(started))
 			return nil
 		}
 		var fenced *damaskspread.FencedError
@@ -94,12 +116,42 @@
 			w.sequence = mismatch.Expected
 			continue
 		}
+		if errors.Is(err, context.DeadlineExceeded) && w.maySplit(records) {
+			w.slowBytes = max(recordsBytes(records)/2, minSplitBytes)
+			return &appendTimeoutError{cause: err}
+		}
 		log.Debug().Str("topic", w.topic).Int64("sequence", w.sequence).Err(err).Msg("append failed; retrying")
 		damaskspread.Pause(ctx, w.clock, pause)
 		pause = min(2*pause, maxRetryPause)
 	}
 }
 
+// maySplit reports whether an append that timed out may be repeated in parts. If it took
+// effect, the second part is appended again. In the other topics this could undo what
+// entries have appended in between, such as a job whose id was free again.
+func (w *writer) maySplit(records []*wire.KeyedRecord) bool {
+	return w.topic == progressTopic && len(records) > 1 && recordsBytes(records) > minSplitBytes
+}
+
+// growAppends doubles slowBytes if an append of about that size took less than a quarter of
+// its timeout: one of twice the size then doesn't time out over the same link.
+func (w *writer) growAppends(size int, took time.Duration) {
+	if w.slowBytes == 0 || size < w.slowBytes/2 || took > appendTimeout/4 {
+		return
+	}
+	if w.slowBytes *= 2; w.slowBytes >= w.maxBytes {
+		w.slowBytes = 0
+	}
+}
+
+func recordsBytes(records []*wire.KeyedRecord) int {
+	size := 0
+	for _, record := range records {
+		size += damaskspread.RecordBytes(record)
+	}
+	return size
+}
+
 func (w *writer) appendOnce(ctx context.Context, records []*wire.KeyedRecord) error {
 	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
--- a/emulator/keyed_log.go
+++ b/emulator/keyed_log.go
@@ -63,6 +63,8 @@
 	unresponsive    bool
 	responsesToLose int
 	appended        int
+	// uploadRate is in bytes a second; 0 is unlimited.
+	uploadRate int
 }
 
 // SetDown makes every call fail at once, without effect.
@@ -79,6 +81,14 @@
 	c.unresponsive = unresponsive
 }
 
+// SetUploadRate limits the bytes of records that an append sends in a second. An append
+// whose deadline passes before has no effect. With 0 appends take no time.
+func (c *KeyedLogClient) SetUploadRate(bytesPerSecond int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.uploadRate = bytesPerSecond
+}
+
 // LoseResponses makes the next count appends take effect and fail with an unknown
 // outcome.
 func (c *KeyedLogClient) LoseResponses(count int) {
@@ -140,6 +150,9 @@
 	if err := c.injectFault(ctx); err != nil {
 		return nil, err
 	}
+	if err := c.upload(ctx, records); err != nil {
+		return nil, err
+	}
 	if c.Log.tooLarge(records) {
 		return nil, &damaskspread.AppendRejectedError{Cause: errTooLarge}
 	}
@@ -150,6 +163,26 @@
 	return result, err
 }
 
+// upload takes as long as sending the records does.
+func (c *KeyedLogClient) upload(ctx context.Context, records []*wire.KeyedRecord) error {
+	c.mu.Lock()
+	rate := c.uploadRate
+	c.mu.Unlock()
+	if rate == 0 {
+		return nil
+	}
+	size := 0
+	for _, record := range records {
+		size += damaskspread.RecordBytes(record)
+	}
+	select {
+	case <-ctx.Done():
+		return &damaskspread.AppendUnknownError{Cause: ctx.Err()}
+	case <-c.Log.Clock.After(time.Duration(size) * time.Second / time.Duration(rate)):
+		return nil
+	}
+}
+
 func (l *KeyedLog) tooLarge(records []*wire.KeyedRecord) bool {
 	size := 0
 	for _, record := range records {
