Logs: why a leader schedules nothing, and why ready tasks are held back

What operators saw: of a job that waits with free room, the logs told the obstacles of the hosts, but not that the leader leaves its tasks out of the plan or that no cycle ends, so the hypotheses of the incident could not be told apart.

Change: the event "tasks held back" names the older run, the undecodable or the rejected progress (after 1 s, then each 2 s, at most five a cycle), and explain shows it as held_back. Lines tell when a cycle or a takeover has waited for the log for a second and how long it took, and when inputs become too old for starts and current again.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -133,6 +133,10 @@
 	publishedStates map[string]wire.JobState
 	// waiting are the steps with tasks that wait for a host, by Group.Name.
 	waiting map[string]*waitingStep
+	// held are the jobs and tasks that the plan leaves out, by name.
+	held map[string]*waitingStep
+	// inputsOld is set while no tasks are assigned because the inputs are too old.
+	inputsOld bool
 	// firstCosts has the latest step that was started, by service, if steps are
 	// ordered by cost.
 	firstCosts map[string]*tracer.WaitCost
@@ -270,11 +274,13 @@
 func (c *Coordinator) lead(ctx context.Context, epoch int64) {
 	term, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if err := c.takeOver(term, epoch); err != nil {
+	if err := c.reportStall(epoch, "takeover", func() error { return c.takeOver(term, epoch) }); err != nil {
 		log.Warn().Int64("epoch", epoch).Err(err).Msg("leader takeover failed")
 		damaskspread.Pause(ctx, c.Clock, maxCycleInterval)
 		return
 	}
+	c.held = nil
+	c.inputsOld = false
 	var background sync.WaitGroup
 	background.Go(func() { c.statuses.run(term) })
 	background.Go(func() { c.adviceCache.run(term) })
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -84,7 +84,7 @@
 	c.observeCalm(cycle)
 	c.migrate(cycle)
 	storing := c.Elapsed.Elapsed()
-	if err := c.storeProgress(ctx, cycle); err != nil {
+	if err := c.reportStall(epoch, "append", func() error { return c.storeProgress(ctx, cycle) }); err != nil {
 		return err
 	}
 	stored := c.Elapsed.Elapsed()
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -13,6 +13,7 @@
 func (c *Coordinator) plan(cycle *cycleState, epoch int64) {
 	config, configAge := c.Operations.Config()
 	jobsAge := c.JobsTail.Age()
+	c.reportOldInputs(epoch, jobsAge, configAge)
 	if configAge > maxInputAge || jobsAge > maxInputAge {
 		return
 	}
@@ -46,6 +47,7 @@
 	}
 	c.preempt(cycle, groups)
 	c.reportWaiting(groups, cycle, epoch)
+	c.reportHeld(cycle, epoch)
 }
 
 // preempt stops less urgent tasks to free capacity for the most urgent task that
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -123,6 +123,21 @@
 			kind: explainer.FindingWaited, subject: job + ".0.0",
 			detail: "2 tasks for 1s at the leader of epoch 9; hosts: 3 processors, 1 memory",
 		},
+		"held back by an older run": {
+			events: []tracer.Event{&tracer.TasksHeld{
+				Job: job, Reason: tracer.HoldOlderRun, Waited: tracer.Milliseconds(time.Second), Epoch: 9,
+				Task: job + ".0.0.1", Run: 2, Executor: "i-1",
+			}},
+			kind: explainer.FindingHeld, subject: job + ".0.0.1",
+			detail: "older_run for 1s at the leader of epoch 9; run 2 on i-1",
+		},
+		"held back by its progress": {
+			events: []tracer.Event{&tracer.TasksHeld{
+				Job: job, Reason: tracer.HoldUndecoded, Waited: tracer.Milliseconds(time.Second), Epoch: 9, Left: tracer.Milliseconds(2 * time.Second),
+			}},
+			kind: explainer.FindingHeld, subject: "job",
+			detail: "progress_undecoded for 1s at the leader of epoch 9; 2s left",
+		},
 		"waited behind a more costly step": {
 			events: []tracer.Event{&tracer.TasksWaiting{
 				Job: job, Step: job + ".0.0", Tasks: 2, Waited: tracer.Milliseconds(time.Second), Epoch: 9,
--- a/explainer/findings.go
+++ b/explainer/findings.go
@@ -34,6 +34,7 @@
 	FindingTooLate       FindingKind = "would_end_too_late"
 	FindingSlowAppend    FindingKind = "slow_append"
 	FindingWaited        FindingKind = "waited_for_host"
+	FindingHeld          FindingKind = "held_back"
 	FindingStartLimited  FindingKind = "limited_start"
 	FindingStartForced   FindingKind = "forced_start"
 	FindingSlowOrder     FindingKind = "slow_order"
@@ -51,7 +52,7 @@
 )
 
 var kindOrder = []FindingKind{
-	FindingRefused, FindingTooLate, FindingSlowAppend, FindingWaited, FindingStartLimited, FindingStartForced, FindingSlowOrder, FindingStartRefused, FindingStartRepeated,
+	FindingRefused, FindingTooLate, FindingSlowAppend, FindingWaited, FindingHeld, FindingStartLimited, FindingStartForced, FindingSlowOrder, FindingStartRefused, FindingStartRepeated,
 	FindingRunFailed, FindingRunStopped, FindingRunLost, FindingCrash, FindingCrashCleared, FindingOverlap, FindingPaced, FindingCanceled, FindingUnfinished,
 }
 
@@ -136,6 +137,8 @@
 	case *tracer.TasksWaiting:
 		c.add(FindingWaited, e.Step, "%d tasks for %s at the leader of epoch %d; hosts: %s%s",
 			e.Tasks, e.Waited, e.Epoch, formatObstacles(e.Obstacles), waitCostDetail(e))
+	case *tracer.TasksHeld:
+		c.add(FindingHeld, cmp.Or(e.Task, "job"), "%s for %s at the leader of epoch %d%s", e.Reason, e.Waited, e.Epoch, holdDetail(e))
 	default:
 		c.addRunEvent(line, event)
 	}
@@ -257,6 +260,17 @@
 	}
 }
 
+func holdDetail(e *tracer.TasksHeld) string {
+	switch {
+	case e.Executor != "":
+		return fmt.Sprintf("; run %d on %s", e.Run, e.Executor)
+	case e.Left > 0:
+		return fmt.Sprintf("; %s left", e.Left)
+	default:
+		return ""
+	}
+}
+
 func waitCostDetail(e *tracer.TasksWaiting) string {
 	if e.Cost == nil {
 		return ""
--- a/tracer/events.go
+++ b/tracer/events.go
@@ -57,6 +57,7 @@
 	KindTaskAssigned    Kind = "task assigned"
 	KindStartLimited    Kind = "start at a limited pace"
 	KindTasksWaiting    Kind = "tasks wait for a host"
+	KindTasksHeld       Kind = "tasks held back"
 	KindStartRepeated   Kind = "start repeated"
 	KindStopOrdered     Kind = "stop ordered"
 	KindTaskStarted     Kind = "task started"
@@ -436,6 +437,7 @@
 	KindTaskAssigned:    func() Event { return &TaskAssigned{} },
 	KindStartLimited:    func() Event { return &StartLimited{} },
 	KindTasksWaiting:    func() Event { return &TasksWaiting{} },
+	KindTasksHeld:       func() Event { return &TasksHeld{} },
 	KindStartRepeated:   func() Event { return &StartRepeated{} },
 	KindStopOrdered:     func() Event { return &StopOrdered{} },
 	KindTaskStarted:     func() Event { return &TaskStarted{} },
