--- a/coordinator/absence.go
+++ b/coordinator/absence.go
@@ -80,8 +80,9 @@
 		// The response that opened the session was lost. It may have extended the lease.
 		return nil, response
 	default:
-		left := time.Duration(min(report.GetLeaseLeftMs(), c.LeaseDuration.Milliseconds())) * time.Millisecond
-		a.deadline = c.Elapsed.Elapsed() + max(0, left) + leaseSlack
+		longest := max(c.LongestLease, c.LeaseDuration)
+		left := time.Duration(min(report.GetLeaseLeftMs(), longest.Milliseconds())) * time.Millisecond
+		a.deadline = c.Elapsed.Elapsed() + boundOf(max(0, left))
 	}
 	c.absences = append(c.absences, a)
 	return a, response
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -73,6 +73,9 @@
 	// LeaseDuration is the duration of the lease that each report of an agent
 	// renews.
 	LeaseDuration time.Duration
+	// LongestLease is the longest lease that executors accept, which leaders of earlier
+	// versions may have granted; LeaseDuration if 0.
+	LongestLease time.Duration
 	// MaxAppendBytes bounds one append to the log; damaskspread.MaxAppendBytes if 0.
 	MaxAppendBytes int
 	// LearnRunTimes makes predictions use run times that were observed.
@@ -129,6 +132,10 @@
 	waiting map[string]*waitingStep
 	// held are the jobs and tasks that the plan leaves out, by name.
 	held map[string]*waitingStep
+	// tookOverAt is the beginning of this leader's term, oldSessionsRemoved is set once
+	// removeOldSessions is done in it.
+	tookOverAt         time.Duration
+	oldSessionsRemoved bool
 	// inputsOld is set while no tasks are assigned because the inputs are too old.
 	inputsOld bool
 	// firstCosts has the latest step that was started, by service, if steps are
@@ -276,6 +283,8 @@
 	}
 	c.held = nil
 	c.inputsOld = false
+	c.tookOverAt = c.Elapsed.Elapsed()
+	c.oldSessionsRemoved = false
 	var background sync.WaitGroup
 	background.Go(func() { c.statuses.run(term) })
 	background.Go(func() { c.adviceCache.run(term) })
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -80,6 +80,7 @@
 	c.applyAbsences(cycle)
 	c.releaseLostTasks(cycle)
 	c.storeOrphans(cycle)
+	c.removeOldSessions(cycle)
 	c.stopFinishedJobs(cycle)
 	c.observeUsage(cycle)
 	c.runTimes.predict(c.jobs, cycle.views, cycle.now)
--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -59,7 +59,7 @@
 	}
 	updated := s.applyReport(report, now)
 	if s.reachable && c.leaseLeft() > 0 {
-		s.leaseEnd = now + c.leaseBound()
+		s.leaseEnd = max(s.leaseEnd, now+c.leaseBound())
 	}
 	if updated || s.opening || s.reachable && !s.granting {
 		c.signal()
@@ -100,8 +100,13 @@
 		}
 	}
 	s.granting = c.mayGrant(s.host, s.key)
+	// An earlier session may have granted a lease until now.
 	s.lastGrantAt = c.Elapsed.Elapsed()
 	s.leaseEnd = s.lastGrantAt + c.leaseBound()
+	if len(report.GetRunning()) > 0 && c.storedSession(s.host, s.key) == nil {
+		// The runs may have a lease of a leader of an earlier version.
+		s.leaseEnd = s.lastGrantAt + c.earlierLeaseBound()
+	}
 	c.sessions[s.host] = s
 	if c.histories[s.host] == nil {
 		c.histories[s.host] = &hostHistory{}
@@ -138,7 +143,7 @@
 	for {
 		c.mu.Lock()
 		current := c.sessions[s.host] == s
-		updated := s.leaseDue || s.lastOrder > report.GetOrdersReceived() || s.endsRecorded > report.GetEndsRecorded() ||
+		updated := s.leaseDue && s.reachable || s.lastOrder > report.GetOrdersReceived() || s.endsRecorded > report.GetEndsRecorded() ||
 			s.exposuresRecorded > report.GetExposuresRecorded()
 		changed := s.updated
 		c.mu.Unlock()
@@ -190,7 +195,7 @@
 		response.LeaseMs = left.Milliseconds()
 		s.leaseDue = false
 		s.lastGrantAt = now
-		s.leaseEnd = now + c.leaseBound()
+		s.leaseEnd = max(s.leaseEnd, now+c.leaseBound())
 	}
 	return response
 }
--- a/coordinator/leases.go
+++ b/coordinator/leases.go
@@ -20,6 +20,8 @@
 	// slow; leaseSlack is a fixed margin on top.
 	leaseDriftFactor = 1.05
 	leaseSlack       = 200 * time.Millisecond
+	// maxLeaseBound is the longest bound on a lease that a leader stores.
+	maxLeaseBound = 48 * time.Hour
 	// earlierGrantWindow is how long leaders of earlier versions, which stored no
 	// sessions, granted leases without a confirmed renewal.
 	earlierGrantWindow = 5 * time.Second
@@ -48,8 +50,11 @@
 
 // leaseBound is the longest time for which an executor may hold a lease that is
 // granted now.
-func (c *Coordinator) leaseBound() time.Duration {
-	return time.Duration(float64(c.LeaseDuration)*leaseDriftFactor) + leaseSlack
+func (c *Coordinator) leaseBound() time.Duration { return boundOf(c.LeaseDuration) }
+
+// boundOf returns the longest time for which an executor holds a lease of a duration.
+func boundOf(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)*leaseDriftFactor) + leaseSlack
 }
 
 // leaseLeft is the duration of a lease that is granted now, not positive if none may be
@@ -63,8 +68,23 @@
 // leader granted. stored is what is stored of its session, nil without.
 func (c *Coordinator) leaseEnd(epoch int64, stored *wire.ExecutorSession) time.Duration {
 	if stored == nil {
-		return c.Elector.LastHeardBy(epoch-1) + c.leaseBound() + earlierGrantWindow
+		return c.Elector.LastHeardBy(epoch-1) + c.earlierLeaseBound()
+	}
+	end := c.storedLeaseEnd(stored)
+	if earlier := c.Elector.LastWithoutSessions(); earlier > stored.GetEpoch() {
+		end = max(end, c.Elector.LastHeardBy(earlier)+c.earlierLeaseBound())
 	}
+	return end
+}
+
+// earlierLeaseBound is the longest time after the last record of a leader of an earlier
+// version for which an executor may hold a lease of it.
+func (c *Coordinator) earlierLeaseBound() time.Duration {
+	return boundOf(max(c.LongestLease, c.LeaseDuration)) + earlierGrantWindow
+}
+
+// storedLeaseEnd is leaseEnd by what is stored of the session alone.
+func (c *Coordinator) storedLeaseEnd(stored *wire.ExecutorSession) time.Duration {
 	bound := time.Duration(stored.GetLeaseBoundMs()) * time.Millisecond
 	if stored.GetSilentSince() > 0 {
 		return c.Elector.HeardBy(stored.GetSilentSince()-1) + bound
@@ -80,7 +100,9 @@
 		return false
 	}
 	stored := &wire.ExecutorSession{}
-	if err := proto.Unmarshal(record.GetValue(), stored); err != nil || stored.GetLeaseBoundMs() < 0 {
+	err := proto.Unmarshal(record.GetValue(), stored)
+	isOdd := stored.GetEpoch() <= 0 || stored.GetLeaseBoundMs() <= 0 || stored.GetLeaseBoundMs() > maxLeaseBound.Milliseconds()
+	if err != nil || isOdd {
 		log.Error().Str("host", host).Err(err).Msg("session record ignored: the longest lease is assumed")
 		return true
 	}
@@ -105,8 +127,8 @@
 }
 
 // reviewGrant decides whether a session gets leases. Both changes are stored by the cycle:
-// leases end before the record of a silence is, and begin after that of a session. The
-// caller holds the mutex.
+// leases end before the record of a silence is stored, also for a session that is opened
+// meanwhile, and begin after that of a session. The caller holds the mutex.
 func (c *Coordinator) reviewGrant(cycle *cycleState, s *session) {
 	responds := s.reachable && cycle.now-s.lastReportAt <= maxSilence
 	switch {
@@ -118,7 +140,10 @@
 			return
 		}
 		s.granting = false
-		cycle.sessionRecords[s.host] = c.sessionRecord(s.key, record+1, c.leaseBound())
+		s.leaseDue = false
+		silence := c.sessionRecord(s.key, record+1, c.leaseBound())
+		cycle.sessionRecords[s.host] = silence
+		c.storedSessions[s.host] = silence
 	}
 }
 
@@ -132,7 +157,7 @@
 		return
 	}
 	for _, s := range c.sessions {
-		s.leaseDue = s.granting
+		s.leaseDue = s.granting && s.reachable
 		s.notify()
 	}
 }
@@ -143,7 +168,7 @@
 		BornUnixMs:   key.BornUnixMs,
 		Epoch:        c.epoch,
 		SilentSince:  silentSince,
-		LeaseBoundMs: (bound + time.Millisecond - 1).Milliseconds(),
+		LeaseBoundMs: max(1, (bound + time.Millisecond - 1).Milliseconds()),
 	}
 }
 
@@ -182,6 +207,23 @@
 	defer c.mu.Unlock()
 	if cycle.sessionRecords[host] == nil && c.storedSession(host, key) != nil {
 		cycle.sessionRecords[host] = &wire.ExecutorSession{}
+		delete(c.storedSessions, host)
+	}
+}
+
+// removeOldSessions removes, once in a term, what earlier leaders stored of the sessions of
+// hosts that are gone: their leases are over, and nothing waits for them.
+func (c *Coordinator) removeOldSessions(cycle *cycleState) {
+	if c.oldSessionsRemoved || cycle.now < c.tookOverAt+c.earlierLeaseBound() {
+		return
+	}
+	c.oldSessionsRemoved = true
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for host, stored := range c.storedSessions {
+		if stored.GetEpoch() < c.epoch && c.sessions[host] == nil && cycle.sessionRecords[host] == nil {
+			cycle.sessionRecords[host] = &wire.ExecutorSession{}
+		}
 	}
 }
 
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -135,6 +135,8 @@
 		offset: record.GetOffset(),
 		epoch:  leadership.GetEpoch(),
 		at:     e.Elapsed.Elapsed(),
+
+		storesSessions: leadership.GetStoresSessions(),
 	})
 	if known {
 		// Such as an own append.
@@ -236,6 +238,8 @@
 		Process: e.Process,
 		Address: e.Address,
 		Epoch:   topicEnd + 1,
+
+		StoresSessions: true,
 	}
 	started := e.Elapsed.Elapsed()
 	result, err := e.append(ctx, claim, topicEnd)
@@ -271,6 +275,8 @@
 		Process: e.Process,
 		Address: e.Address,
 		Epoch:   e.epoch,
+
+		StoresSessions: true,
 	}
 	topicEnd := e.topicEnd
 	e.mu.Unlock()
@@ -330,6 +336,8 @@
 		Address:  e.Address,
 		Epoch:    epoch,
 		Resigned: true,
+
+		StoresSessions: true,
 	}
 	_, err := e.append(ctx, resignation, topicEnd)
 	var conflict *damaskspread.ConditionFailedError
--- a/elector/hearings.go
+++ b/elector/hearings.go
@@ -7,8 +7,8 @@
 	"damaskspread.example/damaskspread/wire"
 )
 
-// maxHearings bounds the records that are remembered. It covers the renewals of about a
-// minute, which is more than the longest lease.
+// maxHearings bounds the records that are remembered, which covers the renewals of about a
+// minute. Records that were dropped count as heard with the oldest one that is left.
 const maxHearings = 300
 
 // hearing is a record of the topic that this process knows to be appended.
@@ -18,6 +18,8 @@
 	at time.Duration
 	// begunAt is when the append began; 0 if another process appended the record.
 	begunAt time.Duration
+	// storesSessions is unset in records of earlier versions.
+	storesSessions bool
 }
 
 // hear remembers a record. The caller holds the mutex.
@@ -41,6 +43,8 @@
 		epoch:   record.GetEpoch(),
 		at:      e.Elapsed.Elapsed(),
 		begunAt: begunAt,
+
+		storesSessions: true,
 	})
 }
 
@@ -73,8 +77,21 @@
 	return e.heardAt(next)
 }
 
-// heardAt returns when the remembered record with an index was heard; now if there is none.
-// The caller holds the mutex.
+// LastWithoutSessions returns the latest epoch whose leader is of an earlier version, which
+// grants leases without storing sessions; 0 if no record of one is remembered.
+func (e *Elector) LastWithoutSessions() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, heard := range slices.Backward(e.hearings) {
+		if !heard.storesSessions {
+			return heard.epoch
+		}
+	}
+	return 0
+}
+
+// heardAt returns when the remembered record with an index was heard; now, the latest time
+// possible, if there is none. The caller holds the mutex.
 func (e *Elector) heardAt(index int) time.Duration {
 	if index < 0 || index >= len(e.hearings) {
 		return e.Elapsed.Elapsed()
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -209,6 +209,7 @@
 		Clock:             e.Clock,
 		Elapsed:           e.process.elapsed,
 		LeaseDuration:     leaseDuration(s.Bounds().LeaseMax()),
+		LongestLease:      s.Bounds().LeaseMax(),
 		StatusRetention:   s.Bounds().StatusFor(),
 		LearnRunTimes:     s.Scheduling().LearnedRunTimes(),
 	}
