Scheduler: time in which the log is down is no silence of an agent

Callers saw: two tasks executed twice. The agent of their host was away for 2.1 s, and the log was down for 2.6 s in two parts when it came back. The host was released 4.4 s after its last heartbeat (task_hold 4 s), before the new agent could record the tasks that its worker had finished meanwhile.

Cause: a release counts the time since the last heartbeat, and the grace for agents after an outage of the log (releaseGrace) began only with outages above currency_limit, 3 s. Shorter ones counted as silence, also in sum.

Ruled out: a grace of 10 s after each outage of any length: outages that recur within 10 s would postpone releases for ever.

Change: the planner adds up the gaps of more than 1 s (two reads of an idle log and 0.4 s) between the times as of which its state was current, and twice their length, at most 10 s, to recover. A gap is also a pause of the process or a cycle that waits for an append. The sum is subtracted from the silence, up to task_hold + 10 s, so slow reads or recurrent outages cannot keep a silent host for longer than 2.1 times task_hold + 10 s. Outages below 1 s still count. The grace after outages above currency_limit is unchanged.

Before: TestShortLogOutagesAreNoSilenceOfAnAgent and TestOutageDuringAppendIsNoSilenceOfAnAgent fail (the task is pending). After: both pass, TestSlowLogDoesNotKeepSilentHosts as well.

--- a/scheduler/leave.go
+++ b/scheduler/leave.go
@@ -153,7 +153,9 @@
 
 // releaseHosts releases the hosts without heartbeats for more than TaskHold plus
 // a margin of a tenth, whose leases have certainly ended. A release returns the
-// host's tasks to the queue.
+// host's tasks to the queue, so that those that its worker has finished meanwhile
+// run again. For this reason, time in which an agent could not record their results
+// does not count (see silence).
 func (p *Planner) releaseHosts(out *plan) {
 	if out.now.Sub(p.stateCurrentSince) < releaseGrace {
 		return
@@ -161,7 +163,7 @@
 	releaseAfter := p.limits.TaskHold + p.limits.TaskHold/10
 	released := 0
 	for _, h := range p.hostList {
-		if len(h.tasks) == 0 || out.now.Sub(h.aliveObservedAt) <= releaseAfter || out.now.Sub(h.releaseTriedAt) < releaseRetryInterval ||
+		if len(h.tasks) == 0 || p.silence(h, out.now) <= releaseAfter || out.now.Sub(h.releaseTriedAt) < releaseRetryInterval ||
 			!p.owns("host/"+h.spec.GetHost()) {
 			continue
 		}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -62,6 +62,7 @@
 	if p.stateCurrentSince.IsZero() {
 		p.stateCurrentSince = now
 	}
+	p.outages.observe(now, age, 2*p.limits.ReadWait+readDelayMargin)
 	out := &plan{
 		now:          now,
 		claimsLeft:   p.limits.ClaimsPerCycle,
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -28,6 +28,8 @@
 	MaxEvictingPermille int
 	// CurrencyLimit is the age of the state above which nothing is planned.
 	CurrencyLimit time.Duration
+	// ReadWait is how long a read of the log waits for new records.
+	ReadWait time.Duration
 	// TaskHold is how long a host that sends no heartbeats keeps its tasks.
 	TaskHold time.Duration
 	// UnplaceableDelay is how long hosts and configuration have to be unchanged,
@@ -56,6 +58,7 @@
 	setInt(&l.AttemptsPerCycle, 512)
 	setInt(&l.MaxEvictingPermille, 100)
 	setDuration(&l.CurrencyLimit, 3*time.Second)
+	setDuration(&l.ReadWait, 300*time.Millisecond)
 	setDuration(&l.TaskHold, 15*time.Minute)
 	setDuration(&l.UnplaceableDelay, 30*time.Second)
 	setDuration(&l.ClaimTimeout, 10*time.Second)
@@ -91,7 +94,9 @@
 	tasks           map[string]*runningTask
 	alivePosition   *wire.Position
 	aliveObservedAt time.Time
-	leaving         bool
+	// outagesAtAlive is the total of the outages at aliveObservedAt.
+	outagesAtAlive time.Duration
+	leaving        bool
 	// leavingSince is when the planner observed that the host is leaving.
 	leavingSince time.Time
 	expired      bool
@@ -157,6 +162,7 @@
 	// stateCurrentSince is when the age of the replayed state last came within the
 	// currency limit, or zero while it exceeds the limit.
 	stateCurrentSince time.Time
+	outages           logOutages
 	// configChanged is set by a change of the configuration, after which refused
 	// tasks may become placeable.
 	configChanged bool
--- a/scheduler/refresh.go
+++ b/scheduler/refresh.go
@@ -92,6 +92,7 @@
 	if h.alivePosition == nil || damaskspread.Token(h.alivePosition) != damaskspread.Token(state.GetAlive()) {
 		h.alivePosition = proto.CloneOf(state.GetAlive())
 		h.aliveObservedAt = now
+		h.outagesAtAlive = p.outages.total
 	}
 	if !changed {
 		return
--- a/server/entry_parts.go
+++ b/server/entry_parts.go
@@ -168,6 +168,7 @@
 			Drains:    func(zone string) bool { return e.policies.load().drainsZone(zone) },
 			Limits: scheduler.Limits{
 				CurrencyLimit: s.Limits().CurrencyLimit(),
+				ReadWait:      s.Log().ReadWait(),
 				TaskHold:      s.Limits().TaskHold(),
 			},
 			Random: newRandom(e.random.Uint64()),
