--- a/soak/processes_test.go
+++ b/soak/processes_test.go
@@ -29,11 +29,30 @@
 	done chan struct{}
 }
 
+var givenAddresses sync.Map
+
+// freeAddress returns an address that it has not returned before: the process that got an
+// earlier one may not listen there yet.
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", loopback+":0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	for {
+		listener, err := net.Listen("tcp", loopback+":0")
+		assert.NilError(t, err)
+		address := listener.Addr().String()
+		assert.NilError(t, listener.Close())
+		if _, given := givenAddresses.LoadOrStore(address, true); !given {
+			return address
+		}
+	}
+}
+
+// Guards against two processes, or a process and an executor, with the same address.
+func TestAddressesAreGivenOnce(t *testing.T) {
+	given := map[string]bool{}
+	for range 1000 {
+		address := freeAddress(t)
+		assert.Assert(t, !given[address], "%s was given twice", address)
+		given[address] = true
+	}
 }
 
 func (f *fleet) newProcess(role, name, executor string) *process {
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -39,7 +39,7 @@
 }
 
 func newProxy(t *testing.T, upstream string) *proxy {
-	listener, err := net.Listen("tcp", loopback+":0")
+	listener, err := net.Listen("tcp", freeAddress(t))
 	assert.NilError(t, err)
 	p := &proxy{listener: listener, upstream: upstream, conns: map[net.Conn]bool{}}
 	go p.accept()
