Soak: an executor waits until its address is free again

Cause: a process that is being started has copies of all listeners of the test until it executes its binary; on a loaded machine that takes longer than the crash. Change: listen repeats for up to 10 s.

--- a/soak/stand_in_test.go
+++ b/soak/stand_in_test.go
@@ -159,9 +159,16 @@
 	knownBorn, toldBorn int64
 }
 
+// listenLimit bounds the time until an address is free again: a process that is being
+// started holds copies of all listeners until it executes its binary.
+const listenLimit = 10 * time.Second
+
 // listen starts to serve at the handler's address.
 func (h *executorHandler) listen(t *testing.T) {
 	listener, err := net.Listen("tcp", h.address)
+	for deadline := time.Now().Add(listenLimit); err != nil && time.Now().Before(deadline); listener, err = net.Listen("tcp", h.address) {
+		time.Sleep(endsInterval)
+	}
 	assert.NilError(t, err)
 	h.server = &httptest.Server{Listener: listener, Config: &http.Server{Handler: h}}
 	h.server.Start()
