Soak: all entries are killed at once, in series

Change: on two of four seeds from 200 on (200, 201, 204, 205, ...) the losses of leaders kill all entries at once and start them 50 to 600 ms later. lease_max is 9 s there, so that a wait that begins again is longer than the calm time of the check. Draws and the plays of the other seeds (202, 203, 206, 207, ...) stay the same.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -52,6 +52,9 @@
 	// tasks that last. onlyLosses is set if there are no other faults, and no jobs that leave
 	// no room for these tasks.
 	losses, onlyLosses bool
+	// outages is set if all entries are killed at once in place of one leader after another,
+	// and executors accept leases of longLeaseMax.
+	outages bool
 	// executorLog records the calls and runs of the executors.
 	executorLog *log.Logger
 }
@@ -69,6 +72,7 @@
 		restarts:   seed != 0,
 		losses:     seed >= firstLossSeed,
 		onlyLosses: seed >= firstLossSeed && seed%2 != 0,
+		outages:    seed >= firstLossSeed && seed%4 < 2,
 	}
 	if kept, isKept := regressions[seed]; isKept {
 		f.restarts = kept.restarts
--- a/soak/losses_test.go
+++ b/soak/losses_test.go
@@ -99,7 +99,7 @@
 // lose returns when the last leader is lost. The faults that last longer are added to the
 // group.
 func (f *fleet) lose(ctx context.Context, loss *plannedLoss, faults *sync.WaitGroup) {
-	f.t.Logf("%d executors, %d agents and %d leaders in series are lost", len(loss.executors), len(loss.agents), len(loss.leaders))
+	f.t.Logf("%d executors, %d agents and %d leaders in series are lost, or all entries: %t", len(loss.executors), len(loss.agents), len(loss.leaders), f.outages)
 	for _, lost := range loss.executors {
 		faults.Go(func() { f.loseExecutor(ctx, lost) })
 	}
@@ -109,16 +109,25 @@
 	}
 	for _, fault := range loss.leaders {
 		pause(ctx, fault.wait)
-		for ctx.Err() == nil {
-			if fault.process = f.leader(ctx); fault.process != nil && fault.process.faulty.TryLock() {
-				faults.Go(func() {
-					defer fault.process.faulty.Unlock()
-					f.inject(ctx, fault.process, fault.kind, 0, fault.lasting, 0)
-				})
-				break
-			}
-			pause(ctx, leaderInterval)
+		if f.outages {
+			f.killEntries(ctx, fault.lasting, faults)
+		} else {
+			f.loseLeader(ctx, fault, faults)
+		}
+	}
+}
+
+// loseLeader causes a fault of the process that leads.
+func (f *fleet) loseLeader(ctx context.Context, fault plannedFault, faults *sync.WaitGroup) {
+	for ctx.Err() == nil {
+		if fault.process = f.leader(ctx); fault.process != nil && fault.process.faulty.TryLock() {
+			faults.Go(func() {
+				defer fault.process.faulty.Unlock()
+				f.inject(ctx, fault.process, fault.kind, 0, fault.lasting, 0)
+			})
+			return
 		}
+		pause(ctx, leaderInterval)
 	}
 }
 
--- a/soak/processes_test.go
+++ b/soak/processes_test.go
@@ -71,7 +71,11 @@
 		settings += fmt.Sprintf("executor = %s\n", executor)
 		listen += fmt.Sprintf("executors = %s\n", p.executorsAddress)
 	}
-	settings += listen + "[bounds]\nlease_max = 4s\ngrace = 4s\n"
+	leaseMax := "4s"
+	if f.outages {
+		leaseMax = longLeaseMax
+	}
+	settings += listen + fmt.Sprintf("[bounds]\nlease_max = %s\ngrace = 4s\n", leaseMax)
 	if f.restarts {
 		settings += fmt.Sprintf("stop_within = %s\n", maxStopTime)
 	}
