--- a/placer/amount.go
+++ b/placer/amount.go
@@ -33,6 +33,14 @@
 	}
 }
 
+func (a amount) times(factor int64) amount {
+	return amount{
+		millicores:   factor * a.millicores,
+		memory:       factor * a.memory,
+		accelerators: factor * a.accelerators,
+	}
+}
+
 func (a amount) covers(need amount) bool {
 	return need.millicores <= a.millicores && need.memory <= a.memory && need.accelerators <= a.accelerators
 }
--- a/placer/spread.go
+++ b/placer/spread.go
@@ -27,9 +27,17 @@
 // hosts only score worse. Balanced objectives have a relative weight of 1.
 const interferenceWeightLimit = 1.5
 
-// maxScoredHosts bounds the cost of a decision independently of the number of
-// hosts. Scoring more than about 40 hosts hardly improves the best score.
-const maxScoredHosts = 40
+const (
+	// maxScoredHosts bounds the cost of a decision independently of the number of
+	// hosts. Scoring more than about 40 hosts hardly improves the best score.
+	maxScoredHosts = 40
+	// minHostsPerZone is sampled in each zone at least, so that many zones may exceed
+	// maxScoredHosts.
+	minHostsPerZone = 2
+	// maxHostsPerCell bounds the hosts that are sampled from one cell of a grid, so
+	// that the sample spreads over cells.
+	maxHostsPerCell = 2
+)
 
 // Spread is the default policy. It samples hosts that fit the task in every zone
 // and takes the one with the lowest score. The score prefers hosts with a low and
@@ -159,17 +167,19 @@
 		p.collectFromZones(task.Spec, need, now, avoid, 0, 0)
 	}
 	if len(p.sample) == 0 {
-		p.collectFromZones(task.Spec, need, now, avoid, 1+int(min(need.accelerators, acceleratorLevels-2)), acceleratorLevels-1)
+		p.collectFromZones(task.Spec, need, now, avoid, levelOfFree(need.accelerators), acceleratorLevels-1)
 	}
 }
 
+// collectFromZones samples hosts of all zones that may take the task, from the grids
+// of the given levels.
 func (p *Spread) collectFromZones(spec *wire.TaskSpec, need amount, now time.Time, avoid []string, fromLevel, toLevel int) {
-	zones := p.Index.zoneList
-	perZone := max(2, maxScoredHosts/max(1, len(zones)))
+	zoneCount := len(p.Index.zoneList)
 	if len(spec.GetZones()) > 0 {
-		perZone = max(2, maxScoredHosts/len(spec.GetZones()))
+		zoneCount = len(spec.GetZones())
 	}
-	for _, z := range zones {
+	perZone := max(minHostsPerZone, maxScoredHosts/max(1, zoneCount))
+	for _, z := range p.Index.zoneList {
 		if !z.inService || !allows(spec, z.name) {
 			continue
 		}
@@ -210,7 +220,7 @@
 		rows &= rows - 1
 		for columns := g.columnMasks[row] & columnsAbove; columns != 0 && taken < limit; columns &= columns - 1 {
 			cell := g.cells[row][bits.TrailingZeros64(columns)]
-			taken += p.collectFromCell(cell, need, avoid, min(2, limit-taken))
+			taken += p.collectFromCell(cell, need, avoid, min(maxHostsPerCell, limit-taken))
 		}
 	}
 	return taken
