--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -21,23 +21,10 @@
 	"damaskspread.example/damaskspread/wire"
 )
 
-const (
-	// Every fairnessInterval-th admission takes the waiter with the earliest
-	// deadline whatever its priority, so that a steady load of higher priorities
-	// can't starve the lowest.
-	fairnessInterval = 8
-	// slowdownRatio is the ratio of recent to baseline service time above which
-	// the limit is lowered, by the factor limitDecrease for each request.
-	slowdownRatio = 2.0
-	limitDecrease = 0.9
-	// The baseline follows increases slowly: at 1% for each request it adopts a
-	// lasting increase after some hundred requests.
-	baselineRiseWeight = 0.01
-	recentWeight       = 0.2
-	// The baseline follows decreases faster, but not at once: normal service times
-	// would look slow next to the lowest values of a varying mean.
-	baselineFallWeight = 0.05
-)
+// Every fairnessInterval-th admission takes the waiter with the earliest deadline
+// whatever its priority, so that a steady load of higher priorities can't starve the
+// lowest.
+const fairnessInterval = 8
 
 // Limiter admits requests. The exported fields are set before the first use. It is
 // safe for concurrent use.
@@ -116,16 +103,7 @@
 		l.admit(w, now)
 		return w, nil
 	}
-	ahead := 0
-	for _, other := range l.waiting {
-		if other.before(w) {
-			ahead++
-		}
-	}
-	if untilEnd := l.estimateEnd(ahead); now.Add(untilEnd).After(deadline) {
-		refusal := damaskspread.NotRun(damaskspread.ReasonOverloaded,
-			"%d requests are ahead; this one would end in about %v, after its deadline", ahead, untilEnd.Round(time.Microsecond))
-		refusal.RetryAfter = max(untilEnd, time.Millisecond)
+	if refusal := l.checkEstimate(w, now); refusal != nil {
 		return nil, refusal
 	}
 	l.waiting = append(l.waiting, w)
@@ -139,6 +117,25 @@
 	return w, nil
 }
 
+// checkEstimate refuses a request that would end after its deadline if it had to
+// wait for those before it in the queue.
+func (l *Limiter) checkEstimate(w *Waiter, now time.Time) *damaskspread.RefusalError {
+	ahead := 0
+	for _, other := range l.waiting {
+		if other.before(w) {
+			ahead++
+		}
+	}
+	untilEnd := l.estimateEnd(ahead)
+	if !now.Add(untilEnd).After(w.deadline) {
+		return nil
+	}
+	refusal := damaskspread.NotRun(damaskspread.ReasonOverloaded,
+		"%d requests are ahead; this one would end in about %v, after its deadline", ahead, untilEnd.Round(time.Microsecond))
+	refusal.RetryAfter = max(untilEnd, time.Millisecond)
+	return refusal
+}
+
 func (l *Limiter) initLimit() {
 	if l.limit == 0 {
 		l.limit = float64(l.Slots)
@@ -228,27 +225,6 @@
 	}
 }
 
-// adapt updates the averages with a service time in nanoseconds. It lowers the
-// limit while the endpoint is much slower than its baseline. Otherwise it raises
-// the limit by 1/limit.
-func (l *Limiter) adapt(serviceTime float64) {
-	if l.baseline == 0 {
-		l.baseline, l.recentServiceTime = serviceTime, serviceTime
-		return
-	}
-	l.recentServiceTime += recentWeight * (serviceTime - l.recentServiceTime)
-	if l.recentServiceTime < l.baseline {
-		l.baseline += baselineFallWeight * (l.recentServiceTime - l.baseline)
-	} else {
-		l.baseline += baselineRiseWeight * (l.recentServiceTime - l.baseline)
-	}
-	if l.recentServiceTime > slowdownRatio*l.baseline {
-		l.limit = max(1, l.limit*limitDecrease)
-		return
-	}
-	l.limit = min(float64(l.Slots), l.limit+1/l.limit)
-}
-
 // Load returns the endpoint's load as the agent reports it to entry processes.
 func (l *Limiter) Load() *wire.EndpointLoad {
 	l.mu.Lock()
