--- a/validator/job_settings.go
+++ b/validator/job_settings.go
@@ -1,7 +1,6 @@
 package validator
 
 import (
-	"strings"
 	"time"
 
 	"damaskspread.example/damaskspread/parser"
@@ -243,27 +242,3 @@
 
 // JobSettingsSchema returns the section types of JobSettings.
 func JobSettingsSchema() []SectionSchema { return (&JobSettings{}).sections() }
-
-// readSettings reads every section of the schema, and reports unknown and
-// duplicate sections.
-func readSettings(parsed *parser.File, sections []SectionSchema) []Diagnostic {
-	var diagnostics []Diagnostic
-	sectionNames := make([]string, len(sections))
-	for i, s := range sections {
-		sectionNames[i] = s.name
-		section, ok := parsed.Section(s.name)
-		if !ok {
-			section = parser.ParseBody(parsed.Name(), s.name, "")
-		}
-		diagnostics = append(diagnostics, readFields(section, s.fields)...)
-	}
-	for _, section := range parsed.Sections() {
-		if first, _ := parsed.Section(section.Name()); !contains(sectionNames, section.Name()) {
-			diagnostics = append(diagnostics, newDiagnostic(section, nil, "["+section.Name()+"]",
-				"one of the sections ["+strings.Join(sectionNames, "], [")+"]", nearest(section.Name(), sectionNames)))
-		} else if first != section {
-			diagnostics = append(diagnostics, readFields(section, nil)...)
-		}
-	}
-	return diagnostics
-}
--- a/validator/limits.go
+++ b/validator/limits.go
@@ -1,37 +1,9 @@
 package validator
 
 import (
-	"fmt"
-	"net/netip"
 	"time"
-
-	"damaskspread.example/damaskspread/parser"
 )
 
-// Emulator is the [emulator] section: the emulated platform.
-type Emulator struct {
-	listen    string
-	workers   int
-	retention time.Duration
-}
-
-// Listen returns the address of the emulated log and of the fault injection API.
-func (e *Emulator) Listen() string { return e.listen }
-
-// Workers returns the number of emulated workers.
-func (e *Emulator) Workers() int { return e.workers }
-
-// Retention returns how long the emulated log keeps records.
-func (e *Emulator) Retention() time.Duration { return e.retention }
-
-func (e *Emulator) fields() []Field {
-	return []Field{
-		optional("listen", "127.0.0.1:7100", "address of the emulated log and of the fault switches", address(&e.listen, false)),
-		optional("workers", "3", "number of emulated workers", integer(&e.workers, 0, 10_000)),
-		optional("retention", "24h", "how long the emulated log keeps records", duration(&e.retention, time.Second, 365*24*time.Hour)),
-	}
-}
-
 // Limits is the [limits] section: limits and intervals.
 type Limits struct {
 	currencyLimit, memberHold, taskHold, keyLifetime time.Duration
@@ -91,81 +63,3 @@
 		optional("retry_percent", "10", "retry budget in percent of first tries", number(&l.retryPercent, 0, 100)),
 	}
 }
-
-// check validates rules that involve several keys or sections.
-func (s *Settings) check(parsed *parser.File) []Diagnostic {
-	l := &s.limits
-	constraints := []struct {
-		violated               bool
-		section, key, expected string
-		found                  time.Duration
-	}{
-		{
-			// A read shows that the state was current at the start of the
-			// read, so a wait near the limit would leave the state stale
-			// between two reads.
-			violated: s.log.readWait > l.currencyLimit/2,
-			section:  "log",
-			key:      "read_wait",
-			expected: fmt.Sprintf("at most half of currency_limit (%s)", formatDuration(l.currencyLimit)),
-			found:    s.log.readWait,
-		},
-		{
-			violated: l.syncWait > l.currencyLimit/2,
-			section:  "limits",
-			key:      "sync_wait",
-			expected: fmt.Sprintf("at most half of currency_limit (%s)", formatDuration(l.currencyLimit)),
-			found:    l.syncWait,
-		},
-		{
-			violated: l.memberHold < 2*l.syncWait,
-			section:  "limits",
-			key:      "member_hold",
-			expected: fmt.Sprintf("at least twice sync_wait (%s)", formatDuration(l.syncWait)),
-			found:    l.memberHold,
-		},
-		{
-			violated: l.taskHold < l.memberHold,
-			section:  "limits",
-			key:      "task_hold",
-			expected: fmt.Sprintf("at least member_hold (%s)", formatDuration(l.memberHold)),
-			found:    l.taskHold,
-		},
-	}
-	diagnostics := s.checkAnnouncedAddresses(parsed)
-	for _, constraint := range constraints {
-		if constraint.violated {
-			diagnostics = append(diagnostics, diagnoseKey(parsed, constraint.section, constraint.key, formatDuration(constraint.found), constraint.expected))
-		}
-	}
-	return diagnostics
-}
-
-// checkAnnouncedAddresses rejects unspecified addresses such as 0.0.0.0: a process
-// can listen on them, but other processes cannot connect to them.
-func (s *Settings) checkAnnouncedAddresses(parsed *parser.File) []Diagnostic {
-	var diagnostics []Diagnostic
-	for _, announced := range []struct{ section, address string }{
-		{"entry", s.entry.address},
-		{"agent", s.agent.address},
-	} {
-		address, err := netip.ParseAddrPort(announced.address)
-		if err != nil || address.Addr().IsUnspecified() {
-			diagnostics = append(diagnostics, diagnoseKey(parsed, announced.section, "address", announced.address,
-				"an IP address that other processes can reach"))
-		}
-	}
-	return diagnostics
-}
-
-// diagnoseKey returns the diagnostic of a key that may be absent from the text.
-func diagnoseKey(parsed *parser.File, name, key, found, expected string) Diagnostic {
-	section, ok := parsed.Section(name)
-	if !ok {
-		section = parser.ParseBody(parsed.Sections()[0].FileName(), name, "")
-	}
-	k, _ := section.Key(key)
-	d := newDiagnostic(section, k, found, expected, "")
-	d.Key = key
-	return d
-}
--- a/validator/schema.go
+++ b/validator/schema.go
@@ -1,7 +1,9 @@
 package validator
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"damaskspread.example/damaskspread/parser"
@@ -127,3 +129,25 @@
 		{name: "objective", fields: (&Objective{}).fields()},
 	}
 }
+
+// FormatDefaults returns INI text with the defaults of all keys and their
+// descriptions. Keys without a default are commented out.
+func FormatDefaults(schema []SectionSchema) string {
+	var b strings.Builder
+	for _, section := range schema {
+		fmt.Fprintf(&b, "[%s]\n", section.name)
+		for _, f := range section.fields {
+			fmt.Fprintf(&b, "# %s: %s\n", f.description, f.Expected())
+			switch {
+			case f.required:
+				fmt.Fprintf(&b, "# %s =   (required)\n", f.name)
+			case f.defaultText == "":
+				fmt.Fprintf(&b, "# %s =\n", f.name)
+			default:
+				fmt.Fprintf(&b, "%s = %s\n", f.name, f.defaultText)
+			}
+		}
+		b.WriteString("\n")
+	}
+	return b.String()
+}
