--- a/planner/reserve.go
+++ b/planner/reserve.go
@@ -75,13 +75,3 @@
 func (h *Host) freeMillicores() int64 {
 	return h.Capacity.GetMillicores() - h.requested.GetMillicores()
 }
-
-// admitsProbe reports whether a task may probe a suspect host. There is one probe
-// at a time. A task that failed before may itself be at fault, and a long-running
-// task has no end that shows whether the host works.
-func (h *Host) admitsProbe(group *tracker.Group, task *tracker.Task) bool {
-	return h.probes == 0 && task.Failures() == 0 && !group.Step().GetLongRunning()
-}
-
-// HasProbe reports whether a task probes the suspect host at the moment.
-func (h *Host) HasProbe() bool { return h.probes > 0 }
