Planner: the budget of a preview apart from its loop

Preview computed how many steps and tasks it may try amid the placement of the steps. previewBudget has that and its constants; its doc comment is wrapped. Results stay the same; planner's tests pass.

--- a/planner/preview.go
+++ b/planner/preview.go
@@ -5,13 +5,7 @@
 	"slices"
 
 	"damaskspread.example/damaskspread/tracker"
-)
-
-// What a preview of a step costs for each host apart from placing tasks, in checks of a
-// task on a host: its obstacles are checked twice, and for a gang the host is copied.
-const (
-	checksPerStep = 3
-	checksPerGang = 16
+	"damaskspread.example/damaskspread/wire"
 )
 
 // StepPreview is where the tasks of one step would start.
@@ -31,11 +25,12 @@
 }
 
 // Preview returns where the tasks of a job of which no task has started would start,
-// for the ready steps of its first occurrence, in their order. waiting are the groups with tasks that Plan has
-// placed on none of the hosts, hosts are those that it has changed. The job is placed
-// as in a plan after that one: groups that go first were tried already, and the others
-// don't count. Preview changes nothing. It tries so many steps, and tasks of each, that
-// the job takes about maxChecks checks of a task on a host, at least one task of one step.
+// for the ready steps of its first occurrence, in their order. waiting are the groups
+// with tasks that Plan has placed on none of the hosts, hosts are those that it has
+// changed. The job is placed as in a plan after that one: groups that go first were
+// tried already, and the others don't count. Preview changes nothing. It tries so many
+// steps, and tasks of each, that the job takes about maxChecks checks of a task on a
+// host, at least one task of one step.
 func (p *Planner) Preview(job *tracker.Job, waiting []*tracker.Group, hosts []*Host, nowUnixMs int64, maxChecks int) []StepPreview {
 	ready := slices.DeleteFunc(job.Ready(nowUnixMs), func(group *tracker.Group) bool { return group.Occurrence() > 0 })
 	ordered := slices.Clone(ready)
@@ -44,11 +39,9 @@
 			ordered = append(ordered, group)
 		}
 	}
-	count := len(ordered) - len(ready)
 	p.Order(ordered, nowUnixMs)
+	budget := newPreviewBudget(maxChecks, len(hosts), len(ready))
 	trial := cloneHosts(hosts)
-	checksPerHost := maxChecks / max(1, len(hosts))
-	maxTasks := max(1, checksPerHost/max(1, min(len(ready), checksPerHost/checksPerStep)))
 	first := map[*tracker.Group]bool{}
 	var previews []StepPreview
 	for _, group := range ordered {
@@ -59,22 +52,52 @@
 		preview := StepPreview{
 			Group: group,
 		}
-		checks := checksPerStep
-		if group.Step().GetGang() {
-			checks = checksPerGang
-		}
-		checksPerHost -= checks
-		if checksPerHost >= 0 || len(previews) == 0 {
+		if budget.take(group.Step()) || len(previews) == 0 {
 			setReservations(trial, hosts, first, job)
-			preview = p.previewStep(group, trial, maxTasks)
+			preview = p.previewStep(group, trial, budget.tasksPerStep)
 		}
 		preview.First = len(first)
-		preview.Waiting = count
+		preview.Waiting = len(ordered) - len(ready)
 		previews = append(previews, preview)
 	}
 	return previews
 }
 
+// What a preview of a step costs for each host apart from placing tasks, in checks of a
+// task on a host: its obstacles are checked twice, and for a gang the host is copied.
+const (
+	checksPerStep = 3
+	checksPerGang = 16
+)
+
+// previewBudget limits the steps of a preview and the tasks that are tried of each.
+type previewBudget struct {
+	// checksPerHost is the number of checks on each host that are left for steps.
+	checksPerHost int
+	tasksPerStep  int
+}
+
+// newPreviewBudget divides maxChecks, the checks of a task on a host, evenly among the
+// steps that it suffices for.
+func newPreviewBudget(maxChecks, hosts, steps int) previewBudget {
+	checksPerHost := maxChecks / max(1, hosts)
+	affordableSteps := min(steps, checksPerHost/checksPerStep)
+	return previewBudget{
+		checksPerHost: checksPerHost,
+		tasksPerStep:  max(1, checksPerHost/max(1, affordableSteps)),
+	}
+}
+
+// take takes the checks of a step from the budget and reports whether it suffices.
+func (b *previewBudget) take(step *wire.JobStep) bool {
+	checks := checksPerStep
+	if step.GetGang() {
+		checks = checksPerGang
+	}
+	b.checksPerHost -= checks
+	return b.checksPerHost >= 0
+}
+
 // previewStep places the tasks of the group on the hosts.
 func (p *Planner) previewStep(group *tracker.Group, hosts []*Host, maxTasks int) StepPreview {
 	first := group.First()
