Planner: what a task requests, and what hosts take, computed in one place

Three places left out the processors of best-effort tasks by hand, two summed the interference on a host, six guarded the capacity as a divisor, three added a planned task to a host and its probation, and two looked up the default of BestEffortSpeed. tracker.RequestedMillicores, addInterference, capacityMillicores, Host.place and fullSpeed do it now; Preempt uses copyRequest. Sums of floating-point terms keep their order, so plans stay the same: the tests of planner and tracker pass with the race detector.

--- a/planner/forced.go
+++ b/planner/forced.go
@@ -61,8 +61,7 @@
 		return Assignment{}, false
 	}
 	speed := p.speed(host, group.Step())
-	host.AddPlanned(group.Name(), group.Step())
-	host.probation.addPlanned(task)
+	host.place(task, group.Name())
 	host.ForcedUnmeasured = true
 	return Assignment{
 		Task:    task,
--- a/planner/host.go
+++ b/planner/host.go
@@ -98,6 +98,13 @@
 	}
 }
 
+// place adds a task that this cycle places on the host, and records it for the host's
+// probation.
+func (h *Host) place(task *tracker.Task, group string) {
+	h.AddPlanned(group, task.Step())
+	h.probation.addPlanned(task)
+}
+
 func (h *Host) addTask(group string, step *wire.JobStep) {
 	tracker.AddRequest(&h.requested, step)
 	if !step.GetLongRunning() {
@@ -123,17 +130,13 @@
 // capacity has shrunk below what its tasks request.
 func (h *Host) shortage(step *wire.JobStep, freed *wire.Resources) Obstacle {
 	need := step.GetResources()
-	millicores := need.GetMillicores()
-	if step.GetFillsIdle() {
-		millicores = 0
-	}
 	lacks := func(used, released, more, total int64) bool { return used-released+more > total }
 	switch {
 	case lacks(h.requested.GetMemoryBytes(), freed.GetMemoryBytes(), need.GetMemoryBytes(), h.Capacity.GetMemoryBytes()):
 		return ObstacleMemory
 	case lacks(h.requested.GetAccelerators(), freed.GetAccelerators(), need.GetAccelerators(), h.Capacity.GetAccelerators()):
 		return ObstacleAccelerators
-	case lacks(h.requested.GetMillicores(), freed.GetMillicores(), millicores, h.Capacity.GetMillicores()):
+	case lacks(h.requested.GetMillicores(), freed.GetMillicores(), tracker.RequestedMillicores(step), h.Capacity.GetMillicores()):
 		return ObstacleProcessors
 	default:
 		return NoObstacle
@@ -155,13 +158,16 @@
 }
 
 func (h *Host) idleShare() float64 {
-	return float64(h.idleMillicores()) / float64(max(h.Capacity.GetMillicores(), 1))
+	return float64(h.idleMillicores()) / h.capacityMillicores()
 }
 
 func (h *Host) requestedShare() float64 {
-	return float64(h.requested.GetMillicores()) / float64(max(h.Capacity.GetMillicores(), 1))
+	return float64(h.requested.GetMillicores()) / h.capacityMillicores()
 }
 
+// capacityMillicores returns the processors of the host as a divisor, at least 1.
+func (h *Host) capacityMillicores() float64 { return float64(max(h.Capacity.GetMillicores(), 1)) }
+
 // inAffinityRack reports whether the host is in the step's affinity rack, which
 // holds the step's data. It is true for steps without one.
 func (h *Host) inAffinityRack(step *wire.JobStep) bool {
--- a/planner/interference.go
+++ b/planner/interference.go
@@ -22,18 +22,12 @@
 		return 1
 	}
 	pace := 1.0
-	capacity := float64(max(host.Capacity.GetMillicores(), 1))
 	for _, serving := range host.servingByImage {
 		imageWeight := p.Weight(image, serving.image)
 		if imageWeight < minWeight {
 			continue
 		}
-		logIncrease := imageWeight * float64(addedMillicores) / capacity
-		for _, interfering := range host.bestEffortByImage {
-			if weight := p.Weight(interfering.image, serving.image); weight >= minWeight {
-				logIncrease += weight * float64(interfering.millicores) / capacity
-			}
-		}
+		logIncrease := p.addInterference(imageWeight*float64(addedMillicores)/host.capacityMillicores(), host, serving.image)
 		if logIncrease > typicalHeadroom {
 			pace = min(pace, typicalHeadroom/logIncrease)
 		}
@@ -60,10 +54,15 @@
 	if p.Weight == nil {
 		return 0
 	}
-	sum := 0.0
+	return p.addInterference(0, host, serving)
+}
+
+// addInterference adds to sum what each best-effort image on the host adds to the
+// logarithm of the latency of a serving image.
+func (p *Planner) addInterference(sum float64, host *Host, serving string) float64 {
 	for _, interfering := range host.bestEffortByImage {
 		if weight := p.Weight(interfering.image, serving); weight >= minWeight {
-			sum += weight * float64(interfering.millicores) / float64(max(host.Capacity.GetMillicores(), 1))
+			sum += weight * float64(interfering.millicores) / host.capacityMillicores()
 		}
 	}
 	return sum
--- a/planner/lostwork.go
+++ b/planner/lostwork.go
@@ -209,10 +209,7 @@
 // neededVictims returns a lower bound, at least 1, of the victims that are needed
 // beside those chosen.
 func (s *victimSearch) neededVictims() int {
-	need := s.step.GetResources().GetMillicores()
-	if s.step.GetFillsIdle() {
-		need = 0
-	}
+	need := tracker.RequestedMillicores(s.step)
 	short := s.host.requested.GetMillicores() - s.freed.GetMillicores() + need - s.host.Capacity.GetMillicores()
 	return int(max(1, (short+s.largest-1)/s.largest))
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -108,8 +108,7 @@
 			Group: groupName,
 		}
 		p.limitStart(&assignment, group)
-		host.AddPlanned(groupName, group.Step())
-		host.probation.addPlanned(task)
+		host.place(task, groupName)
 		if group.Step().GetSameRack() {
 			rack = host.Rack()
 		}
@@ -132,8 +131,7 @@
 	run := group.NextRun()
 	for i := range plan {
 		host := hosts[slices.Index(trial, plan[i].Host)]
-		host.AddPlanned(plan[i].Group, group.Step())
-		host.probation.addPlanned(plan[i].Task)
+		host.place(plan[i].Task, plan[i].Group)
 		plan[i].Host = host
 		plan[i].Run = run
 	}
@@ -181,9 +179,6 @@
 	return granted
 }
 
-// defaultBestEffortSpeed applies without Planner.BestEffortSpeed.
-const defaultBestEffortSpeed = 0.5
-
 // Weights and penalties of the placement score, relative to the idle share of a
 // host, which is at most 1.
 const (
--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"damaskspread.example/damaskspread/tracker"
-	"damaskspread.example/damaskspread/wire"
 )
 
 const (
@@ -60,11 +59,7 @@
 // free enough.
 func (h *Host) victims(group *tracker.Group, now time.Duration) (victims []*tracker.Task, possible bool) {
 	step := group.Step()
-	freed := &wire.Resources{
-		Millicores:   h.stoppingRequested.GetMillicores(),
-		MemoryBytes:  h.stoppingRequested.GetMemoryBytes(),
-		Accelerators: h.stoppingRequested.GetAccelerators(),
-	}
+	freed := copyRequest(&h.stoppingRequested)
 	if h.shortage(step, freed) == NoObstacle {
 		return nil, true
 	}
--- a/planner/probation.go
+++ b/planner/probation.go
@@ -108,7 +108,7 @@
 	if !suspected(task) {
 		return 0
 	}
-	capacity := float64(max(h.Capacity.GetMillicores(), 1)) * maxWorkAge.Seconds()
+	capacity := h.capacityMillicores() * maxWorkAge.Seconds()
 	penalty := weightWorkAtRisk * h.probation.workAtRisk / capacity
 	if h.probation.recentStart {
 		penalty += penaltyRecentStart
--- a/planner/wait.go
+++ b/planner/wait.go
@@ -8,6 +8,8 @@
 )
 
 const (
+	// defaultBestEffortSpeed applies without Planner.BestEffortSpeed.
+	defaultBestEffortSpeed = 0.5
 	// relaxUntil times the bound is the wait at which the required speed of a
 	// best-effort task is minRelaxedSpeed. It decreases from the bound on: before, slow
 	// starts beside each other would delay more jobs than they help.
@@ -52,11 +54,14 @@
 	return p.BestEffortWait / calmDivisor
 }
 
+// fullSpeed returns the required speed up to the bound of the wait.
+func (p *Planner) fullSpeed() float64 { return cmp.Or(p.BestEffortSpeed, defaultBestEffortSpeed) }
+
 // requiredSpeed returns the share of its requested processors that a best-effort
 // task of the group must be predicted to get on the host. It decreases linearly from
 // the bound of the wait to relaxUntil times that.
 func (p *Planner) requiredSpeed(host *Host, group *tracker.Group) float64 {
-	speed := cmp.Or(p.BestEffortSpeed, defaultBestEffortSpeed)
+	speed := p.fullSpeed()
 	if p.BestEffortWait <= 0 {
 		return speed
 	}
@@ -75,7 +80,7 @@
 		return
 	}
 	speed := p.speed(assignment.Host, group.Step())
-	if speed >= cmp.Or(p.BestEffortSpeed, defaultBestEffortSpeed) {
+	if speed >= p.fullSpeed() {
 		return
 	}
 	assignment.Percent = max(LowestPercent, int32(100*speed)/LowestPercent*LowestPercent)
--- a/tracker/requests.go
+++ b/tracker/requests.go
@@ -2,12 +2,18 @@
 
 import "damaskspread.example/damaskspread/wire"
 
-// AddRequest adds the request of a task of the step to sum. A best-effort task uses
-// processors that other tasks leave idle, so it requests none.
+// AddRequest adds the request of a task of the step to sum.
 func AddRequest(sum *wire.Resources, step *wire.JobStep) {
 	sum.MemoryBytes += step.GetResources().GetMemoryBytes()
 	sum.Accelerators += step.GetResources().GetAccelerators()
-	if !step.GetFillsIdle() {
-		sum.Millicores += step.GetResources().GetMillicores()
+	sum.Millicores += RequestedMillicores(step)
+}
+
+// RequestedMillicores returns the processors that a task of the step reserves, in
+// millicores: none for a best-effort task, which uses what other tasks leave idle.
+func RequestedMillicores(step *wire.JobStep) int64 {
+	if step.GetFillsIdle() {
+		return 0
 	}
+	return step.GetResources().GetMillicores()
 }
