--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -16,7 +16,6 @@
 package estimator
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -24,43 +23,6 @@
 	"damaskspread.example/damaskspread/wire"
 )
 
-const (
-	// maxSampleCount bounds the weight of the past: from then on each sample counts
-	// 1/maxSampleCount of the mean. Tasks of a kind change with its releases,
-	// about daily.
-	maxSampleCount = 50
-	// priorSamples is the weight of the declared value, in samples.
-	priorSamples = 3
-	// priorDeviation is the standard deviation, relative to the declared value,
-	// that is assumed before any sample.
-	priorDeviation = 0.5
-)
-
-// ratioStats is the running mean and variance of the ratio of measured to
-// declared values. Old samples lose weight exponentially.
-type ratioStats struct {
-	count    float64
-	mean     float64
-	variance float64
-}
-
-func (a *ratioStats) add(v float64) {
-	a.count = min(a.count+1, maxSampleCount)
-	step := 1 / a.count
-	d := v - a.mean
-	a.mean += step * d
-	a.variance = (1 - step) * (a.variance + step*d*d)
-}
-
-// posterior returns the expected ratio to the declared value and its standard
-// deviation, with the prior taken into account.
-func (a *ratioStats) posterior() (ratio, deviation float64) {
-	total := a.count + priorSamples
-	ratio = (a.count*a.mean + priorSamples) / total
-	variance := (a.count*a.variance + priorSamples*priorDeviation*priorDeviation) / total
-	return ratio, math.Sqrt(variance)
-}
-
 type teamKind struct {
 	team, kind string
 }
@@ -81,10 +43,18 @@
 	sampledAt time.Time
 	measured  wire.Resources
 	// processorPermille is the part of its processors that throttling leaves the
-	// task; 1000 means no throttling.
+	// task, up to fullPermille.
 	processorPermille int
 }
 
+// fullPermille is the processorPermille of a task that is not throttled.
+const fullPermille = 1000
+
+func (r *runningTask) throttled() bool { return r.processorPermille < fullPermille }
+
+// processorShare is processorPermille as a share from 0 to 1.
+func (r *runningTask) processorShare() float64 { return float64(r.processorPermille) / fullPermille }
+
 // Estimate is what a task is expected to use and how long it is expected to run.
 type Estimate struct {
 	Mean *wire.Resources
@@ -155,7 +125,7 @@
 		host:              host,
 		token:             token,
 		startedAt:         now,
-		processorPermille: 1000,
+		processorPermille: fullPermille,
 	}
 	h := e.hostOrNew(host)
 	h.tasks[spec.GetTask()] = e.tasks[spec.GetTask()]
@@ -224,7 +194,7 @@
 		s := e.statsOf(r.spec)
 		declared := r.spec.GetResources()
 		// The processor use of a throttled task shows its limit, not its need.
-		if declared.GetMillicores() > 0 && r.processorPermille == 1000 {
+		if declared.GetMillicores() > 0 && !r.throttled() {
 			s.millicores.add(float64(sample.GetMillicores()) / float64(declared.GetMillicores()))
 		}
 		if declared.GetMemoryBytes() > 0 {
--- a/estimator/response.go
+++ b/estimator/response.go
@@ -45,8 +45,9 @@
 	// which throttling is enough.
 	evictionCost = 2.0
 	// restartCost is the work lost by any restart. A task without checkpoints also
-	// loses the minutes that it ran, of which at most 5 count.
-	restartCost = 0.2
+	// loses the minutes that it ran, of which at most maxLostMinutes count.
+	restartCost    = 0.2
+	maxLostMinutes = 5.0
 )
 
 // Response is a decision about one task, because of the slowdown of the service
@@ -96,23 +97,14 @@
 // respond chooses the response for a host. On a hot host it is the action with
 // the largest gain, otherwise the end of the throttling of a task.
 func (e *Estimator) respond(id string, h *hostView) (Response, bool) {
+	if !h.hot {
+		return restoreOne(id, h)
+	}
 	var best Response
 	gain := 0.0
 	for _, task := range sortedKeys(h.tasks) {
 		r := h.tasks[task]
-		if r.spec.GetClass() == wire.TaskClass_TASK_CLASS_LATENCY_CRITICAL || r.processorPermille == 0 {
-			continue
-		}
-		if !h.hot {
-			if r.processorPermille < 1000 {
-				return Response{
-					Host:     id,
-					Task:     task,
-					Action:   Restore,
-					Permille: 1000,
-					Reason:   fmt.Sprintf("service %s is slowed by %.0f%% only", h.service, 100*h.slowdown),
-				}, true
-			}
+		if !r.mayChange() {
 			continue
 		}
 		effect := e.publishedSlowdown(h.service, r.spec.GetKind(), h.loadLevel)
@@ -131,6 +123,28 @@
 	return best, gain > 0
 }
 
+// restoreOne ends the throttling of the first throttled task of a host, if there is one.
+func restoreOne(id string, h *hostView) (Response, bool) {
+	for _, task := range sortedKeys(h.tasks) {
+		if r := h.tasks[task]; r.mayChange() && r.throttled() {
+			return Response{
+				Host:     id,
+				Task:     task,
+				Action:   Restore,
+				Permille: fullPermille,
+				Reason:   fmt.Sprintf("service %s is slowed by %.0f%% only", h.service, 100*h.slowdown),
+			}, true
+		}
+	}
+	return Response{}, false
+}
+
+// mayChange reports whether the task may be throttled, restored or evicted: it is a
+// batch task that is not being evicted already.
+func (r *runningTask) mayChange() bool {
+	return r.spec.GetClass() != wire.TaskClass_TASK_CLASS_LATENCY_CRITICAL && r.processorPermille > 0
+}
+
 // sortedKeys returns the keys of a map in order, so that sums and choices do not
 // depend on the order of the map.
 func sortedKeys[V any](m map[string]V) []string {
@@ -153,16 +167,16 @@
 			Evictions:       1,
 		}
 	}
-	currentSlowdown := effect * float64(r.processorPermille) / 1000
+	currentSlowdown := effect * float64(r.processorPermille) / fullPermille
 	lostWork := restartCost
 	if !r.spec.GetCanCheckpoint() {
-		lostWork += min(ran.Minutes(), 5)
+		lostWork += min(ran.Minutes(), maxLostMinutes)
 	}
 	evict := o.TailLatency*latencyWeight*currentSlowdown - o.Evictions*evictionCost - o.BatchThroughput*lostWork
-	if r.processorPermille < 1000 {
+	if r.throttled() {
 		return Evict, 0, evict
 	}
-	removed := 1 - float64(throttlePermille)/1000
+	removed := 1 - float64(throttlePermille)/fullPermille
 	throttle := o.TailLatency*latencyWeight*currentSlowdown*removed - o.BatchThroughput*removed
 	if evict > throttle {
 		return Evict, 0, evict
--- a/estimator/slowdown.go
+++ b/estimator/slowdown.go
@@ -102,7 +102,7 @@
 	h.slowdownSumValid = false
 	kinds := map[string]float64{}
 	for _, r := range h.tasks {
-		kinds[r.spec.GetKind()] += float64(r.processorPermille) / 1000
+		kinds[r.spec.GetKind()] += r.processorShare()
 	}
 	// The newest entry from before the retention period stays: it describes the
 	// beginning of the period.
