--- a/emulator/keyed_log.go
+++ b/emulator/keyed_log.go
@@ -21,10 +21,10 @@
 	// RetainRecords is the number of records that a topic retains besides the
 	// newest of each key; 0 retains all.
 	RetainRecords int
-	// MaxCallBytes is the size of the records from which an append is refused; 0
-	// takes any.
+	// MaxCallBytes is the largest size of all records of an append that is not
+	// refused; 0 takes any.
 	MaxCallBytes int
-	// MaxRecordBytes is the size from which a record is refused; 0 takes any.
+	// MaxRecordBytes is the largest size of a single record; 0 takes any.
 	MaxRecordBytes int
 
 	mu     sync.Mutex
