Emulator: the response of the sample endpoint apart from its execution

The headers that the root package names are taken from there, and HeaderExecution, a response header, no longer stands among the request headers.

--- a/emulator/endpoint.go
+++ b/emulator/endpoint.go
@@ -27,10 +27,11 @@
 	HeaderAnswerBytes = "Sample-Answer-Bytes"
 	// HeaderEnding makes the response incomplete: EndTruncated or EndChunked.
 	HeaderEnding = "Sample-Ending"
-	// HeaderExecution is a response header with the ID of the Execution.
-	HeaderExecution = "Sample-Execution"
 )
 
+// HeaderExecution is the response header with the ID of the Execution.
+const HeaderExecution = "Sample-Execution"
+
 // Values of HeaderEnding. The connection closes after half of the body, which
 // the caller notices by the announced length or by the missing final chunk.
 const (
@@ -141,9 +142,8 @@
 	}
 	execution, behavior, failed := e.recordStart(r)
 	ms, _ := strconv.ParseInt(r.Header.Get(HeaderServiceMs), 10, 64)
-	behavior.ServiceMs = max(behavior.ServiceMs, ms)
-	if behavior.ServiceMs > 0 {
-		e.Clock.Sleep(time.Duration(behavior.ServiceMs) * time.Millisecond)
+	if serviceMs := max(behavior.ServiceMs, ms); serviceMs > 0 {
+		e.Clock.Sleep(time.Duration(serviceMs) * time.Millisecond)
 	}
 	if !e.awaitUnfrozen(r) {
 		return
@@ -152,22 +152,13 @@
 	if failed {
 		status = http.StatusInternalServerError
 	}
-	e.mu.Lock()
-	execution.Status = status
-	execution.EndUnixUs = e.Clock.Now().UnixMicro()
-	e.mu.Unlock()
-	response := body
-	if behavior.AnswerBytes > 0 {
-		response = bytes.Repeat([]byte("x"), behavior.AnswerBytes)
-	}
-	if size, _ := strconv.Atoi(r.Header.Get(HeaderAnswerBytes)); size > 0 && len(body) > 0 {
-		response = bytes.Repeat(body, size/len(body)+1)[:size]
-	}
+	e.recordEnd(execution, status)
+	response := responseBody(r, body, behavior)
 	ending := r.Header.Get(HeaderEnding)
 	if ending != EndChunked {
 		w.Header().Set("Content-Length", strconv.Itoa(len(response)))
 	}
-	w.Header().Set("Damaskspread-Request-Id", execution.RequestID)
+	w.Header().Set(damaskspread.HeaderRequestID, execution.RequestID)
 	w.Header().Set(HeaderExecution, execution.ID)
 	w.WriteHeader(status)
 	if behavior.Truncate || ending != "" {
@@ -185,8 +176,8 @@
 	defer e.mu.Unlock()
 	execution := &Execution{
 		ID:          e.Address + "/" + strconv.Itoa(len(e.executions)),
-		Key:         r.Header.Get("Idempotency-Key"),
-		RequestID:   r.Header.Get("Damaskspread-Request-Id"),
+		Key:         r.Header.Get(damaskspread.HeaderKey),
+		RequestID:   r.Header.Get(damaskspread.HeaderRequestID),
 		Path:        r.URL.Path,
 		StartUnixUs: e.Clock.Now().UnixMicro(),
 	}
@@ -195,6 +186,25 @@
 	return execution, e.Behavior, failed
 }
 
+func (e *Endpoint) recordEnd(execution *Execution, status int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	execution.Status = status
+	execution.EndUnixUs = e.Clock.Now().UnixMicro()
+}
+
+// responseBody returns the request's body, or the one that the Behavior or the
+// HeaderAnswerBytes of the request asks for.
+func responseBody(r *http.Request, body []byte, behavior Behavior) []byte {
+	if size, _ := strconv.Atoi(r.Header.Get(HeaderAnswerBytes)); size > 0 && len(body) > 0 {
+		return bytes.Repeat(body, size/len(body)+1)[:size]
+	}
+	if behavior.AnswerBytes > 0 {
+		return bytes.Repeat([]byte("x"), behavior.AnswerBytes)
+	}
+	return body
+}
+
 // awaitUnfrozen waits while the endpoint is frozen. It returns false if the
 // caller went away.
 func (e *Endpoint) awaitUnfrozen(r *http.Request) bool {
