--- a/validator/amounts.go
+++ b/validator/amounts.go
@@ -75,7 +75,7 @@
 			n, ok := parse(text)
 			if !ok || n > maxAmount {
 				if unlimited {
-					return &rejection{suggestion: nearest(text, []string{"unlimited"})}
+					return &rejection{suggestion: Nearest(text, []string{"unlimited"})}
 				}
 				return rejectValue()
 			}
--- a/validator/document.go
+++ b/validator/document.go
@@ -245,8 +245,8 @@
 
 func (d *Document) addSection(section *parser.Section) []Diagnostic {
 	sectionType, name, hasName := strings.Cut(section.Name(), " ")
-	if !contains(sectionTypes, sectionType) || hasName != (sectionType != "objective") || (hasName && !IsName(name)) {
-		suggestion := nearest(sectionType, sectionTypes)
+	if !slices.Contains(sectionTypes, sectionType) || hasName != (sectionType != "objective") || (hasName && !IsName(name)) {
+		suggestion := Nearest(sectionType, sectionTypes)
 		if suggestion != "" && suggestion != "objective" {
 			suggestion = strings.TrimSpace(suggestion + " " + cmp.Or(name, "NAME"))
 		}
--- a/validator/schema.go
+++ b/validator/schema.go
@@ -54,7 +54,7 @@
 	for _, class := range s.idempotent {
 		if !slices.Contains(s.classes, class) {
 			key, _ := section.Key("idempotent")
-			return []Diagnostic{newDiagnostic(section, key, class, "classes that the key classes lists", nearest(class, s.classes))}
+			return []Diagnostic{newDiagnostic(section, key, class, "classes that the key classes lists", Nearest(class, s.classes))}
 		}
 	}
 	return nil
--- a/validator/settings.go
+++ b/validator/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -188,9 +189,9 @@
 		diagnostics = append(diagnostics, readFields(section, s.fields)...)
 	}
 	for _, section := range parsed.Sections() {
-		if first, _ := parsed.Section(section.Name()); !contains(sectionNames, section.Name()) {
+		if first, _ := parsed.Section(section.Name()); !slices.Contains(sectionNames, section.Name()) {
 			diagnostics = append(diagnostics, newDiagnostic(section, nil, "["+section.Name()+"]",
-				"one of the sections ["+strings.Join(sectionNames, "], [")+"]", nearest(section.Name(), sectionNames)))
+				"one of the sections ["+strings.Join(sectionNames, "], [")+"]", Nearest(section.Name(), sectionNames)))
 		} else if first != section {
 			diagnostics = append(diagnostics, readFields(section, nil)...)
 		}
--- a/validator/validator.go
+++ b/validator/validator.go
@@ -12,6 +12,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"damaskspread.example/damaskspread/parser"
@@ -124,9 +125,9 @@
 		}
 	}
 	for _, key := range section.Keys() {
-		if !contains(names, key.Name()) {
+		if !slices.Contains(names, key.Name()) {
 			diagnostics = append(diagnostics, newDiagnostic(section, key, key.Name(),
-				"one of the keys "+strings.Join(names, ", "), nearest(key.Name(), names)))
+				"one of the keys "+strings.Join(names, ", "), Nearest(key.Name(), names)))
 		}
 	}
 	return diagnostics
@@ -168,18 +169,10 @@
 	return d
 }
 
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
-
-// nearest returns the candidate with the smallest edit distance to the word, or
-// "" if all exceed a third of the word's length (2 for short words).
-func nearest(word string, candidates []string) string {
+// Nearest returns the candidate to suggest for a misspelled word: the one with the
+// smallest edit distance, or "" if all exceed a third of the word's length (2 for
+// short words).
+func Nearest(word string, candidates []string) string {
 	best, limit := "", max(2, len(word)/3)
 	for _, candidate := range candidates {
 		if d := distance(word, candidate); d <= limit && d < len(candidate) {
@@ -209,7 +202,3 @@
 	}
 	return row[len(b)]
 }
-
-// Nearest returns the candidate to suggest for a misspelled word, or "" if none
-// is similar.
-func Nearest(word string, candidates []string) string { return nearest(word, candidates) }
--- a/validator/values.go
+++ b/validator/values.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -52,7 +53,7 @@
 		parse: func(text string) *rejection {
 			list := splitList(text)
 			for i, item := range list {
-				if !IsName(item) || contains(list[:i], item) {
+				if !IsName(item) || slices.Contains(list[:i], item) {
 					return rejectValue()
 				}
 			}
@@ -77,8 +78,8 @@
 	return valueParser{
 		expected: "one of " + strings.Join(options, ", "),
 		parse: func(text string) *rejection {
-			if !contains(options, text) {
-				return &rejection{suggestion: nearest(text, options)}
+			if !slices.Contains(options, text) {
+				return &rejection{suggestion: Nearest(text, options)}
 			}
 			*target = text
 			return nil
@@ -193,7 +194,7 @@
 		parse: func(text string) *rejection {
 			list := splitList(text)
 			for i, item := range list {
-				if _, err := netip.ParseAddrPort(item); err != nil || contains(list[:i], item) {
+				if _, err := netip.ParseAddrPort(item); err != nil || slices.Contains(list[:i], item) {
 					return rejectValue()
 				}
 			}
