--- a/commander/tasks.go
+++ b/commander/tasks.go
@@ -57,6 +57,11 @@
 			return c.printTask(task)
 		}),
 	}
+	s.addFlags(command)
+	return command
+}
+
+func (s *submitFlags) addFlags(command *cobra.Command) {
 	flags := command.Flags()
 	flags.StringVar(&s.id, "id", "", "id of the task (default: a random id)")
 	flags.StringVar(&s.kind, "kind", "", "kind of the task (required)")
@@ -70,7 +75,6 @@
 	flags.BoolVar(&s.canCheckpoint, "checkpoint", false, "the task can save its progress")
 	flags.StringSliceVar(&s.zones, "zone", nil, "zone that the task may run in; may be repeated")
 	flags.StringToStringVar(&s.parameters, "param", nil, "parameter name=value; may be repeated")
-	return command
 }
 
 func (s *submitFlags) request(team string) (*client.TaskRequest, error) {
