Commander: load and where ask for the leader in one place

readLoad and previewJob had the same loop: ask each entry process, follow the leader that it names, collect the failures. askLeader has it.

--- a/commander/load.go
+++ b/commander/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
@@ -74,23 +73,11 @@
 	loadClient := &poller.Client{
 		HTTP: connector.NewHTTPClient(),
 	}
-	var failures []error
-	for _, entry := range c.entries {
-		response, err := callLoad(ctx, loadClient, entry)
-		if leader := response.GetLeader().GetAddress(); response.GetEstimate() == nil && leader != "" && leader != entry {
-			entry = leader
-			response, err = callLoad(ctx, loadClient, entry)
-		}
-		switch {
-		case err != nil:
-			failures = append(failures, fmt.Errorf("%s: %w", entry, err))
-		case response.GetEstimate() == nil:
-			failures = append(failures, fmt.Errorf("%s has no load estimate: it does not lead, has just begun to, or has admission off", entry))
-		default:
-			return entry, response.GetEstimate(), nil
-		}
-	}
-	return "", nil, errors.Join(failures...)
+	return askLeader(c.entries, "has no load estimate: it does not lead, has just begun to, or has admission off",
+		func(entry string) (*wire.LoadEstimate, *wire.Leadership, error) {
+			response, err := callLoad(ctx, loadClient, entry)
+			return response.GetEstimate(), response.GetLeader(), err
+		})
 }
 
 func callLoad(ctx context.Context, loadClient *poller.Client, entry string) (*wire.GetLoadResponse, error) {
--- a/commander/where.go
+++ b/commander/where.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
@@ -103,23 +102,11 @@
 // previewJob asks the first entry process that leads or knows the leader. It returns the
 // address of the process that responded.
 func (c *Commander) previewJob(ctx context.Context, job *wire.Job) (string, *wire.JobPreview, error) {
-	var failures []error
-	for _, entry := range c.entries {
-		response, err := callPreview(ctx, entry, job)
-		if leader := response.GetLeader().GetAddress(); response.GetPreview() == nil && leader != "" && leader != entry {
-			entry = leader
-			response, err = callPreview(ctx, entry, job)
-		}
-		switch {
-		case err != nil:
-			failures = append(failures, fmt.Errorf("%s: %w", entry, err))
-		case response.GetPreview() == nil:
-			failures = append(failures, fmt.Errorf("%s does not lead and knows no leader", entry))
-		default:
-			return entry, response.GetPreview(), nil
-		}
-	}
-	return "", nil, errors.Join(failures...)
+	return askLeader(c.entries, "does not lead and knows no leader",
+		func(entry string) (*wire.JobPreview, *wire.Leadership, error) {
+			response, err := callPreview(ctx, entry, job)
+			return response.GetPreview(), response.GetLeader(), err
+		})
 }
 
 func callPreview(ctx context.Context, entry string, job *wire.Job) (*wire.PreviewJobResponse, error) {
