Tracker: methods of a task beside the task

MayBeStopped stood with the readiness of steps, the pace of a start with their wait, and Members with crashes; they are in task.go now. WithdrawExposure checks for run 0 once instead of three times. MayBeStopped and two functions of the progress have clearer doc comments.

--- a/tracker/crash.go
+++ b/tracker/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"damaskspread.example/damaskspread/assessor"
@@ -31,14 +30,6 @@
 	return t.ID().String()
 }
 
-// Members returns all members of a gang, otherwise the task alone.
-func (t *Task) Members() []*Task {
-	if t.Step().GetGang() {
-		return slices.Collect(t.step.known())
-	}
-	return []*Task{t}
-}
-
 // Crashes returns the sum of the crashes of the job's tasks.
 func (j *Job) Crashes() int32 { return j.crashes }
 
@@ -70,14 +61,17 @@
 // because its lease had expired, is taken back too, unless the run counts as a start; a
 // job that has failed stays failed.
 func (t *Task) WithdrawExposure(run int32) {
-	if t.countedRun == run && run != 0 {
+	if run == 0 {
+		return
+	}
+	if t.countedRun == run {
 		t.uncount()
 	}
-	if t.exposedRun == run && run != 0 {
+	if t.exposedRun == run {
 		t.exposedRun = 0
 		t.markChanged()
 	}
-	if t.lostRun == run && run != 0 {
+	if t.lostRun == run {
 		t.lostRun = 0
 		t.markChanged()
 	}
--- a/tracker/progress.go
+++ b/tracker/progress.go
@@ -138,8 +138,8 @@
 	executors map[ExecutorKey]int32
 }
 
-// addOccurrence adds those tasks of an occurrence whose numbers, counted through its
-// steps, are from from to below to.
+// addOccurrence adds the tasks of an occurrence whose numbers, counted through its
+// steps, are in the range [from, to).
 func (w *progressWriter) addOccurrence(occurrence, from, to int) {
 	if w.job.occurrences[occurrence] == nil {
 		return
@@ -166,8 +166,9 @@
 	}
 }
 
-// step returns the progress of the tasks from from to below to of a step, and whether
-// RestorePart needs it: a task of the step has started, or its wait is counted.
+// step returns the progress of the tasks of a step whose indexes are in the range
+// [from, to), and whether RestorePart needs it: a task of the step has started, or its
+// wait is counted.
 func (w *progressWriter) step(state *stepState, from, to int) (*wire.StepProgress, bool) {
 	switch state {
 	case nil:
--- a/tracker/ready.go
+++ b/tracker/ready.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"time"
 
 	"damaskspread.example/damaskspread/wire"
 )
@@ -11,24 +10,6 @@
 // has had a run. What keeps all of these from starting keeps the later ones from it too.
 const maxNewGroups = 64
 
-// MayBeStopped reports whether the step of a running task tolerates that it is
-// stopped at now. A step with max_unavailable does while fewer of its other tasks
-// are not at work. A task that was assigned less than startup ago may not be yet.
-func (t *Task) MayBeStopped(now, startup time.Duration) bool {
-	limit := int(t.Step().GetMaxUnavailable())
-	if limit <= 0 {
-		return true
-	}
-	unavailable := t.step.size()
-	for other := range t.step.known() {
-		starting := other.assignedAt > 0 && now-other.assignedAt < startup
-		if other == t || other.Assigned() && !other.Stopping() && !starting {
-			unavailable--
-		}
-	}
-	return unavailable < limit
-}
-
 // Ready returns the steps with tasks that may start at nowUnixMs: their occurrence is due
 // and the steps before theirs are done. Of the occurrences of which the step has not
 // begun, these are the first maxNewGroups.
--- a/tracker/task.go
+++ b/tracker/task.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"slices"
 	"time"
 
 	"damaskspread.example/damaskspread/wire"
@@ -167,3 +168,38 @@
 	t.stopping = false
 	t.markChanged()
 }
+
+// MayBeStopped reports whether the step of a running task tolerates that it is
+// stopped at now. A step with max_unavailable does while fewer than that many of its
+// other tasks are not at work. A task that was assigned less than startup ago counts
+// as not at work yet.
+func (t *Task) MayBeStopped(now, startup time.Duration) bool {
+	limit := int(t.Step().GetMaxUnavailable())
+	if limit <= 0 {
+		return true
+	}
+	unavailable := t.step.size()
+	for other := range t.step.known() {
+		starting := other.assignedAt > 0 && now-other.assignedAt < startup
+		if other == t || other.Assigned() && !other.Stopping() && !starting {
+			unavailable--
+		}
+	}
+	return unavailable < limit
+}
+
+// SetStartPercent records the pace in percent with which the run that was assigned
+// last begins; 0 if it is not limited.
+func (t *Task) SetStartPercent(percent int32) { t.startPercent = percent }
+
+// StartPercent returns the pace that SetStartPercent recorded for the latest run. It
+// is 0 after Restore.
+func (t *Task) StartPercent() int32 { return t.startPercent }
+
+// Members returns all members of a gang, otherwise the task alone.
+func (t *Task) Members() []*Task {
+	if t.Step().GetGang() {
+		return slices.Collect(t.step.known())
+	}
+	return []*Task{t}
+}
--- a/tracker/wait.go
+++ b/tracker/wait.go
@@ -51,11 +51,3 @@
 func (t *Task) endWait() {
 	t.step.wait = stepWait{}
 }
-
-// SetStartPercent records the pace in percent with which the run that was assigned
-// last begins; 0 if it is not limited.
-func (t *Task) SetStartPercent(percent int32) { t.startPercent = percent }
-
-// StartPercent returns the pace that SetStartPercent recorded for the latest run. It
-// is 0 after Restore.
-func (t *Task) StartPercent() int32 { return t.startPercent }
