Router: doc comments on the constants of ejection, the bound of the shift named

baseEjectionTime, maxEjectionTime and averageWeight had no comment, two others one that did not name them, and the shift was bounded by a bare 10. The comment on maxReportAge, 2 s, called it two Sync periods; the default of sync_wait is 1.25 s. router's tests pass with the race detector.

--- a/router/endpoint.go
+++ b/router/endpoint.go
@@ -20,12 +20,17 @@
 	// slowLatencyFactor is the multiple of the service's mean latency above which
 	// an endpoint is ejected as slow.
 	slowLatencyFactor = 4
-	// Number of latency samples from which an endpoint can be ejected as slow or
-	// empty.
+	// minLatencySamples is the number of latency samples from which an endpoint can
+	// be ejected as slow or empty.
 	minLatencySamples = 20
-	baseEjectionTime  = 5 * time.Second
-	maxEjectionTime   = time.Minute
-	averageWeight     = 0.1
+	// baseEjectionTime is the time of the first ejection. Each further one takes
+	// twice as long, up to maxEjectionTime; maxEjectionDoublings keeps the shift from
+	// overflowing.
+	baseEjectionTime     = 5 * time.Second
+	maxEjectionTime      = time.Minute
+	maxEjectionDoublings = 10
+	// averageWeight is the weight of a new value in an average.
+	averageWeight = 0.1
 	// An endpoint is ejected if more than ejectedEmptyShare of its responses are
 	// empty while most other endpoints stay below normalEmptyShare. It responds
 	// fast, so its low load would otherwise attract more and more requests.
@@ -224,7 +229,7 @@
 		e.stats.ejected.Add(-1)
 		return
 	}
-	duration := min(baseEjectionTime<<min(e.ejections.Add(1)-1, 10), maxEjectionTime)
+	duration := min(baseEjectionTime<<min(e.ejections.Add(1)-1, maxEjectionDoublings), maxEjectionTime)
 	if !e.ejectedUntil.CompareAndSwap(0, now+int64(duration)) {
 		e.stats.ejected.Add(-1)
 		return
--- a/router/router.go
+++ b/router/router.go
@@ -23,8 +23,9 @@
 )
 
 const (
-	// Load reports older than two Sync periods are ignored: requests take
-	// milliseconds, so the queue has changed since.
+	// maxReportAge is the age above which load reports are ignored: requests take
+	// milliseconds, so the queue has changed since. It is longer than a Sync call,
+	// which brings a report, waits by default (sync_wait).
 	maxReportAge = 2 * time.Second
 	// slowStartTime is the time after which an added or readmitted endpoint gets
 	// its full share of requests. It spans several load reports.
@@ -32,9 +33,9 @@
 	// minSlowStartShare is the share of requests at which slow start begins. It is
 	// enough to detect that the endpoint still fails.
 	minSlowStartShare = 0.1
-	// Load of a local endpoint, as a share of its admission limit, from which
-	// requests spill over to other zones. At 1 the endpoint would queue the
-	// request.
+	// spilloverLoad is the load of a local endpoint, as a share of its admission
+	// limit, from which requests spill over to other zones. At 1 the endpoint would
+	// queue the request.
 	spilloverLoad = 1.0
 	// maxDraws is the largest number of random draws for one choice. With at most
 	// maxEjectedShare of the endpoints ejected, all draws hit ejected ones in
