--- a/emulator/job_executor.go
+++ b/emulator/job_executor.go
@@ -11,9 +11,8 @@
 // JobExecutor is an in-memory executor of one host: it runs tasks under a lease
 // by its own clock and lists the runs that ended until Renew acknowledges them. Like
 // the platform's executors, it starts a higher run of a task while a lower one is
-// still in progress. It
-// implements damaskspread.TaskExecutor. Call Boot before any other method; all
-// methods are safe for concurrent use.
+// still in progress. It implements damaskspread.TaskExecutor. Call Boot before any
+// other method; all methods are safe for concurrent use.
 type JobExecutor struct {
 	Clock damaskspread.Clock
 	// TaskDuration returns how long a task runs; if negative, it runs until
@@ -47,8 +46,8 @@
 	resetting           bool
 	failsTasks          bool
 	losesStartResponses bool
-	// holdsStart tells the start calls that get no response; heldStarts are those of
-	// them that were not carried out yet.
+	// holdsStart reports whether a start call gets no response; heldStarts has the
+	// calls without one that were not carried out yet.
 	holdsStart func(order *wire.StartOrder) bool
 	heldStarts []lateStart
 	// capacity replaces that of Info; nil until SetCapacity.
--- a/planner/interference.go
+++ b/planner/interference.go
@@ -15,8 +15,8 @@
 )
 
 // pace predicts the share, from 0 to 1, of their requested processors to which
-// tasks of an image are limited on a host with addedMillicores more of that image. Pacing
-// keeps the serving tasks of the host within their target latency.
+// tasks of an image are limited on a host with addedMillicores more of that image.
+// Pacing keeps the serving tasks of the host within their target latency.
 func (p *Planner) pace(host *Host, image string, addedMillicores int64) float64 {
 	if p.Weight == nil {
 		return 1
--- a/planner/latency.go
+++ b/planner/latency.go
@@ -13,7 +13,7 @@
 const latencyReports = 3
 
 // UnmeasuredRatio stands for the ratio of latency to target latency of a serving task
-// without a measurement: that of typicalHeadroom.
+// without a measurement. It is exp(-typicalHeadroom).
 const UnmeasuredRatio = 0.74
 
 // LatencyHistory has the latest reports of a host on its serving tasks. It also
--- a/planner/order.go
+++ b/planner/order.go
@@ -8,8 +8,8 @@
 	"damaskspread.example/damaskspread/tracker"
 )
 
-// maxSpanMs bounds times from now, in milliseconds, because numbers of other writers may be
-// anything.
+// maxSpanMs bounds times from now, in milliseconds, because other writers may store
+// any number.
 const maxSpanMs = int64(tracker.MaxSpan / time.Millisecond)
 
 // overdueFactor times the objective is the response time beyond which a job is
