Tailer: a Refresh that comes while a read begins does not wait for that read

What callers saw: some calls of Refresh took up to ReadWait longer, which is 700 ms for the topics of an entry and 400 ms for the leadership. A new leader, a refusal of admission and the status of a job that the index lacks wait for it.

Cause: readOnce chose the wait of a read and made the read cancelable under two separate locks. A Refresh between them found no read to cancel, and the read did not become cancelable either, because somebody waited.

Change: both happen under one lock.

The new test passes with the race detector in 10 of 10 runs, as do the other tests of tailer.

--- a/tailer/read.go
+++ b/tailer/read.go
@@ -49,11 +49,11 @@
 	if len(t.waiters) > 0 {
 		wait = 0
 	}
-	t.mu.Unlock()
 	readCtx, cancel, progress := damaskspread.BeginRead(ctx, wait)
 	defer cancel()
-	t.mu.Lock()
-	if wait > 0 && len(t.waiters) == 0 {
+	// Set under the lock under which wait was chosen: a Refresh in between would find no
+	// read to cancel and wait for this one.
+	if wait > 0 {
 		t.cancelRead = cancel
 		t.readProgress = progress
 	}
--- a/tailer/tailer_test.go
+++ b/tailer/tailer_test.go
@@ -112,6 +112,26 @@
 	assert.Assert(t, time.Since(began) < time.Second, "%s", time.Since(began))
 }
 
+// Guards against a refresh that comes while a read begins and waits for that read.
+func TestRefreshWhileReadBegins(t *testing.T) {
+	r := startReader(t, 10*time.Second)
+	r.refresh(t)
+	var callers sync.WaitGroup
+	for range 2 {
+		callers.Go(func() {
+			for range 2000 {
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				err := r.tail.Refresh(ctx)
+				cancel()
+				if !assert.Check(t, err) {
+					return
+				}
+			}
+		})
+	}
+	callers.Wait()
+}
+
 // Guards against keys that a reader keeps after their removal record expired
 // unread.
 func TestUnreadRecordsExpire(t *testing.T) {
