--- a/coordinator/leases.go
+++ b/coordinator/leases.go
@@ -33,7 +33,7 @@
 	maxStoreAge = 600 * time.Millisecond
 	// orphanStoreInterval is the time between two records of how long an orphan may still
 	// hold a lease.
-	orphanStoreInterval = time.Second
+	orphanStoreInterval = 500 * time.Millisecond
 )
 
 // orphan is an executor to which an earlier leader assigned tasks and whose
