Names and comments of the leases across leaders, one fake leader for the renewal tests

Re-reading of the change: two different things were called leaseEnd, two tests built the same leader. No change of behaviour; lint and the tests of runner that use it pass.

--- a/coordinator/leases.go
+++ b/coordinator/leases.go
@@ -64,9 +64,9 @@
 	return c.LeaseDuration - c.Elector.ConfirmationAge()
 }
 
-// leaseEnd returns the latest time at which an executor may hold a lease that an earlier
+// earlierLeaseEnd returns the latest time at which an executor may hold a lease that an earlier
 // leader granted. stored is what is stored of its session, nil without.
-func (c *Coordinator) leaseEnd(epoch int64, stored *wire.ExecutorSession) time.Duration {
+func (c *Coordinator) earlierLeaseEnd(epoch int64, stored *wire.ExecutorSession) time.Duration {
 	if stored == nil {
 		return c.Elector.LastHeardBy(epoch-1) + c.earlierLeaseBound()
 	}
@@ -83,7 +83,7 @@
 	return boundOf(max(c.LongestLease, c.LeaseDuration)) + earlierGrantWindow
 }
 
-// storedLeaseEnd is leaseEnd by what is stored of the session alone.
+// storedLeaseEnd is earlierLeaseEnd by what is stored of the session alone.
 func (c *Coordinator) storedLeaseEnd(stored *wire.ExecutorSession) time.Duration {
 	bound := time.Duration(stored.GetLeaseBoundMs()) * time.Millisecond
 	if stored.GetSilentSince() > 0 {
--- a/coordinator/session.go
+++ b/coordinator/session.go
@@ -28,10 +28,10 @@
 	token int64
 
 	reachable bool
-	// granting is set while the executor gets leases; leaseDue is set from then on until
-	// it got one.
+	// granting is set while the executor gets leases. leaseDue is set while the next
+	// response is to bring one at once: the first one, or the first after an outage.
 	granting, leaseDue bool
-	// lastGrantAt is when this leader may have granted the executor its last lease.
+	// lastGrantAt is when this leader granted the executor its last lease at the latest.
 	lastGrantAt time.Duration
 	// leaseEnd is the latest time at which the executor may hold a lease.
 	leaseEnd     time.Duration
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -104,7 +104,7 @@
 	}
 	c.orphans[key] = orphan{
 		host:     host,
-		deadline: c.leaseEnd(epoch, c.storedSession(host, key)),
+		deadline: c.earlierLeaseEnd(epoch, c.storedSession(host, key)),
 		storedAt: c.Elapsed.Elapsed(),
 	}
 }
@@ -120,7 +120,7 @@
 	}
 	job, complete := parts.restore(entry.Job())
 	if !complete {
-		c.heldUntil[id] = c.leaseEnd(epoch, nil)
+		c.heldUntil[id] = c.earlierLeaseEnd(epoch, nil)
 	}
 	if indexer.Final(entry.RecordedState()) {
 		c.closing = append(c.closing, id)
--- a/runner/renewal_test.go
+++ b/runner/renewal_test.go
@@ -133,20 +133,26 @@
 	return slices.Clone(e.calls)
 }
 
+// newLeaderWithOneStart returns a leader that orders one start.
+func newLeaderWithOneStart() *fakeLeader {
+	return &fakeLeader{
+		respond: func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
+			time.Sleep(5 * time.Millisecond)
+			if request.GetOrdersReceived() > 0 {
+				return &wire.ExchangeResponse{}
+			}
+			order := &wire.StartOrder{Task: "a.0.0.0", Run: 1}
+			return &wire.ExchangeResponse{Orders: []*wire.Order{{Number: 1, Kind: &wire.Order_Start{Start: order}}}}
+		},
+	}
+}
+
 // Guards against a healthy executor that loses its lease because single renewals
 // fail: the one after a failure only reads the lists, the next one extends the lease.
 func TestLeaseIsExtendedBetweenFailures(t *testing.T) {
 	executor := newExecutor()
 	flaky := &flakyRenewals{JobExecutor: executor}
-	l := &fakeLeader{}
-	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
-		time.Sleep(5 * time.Millisecond)
-		if request.GetOrdersReceived() > 0 {
-			return &wire.ExchangeResponse{}
-		}
-		order := &wire.StartOrder{Task: "a.0.0.0", Run: 1}
-		return &wire.ExchangeResponse{Orders: []*wire.Order{{Number: 1, Kind: &wire.Order_Start{Start: order}}}}
-	}
+	l := newLeaderWithOneStart()
 	startRunner(t, l, executor, flaky)
 	waitFor(t, "run", func() bool { return executor.Running() == 1 })
 	first := len(flaky.recorded())
@@ -192,15 +198,7 @@
 // executor holds.
 func TestRenewalsAreShortWhileTheLeaseEndsSoon(t *testing.T) {
 	executor := &heldRenewals{JobExecutor: newExecutor()}
-	l := &fakeLeader{}
-	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
-		time.Sleep(5 * time.Millisecond)
-		if request.GetOrdersReceived() > 0 {
-			return &wire.ExchangeResponse{}
-		}
-		order := &wire.StartOrder{Task: "a.0.0.0", Run: 1}
-		return &wire.ExchangeResponse{Orders: []*wire.Order{{Number: 1, Kind: &wire.Order_Start{Start: order}}}}
-	}
+	l := newLeaderWithOneStart()
 	startRunner(t, l, executor.JobExecutor, executor)
 	waitFor(t, "run in a list", func() bool {
 		return l.received(func(request *wire.ExchangeRequest) bool { return len(request.GetRunning()) > 0 })
