Refusals of several entries: repeated after a random pause until 1 s has passed

What callers saw (admission on): of a burst that all entries refuse, most jobs were accepted and then ended too late, because the refusals failed each other.

Cause: a refusal is appended on condition that the topic ends where the entry has read it. Each append moves the end for all others, and an entry gave up after two tries.

Ruled out: more tries at once, which keep the entries in step; a longer wait for a batch, which delays each refusal also where no one competes.

Change: an append that another one has overtaken is repeated after a random pause and a read, for 1 s at most; the mean pause doubles from 5 to 80 ms. Refusals that come meanwhile join the append.

--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -147,6 +147,7 @@
 		Tail:          e.jobsTail,
 		Clock:         e.Clock,
 		VisibleWithin: s.Bounds().VisibleWithin(),
+		Random:        rand.Float64,
 	}
 	if scheduling := s.Scheduling(); scheduling.Admission() {
 		e.submitter.Screener = &screener.Screener{
--- a/submitter/admission_test.go
+++ b/submitter/admission_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -54,14 +55,16 @@
 	load      *loadView
 }
 
-// countingLog counts calls.
+// countingLog counts appends. Each takes effect after a delay.
 type countingLog struct {
 	damaskspread.KeyedLog
+	delay   time.Duration
 	appends atomic.Int64
 }
 
 func (c *countingLog) Append(ctx context.Context, topic string, records []*wire.KeyedRecord, condition *wire.AppendCondition) (*wire.AppendResult, error) {
 	c.appends.Add(1)
+	time.Sleep(c.delay)
 	return c.KeyedLog.Append(ctx, topic, records, condition)
 }
 
@@ -92,6 +95,7 @@
 	}
 	if admission {
 		e.submitter.Load = e.load
+		e.submitter.Random = rand.Float64
 		e.submitter.Screener = &screener.Screener{
 			FromPriority: 1,
 			Random:       func() float64 { return 0 },
@@ -223,6 +227,43 @@
 	assert.Assert(t, e.counted.appends.Load() < jobs)
 }
 
+// Guards against refusals of several entries that fail each other: each append moves the
+// end of the topic, which is the condition of all others.
+func TestRefusalsOfSeveralEntries(t *testing.T) {
+	const (
+		entries       = 10
+		jobsPerEntry  = 20
+		interval      = 100 * time.Millisecond
+		appendLatency = 4 * time.Millisecond
+	)
+	keyed := &emulator.KeyedLog{Clock: clockwork.NewRealClock()}
+	var all []*testEntry
+	for range entries {
+		e := newEntry(t, keyed, true, 80*time.Millisecond)
+		e.counted.delay = appendLatency
+		e.load.setWait(100)
+		all = append(all, e)
+	}
+	results := make(chan error, entries*jobsPerEntry)
+	for job := range jobsPerEntry {
+		for i, e := range all {
+			go func() { results <- e.submit(t.Context(), fmt.Sprintf("%016x", entries*job+i)) }()
+		}
+		time.Sleep(interval)
+	}
+	accepted, appends := 0, int64(0)
+	for range entries * jobsPerEntry {
+		if <-results == nil {
+			accepted++
+		}
+	}
+	for _, e := range all {
+		appends += e.counted.appends.Load()
+	}
+	t.Logf("%d accepted, %d appends for %d refusals", accepted, appends, entries*jobsPerEntry)
+	assert.Assert(t, accepted <= entries*jobsPerEntry/20)
+}
+
 // Guards against a job that is lost because the refusal could not be recorded: it is
 // accepted, or refused if the append took effect without a response.
 func TestRefusalWithUnknownOutcome(t *testing.T) {
--- a/submitter/refuser.go
+++ b/submitter/refuser.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,10 +17,11 @@
 	// refusalTimeout bounds the attempts to record one batch of refusals. A refusal
 	// is only worth something if it is early.
 	refusalTimeout = time.Second
-	// maxRefusalAppends is the number of appends that one batch of refusals may take.
-	// The second one follows a read, because others have appended since the index was
-	// updated.
-	maxRefusalAppends = 2
+	// minRefusalPause is the mean pause after the first append that another one has
+	// overtaken, about the time of an append. Each further one doubles it, up to
+	// maxRefusalPause.
+	minRefusalPause = 5 * time.Millisecond
+	maxRefusalPause = 80 * time.Millisecond
 )
 
 // refusalOutcome says what became of a refusal.
@@ -51,6 +53,9 @@
 	log   damaskspread.KeyedLog
 	index *indexer.Index
 	tail  *tailer.Tailer
+	clock damaskspread.Clock
+	// random returns a number from 0 up to but not including 1.
+	random func() float64
 
 	mu      sync.Mutex
 	pending []*queuedRefusal
@@ -86,52 +91,71 @@
 // run records pending refusals until none is left. Each batch is bounded in time.
 func (r *refusalAppender) run() {
 	for {
-		r.mu.Lock()
-		count := damaskspread.CountWithin(min(len(r.pending), maxBatchRecords), damaskspread.MaxAppendBytes,
-			func(i int) int { return damaskspread.RecordBytes(r.pending[i].record) })
-		batch := r.pending[:count:count]
-		r.pending = r.pending[count:]
-		r.running = count > 0
-		r.mu.Unlock()
-		if count == 0 {
+		batch := r.extend(nil)
+		if len(batch) == 0 {
 			return
 		}
-		r.record(batch)
+		batch = r.record(batch)
 		for _, queued := range batch {
 			close(queued.done)
 		}
 	}
 }
 
-// record sets the outcomes of a batch.
-func (r *refusalAppender) record(batch []*queuedRefusal) {
+// extend adds pending refusals to a batch, as many as an append takes. If the batch is
+// empty then, none is pending and run ends.
+func (r *refusalAppender) extend(batch []*queuedRefusal) []*queuedRefusal {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := slices.Concat(batch, r.pending)
+	count := damaskspread.CountWithin(min(len(all), maxBatchRecords), damaskspread.MaxAppendBytes,
+		func(i int) int { return damaskspread.RecordBytes(all[i].record) })
+	r.pending = all[count:]
+	r.running = count > 0
+	return all[:count:count]
+}
+
+// record sets the outcomes of a batch and returns it with the refusals that joined it.
+// An append that another one has overtaken is repeated after a read. Before, a random
+// pause lets one of the entries that compete go first; meanwhile further refusals join.
+func (r *refusalAppender) record(batch []*queuedRefusal) []*queuedRefusal {
 	ctx, cancel := context.WithTimeout(context.Background(), refusalTimeout)
 	defer cancel()
-	for try := range maxRefusalAppends {
-		if try > 0 && r.tail.Refresh(ctx) != nil {
-			return
+	pause := minRefusalPause
+	for r.appendOnce(ctx, batch) {
+		damaskspread.Pause(ctx, r.clock, time.Duration(2*r.random()*float64(pause)))
+		pause = min(2*pause, maxRefusalPause)
+		if r.tail.Refresh(ctx) != nil {
+			break
 		}
-		// The position is taken before the index is looked up, which may be ahead of it.
-		end := max(r.tail.Next(), r.end)
-		refused, records := r.stillRefused(batch)
-		if len(records) == 0 {
-			return
-		}
-		result, err := r.log.Append(ctx, indexer.Topic, records, &wire.AppendCondition{End: &end})
-		var moved *damaskspread.ConditionFailedError
-		if errors.As(err, &moved) {
-			continue
-		}
-		if err != nil {
-			return
-		}
-		r.end = result.GetOffset() + int64(len(records))
-		for i, queued := range refused {
-			queued.outcome = recorded
-			queued.offset = result.GetOffset() + int64(i)
-		}
-		return
+		batch = r.extend(batch)
+	}
+	return batch
+}
+
+// appendOnce appends the refusals of a batch and sets their outcomes. It reports whether
+// another append has moved the end of the topic, so that this one had no effect.
+func (r *refusalAppender) appendOnce(ctx context.Context, batch []*queuedRefusal) (overtaken bool) {
+	// The position is taken before the index is looked up, which may be ahead of it.
+	end := max(r.tail.Next(), r.end)
+	refused, records := r.stillRefused(batch)
+	if len(records) == 0 {
+		return false
+	}
+	result, err := r.log.Append(ctx, indexer.Topic, records, &wire.AppendCondition{End: &end})
+	var moved *damaskspread.ConditionFailedError
+	if errors.As(err, &moved) {
+		return true
+	}
+	if err != nil {
+		return false
+	}
+	r.end = result.GetOffset() + int64(len(records))
+	for i, queued := range refused {
+		queued.outcome = recorded
+		queued.offset = result.GetOffset() + int64(i)
 	}
+	return false
 }
 
 // stillRefused returns the refusals of a batch without those of accepted jobs.
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -49,9 +49,11 @@
 	// other entry processes. QueuedCount refuses if its list of jobs is older.
 	VisibleWithin time.Duration
 	// Screener decides which jobs are refused; nil disables admission. Load has the
-	// estimates that it needs.
+	// estimates that it needs. Random returns a number from 0 up to but not including 1;
+	// it spreads the appends of entries that refuse jobs at the same time.
 	Screener *screener.Screener
 	Load     damaskspread.LoadView
+	Random   func() float64
 
 	appender        batchAppender
 	refuser         refusalAppender
@@ -66,6 +68,8 @@
 	s.refuser.log = s.Log
 	s.refuser.index = s.Index
 	s.refuser.tail = s.Tail
+	s.refuser.clock = s.Clock
+	s.refuser.random = s.Random
 }
 
 // Run appends the records of calls until the tomb dies.
