--- a/parser/parser.go
+++ b/parser/parser.go
@@ -26,134 +26,17 @@
 // character must be a letter because ini.v1 replaces the name "-" by a number.
 var keyPattern = regexp.MustCompile(`^[A-Za-z][A-Za-z0-9_.-]*[ \t]*[=:]`)
 
-// SyntaxError describes an invalid or duplicate line. Section and Key may be empty.
-// Line counts from 1. Found is the part of the text that is invalid.
-type SyntaxError struct {
-	File    string
-	Section string
-	Key     string
-	Line    int
-	Found   string
-	Message string
-}
-
-func (e *SyntaxError) Error() string {
-	return fmt.Sprintf("%s:%d: %s (found %q)", e.File, e.Line, e.Message, e.Found)
-}
-
-// Key is one key of a section.
-type Key struct {
-	name   string
-	value  string
-	source string
-	line   int
-}
-
-// Name returns the key's name.
-func (k *Key) Name() string { return k.name }
-
-// Value returns the key's value without a trailing comment.
-func (k *Key) Value() string { return k.value }
-
-// Line returns the key's line number in its file, from 1.
-func (k *Key) Line() int { return k.line }
-
-// Section is one section of a parsed text. It is immutable after parsing.
-type Section struct {
-	file    string
-	name    string
-	comment string
-	line    int
-	keys    []*Key
-	byName  map[string]*Key
-	lines   []string
-	errors  []*SyntaxError
-}
-
-// FileName returns the name of the file that contains the section.
-func (s *Section) FileName() string { return s.file }
-
-// Name returns the section's name with single spaces, e.g. "zone rimouski". It is
-// empty for keys before the first header.
-func (s *Section) Name() string { return s.name }
-
-// Comment returns the comment on the header's line, without the leading # or ;.
-func (s *Section) Comment() string { return s.comment }
-
-// Line returns the header's line number in its file, from 1.
-func (s *Section) Line() int { return s.line }
-
-// Keys returns the section's keys in the order of the text. Invalid and duplicate
-// keys are omitted.
-func (s *Section) Keys() []*Key { return s.keys }
-
-// Key returns the key with the name.
-func (s *Section) Key(name string) (*Key, bool) {
-	key, ok := s.byName[name]
-	return key, ok
-}
-
-// Errors returns the section's syntax errors, including duplicate keys and a
-// duplicate section.
-func (s *Section) Errors() []*SyntaxError { return s.errors }
-
-// Body returns the body of the section, without its header. It omits comments and
-// blank lines at the end, because they belong to the next section.
-func (s *Section) Body() string {
-	end := len(s.lines)
-	for end > 0 && isBlankOrComment(s.lines[end-1]) {
-		end--
-	}
-	start := 0
-	for start < end && strings.TrimSpace(s.lines[start]) == "" {
-		start++
-	}
-	if start == end {
-		return ""
-	}
-	return strings.Join(s.lines[start:end], "\n") + "\n"
-}
-
-// File is a parsed INI text. It is immutable after parsing.
-type File struct {
-	file     string
-	sections []*Section
-	byName   map[string]*Section
-}
-
-// Name returns the name that Parse was given for the text.
-func (t *File) Name() string { return t.file }
-
-// Sections returns the sections in the order of the text. A duplicate section is
-// included and has an error.
-func (t *File) Sections() []*Section { return t.sections }
-
-// Section returns the first section with the name.
-func (t *File) Section(name string) (*Section, bool) {
-	section, ok := t.byName[name]
-	return section, ok
-}
-
-// Errors returns the syntax errors of all sections.
-func (t *File) Errors() []*SyntaxError {
-	var all []*SyntaxError
-	for _, section := range t.sections {
-		all = append(all, section.errors...)
-	}
-	return all
-}
-
 // Parse parses a text with section headers. It never fails: invalid lines become
 // errors of their section. The file name is only used in errors.
 func Parse(file, text string) *File {
-	t := &File{
+	f := &File{
 		file:   file,
 		byName: map[string]*Section{},
 	}
 	section := newSection(file, "", 1)
 	for i, line := range splitLines(text) {
 		if isHeader(line) {
-			t.addSection(section)
+			f.addSection(section)
 			section = parseHeader(file, line, i+1)
 			continue
 		}
@@ -162,8 +45,8 @@
 	if len(text) > MaxTextBytes {
 		section.addError("", section.line, "", fmt.Sprintf("the text is longer than %d bytes", MaxTextBytes))
 	}
-	t.addSection(section)
-	return t
+	f.addSection(section)
+	return f
 }
 
 // ParseBody parses the body of one section without its header, as stored when the
@@ -183,18 +66,18 @@
 
 // addSection completes a section and appends it to the text. It skips an empty
 // section before the first header.
-func (t *File) addSection(section *Section) {
+func (f *File) addSection(section *Section) {
 	section.readValues()
 	if section.name == "" && section.line == 1 && len(section.keys) == 0 && len(section.errors) == 0 {
 		return
 	}
-	if first, ok := t.byName[section.name]; ok {
+	if first, ok := f.byName[section.name]; ok {
 		section.addError("", section.line, "["+section.name+"]",
 			fmt.Sprintf("the section is already defined at line %d", first.line))
 	} else {
-		t.byName[section.name] = section
+		f.byName[section.name] = section
 	}
-	t.sections = append(t.sections, section)
+	f.sections = append(f.sections, section)
 }
 
 func newSection(file, name string, line int) *Section {
