Executor: results that were read outlive a restart of the worker

The task had finished on host-2 at 40.852, its worker restarted at about 41.2 (seen by the agent at 41.275), and the task ran again on host-1.

Cause: two, with the same symptom. (1) A fault: when the worker restarts, the agent joins with the new boot at once, which ends the claims of the old boot, and records "evicted, the worker restarted" for those that it still sees. Both ignored what the agent had read of the attempts: a success that was not recorded yet (no entry reachable) was forgotten and the task ran again; a checkpoint was forgotten and the task began anew. (2) The judgement of the test: if the worker restarts before anyone has read that the task ended, no process can know of it, and running it again is right. In the failed run the worker was paused twice for 339 ms around the finish and restarted 50 ms later, while its agent reads the status each 500 ms.

(2) is suspected from the times: the logs show no reads. If the agent had read the end, it would have appended the record 50 ms or more before the restart, and it logs no failed append.

Ruled out: a release by silence (host-2 was silent for less than a second), a fence (it has the log line "fencing of expired host failed" if the boot differs; and the claim ended by HostJoined at 41.33), a start of the old claim (the token differs).

Change: the executor keeps the latest known state of each claimed attempt, records the ends and checkpoints of the boot before, and calls OnBoot (the join) when none is left unrecorded, at the latest after task_hold. The platform emulator records "unread" when a restart forgets a success that no caller of Status had got; responses to callers that are gone or that the network drops do not count.

Left: a result that is read and not recorded when both the agent and the worker restart is lost (docs/proofs_tasks.md).

--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -236,3 +236,41 @@
 	assert.Equal(t, len(executions), 2)
 	assert.Assert(t, executions[1].EndUnixUs > 0)
 }
+
+// Guards against a verdict on results that no process could know, and against one
+// that excuses processes which forget what they have read.
+func TestUnreadResults(t *testing.T) {
+	for name, test := range map[string]struct {
+		prepare func(*emulator.Platform)
+		unread  int
+	}{
+		"not read": {prepare: func(*emulator.Platform) {}, unread: 1},
+		"read": {prepare: func(p *emulator.Platform) {
+			_, err := workerClient(p, hostA).Status(t.Context())
+			assert.NilError(t, err)
+		}},
+		"responses dropped": {prepare: func(p *emulator.Platform) {
+			p.SetResponsesDropped(hostA, true)
+			_, err := workerClient(p, hostA).Status(t.Context())
+			assert.NilError(t, err)
+		}, unread: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, clock := startPlatform(t)
+			request := startRequest(hostA, "x", 1)
+			request.Spec.Parameters["run_ms"] = "1000"
+			_, err := workerClient(p, hostA).Start(t.Context(), request)
+			assert.NilError(t, err)
+			clock.Advance(2 * time.Second)
+			test.prepare(p)
+			p.SetFault(emulator.Fault{Target: "worker", Host: hostA, Restart: true})
+			unread := 0
+			for _, event := range p.History().Events {
+				if event.Kind == "unread" {
+					unread++
+				}
+			}
+			assert.Equal(t, unread, test.unread)
+		})
+	}
+}
--- a/emulator/faults.go
+++ b/emulator/faults.go
@@ -137,7 +137,8 @@
 			_ = errorWriter.Write(w, r, connect.NewError(connect.CodeUnavailable, errors.New("down")))
 			return
 		}
-		if !strings.HasSuffix(r.URL.Path, "/ReadEntries") {
+		// Reads have no effect, so they may end with their caller.
+		if !strings.HasSuffix(r.URL.Path, "/ReadEntries") && !strings.HasSuffix(r.URL.Path, "/Status") {
 			r = r.WithContext(context.WithoutCancel(r.Context()))
 		}
 		if g.takeResponseLoss(r.URL.Path) {
@@ -168,6 +169,14 @@
 	}
 }
 
+// SetResponsesDropped says whether the network drops the responses of a host's
+// worker, so that their callers read no results.
+func (p *Platform) SetResponsesDropped(host string, dropped bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.workers[host].responsesDropped = dropped
+}
+
 // SetFault does what POST /faults does. It reports whether the target exists.
 func (p *Platform) SetFault(fault Fault) bool {
 	p.mu.Lock()
--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -68,7 +68,8 @@
 }
 
 // Event is one change of a task at a worker. Its kind is start, checkpoint,
-// stop, finish, fail, lapse (of the lease) or lost (with a restart of the worker).
+// stop, finish, fail, lapse (of the lease) or lost (with a restart of the worker). A
+// restart also gives unread, for a finished task whose end no caller has read.
 type Event struct {
 	Kind       string `json:"kind"`
 	Host       string `json:"host"`
--- a/emulator/service.go
+++ b/emulator/service.go
@@ -35,10 +35,13 @@
 }
 
 func (w *worker) Status(
-	context.Context, *connect.Request[wire.StatusRequest],
+	ctx context.Context, _ *connect.Request[wire.StatusRequest],
 ) (*connect.Response[wire.StatusResponse], error) {
 	defer w.platform.mu.Unlock()
 	_ = w.lockAndCheckBoot("")
+	if ctx.Err() == nil && !w.responsesDropped {
+		w.markRead()
+	}
 	return connect.NewResponse(w.status()), nil
 }
 
--- a/emulator/worker.go
+++ b/emulator/worker.go
@@ -24,6 +24,8 @@
 	bootedAt  time.Time
 	tasks     map[attempt]*task
 	minToken  int64
+	// responsesDropped means that responses do not reach their callers.
+	responsesDropped bool
 }
 
 // attempt identifies a try to run a task, by the fencing token of its claim.
@@ -46,6 +48,8 @@
 	progress      time.Duration
 	progressAt    time.Time
 	speedPermille int64
+	// read means that a caller has got a status that shows how the task ended.
+	read bool
 }
 
 func newWorker(p *Platform, spec Worker) *worker {
@@ -66,6 +70,11 @@
 	for _, t := range w.running() {
 		w.recordEvent("lost", t, w.platform.Clock.Now())
 	}
+	for _, t := range w.tasks {
+		if t.phase == wire.WorkerTaskPhase_WORKER_TASK_PHASE_SUCCEEDED && !t.read {
+			w.recordEvent("unread", t, w.platform.Clock.Now())
+		}
+	}
 	w.bootCount++
 	w.bootedAt = w.platform.Clock.Now()
 	w.tasks = map[attempt]*task{}
@@ -178,6 +187,13 @@
 	}
 }
 
+// markRead notes that a caller gets the present status.
+func (w *worker) markRead() {
+	for _, t := range w.tasks {
+		t.read = t.read || t.phase != wire.WorkerTaskPhase_WORKER_TASK_PHASE_RUNNING
+	}
+}
+
 func (w *worker) status() *wire.StatusResponse {
 	now, lag := w.platform.Clock.Now(), w.platform.UsageLag
 	fault, _ := w.faults.get()
--- a/executor/decide.go
+++ b/executor/decide.go
@@ -37,6 +37,9 @@
 	// SeenTokens holds the tokens that this boot of the worker has shown or
 	// started.
 	SeenTokens map[int64]bool
+	// Attempts holds the latest known state of claimed attempts by token, also of
+	// those of earlier boots, which the status lists no more.
+	Attempts map[int64]*wire.WorkerTask
 	// Overdue holds the tokens of claims that waited too long for a start.
 	Overdue map[int64]bool
 	// Reasons says by token why claims wait.
@@ -121,7 +124,7 @@
 	task := p.tasks[id]
 	switch {
 	case claim.GetWorkerBoot() != p.Status.GetBoot():
-		p.recordEvicted(claim, "", "the worker restarted")
+		p.recordLost(claim, p.Attempts[id.token])
 	case task == nil:
 		p.decideStart(id, claim)
 	case task.GetPhase() == wire.WorkerTaskPhase_WORKER_TASK_PHASE_RUNNING:
@@ -252,6 +255,16 @@
 	}
 }
 
+// recordLost adds the record of an attempt of an earlier boot: its end if the worker
+// has shown one, else an eviction with its latest checkpoint. task may be nil.
+func (p *decider) recordLost(claim *wire.TaskState, task *wire.WorkerTask) {
+	if hasEnded(task) {
+		p.recordEnd(claim, task)
+		return
+	}
+	p.recordEvicted(claim, task.GetCheckpoint(), "the worker restarted")
+}
+
 // recordEnd adds the record of an attempt that ended at the worker for any cause.
 func (p *decider) recordEnd(claim *wire.TaskState, task *wire.WorkerTask) {
 	stopped := task.GetPhase() == wire.WorkerTaskPhase_WORKER_TASK_PHASE_STOPPED
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -79,7 +79,9 @@
 	// now, in thousandths; 0 means no limit. Nil never throttles.
 	BatchShare func() int
 	// OnBoot is called when this process first sees a boot of the worker; nil is
-	// allowed. An agent that joined with another boot has to join again.
+	// allowed. An agent that joined with another boot has to join again, which ends
+	// the claims of that boot: OnBoot is delayed until their known results are
+	// recorded, for at most TaskHold.
 	OnBoot func(boot string, capacity *wire.Resources)
 	// TaskHold is how long the tasks of a host stay assigned to it after its
 	// last HostsAlive record. Leases last nine tenths of it.
@@ -105,7 +107,8 @@
 	CallTimeout time.Duration
 
 	// mu guards the fields down to draining. unconfirmed holds the heartbeats
-	// that the feed has not confirmed, passRecords the records of the latest pass.
+	// that the feed has not confirmed, passRecords the records of the latest pass,
+	// attempts the latest known state of claimed attempts by token.
 	mu            sync.Mutex
 	lease         Lease
 	unconfirmed   []PendingHeartbeat
@@ -113,12 +116,16 @@
 	passRecords   []*wire.Record
 	status        *wire.StatusResponse
 	statusAt      time.Time
+	attempts      map[int64]*wire.WorkerTask
 	draining      bool
 
 	// reconcileMu guards the fields down to checkpoints, which only Reconcile
-	// uses. The maps are keyed by the claim's token.
+	// uses. The maps are keyed by the claim's token. restartedAt is when boot was
+	// first seen after another one, announcedBoot the latest argument of OnBoot.
 	reconcileMu   sync.Mutex
 	boot          string
+	restartedAt   time.Time
+	announcedBoot string
 	seenTokens    map[int64]bool
 	waiting       map[int64]*waitingClaim
 	sharesInForce map[int64]int
@@ -287,6 +294,8 @@
 	status, err := e.Worker.Status(ctx)
 	if err != nil {
 		log.Warn().Err(err).Str("host", e.Host).Msg("worker status call failed")
+		return nil, err
 	}
-	return status, err
+	e.keepAttempts(status)
+	return status, nil
 }
--- a/executor/reconcile.go
+++ b/executor/reconcile.go
@@ -32,7 +32,11 @@
 		notAfterUs = status.GetNowUs() + (e.CurrencyLimit - age - e.Clock.Since(before)).Microseconds()
 	}
 	e.updateStatus(status)
-	plan := Decide(e.situation(view, status, notAfterUs))
+	attempts := e.claimedAttempts(view)
+	e.announceBoot(status, attempts)
+	situation := e.situation(view, status, notAfterUs)
+	situation.Attempts = attempts
+	plan := Decide(situation)
 	e.executePlan(ctx, status, plan)
 	plan.Records = append(plan.Records, e.takeCheckpoints(ctx, view, status)...)
 	e.updateWaiting(view, status, plan)
@@ -53,11 +57,9 @@
 		e.seenTokens = map[int64]bool{}
 		e.sharesInForce = map[int64]int{}
 		if restarted {
+			e.restartedAt = e.Clock.Now()
 			log.Warn().Str("host", e.Host).Str("boot", e.boot).Msg("worker restarted")
 		}
-		if e.OnBoot != nil {
-			e.OnBoot(e.boot, status.GetCapacity())
-		}
 	}
 	for _, task := range status.GetTasks() {
 		e.seenTokens[task.GetToken()] = true
