Scheduler: the wait for a silent host outlives the process that waits

Cause: aliveObservedAt counts from the start of the process, not from the heartbeat that bounds the lease. A process that starts knows no time of that record, and clocks of other hosts jump.

Ruled out: wall-clock times of records (clocks jump); offsets of the entries' own heartbeats, which give a bound only together with times that the entries measured.

Change: entries record the silence that they have measured on their monotonic clock (HostsSilent, with the position of the heartbeat), the state keeps it until the next heartbeat, and a process that starts counts from it (docs/design.md). No run doubles for it: the silence had passed when the record was made, and is ignored once the host has sent a heartbeat or joined again. A process that observed the heartbeat itself adopts nothing, so that its observation of outages of the log stays decisive.

--- a/replayer/apply.go
+++ b/replayer/apply.go
@@ -52,6 +52,8 @@
 		s.applyHostForgotten(c, body.HostForgotten)
 	case *wire.Record_HostReleased:
 		s.applyHostReleased(c, body.HostReleased)
+	case *wire.Record_HostsSilent:
+		s.applyHostsSilent(c, body.HostsSilent)
 	case *wire.Record_EntryAlive:
 		s.applyEntryAlive(c, body.EntryAlive)
 	case *wire.Record_EntryExpired:
@@ -88,13 +90,18 @@
 	s.changes = append(s.changes, c)
 }
 
-// addChange adds a change. Changes of hosts other than heartbeats also change the
-// routes version.
+// addChange adds a change. Changes of hosts other than heartbeats and silences also
+// change the routes version.
 func (s *State) addChange(c Change, kind ChangeKind, subject string) {
 	c.kind = kind
 	c.subject = subject
 	s.changes = append(s.changes, c)
-	if _, alive := c.record.GetBody().(*wire.Record_HostsAlive); kind == HostChanged && !alive {
+	if kind != HostChanged {
+		return
+	}
+	switch c.record.GetBody().(type) {
+	case *wire.Record_HostsAlive, *wire.Record_HostsSilent:
+	default:
 		s.routesVersion = damaskspread.Token(c.position)
 	}
 }
--- a/replayer/hosts.go
+++ b/replayer/hosts.go
@@ -99,11 +99,24 @@
 			continue
 		}
 		h.state.Alive = c.position
+		h.state.SilentMs = 0
 		h.state.Entry = alive.GetEntry()
 		s.addChange(c, HostChanged, ref.GetHost())
 	}
 }
 
+func (s *State) applyHostsSilent(c Change, silent *wire.HostsSilent) {
+	for _, silence := range silent.GetHosts() {
+		h := s.hosts[silence.GetHost()]
+		if h == nil || !damaskspread.SamePosition(h.state.GetAlive(), silence.GetAlive()) {
+			s.ignore(c, silence.GetHost(), damaskspread.ReasonConflict, "the host is unknown or reported alive after the position in the record")
+			continue
+		}
+		h.state.SilentMs = max(h.state.GetSilentMs(), silence.GetSilentMs())
+		s.addChange(c, HostChanged, silence.GetHost())
+	}
+}
+
 func (s *State) applyHostLeaving(c Change, leaving *wire.HostLeaving) {
 	ref := leaving.GetHost()
 	h := s.findIncarnation(ref)
--- a/replayer/property_test.go
+++ b/replayer/property_test.go
@@ -35,7 +35,7 @@
 }
 
 func drawBody(t *rapid.T, host, incarnation, boot, task string, attempt int32, position *wire.Position) *wire.Record {
-	switch rapid.IntRange(0, 13).Draw(t, "kind") {
+	switch rapid.IntRange(0, 14).Draw(t, "kind") {
 	case 0:
 		return hostJoined(host, incarnation, boot, "z"+host[1:])
 	case 1:
@@ -60,6 +60,8 @@
 		return hostsAlive(host, incarnation)
 	case 12:
 		return hostForgotten(host, incarnation, position)
+	case 13:
+		return hostsSilent(host, position, rapid.Int64Range(1, 100).Draw(t, "silent_ms"))
 	default:
 		return parseRecord(`host_leaving {host {host: %q incarnation: %q}}`, host, incarnation)
 	}
--- a/replayer/state_test.go
+++ b/replayer/state_test.go
@@ -82,6 +82,10 @@
 	return parsed
 }
 
+func hostsSilent(host string, alive *wire.Position, silentMs int64) *wire.Record {
+	return parseRecord(`hosts_silent {hosts {host: %q alive {offset: %d} silent_ms: %d}}`, host, alive.GetOffset(), silentMs)
+}
+
 func hostsAlive(host, incarnation string) *wire.Record {
 	return parseRecord(`hosts_alive {entry: "e1" hosts {host: %q incarnation: %q}}`, host, incarnation)
 }
@@ -138,6 +142,9 @@
 		"fenced release":                     {[]*wire.Record{hostReleased("h1", "b1", atOffset(0), fenced)}, none},
 		"host declared lost":                 {[]*wire.Record{hostsAlive("h1", "i1"), hostReleased("h1", "b1", nil, wire.ReleaseReason_RELEASE_REASON_DECLARED_LOST)}, none},
 		"heartbeat after expiry":             {[]*wire.Record{hostExpired("h1", "i1", atOffset(0)), hostsAlive("h1", "i1")}, damaskspread.ReasonConflict},
+		"silence after a heartbeat":          {[]*wire.Record{hostsAlive("h1", "i1"), hostsSilent("h1", atOffset(0), 5)}, damaskspread.ReasonConflict},
+		"silence since the last heartbeat":   {[]*wire.Record{hostsSilent("h1", atOffset(0), 5)}, none},
+		"silence of an unknown host":         {[]*wire.Record{hostsSilent("h9", atOffset(0), 5)}, damaskspread.ReasonConflict},
 		"forgetting a member":                {[]*wire.Record{taskEvicted("t1", 1, "h1"), hostForgotten("h1", "i1", atOffset(0))}, damaskspread.ReasonConflict},
 		"forgetting a host with claims":      {[]*wire.Record{hostExpired("h1", "i1", atOffset(0)), hostForgotten("h1", "i1", atOffset(0))}, damaskspread.ReasonConflict},
 		"forgetting after a join":            {[]*wire.Record{hostExpired("h1", "i1", atOffset(0)), hostJoined("h1", "i2", "b2", "z1"), hostForgotten("h1", "i1", atOffset(0))}, damaskspread.ReasonConflict},
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -84,6 +84,7 @@
 	p.drainZonesAndHosts(out)
 	if now.Sub(p.hostsReleasedAt) >= releaseInterval {
 		p.hostsReleasedAt = now
+		p.recordSilences(out)
 		p.releaseHosts(out)
 	}
 	p.applyResponses(out)
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -96,7 +96,13 @@
 	aliveObservedAt time.Time
 	// outagesAtAlive is the total of the outages at aliveObservedAt.
 	outagesAtAlive time.Duration
-	leaving        bool
+	// aliveLoaded means that the latest heartbeat was in the state when the planner
+	// first read the host, so that it may be older than aliveObservedAt.
+	aliveLoaded bool
+	// recordedSilence is the longest silence since the latest heartbeat that any entry
+	// recorded.
+	recordedSilence time.Duration
+	leaving         bool
 	// leavingSince is when the planner observed that the host is leaving.
 	leavingSince time.Time
 	expired      bool
--- a/scheduler/refresh.go
+++ b/scheduler/refresh.go
@@ -89,11 +89,13 @@
 		p.Index.SetAdmission(id, placer.Open)
 	}
 	changed := h.spec != state.GetSpec() || h.leaving != state.GetLeaving() || h.expired != state.GetExpired()
-	if h.alivePosition == nil || damaskspread.Token(h.alivePosition) != damaskspread.Token(state.GetAlive()) {
+	if first := h.alivePosition == nil; first || damaskspread.Token(h.alivePosition) != damaskspread.Token(state.GetAlive()) {
 		h.alivePosition = proto.CloneOf(state.GetAlive())
 		h.aliveObservedAt = now
 		h.outagesAtAlive = p.outages.total
+		h.aliveLoaded, h.recordedSilence = first, 0
 	}
+	p.adoptSilence(h, time.Duration(state.GetSilentMs())*time.Millisecond, now)
 	if !changed {
 		return
 	}
--- a/scheduler/silence.go
+++ b/scheduler/silence.go
@@ -1,6 +1,12 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"damaskspread.example/damaskspread/wire"
+)
 
 const (
 	// readDelayMargin is how much longer than two reads of an idle log the state may
@@ -9,6 +15,8 @@
 	// recoveryFactor is the time that agents get to join and renew after an outage,
 	// in lengths of the outage: their delays between tries grow with it.
 	recoveryFactor = 2
+	// maxSilencesPerRecord limits the hosts of one record.
+	maxSilencesPerRecord = 256
 )
 
 // logOutages adds up the time in which agents may have been unable to record a
@@ -58,3 +66,53 @@
 	outages := p.outages.total - h.outagesAtAlive + p.outages.current
 	return now.Sub(h.aliveObservedAt) - min(outages, p.limits.TaskHold+releaseGrace)
 }
+
+// adoptSilence makes the silence of a host at least as long as an entry recorded it,
+// if this process started after the host's latest heartbeat, so that it does not wait
+// for that time again. Otherwise its own observation of outages is more accurate.
+func (p *Planner) adoptSilence(h *hostInfo, recorded time.Duration, now time.Time) {
+	h.recordedSilence = max(h.recordedSilence, recorded)
+	if h.aliveLoaded && recorded > p.silence(h, now) {
+		h.aliveObservedAt = now.Add(-recorded)
+		h.outagesAtAlive = p.outages.total
+	}
+}
+
+// recordSilences records how long hosts with tasks have been silent, from a quarter of
+// TaskHold, when a heartbeat is overdue, each tenth of it. Other entries than the owner
+// of a host record later, and so only if the owner does not, because it restarts often.
+func (p *Planner) recordSilences(out *plan) {
+	record := &wire.HostsSilent{}
+	for _, h := range p.hostList {
+		silence := p.silence(h, out.now)
+		if len(h.tasks) == 0 || silence < p.limits.TaskHold/4 || silence < h.recordedSilence+p.silenceStep(h) {
+			continue
+		}
+		h.recordedSilence = silence
+		record.Hosts = append(record.Hosts, &wire.HostSilence{
+			Host:     h.spec.GetHost(),
+			Alive:    proto.CloneOf(h.alivePosition),
+			SilentMs: silence.Milliseconds(),
+		})
+		if len(record.GetHosts()) == maxSilencesPerRecord {
+			break
+		}
+	}
+	if len(record.GetHosts()) > 0 {
+		p.addRecord(out, &wire.Record{
+			Body: &wire.Record_HostsSilent{
+				HostsSilent: record,
+			},
+		})
+	}
+}
+
+// silenceStep is how much longer than recorded a host has to be silent before this
+// entry records it again.
+func (p *Planner) silenceStep(h *hostInfo) time.Duration {
+	step := p.limits.TaskHold / 10
+	if !p.owns("host/" + h.spec.GetHost()) {
+		step += step / 2
+	}
+	return step
+}
