A renewal that was canceled has no response: the next one may reach a new life

Cause: the executor is silent, so the renewal has no response; the opening of the next session cancels it, and a canceled renewal counted as nothing. The next one went to the new life with the deadline and the number of the last end of the life before. The new life dropped its own ends up to that number, the leader never heard that they were done, and ordered the next runs.

Ruled out: a late call (the log shows none of these starts as delayed), a leader that ignores the end (no request contained it).

Change: a renewal that was canceled before its response makes the next one to the same incarnation carry no deadline and no number, as after a failed one.

--- a/runner/renew.go
+++ b/runner/renew.go
@@ -52,6 +52,7 @@
 	}
 	state, err := r.Executor.Renew(callCtx, call.info.GetId(), &call.lease, call.dropUpTo, call.wait)
 	if errors.Is(callCtx.Err(), context.Canceled) {
+		r.noteCanceledRenewal(call)
 		return
 	}
 	if err != nil {
@@ -111,9 +112,21 @@
 }
 
 // mayHaveRestarted reports whether another life may respond under the executor's id: the
-// last renewal failed, or another executor was announced and the present one has not
-// responded since. The caller holds the mutex.
-func (r *Runner) mayHaveRestarted() bool { return r.renewFailures > 0 || r.candidate != nil }
+// last renewal failed or was canceled, or another executor was announced and the present
+// one has not responded since. The caller holds the mutex.
+func (r *Runner) mayHaveRestarted() bool {
+	return r.renewFailures > 0 || r.renewalCanceled || r.candidate != nil
+}
+
+// noteCanceledRenewal records that a renewal has no response: the executor may have been
+// silent because it has ended.
+func (r *Runner) noteCanceledRenewal(call *renewal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isPresent(call.info) {
+		r.renewalCanceled = true
+	}
+}
 
 // beginRenewal makes the renewal end with its session: the executor may hold the call
 // without a response. It returns false if the session has ended.
@@ -180,6 +193,7 @@
 		log.Info().Str("executor", call.info.GetId()).Int("failures", r.renewFailures).Msg("executor lease renewal recovered")
 	}
 	r.renewFailures = 0
+	r.renewalCanceled = false
 	r.lastContact = now
 	r.renewedUntil = max(r.renewedUntil, call.leaseUntil)
 	r.crashes.addContact()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -97,6 +97,8 @@
 	executorClock clockReading
 	lastContact   time.Duration
 	renewFailures int
+	// renewalCanceled is set if the latest renewal was canceled before its response.
+	renewalCanceled bool
 	// reportedCapacity is the latest capacity that the leader is known to have
 	// received in this session.
 	reportedCapacity *wire.Resources
@@ -243,6 +245,7 @@
 	r.renewedUntil = 0
 	r.endsRecorded = 0
 	r.renewFailures = 0
+	r.renewalCanceled = false
 	r.unrecordedEnds = map[int64]*wire.RunEnd{}
 	r.setRunning(nil)
 	r.refusedRuns = map[runKey]refusedRun{}
