Soak: a test that an executor listens again while processes start

Cause: a process that is being started holds copies of all listeners until its exec has closed them.

--- a/soak/processes_test.go
+++ b/soak/processes_test.go
@@ -134,3 +134,31 @@
 	time.Sleep(downtime)
 	f.start(p)
 }
+
+// Guards against an executor that stays down after a crash because a process that is being
+// started still holds its listener.
+func TestExecutorListensAgainWhileProcessesStart(t *testing.T) {
+	const restarts, starters = 200, 2
+	h := &executorHandler{address: freeAddress(t)}
+	stop := make(chan struct{})
+	var starting sync.WaitGroup
+	for range starters {
+		starting.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					_ = exec.Command(daemon, "help").Run()
+				}
+			}
+		})
+	}
+	for range restarts {
+		h.listen(t)
+		time.Sleep(endsInterval)
+		h.close()
+	}
+	close(stop)
+	starting.Wait()
+}
--- a/soak/stand_in_test.go
+++ b/soak/stand_in_test.go
@@ -160,7 +160,8 @@
 }
 
 // listenLimit bounds the time until an address is free again: a process that is being
-// started holds copies of all listeners until it executes its binary.
+// started holds copies of all listeners until it executes its binary, and for a few more
+// milliseconds, so holding syscall.ForkLock would not be enough.
 const listenLimit = 10 * time.Second
 
 // listen starts to serve at the handler's address.
