coordinator, elector: replace a leader that can't store progress

Cause: only silence in the topic leader ends a leadership, and renewals go there. The writer repeated its append without end, also after the process had lost the leadership.

Change: the records of a leader say "stalled" after 2 s in which it has waited for the log although its renewals succeeded. Another process takes over once an append of its own to progress and jobs has succeeded, so a leader stays while none can append. The count of such handovers is kept in the records and doubles the 2 s up to 16 s. The end of a leadership ends the calls to the log.

Ruled out: to resign after 2 s. While no process can append, leases of live executors would end, because a new leader stores a session before it grants.

Before/after: go test -race -count=1 -run 'StoreProgress|StoresProgress|StalledLeader' ./coordinator. Before, with faults of progress only: 3 of 5 tests fail (no success within 6 s, no next leader within 6 s), load average 28 to 53. After: all pass, load average 21 to 32.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -94,6 +94,8 @@
 	// unconfirmed is set while the last confirmed renewal of the leadership is older than
 	// elector.ConfirmationTimeout, as of the last cycle.
 	unconfirmed bool
+	// endTerm cancels the calls of the term in progress; nil before the first one.
+	endTerm context.CancelFunc
 	// issuedTokens is the number of fencing tokens given to sessions in this term.
 	issuedTokens int64
 	sessions     map[string]*session     // by host
@@ -174,6 +176,9 @@
 	progress    *writer
 	adviceCache *adviceCache
 	statuses    *statusWriter
+	// progressWait is the wait for the first cycle of a term or for an append of a cycle,
+	// statusWait that of the status writer.
+	progressWait, statusWait logWait
 }
 
 // Init must be called before Run and before any other method.
@@ -195,15 +200,21 @@
 	c.mu.Lock()
 	c.epoch = epoch
 	c.mu.Unlock()
+	c.statusWait.end()
+	c.progressWait.end()
+	c.progressWait.begin(c.Elapsed.Elapsed())
 	c.signal()
 }
 
 // StopLeading tells the coordinator that this process is no longer the leader. It
-// closes all sessions.
+// closes all sessions and ends the calls to the log that are in progress.
 func (c *Coordinator) StopLeading() {
 	c.mu.Lock()
 	c.epoch = 0
 	c.leading = false
+	if c.endTerm != nil {
+		c.endTerm()
+	}
 	for _, s := range c.sessions {
 		s.notify()
 	}
@@ -274,8 +285,9 @@
 
 // lead takes over and runs scheduling cycles until the epoch ends.
 func (c *Coordinator) lead(ctx context.Context, epoch int64) {
-	term, cancel := context.WithCancel(ctx)
+	term, cancel := c.beginTerm(ctx, epoch)
 	defer cancel()
+	c.progressWait.begin(c.Elapsed.Elapsed())
 	if err := c.reportStall(epoch, "takeover", func() error { return c.takeOver(term, epoch) }); err != nil {
 		log.Warn().Int64("epoch", epoch).Err(err).Msg("leader takeover failed")
 		damaskspread.Pause(ctx, c.Clock, maxCycleInterval)
@@ -304,6 +316,18 @@
 	c.waitingSteps.Store(0)
 }
 
+// beginTerm returns a context that ends with the term of an epoch.
+func (c *Coordinator) beginTerm(ctx context.Context, epoch int64) (context.Context, context.CancelFunc) {
+	term, cancel := context.WithCancel(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endTerm = cancel
+	if c.epoch != epoch {
+		cancel()
+	}
+	return term, cancel
+}
+
 // pauseAfterCycle is at least as long as the last cycle computed. Half of the time is
 // then left for reports, renewals and callers where processors are scarce, and
 // more changes share a cycle.
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -89,10 +89,12 @@
 	c.observeCalm(cycle)
 	c.migrate(cycle)
 	storing := c.Elapsed.Elapsed()
+	c.progressWait.begin(storing)
 	if err := c.reportStall(epoch, "append", func() error { return c.storeProgress(ctx, cycle) }); err != nil {
 		return err
 	}
 	stored := c.Elapsed.Elapsed()
+	c.progressWait.end()
 	defer func() { c.cycleTime.Store(int64(c.Elapsed.Elapsed() - started - (stored - storing))) }()
 	c.publish(cycle, epoch)
 	c.appraiseLoad(cycle)
--- /dev/null
+++ b/coordinator/log_wait.go
@@ -0,0 +1,81 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/indexer"
+	"damaskspread.example/damaskspread/wire"
+)
+
+const (
+	// probeKey is the key of the records with which a candidate finds out whether it can
+	// append. They have no value, so the log keeps none, and readers ignore the key.
+	probeKey = ".probe"
+	// maxProbeTries bounds the appends of a probe to one topic: others append there too.
+	maxProbeTries = 5
+)
+
+// logWait is since when a goroutine waits for the log. It is safe for concurrent use.
+type logWait struct {
+	// since is 0 while it does not wait.
+	since atomic.Int64
+}
+
+// begin begins a wait, unless one is in progress.
+func (w *logWait) begin(now time.Duration) { w.since.CompareAndSwap(0, int64(now)) }
+
+// restart counts a wait in progress from now, because the log has accepted a part.
+func (w *logWait) restart(now time.Duration) {
+	if w.since.Load() != 0 {
+		w.since.Store(int64(now))
+	}
+}
+
+func (w *logWait) end() { w.since.Store(0) }
+
+// WaitingSince returns since when this process, which leads, waits for the log, and false if
+// it does not. Appends are counted from the last one that the log has accepted.
+func (c *Coordinator) WaitingSince() (since time.Duration, waits bool) {
+	progress, statuses := c.progressWait.since.Load(), c.statusWait.since.Load()
+	switch {
+	case progress == 0:
+		since = time.Duration(statuses)
+	case statuses == 0:
+		since = time.Duration(progress)
+	default:
+		since = time.Duration(min(progress, statuses))
+	}
+	return since, since != 0
+}
+
+// ProbeLog appends to the topics of a leader without an effect. It fails if this process
+// can't. Appends with a condition go to the log itself, and not through other entries.
+func (c *Coordinator) ProbeLog(ctx context.Context) error {
+	for _, topic := range []string{progressTopic, indexer.Topic} {
+		if err := c.probeTopic(ctx, topic); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// probeTopic appends a record at the end of a topic, which the log tells in its response to
+// an append elsewhere.
+func (c *Coordinator) probeTopic(ctx context.Context, topic string) error {
+	record := []*wire.KeyedRecord{{Key: probeKey}}
+	end := int64(0)
+	var err error
+	for range maxProbeTries {
+		_, err = c.Log.Append(ctx, topic, record, &wire.AppendCondition{End: &end})
+		var conflict *damaskspread.ConditionFailedError
+		if !errors.As(err, &conflict) {
+			return err
+		}
+		end = conflict.End
+	}
+	return err
+}
--- a/coordinator/sessions_test.go
+++ b/coordinator/sessions_test.go
@@ -11,12 +11,22 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/emulator"
 	"damaskspread.example/damaskspread/wire"
 )
 
 const sessionKeyPrefix = ".session."
 
+// appendFault is a fault of the appends of an entry to one topic.
+type appendFault struct {
+	topic string
+	// hangs makes the appends wait for their deadline. Otherwise they fail at once.
+	hangs bool
+	// leadersOnly is set if it is that of appends under the epoch of a leader.
+	leadersOnly bool
+}
+
 // writeFilter changes what an entry appends.
 type writeFilter struct {
 	// earlierVersion leaves out what leaders of earlier versions don't write.
@@ -24,6 +34,20 @@
 	// silenceDelay delays the next record of a silent session by so many nanoseconds;
 	// silences counts these records.
 	silenceDelay, silences atomic.Int64
+	fault                  atomic.Pointer[appendFault]
+}
+
+// failure returns the error of a faulty append, nil without a fault.
+func (f *writeFilter) failure(ctx context.Context, topic string, condition *wire.AppendCondition) error {
+	fault := f.fault.Load()
+	if fault == nil || fault.topic != topic || (fault.leadersOnly && condition.GetProducer() == nil) {
+		return nil
+	}
+	if fault.hangs {
+		<-ctx.Done()
+		return &damaskspread.AppendUnknownError{Cause: ctx.Err()}
+	}
+	return &damaskspread.LogUnavailableError{Cause: errDown}
 }
 
 // filteredLog is the log of an entry whose writes are filtered.
@@ -34,6 +58,9 @@
 }
 
 func (l *filteredLog) Append(ctx context.Context, topic string, records []*wire.KeyedRecord, condition *wire.AppendCondition) (*wire.AppendResult, error) {
+	if err := l.filter.failure(ctx, topic, condition); err != nil {
+		return nil, err
+	}
 	if slices.ContainsFunc(records, isSilence) {
 		l.filter.silences.Add(1)
 		time.Sleep(time.Duration(l.filter.silenceDelay.Swap(0)))
--- a/coordinator/statuses.go
+++ b/coordinator/statuses.go
@@ -66,7 +66,10 @@
 		if len(records) == 0 {
 			continue
 		}
-		if _, err := s.writer.append(ctx, records); err != nil {
+		s.writer.wait.begin(s.writer.elapsed.Elapsed())
+		_, err := s.writer.append(ctx, records)
+		s.writer.wait.end()
+		if err != nil {
 			log.Warn().Int("records", len(records)).Err(err).Msg("job statuses not recorded: leadership ended")
 			return
 		}
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -19,8 +19,8 @@
 // that it stored.
 func (c *Coordinator) takeOver(ctx context.Context, epoch int64) error {
 	started := c.Elapsed.Elapsed()
-	c.progress = c.newWriter(progressTopic, epoch)
-	statuses := c.newWriter(indexer.Topic, epoch)
+	c.progress = c.newWriter(progressTopic, epoch, &c.progressWait)
+	statuses := c.newWriter(indexer.Topic, epoch, &c.statusWait)
 	for _, w := range []*writer{c.progress, statuses} {
 		if err := w.fence(ctx); err != nil {
 			return err
@@ -56,12 +56,14 @@
 	return nil
 }
 
-func (c *Coordinator) newWriter(topic string, epoch int64) *writer {
+func (c *Coordinator) newWriter(topic string, epoch int64, wait *logWait) *writer {
 	return &writer{
-		log:   c.Log,
-		clock: c.Clock,
-		topic: topic,
-		epoch: epoch,
+		log:     c.Log,
+		clock:   c.Clock,
+		elapsed: c.Elapsed,
+		topic:   topic,
+		epoch:   epoch,
+		wait:    wait,
 
 		maxBytes: cmp.Or(c.MaxAppendBytes, damaskspread.MaxAppendBytes),
 	}
--- a/coordinator/writer.go
+++ b/coordinator/writer.go
@@ -38,6 +38,7 @@
 type writer struct {
 	log      damaskspread.KeyedLog
 	clock    damaskspread.Clock
+	elapsed  damaskspread.ElapsedClock
 	topic    string
 	epoch    int64
 	maxBytes int // of one append
@@ -45,6 +46,9 @@
 	// with each append that takes little of its timeout.
 	slowBytes int
 	sequence  int64
+	// wait is restarted when the log has accepted a part of an append, and when the parts
+	// become smaller.
+	wait *logWait
 }
 
 // fence makes the log reject all later appends of earlier epochs.
@@ -73,6 +77,10 @@
 // append took effect, the log takes the first half for its repetition.
 func (w *writer) appendAccepted(ctx context.Context, records []*wire.KeyedRecord) (rejected []*wire.KeyedRecord, err error) {
 	err = w.appendPart(ctx, records)
+	if err == nil {
+		w.wait.restart(w.elapsed.Elapsed())
+		return nil, nil
+	}
 	var refusal *damaskspread.AppendRejectedError
 	var timeout *appendTimeoutError
 	isRefused := errors.As(err, &refusal)
@@ -84,6 +92,7 @@
 			Msg("record rejected by the log and left out")
 		return records, nil
 	}
+	w.wait.restart(w.elapsed.Elapsed())
 	half := len(records) / 2
 	for _, part := range [][]*wire.KeyedRecord{records[:half], records[half:]} {
 		more, err := w.appendAccepted(ctx, part)
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -73,6 +73,11 @@
 	// leader, OnLeadershipLost when another process does or this one resigns.
 	OnLeadershipWon  func(epoch int64)
 	OnLeadershipLost func()
+	// WaitingSince returns since when this process, which leads, waits for the log, and
+	// false if it doesn't. Probe appends to the topics that a leader needs; it fails if
+	// this process can't. Without them no leader is replaced because it is stalled.
+	WaitingSince func() (since time.Duration, waits bool)
+	Probe        func(ctx context.Context) error
 
 	mu          sync.Mutex
 	leader      *wire.Leadership
@@ -83,6 +88,8 @@
 	nextRenewal time.Duration
 	jitter      time.Duration
 	resigned    bool
+	term        term
+	probe       probe
 	// hearings are the latest records of the topic, by their offsets.
 	hearings []hearing
 }
@@ -206,6 +213,7 @@
 	leads := e.epoch != 0
 	renew := leads && now >= e.nextRenewal
 	claim := !leads && !e.resigned && e.claimDue(now)
+	probe := !leads && !e.resigned && e.probeDue(now)
 	topicEnd := e.topicEnd
 	e.mu.Unlock()
 	switch {
@@ -213,11 +221,13 @@
 		e.renew(ctx)
 	case claim:
 		e.claim(ctx, max(topicEnd, e.Tail.Next()))
+	case probe:
+		e.probeLog(ctx)
 	}
 }
 
-// claimDue reports whether the leader has resigned or sent no record for so long
-// that this process claims the leadership. While the replayed topic is too old, it
+// claimDue reports whether the leader has resigned, is stalled, or sent no record for so
+// long that this process claims the leadership. While the replayed topic is too old, it
 // restarts that time. The caller holds the mutex.
 func (e *Elector) claimDue(now time.Duration) bool {
 	if e.Tail.Age() > maxTopicAge {
@@ -230,14 +240,18 @@
 	if e.leader == nil || e.leader.GetResigned() || e.leader.GetProcess() == e.Process {
 		return now-e.lastHeardAt >= (e.ClaimDelay+e.jitter)/vacantDelayDivisor
 	}
+	if e.probed(now) {
+		return true
+	}
 	return now-e.lastHeardAt >= takeoverTimeout+e.ClaimDelay+e.jitter
 }
 
 func (e *Elector) claim(ctx context.Context, topicEnd int64) {
 	claim := &wire.Leadership{
-		Process: e.Process,
-		Address: e.Address,
-		Epoch:   topicEnd + 1,
+		Process:   e.Process,
+		Address:   e.Address,
+		Epoch:     topicEnd + 1,
+		Handovers: handoversAfter(e.Leader()),
 
 		StoresSessions: true,
 	}
@@ -260,6 +274,11 @@
 	e.lastHeardAt = started
 	e.confirmedAt = started
 	e.nextRenewal = started + renewInterval
+	e.term = term{
+		wonAt:       started,
+		steadySince: started,
+		handovers:   claim.GetHandovers(),
+	}
 	e.hearOwn(claim, result, started)
 	e.mu.Unlock()
 	log.Info().Int64("epoch", claim.GetEpoch()).Int64("offset", result.GetOffset()).Msg("leadership won")
@@ -271,10 +290,13 @@
 // Apply receives then tells which.
 func (e *Elector) renew(ctx context.Context) {
 	e.mu.Lock()
+	e.reviewTerm(e.Elapsed.Elapsed())
 	renewal := &wire.Leadership{
-		Process: e.Process,
-		Address: e.Address,
-		Epoch:   e.epoch,
+		Process:   e.Process,
+		Address:   e.Address,
+		Epoch:     e.epoch,
+		Stalled:   e.term.stalled,
+		Handovers: e.term.handovers,
 
 		StoresSessions: true,
 	}
@@ -293,6 +315,7 @@
 		return
 	}
 	e.topicEnd = max(e.topicEnd, result.GetEnd())
+	e.term.confirm(started, e.confirmedAt)
 	e.confirmedAt = started
 	e.lastHeardAt = started
 	e.hearOwn(renewal, result, started)
@@ -323,7 +346,7 @@
 // claims it without waiting for the timeout. This process claims no more.
 func (e *Elector) Resign(ctx context.Context) {
 	e.mu.Lock()
-	epoch, topicEnd := e.epoch, e.topicEnd
+	epoch, topicEnd, handovers := e.epoch, e.topicEnd, e.term.handovers
 	e.epoch = 0
 	e.resigned = true
 	e.mu.Unlock()
@@ -332,10 +355,11 @@
 	}
 	e.OnLeadershipLost()
 	resignation := &wire.Leadership{
-		Process:  e.Process,
-		Address:  e.Address,
-		Epoch:    epoch,
-		Resigned: true,
+		Process:   e.Process,
+		Address:   e.Address,
+		Epoch:     epoch,
+		Resigned:  true,
+		Handovers: handovers,
 
 		StoresSessions: true,
 	}
