--- a/measurer/log.go
+++ b/measurer/log.go
@@ -35,53 +35,25 @@
 	return nil
 }
 
+// logQuantities are the measured quantities of the log, with their units.
+var logQuantities = []struct{ role, name, unit string }{
+	{"log", "appends of all entries", "1/s"},
+	{"log", "data appended by all entries", "KB/s"},
+	{"log", "largest entry", "KB"},
+	{"entry", "appends of one entry", "1/s"},
+	{"entry", "bytes written to the log", "KB/s"},
+	{"entry", "bytes read from the log", "KB/s"},
+	{"entry", "processor time with its share of the log", "% of a core"},
+}
+
 func (m *Measurer) measureLogAt(ctx context.Context, axis string, target float64, size, count, rate int) error {
 	g := newGroup()
 	results := map[string][]float64{}
-	err := func() error {
-		platform, err := m.startLog(g)
-		if err != nil {
-			return err
-		}
-		if err := preloadRecords(ctx, platform.LogURL(), newWorkload().stateBatches(workersInLog, 0, 0)); err != nil {
-			return err
-		}
-		entries, err := m.startEntries(ctx, g, platform.LogURL(), count)
-		if err != nil {
-			return err
-		}
-		for i, e := range entries {
-			share := rate/count + max(0, min(1, rate%count-i))
-			l := &loadGenerator{
-				workload:        newWorkload(),
-				appender:        e.recorder,
-				taskPrefix:      fmt.Sprintf("%016x", i+1),
-				startsPerSecond: share,
-			}
-			g.tomb.Go(func() error { return l.run(g.tomb.Context(ctx)) })
-		}
-		if err := sleep(ctx, m.Window); err != nil {
-			return err
-		}
-		for range m.Runs {
-			if err := m.measureLogWindow(ctx, entries, results); err != nil {
-				return err
-			}
-		}
-		return nil
-	}()
+	err := m.loadLog(ctx, g, count, rate, results)
 	if err := errors.Join(err, g.stop()); err != nil {
 		return err
 	}
-	for _, q := range []struct{ role, name, unit string }{
-		{"log", "appends of all entries", "1/s"},
-		{"log", "data appended by all entries", "KB/s"},
-		{"log", "largest entry", "KB"},
-		{"entry", "appends of one entry", "1/s"},
-		{"entry", "bytes written to the log", "KB/s"},
-		{"entry", "bytes read from the log", "KB/s"},
-		{"entry", "processor time with its share of the log", "% of a core"},
-	} {
+	for _, q := range logQuantities {
 		m.addPoint(Series{
 			Role:     q.role,
 			Quantity: q.name,
@@ -93,6 +65,41 @@
 	return nil
 }
 
+// loadLog starts a log and entries in a group, makes the entries append at a rate in total,
+// and adds each window to the results.
+func (m *Measurer) loadLog(ctx context.Context, g *group, count, rate int, results map[string][]float64) error {
+	platform, err := m.startLog(g)
+	if err != nil {
+		return err
+	}
+	if err := preloadRecords(ctx, platform.LogURL(), newWorkload().stateBatches(workersInLog, 0, 0)); err != nil {
+		return err
+	}
+	entries, err := m.startEntries(ctx, g, platform.LogURL(), count)
+	if err != nil {
+		return err
+	}
+	for i, e := range entries {
+		share := rate/count + max(0, min(1, rate%count-i))
+		l := &loadGenerator{
+			workload:        newWorkload(),
+			appender:        e.recorder,
+			taskPrefix:      fmt.Sprintf("%016x", i+1),
+			startsPerSecond: share,
+		}
+		g.tomb.Go(func() error { return l.run(g.tomb.Context(ctx)) })
+	}
+	if err := sleep(ctx, m.Window); err != nil {
+		return err
+	}
+	for range m.Runs {
+		if err := m.measureLogWindow(ctx, entries, results); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // logCounts are totals over all entries since their start.
 type logCounts struct {
 	appends, bytes, in, out float64
--- a/operator/publish.go
+++ b/operator/publish.go
@@ -35,22 +35,9 @@
 	if strings.TrimSpace(request.Text) == "" && len(request.Remove) == 0 {
 		return damaskspread.NotRun(damaskspread.ReasonBadRequest, "text or remove is required")
 	}
-	arrived := h.Clock.Now()
-	newestBase := int64(-1)
-	for _, base := range request.Base {
-		newestBase = max(newestBase, base.Offset)
-	}
-	// The operator may have read the base versions from another entry process
-	// that has applied more of the log than this one.
-	if newestBase >= 0 {
-		h.waitForOffset(r.Context(), newestBase, auditTimeout)
-	}
-	prepared := h.prepareSections(&request, actorName(r, request.Team))
-	if slices.ContainsFunc(prepared, isUnchanged) {
-		if err := h.waitForViewSince(r.Context(), arrived); err != nil {
-			return err
-		}
-		prepared = h.prepareSections(&request, actorName(r, request.Team))
+	prepared, err := h.prepareCurrentSections(r.Context(), &request, actorName(r, request.Team))
+	if err != nil {
+		return err
 	}
 	if err := h.appendSections(r.Context(), prepared); err != nil {
 		for _, p := range prepared {
@@ -75,6 +62,28 @@
 	return nil
 }
 
+// prepareCurrentSections prepares the sections on a state that covers their bases, which
+// the operator may have read from another entry process that has applied more of the log.
+// None is taken for unchanged on a state that is older than the request.
+func (h *Handler) prepareCurrentSections(ctx context.Context, request *client.PublishRequest, actor string) ([]preparedSection, error) {
+	arrived := h.Clock.Now()
+	newestBase := int64(-1)
+	for _, base := range request.Base {
+		newestBase = max(newestBase, base.Offset)
+	}
+	if newestBase >= 0 {
+		h.waitForOffset(ctx, newestBase, auditTimeout)
+	}
+	prepared := h.prepareSections(request, actor)
+	if !slices.ContainsFunc(prepared, isUnchanged) {
+		return prepared, nil
+	}
+	if err := h.waitForViewSince(ctx, arrived); err != nil {
+		return nil, err
+	}
+	return h.prepareSections(request, actor), nil
+}
+
 // prepareSections validates each section of the request and creates a record
 // for each one that has to be published.
 func (h *Handler) prepareSections(request *client.PublishRequest, actor string) []preparedSection {
--- a/operator/tasks.go
+++ b/operator/tasks.go
@@ -111,13 +111,27 @@
 	if phase != "" && !slices.Contains(phases, phase) {
 		return damaskspread.NotRun(damaskspread.ReasonBadRequest, "phase must be pending, claimed or finished, found %q", phase)
 	}
-	matches := func(task *wire.TaskState) bool {
+	ids := h.taskIDs(func(task *wire.TaskState) bool {
 		spec := task.GetSpec()
 		return matchesFilter(query.Get("team"), spec.GetTeam()) && matchesFilter(query.Get("kind"), spec.GetKind()) &&
 			matchesFilter(phase, phaseName(task.GetPhase())) && matchesFilter(query.Get("host"), task.GetHost())
+	})
+	page := idsAfter(ids, query.Get("after"))
+	next := ""
+	if len(page) > limit {
+		page = page[:limit]
+		next = page[limit-1]
 	}
-	// The ids are sorted without the lock, so that listing a full queue does not
-	// delay the replay.
+	return writeOK(w, client.TaskList{
+		Tasks: h.tasks(page),
+		Total: len(ids),
+		Next:  next,
+	})
+}
+
+// taskIDs returns the sorted ids of the tasks that match. They are sorted without the
+// lock, so that listing a full queue does not delay the replay.
+func (h *Handler) taskIDs(matches func(*wire.TaskState) bool) []string {
 	var ids []string
 	h.State.View(func(state *replayer.State) {
 		for task := range state.Tasks() {
@@ -127,29 +141,32 @@
 		}
 	})
 	slices.Sort(ids)
-	list := client.TaskList{
-		Tasks: []client.Task{},
-		Total: len(ids),
-	}
-	if after := query.Get("after"); after != "" {
-		from, found := slices.BinarySearch(ids, after)
-		if found {
-			from++
-		}
-		ids = ids[from:]
+	return ids
+}
+
+// idsAfter returns the part of sorted ids that follows one, all of them if that is empty.
+func idsAfter(ids []string, after string) []string {
+	if after == "" {
+		return ids
 	}
-	if len(ids) > limit {
-		ids = ids[:limit]
-		list.Next = ids[limit-1]
+	from, found := slices.BinarySearch(ids, after)
+	if found {
+		from++
 	}
+	return ids[from:]
+}
+
+// tasks returns the tasks with the given ids that still exist.
+func (h *Handler) tasks(ids []string) []client.Task {
+	tasks := []client.Task{}
 	h.State.View(func(state *replayer.State) {
 		for _, id := range ids {
 			if task, exists := state.Task(id); exists {
-				list.Tasks = append(list.Tasks, toClientTask(task))
+				tasks = append(tasks, toClientTask(task))
 			}
 		}
 	})
-	return writeOK(w, list)
+	return tasks
 }
 
 // matchesFilter reports whether the filter is empty or equals the value.
