--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -94,7 +94,8 @@
 	// unconfirmed is set while the last confirmed renewal of the leadership is older than
 	// elector.ConfirmationTimeout, as of the last cycle.
 	unconfirmed bool
-	// issuedTokens is the number of fencing tokens given to sessions in this term.
+	// issuedTokens is the number of fencing tokens given to sessions in this term, several
+	// to a session.
 	issuedTokens int64
 	sessions     map[string]*session     // by host
 	histories    map[string]*hostHistory // of this leader's term, by host
