--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -96,7 +96,8 @@
 	unconfirmed bool
 	// endTerm cancels the calls of the term in progress; nil before the first one.
 	endTerm context.CancelFunc
-	// issuedTokens is the number of fencing tokens given to sessions in this term.
+	// issuedTokens is the number of fencing tokens given to sessions in this term, several
+	// to a session.
 	issuedTokens int64
 	sessions     map[string]*session     // by host
 	histories    map[string]*hostHistory // of this leader's term, by host
