coordinator: the hold of a job with undecodable progress outlives its leader

Cause: the hold was kept in memory and counted by each leader from the leader before it.

Change: a leader stores the hold (.hold.JOB) before any progress of its job, and twice a second what is left of it, as for orphans; a successor goes on with it.

Before/after: go test -race -count=1 -run TestUndecodableJob ./coordinator.

--- a/coordinator/closing.go
+++ b/coordinator/closing.go
@@ -62,6 +62,7 @@
 	delete(c.publishedStates, id)
 	c.closed[id] = now
 	delete(c.suspended, id)
+	c.holds.forget(id)
 	for _, part := range job.StoredParts() {
 		c.tombstones = append(c.tombstones, &wire.KeyedRecord{Key: tracker.PartKey(id, part)})
 	}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -146,9 +146,8 @@
 	// latencies are the reports on the serving tasks of each executor, kept only if
 	// the wait of best-effort tasks is bounded.
 	latencies map[tracker.ExecutorKey]*hostLatency
-	// heldUntil are jobs whose progress could not be decoded. None of their tasks
-	// starts before the leases of the runs that an earlier leader started are over.
-	heldUntil map[string]time.Duration
+	// holds are the jobs whose progress could not be decoded.
+	holds *holds
 	// suspended are jobs whose progress the log rejects.
 	suspended map[string]bool
 	// unassigned are the runs in progress whose tasks are not assigned to their
--- a/coordinator/held.go
+++ b/coordinator/held.go
@@ -31,8 +31,8 @@
 // has only tasks in progress is included.
 func (c *Coordinator) heldTasks(cycle *cycleState) map[string]*tracer.TasksHeld {
 	held := map[string]*tracer.TasksHeld{}
-	for id, until := range c.heldUntil {
-		if cycle.now < until && c.isOpen(id) {
+	for id := range c.holds.byJob {
+		if until, isHeld := c.holds.holdsJob(id, cycle.now); isHeld && c.isOpen(id) {
 			held[id] = &tracer.TasksHeld{
 				Job:    id,
 				Reason: tracer.HoldUndecoded,
--- a/coordinator/lost_together_test.go
+++ b/coordinator/lost_together_test.go
@@ -32,9 +32,13 @@
 }
 
 // loseLeaders kills each leader at the end of its term, and restarts it, until the task
-// runs again or the limit has passed. With all, every entry process is killed with it.
+// runs again or lastingLimit has passed. With all, every entry process is killed with it.
 func (f *testFleet) loseLeaders(term time.Duration, all bool) {
-	for deadline := time.Now().Add(lastingLimit); !f.runsAgain() && time.Now().Before(deadline); {
+	f.loseLeadersFor(lastingLimit, term, all)
+}
+
+func (f *testFleet) loseLeadersFor(limit, term time.Duration, all bool) {
+	for deadline := time.Now().Add(limit); !f.runsAgain() && time.Now().Before(deadline); {
 		leader := f.leader()
 		for end := time.Now().Add(term); !f.runsAgain() && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 			f.noticeLeaseEnds()
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -90,7 +90,7 @@
 	now := c.Clock.Now().UnixMilli()
 	var groups []*tracker.Group
 	for id, job := range c.jobs {
-		if until, held := c.heldUntil[id]; c.suspended[id] || held && cycle.now < until {
+		if _, held := c.holds.holdsJob(id, cycle.now); held || c.suspended[id] {
 			continue
 		}
 		groups = append(groups, job.Ready(now)...)
--- a/coordinator/progress.go
+++ b/coordinator/progress.go
@@ -37,7 +37,7 @@
 				c.runTimes.restore(record)
 				continue
 			}
-			if c.restoreSession(record) {
+			if c.restoreSession(record) || c.holds.read(record) {
 				continue
 			}
 			job, part, valid := tracker.ParsePartKey(record.GetKey())
@@ -80,32 +80,46 @@
 	return job, complete
 }
 
-// storeProgress appends the progress of all changed jobs, and the learned run times
-// if they are due, to the log.
-func (c *Coordinator) storeProgress(ctx context.Context, cycle *cycleState) error {
-	// The sessions come first: a part of a large append may be all that is stored.
+// recordsToStore returns the records of all changed jobs, sessions and holds, and of the
+// learned run times if they are due.
+func (c *Coordinator) recordsToStore(cycle *cycleState) ([]*wire.KeyedRecord, error) {
+	// Sessions and holds come first: a part of a large append may be all that is stored.
 	records, err := sessionChanges(cycle)
 	if err != nil {
-		return err
+		return nil, err
+	}
+	c.endHolds(cycle.now)
+	held, err := c.holdRecords(cycle.now)
+	if err != nil {
+		return nil, err
 	}
-	records = append(records, c.tombstones...)
+	records = slices.Concat(records, held, c.tombstones)
 	c.tombstones = nil
-	for _, job := range c.jobs {
+	for id, job := range c.jobs {
+		if c.holds.isUnstored(id) {
+			continue
+		}
 		changed, err := progressRecords(job)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		records = append(records, changed...)
 	}
 	learned, err := c.runTimes.record(cycle.now)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if learned != nil {
 		records = append(records, learned)
 	}
-	if len(records) == 0 {
-		return nil
+	return append(records, c.holds.takeEnded()...), nil
+}
+
+// storeProgress appends what has changed to the log.
+func (c *Coordinator) storeProgress(ctx context.Context, cycle *cycleState) error {
+	records, err := c.recordsToStore(cycle)
+	if err != nil || len(records) == 0 {
+		return err
 	}
 	rejected, err := c.progress.append(ctx, records)
 	if err != nil {
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -33,6 +33,7 @@
 	c.mu.Lock()
 	c.storedSessions = map[string]*wire.ExecutorSession{}
 	c.mu.Unlock()
+	c.holds = newHolds()
 	stored, err := c.loadProgress(ctx)
 	if err != nil {
 		return err
@@ -82,13 +83,13 @@
 	c.waiting = map[string]*waitingStep{}
 	c.firstCosts = map[string]*tracer.WaitCost{}
 	c.latencies = map[tracker.ExecutorKey]*hostLatency{}
-	c.heldUntil = map[string]time.Duration{}
 	c.suspended = map[string]bool{}
 	c.unassigned = nil
 	c.closing = nil
 	c.tombstones = nil
 	c.publishedStates = map[string]wire.JobState{}
 	c.Index.Each(func(entry indexer.JobEntry) { c.restoreJob(epoch, entry, stored) })
+	c.holds.removeUnused()
 	for _, job := range c.jobs {
 		job.EachTask(func(t *tracker.Task) {
 			if t.Assigned() {
@@ -121,9 +122,7 @@
 		return
 	}
 	job, complete := parts.restore(entry.Job())
-	if !complete {
-		c.heldUntil[id] = c.earlierLeaseEnd(epoch, nil)
-	}
+	c.holdUndecoded(epoch, id, complete)
 	if indexer.Final(entry.RecordedState()) {
 		c.closing = append(c.closing, id)
 	}
--- a/tracker/progress.go
+++ b/tracker/progress.go
@@ -22,6 +22,7 @@
 func (j *Job) RestorePart(part int, progress *wire.JobProgress) {
 	j.parts.markStored(part)
 	if progress == nil {
+		j.undecoded = append(j.undecoded, part)
 		return
 	}
 	j.started = j.started || progress.GetState() == wire.JobState_JOB_STATE_RUNNING
@@ -38,6 +39,14 @@
 	}
 }
 
+// StoreUndecoded makes the parts that could not be decoded be stored anew.
+func (j *Job) StoreUndecoded() {
+	for _, part := range j.undecoded {
+		j.parts.markChanged(part)
+	}
+	j.undecoded = nil
+}
+
 // markAllChanged makes the whole progress be stored again, in parts of PartTasks.
 func (j *Job) markAllChanged() {
 	tasks := len(j.occurrences) * j.tasks
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -52,6 +52,8 @@
 	failed   bool
 	started  bool
 	parts    partSet
+	// undecoded are the stored parts that could not be decoded.
+	undecoded []int
 	// doneGroups are the names of the groups that were done since the last
 	// TakeDoneGroups.
 	doneGroups []string
