coordinator, elector: one limit of wait reports, one sum of record sizes

No change of behaviour. reportHeld and reportWaiting shared a loop over waitingStep, now waitReports; events of held tasks are built only if due; sizes of appends are summed only after one that timed out; RecordsBytes is in the root package; a missing own record of the elector is a bool.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -131,9 +131,9 @@
 	// publishedStates are the states last passed to the status writer, by job.
 	publishedStates map[string]wire.JobState
 	// waiting are the steps with tasks that wait for a host, by Group.Name.
-	waiting map[string]*waitingStep
+	waiting waitReports
 	// held are the jobs and tasks that the plan leaves out, by name.
-	held map[string]*waitingStep
+	held waitReports
 	// tookOverAt is the beginning of this leader's term, oldSessionsRemoved is set once
 	// removeOldSessions is done in it.
 	tookOverAt         time.Duration
@@ -292,7 +292,7 @@
 		damaskspread.Pause(ctx, c.Clock, maxCycleInterval)
 		return
 	}
-	c.held = nil
+	c.held = waitReports{}
 	c.inputsOld = false
 	c.tookOverAt = c.Elapsed.Elapsed()
 	c.oldSessionsRemoved = false
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -100,7 +100,7 @@
 	c.appraiseLoad(cycle)
 	c.answerPreview(cycle, epoch)
 	c.openJobs.Store(int64(len(c.jobs)))
-	c.waitingSteps.Store(int64(len(c.waiting)))
+	c.waitingSteps.Store(int64(c.waiting.count()))
 	c.publishStatuses()
 	c.forgetDoneSteps()
 	c.closeJobs(cycle.changedJobs, cycle.now)
--- a/coordinator/holds.go
+++ b/coordinator/holds.go
@@ -152,9 +152,8 @@
 	if len(c.holds.byJob) == 0 {
 		return nil, nil
 	}
-	record, begunAt, err := c.Elector.LatestOwnRecord()
-	if err != nil {
-		// The term has ended.
+	record, begunAt, found := c.Elector.LatestOwnRecord()
+	if !found {
 		return nil, nil
 	}
 	return c.holds.due(now, record, begunAt)
--- a/coordinator/leases.go
+++ b/coordinator/leases.go
@@ -135,8 +135,8 @@
 	case responds && !s.granting:
 		cycle.sessionRecords[s.host] = c.sessionRecord(s.key, 0, c.leaseBound())
 	case !responds && s.granting && c.Elector.ConfirmationAge() < maxStoreAge:
-		record, err := c.Elector.OwnRecordAfter(s.lastGrantAt)
-		if err != nil {
+		record, found := c.Elector.OwnRecordAfter(s.lastGrantAt)
+		if !found {
 			return
 		}
 		s.granting = false
@@ -178,8 +178,8 @@
 	if len(c.orphans) == 0 {
 		return
 	}
-	record, begunAt, err := c.Elector.LatestOwnRecord()
-	if err != nil || cycle.now-begunAt > maxStoreAge {
+	record, begunAt, found := c.Elector.LatestOwnRecord()
+	if !found || cycle.now-begunAt > maxStoreAge {
 		return
 	}
 	c.mu.Lock()
--- a/coordinator/load.go
+++ b/coordinator/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"connectrpc.com/connect"
 
@@ -43,20 +42,12 @@
 	c.Appraiser.Update(appraiser.State{
 		Jobs:         c.jobs,
 		Hosts:        cycle.hosts,
-		WaitingSince: c.waitingSince,
+		WaitingSince: c.waiting.since,
 		Now:          cycle.now,
 		NowUnixMs:    c.Clock.Now().UnixMilli(),
 	})
 }
 
-func (c *Coordinator) waitingSince(group string) (time.Duration, bool) {
-	step := c.waiting[group]
-	if step == nil {
-		return 0, false
-	}
-	return step.since, true
-}
-
 // recordDoneWork passes work that is done to the load estimate.
 func (c *Coordinator) recordDoneWork(t *tracker.Task) {
 	if c.Appraiser != nil && t.Done() {
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -80,7 +80,7 @@
 	c.orphans = map[tracker.ExecutorKey]orphan{}
 	c.suspicions = map[tracker.ExecutorKey]*suspicion{}
 	c.crashes = map[string]*assessor.Crashes{}
-	c.waiting = map[string]*waitingStep{}
+	c.waiting = waitReports{}
 	c.firstCosts = map[string]*tracer.WaitCost{}
 	c.latencies = map[tracker.ExecutorKey]*hostLatency{}
 	c.suspended = map[string]bool{}
--- a/coordinator/waiting.go
+++ b/coordinator/waiting.go
@@ -1,59 +1,36 @@
 package coordinator
 
 import (
-	"time"
-
 	"damaskspread.example/damaskspread/planner"
 	"damaskspread.example/damaskspread/tracer"
 	"damaskspread.example/damaskspread/tracker"
 )
 
-const (
-	// waitReportDelay is how long tasks wait before the reason is traced.
-	waitReportDelay = time.Second
-	// waitReportInterval is the time between two reports of the same step.
-	waitReportInterval = 2 * time.Second
-	// maxWaitReports bounds the reports in one cycle.
-	maxWaitReports = 5
-)
-
-// waitingStep is a step with tasks that wait for a host.
-type waitingStep struct {
-	since, reportedAt time.Duration
-}
-
 // reportWaiting writes to the trace why the tasks of a step have waited for longer
 // than waitReportDelay.
 func (c *Coordinator) reportWaiting(groups []*tracker.Group, cycle *cycleState, epoch int64) {
-	waiting := map[string]*waitingStep{}
-	reports := 0
+	c.waiting.begin(cycle.now)
 	for _, group := range groups {
 		first := group.First()
 		if first == nil {
 			continue
 		}
-		step := c.waiting[group.Name()]
-		if step == nil {
-			step = &waitingStep{since: cycle.now}
-		}
-		waiting[group.Name()] = step
-		if reports == maxWaitReports || cycle.now-step.since < waitReportDelay || cycle.now-step.reportedAt < waitReportInterval {
+		waited, due := c.waiting.due(group.Name())
+		if !due {
 			continue
 		}
-		step.reportedAt = cycle.now
-		reports++
 		tracer.Write(&tracer.TasksWaiting{
 			Job:       group.Job().Spec().GetId(),
 			Step:      group.Name(),
 			Tasks:     group.Pending(),
-			Waited:    tracer.Milliseconds(max(cycle.now-step.since, group.Waited())),
+			Waited:    tracer.Milliseconds(max(waited, group.Waited())),
 			Epoch:     epoch,
 			Obstacles: obstacleCounts(c.Planner.Obstacles(group, first, cycle.hosts)),
 			Cost:      c.waitCost(group),
 			First:     c.firstCosts[group.Job().Spec().GetService()],
 		})
 	}
-	c.waiting = waiting
+	c.waiting.end()
 }
 
 // recordFirstCost keeps, for each service, the cost of the step that the cycle
--- a/coordinator/writer.go
+++ b/coordinator/writer.go
@@ -111,7 +111,7 @@
 		err := w.appendOnce(ctx, records)
 		if err == nil {
 			w.sequence++
-			w.growAppends(recordsBytes(records), w.clock.Since(started))
+			w.growAppends(records, w.clock.Since(started))
 			return nil
 		}
 		var fenced *damaskspread.FencedError
@@ -126,7 +126,7 @@
 			continue
 		}
 		if errors.Is(err, context.DeadlineExceeded) && w.maySplit(records) {
-			w.slowBytes = max(recordsBytes(records)/2, minSplitBytes)
+			w.slowBytes = max(damaskspread.RecordsBytes(records)/2, minSplitBytes)
 			return &appendTimeoutError{cause: err}
 		}
 		log.Debug().Str("topic", w.topic).Int64("sequence", w.sequence).Err(err).Msg("append failed; retrying")
@@ -139,13 +139,13 @@
 // effect, the second part is appended again. In the other topics this could undo what
 // entries have appended in between, such as a job whose id was free again.
 func (w *writer) maySplit(records []*wire.KeyedRecord) bool {
-	return w.topic == progressTopic && len(records) > 1 && recordsBytes(records) > minSplitBytes
+	return w.topic == progressTopic && len(records) > 1 && damaskspread.RecordsBytes(records) > minSplitBytes
 }
 
 // growAppends doubles slowBytes if an append of about that size took less than a quarter of
 // its timeout: one of twice the size then doesn't time out over the same link.
-func (w *writer) growAppends(size int, took time.Duration) {
-	if w.slowBytes == 0 || size < w.slowBytes/2 || took > appendTimeout/4 {
+func (w *writer) growAppends(records []*wire.KeyedRecord, took time.Duration) {
+	if w.slowBytes == 0 || took > appendTimeout/4 || damaskspread.RecordsBytes(records) < w.slowBytes/2 {
 		return
 	}
 	if w.slowBytes *= 2; w.slowBytes >= w.maxBytes {
@@ -153,14 +153,6 @@
 	}
 }
 
-func recordsBytes(records []*wire.KeyedRecord) int {
-	size := 0
-	for _, record := range records {
-		size += damaskspread.RecordBytes(record)
-	}
-	return size
-}
-
 func (w *writer) appendOnce(ctx context.Context, records []*wire.KeyedRecord) error {
 	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
--- a/elector/hearings.go
+++ b/elector/hearings.go
@@ -99,35 +99,30 @@
 	return e.hearings[index].at
 }
 
-// NoOwnRecordError means that this process has appended no record that could be named.
-type NoOwnRecordError struct{}
-
-func (e *NoOwnRecordError) Error() string { return "no own record of the leader topic is known" }
-
 // OwnRecordAfter returns the offset of the first own record of this term whose append began
-// at a time or later. The error is a *NoOwnRecordError.
-func (e *Elector) OwnRecordAfter(at time.Duration) (int64, error) {
+// at a time or later, and whether there is one.
+func (e *Elector) OwnRecordAfter(at time.Duration) (offset int64, found bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, heard := range e.hearings {
 		if e.isOwn(heard) && heard.begunAt >= at {
-			return heard.offset, nil
+			return heard.offset, true
 		}
 	}
-	return 0, &NoOwnRecordError{}
+	return 0, false
 }
 
 // LatestOwnRecord returns the offset of the latest own record of this term, and when its
-// append began. The error is a *NoOwnRecordError.
-func (e *Elector) LatestOwnRecord() (offset int64, begunAt time.Duration, err error) {
+// append began. There is none while this process doesn't lead.
+func (e *Elector) LatestOwnRecord() (offset int64, begunAt time.Duration, found bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, heard := range slices.Backward(e.hearings) {
 		if e.isOwn(heard) {
-			return heard.offset, heard.begunAt, nil
+			return heard.offset, heard.begunAt, true
 		}
 	}
-	return 0, 0, &NoOwnRecordError{}
+	return 0, 0, false
 }
 
 // isOwn reports whether this process appended the record in its present term. The caller
--- a/emulator/keyed_log.go
+++ b/emulator/keyed_log.go
@@ -47,14 +47,12 @@
 }
 
 func (l *KeyedLog) tooLarge(records []*wire.KeyedRecord) bool {
-	size := 0
 	for _, record := range records {
 		if l.MaxRecordBytes > 0 && damaskspread.RecordBytes(record) > l.MaxRecordBytes {
 			return true
 		}
-		size += damaskspread.RecordBytes(record)
 	}
-	return l.MaxCallBytes > 0 && size > l.MaxCallBytes
+	return l.MaxCallBytes > 0 && damaskspread.RecordsBytes(records) > l.MaxCallBytes
 }
 
 func (l *KeyedLog) topic(name string) *keyedTopic {
--- a/emulator/keyed_log_client.go
+++ b/emulator/keyed_log_client.go
@@ -134,10 +134,7 @@
 	if rate == 0 {
 		return nil
 	}
-	size := 0
-	for _, record := range records {
-		size += damaskspread.RecordBytes(record)
-	}
+	size := damaskspread.RecordsBytes(records)
 	select {
 	case <-ctx.Done():
 		return &damaskspread.AppendUnknownError{Cause: ctx.Err()}
--- a/jobs.go
+++ b/jobs.go
@@ -36,6 +36,15 @@
 // RecordBytes returns the size of a record without its framing.
 func RecordBytes(record *wire.KeyedRecord) int { return len(record.GetKey()) + len(record.GetValue()) }
 
+// RecordsBytes returns the size of all records of an append.
+func RecordsBytes(records []*wire.KeyedRecord) int {
+	size := 0
+	for _, record := range records {
+		size += RecordBytes(record)
+	}
+	return size
+}
+
 // CountWithin returns how many of the first n items have at most limit bytes
 // together: at least 1 unless n is 0.
 func CountWithin(n, limit int, size func(i int) int) int {
