coordinator: arrivals, gauges and pressures are types of their own

No change of behaviour: what arrived since the last cycle, the numbers for readers on other goroutines and the interference weights leave the struct.

--- a/coordinator/absence.go
+++ b/coordinator/absence.go
@@ -84,7 +84,7 @@
 		left := time.Duration(min(report.GetLeaseLeftMs(), longest.Milliseconds())) * time.Millisecond
 		a.deadline = c.Elapsed.Elapsed() + boundOf(max(0, left))
 	}
-	c.absences = append(c.absences, a)
+	c.arrivals.absences = append(c.arrivals.absences, a)
 	return a, response
 }
 
--- a/coordinator/closing.go
+++ b/coordinator/closing.go
@@ -28,8 +28,8 @@
 
 // closeJobs drops jobs whose final status is recorded in the log, and removes
 // their records from the log once StatusRetention has passed.
-func (c *Coordinator) closeJobs(changedJobs []string, now time.Duration) {
-	for _, id := range changedJobs {
+func (c *Coordinator) closeJobs(changedJobs map[string]bool, now time.Duration) {
+	for id := range changedJobs {
 		entry, known := c.Index.Lookup(id)
 		job := c.jobs[id]
 		if !known || job == nil || !indexer.Final(entry.RecordedState()) {
@@ -84,7 +84,7 @@
 	if len(groups) == 0 {
 		return
 	}
-	c.advisedSteps.Store(int64(c.adviceCache.forget(groups)))
+	c.gauges.advisedSteps.Store(int64(c.adviceCache.forget(groups)))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, group := range groups {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -19,7 +19,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -103,18 +102,10 @@
 	// storedSessions has what is stored of the sessions, also those of earlier leaders,
 	// by host.
 	storedSessions map[string]*wire.ExecutorSession
-	changedJobs    map[string]bool
-	// lostExecutors are executor incarnations that have left or were replaced.
-	lostExecutors []lostExecutor
-	// witnessedEnds are those of lostExecutors whose agent has outlived them.
-	witnessedEnds []witnessedEnd
-	// absences are the reports without a session since the last cycle.
-	absences []*absence
-	wake     chan struct{}
-	// pressures are the interference weights of image pairs sent to agents.
-	pressures       []*wire.ImagePressure
-	pressureVersion int64
-	pressureAt      time.Duration // last check for a new version
+	// arrivals are the inputs of the next cycle.
+	arrivals  arrivals
+	wake      chan struct{}
+	pressures pressures
 
 	// jobs has each job until its final status is recorded and no task of it is
 	// assigned.
@@ -158,13 +149,7 @@
 	closing []string
 	// tombstones remove the progress records of closed jobs.
 	tombstones []*wire.KeyedRecord
-	// openJobs and waitingSteps are the sizes of jobs and waiting, for readers on
-	// other goroutines.
-	openJobs, waitingSteps atomic.Int64
-	// advisedSteps is the number of steps in adviceCache, as of the last removal.
-	advisedSteps atomic.Int64
-	// cycleTime is how long the last cycle took without its append, in nanoseconds.
-	cycleTime atomic.Int64
+	gauges     gauges
 	// previews has the calls of PreviewJob that wait for a cycle. nextPreview is the
 	// earliest time of the next answer.
 	previews    chan *previewCall
@@ -187,7 +172,6 @@
 	c.sessions = map[string]*session{}
 	c.histories = map[string]*hostHistory{}
 	c.storedSessions = map[string]*wire.ExecutorSession{}
-	c.changedJobs = map[string]bool{}
 	if c.LearnRunTimes {
 		c.runTimes = &runTimes{}
 	}
@@ -226,25 +210,11 @@
 // JobsChanged tells the coordinator which jobs changed in the index.
 func (c *Coordinator) JobsChanged(ids []string) {
 	c.mu.Lock()
-	for _, id := range ids {
-		c.changedJobs[id] = true
-	}
+	c.arrivals.addChangedJobs(ids)
 	c.mu.Unlock()
 	c.signal()
 }
 
-// OpenJobs is the number of jobs that this process schedules; 0 while it does
-// not lead.
-func (c *Coordinator) OpenJobs() int64 { return c.openJobs.Load() }
-
-// WaitingSteps is the number of steps with tasks that wait for a host; 0 while
-// this process does not lead.
-func (c *Coordinator) WaitingSteps() int64 { return c.waitingSteps.Load() }
-
-// AdvisedSteps is the number of steps whose tickets this process keeps, as of the latest
-// step that was done.
-func (c *Coordinator) AdvisedSteps() int64 { return c.advisedSteps.Load() }
-
 // Sessions is the number of agents with an open session.
 func (c *Coordinator) Sessions() int {
 	c.mu.Lock()
@@ -311,8 +281,8 @@
 	}
 	cancel()
 	background.Wait()
-	c.openJobs.Store(0)
-	c.waitingSteps.Store(0)
+	c.gauges.openJobs.Store(0)
+	c.gauges.waitingSteps.Store(0)
 }
 
 // beginTerm returns a context that ends with the term of an epoch.
@@ -334,10 +304,6 @@
 	return max(minCycleInterval, min(c.CycleTime(), maxCycleInterval))
 }
 
-// CycleTime is how long the last scheduling cycle of this process computed. A
-// leader falls behind when it nears maxCycleInterval.
-func (c *Coordinator) CycleTime() time.Duration { return time.Duration(c.cycleTime.Load()) }
-
 // stepDown ends the leadership of an epoch, unless a later one has begun.
 func (c *Coordinator) stepDown(epoch int64) {
 	if c.currentEpoch() == epoch {
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -22,11 +20,9 @@
 // cycleState holds the inputs of one scheduling cycle and the orders that it
 // publishes.
 type cycleState struct {
-	now           time.Duration
-	changedJobs   []string
-	lostExecutors []lostExecutor
-	witnessedEnds []witnessedEnd
-	absences      []*absence
+	arrivals
+
+	now time.Duration
 	// sessionRecords are the changes of storedSessions, by host. An empty one removes
 	// what is stored.
 	sessionRecords map[string]*wire.ExecutorSession
@@ -95,12 +91,12 @@
 	}
 	stored := c.Elapsed.Elapsed()
 	c.progressWait.end()
-	defer func() { c.cycleTime.Store(int64(c.Elapsed.Elapsed() - started - (stored - storing))) }()
+	defer func() { c.gauges.cycleTime.Store(int64(c.Elapsed.Elapsed() - started - (stored - storing))) }()
 	c.publish(cycle, epoch)
 	c.appraiseLoad(cycle)
 	c.answerPreview(cycle, epoch)
-	c.openJobs.Store(int64(len(c.jobs)))
-	c.waitingSteps.Store(int64(c.waiting.count()))
+	c.gauges.openJobs.Store(int64(len(c.jobs)))
+	c.gauges.waitingSteps.Store(int64(c.waiting.count()))
 	c.publishStatuses()
 	c.forgetDoneSteps()
 	c.closeJobs(cycle.changedJobs, cycle.now)
@@ -113,20 +109,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cycle := &cycleState{
-		now:           c.Elapsed.Elapsed(),
-		changedJobs:   slices.Collect(maps.Keys(c.changedJobs)),
-		lostExecutors: c.lostExecutors,
-		witnessedEnds: c.witnessedEnds,
-		absences:      c.absences,
-		witnessed:     map[tracker.ExecutorKey]bool{},
-		byKey:         map[tracker.ExecutorKey]*sessionView{},
+		now:       c.Elapsed.Elapsed(),
+		arrivals:  c.arrivals.take(),
+		witnessed: map[tracker.ExecutorKey]bool{},
+		byKey:     map[tracker.ExecutorKey]*sessionView{},
 
 		sessionRecords: map[string]*wire.ExecutorSession{},
 	}
-	c.changedJobs = map[string]bool{}
-	c.lostExecutors = nil
-	c.witnessedEnds = nil
-	c.absences = nil
 	c.extendAfterOutage()
 	for host, s := range c.sessions {
 		if cycle.now > s.leaseEnd {
@@ -176,8 +165,8 @@
 }
 
 // applyJobs adds new jobs and cancels those that clients canceled.
-func (c *Coordinator) applyJobs(ids []string) {
-	for _, id := range ids {
+func (c *Coordinator) applyJobs(ids map[string]bool) {
+	for id := range ids {
 		entry, known := c.Index.Lookup(id)
 		if !known {
 			continue
--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -87,7 +87,7 @@
 	if previous != nil {
 		previous.notify()
 		if previous.key != s.key {
-			c.lostExecutors = append(c.lostExecutors, lostExecutor{
+			c.arrivals.lostExecutors = append(c.arrivals.lostExecutors, lostExecutor{
 				key:        previous.key,
 				host:       previous.host,
 				session:    previous.id,
@@ -95,7 +95,7 @@
 				replacedBy: s.id,
 			})
 			if end, witnessed := witnessedEndOf(previous, s); witnessed {
-				c.witnessedEnds = append(c.witnessedEnds, end)
+				c.arrivals.witnessedEnds = append(c.arrivals.witnessedEnds, end)
 			}
 		}
 	}
@@ -182,8 +182,8 @@
 		HeldMs:            (now - receivedAt).Milliseconds(),
 		Unconfirmed:       c.Elector.ConfirmationAge() > elector.ConfirmationTimeout,
 	}
-	if response.PressureVersion = c.pressureVersion; report.GetPressureVersion() != c.pressureVersion {
-		response.Pressures = c.pressures
+	if response.PressureVersion = c.pressures.version; report.GetPressureVersion() != c.pressures.version {
+		response.Pressures = c.pressures.pairs
 	}
 	for _, queued := range s.orders {
 		if queued.order.GetNumber() <= report.GetOrdersReceived() {
--- a/coordinator/interference.go
+++ b/coordinator/interference.go
@@ -76,49 +76,63 @@
 	return samples
 }
 
+// pressures are the interference weights of image pairs that are sent to agents.
+type pressures struct {
+	pairs   []*wire.ImagePressure
+	version int64
+	// checkedAt is when a new version was last looked for. It belongs to the goroutine of
+	// Run, the others to the mutex of the Coordinator.
+	checkedAt time.Duration
+}
+
 // publishPressures makes a new version of the interference weights if one has
 // changed by more than minWeightChange.
 func (c *Coordinator) publishPressures(now time.Duration) {
-	if now-c.pressureAt < pressureInterval {
+	if now-c.pressures.checkedAt < pressureInterval {
 		return
 	}
-	c.pressureAt = now
+	c.pressures.checkedAt = now
 	pairs := c.InterferenceModel.Weights()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.InterferenceModel.RetainHosts(func(host string) bool { return c.sessions[host] != nil })
-	if !c.pressuresChanged(pairs) {
-		return
-	}
-	c.pressures = nil
-	for _, pair := range pairs {
-		c.pressures = append(c.pressures, &wire.ImagePressure{
-			Disturbing: pair.Disturbing,
-			Serving:    pair.Serving,
-			Weight:     pair.Weight,
-		})
-		log.Debug().Str("disturbing", pair.Disturbing).Str("serving", pair.Serving).Float64("weight", pair.Weight).Msg("image pressure published")
+	if c.pressures.differ(pairs) {
+		c.pressures.replace(pairs)
 	}
-	c.pressureVersion++
 }
 
-func (c *Coordinator) pressuresChanged(pairs []estimator.PairWeight) bool {
-	if len(pairs) != len(c.pressures) {
+// differ reports whether a weight has changed by more than minWeightChange.
+func (p *pressures) differ(pairs []estimator.PairWeight) bool {
+	if len(pairs) != len(p.pairs) {
 		return true
 	}
-	type pair struct{ disturbing, serving string }
-	known := map[pair]float64{}
-	for _, p := range c.pressures {
-		known[pair{p.GetDisturbing(), p.GetServing()}] = p.GetWeight()
+	type key struct{ disturbing, serving string }
+	known := map[key]float64{}
+	for _, pair := range p.pairs {
+		known[key{pair.GetDisturbing(), pair.GetServing()}] = pair.GetWeight()
 	}
-	for _, p := range pairs {
-		if math.Abs(known[pair{p.Disturbing, p.Serving}]-p.Weight) > minWeightChange {
+	for _, pair := range pairs {
+		if math.Abs(known[key{pair.Disturbing, pair.Serving}]-pair.Weight) > minWeightChange {
 			return true
 		}
 	}
 	return false
 }
 
+// replace makes a new version.
+func (p *pressures) replace(pairs []estimator.PairWeight) {
+	p.pairs = nil
+	for _, pair := range pairs {
+		p.pairs = append(p.pairs, &wire.ImagePressure{
+			Disturbing: pair.Disturbing,
+			Serving:    pair.Serving,
+			Weight:     pair.Weight,
+		})
+		log.Debug().Str("disturbing", pair.Disturbing).Str("serving", pair.Serving).Float64("weight", pair.Weight).Msg("image pressure published")
+	}
+	p.version++
+}
+
 // migrate stops slow best-effort tasks that another host can run faster. The
 // stop takes a checkpoint, from which the next run resumes.
 func (c *Coordinator) migrate(cycle *cycleState) {
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -49,7 +49,7 @@
 	c.leading = c.epoch == epoch
 	c.sessions = map[string]*session{}
 	c.histories = map[string]*hostHistory{}
-	c.absences = nil
+	c.arrivals.absences = nil
 	c.issuedTokens = 0
 	c.mu.Unlock()
 	log.Info().Int64("epoch", epoch).Int("jobs", len(c.jobs)).Int("executors", len(c.orphans)).
