--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -33,6 +33,7 @@
 	c.mu.Lock()
 	c.storedSessions = map[string]*wire.ExecutorSession{}
 	c.mu.Unlock()
+	c.holds = newHolds()
 	stored, err := c.loadProgress(ctx)
 	if err != nil {
 		return err
@@ -48,7 +49,7 @@
 	c.leading = c.epoch == epoch
 	c.sessions = map[string]*session{}
 	c.histories = map[string]*hostHistory{}
-	c.absences = nil
+	c.arrivals.absences = nil
 	c.issuedTokens = 0
 	c.mu.Unlock()
 	log.Info().Int64("epoch", epoch).Int("jobs", len(c.jobs)).Int("executors", len(c.orphans)).
@@ -79,16 +80,16 @@
 	c.orphans = map[tracker.ExecutorKey]orphan{}
 	c.suspicions = map[tracker.ExecutorKey]*suspicion{}
 	c.crashes = map[string]*assessor.Crashes{}
-	c.waiting = map[string]*waitingStep{}
+	c.waiting = waitReports{}
 	c.firstCosts = map[string]*tracer.WaitCost{}
 	c.latencies = map[tracker.ExecutorKey]*hostLatency{}
-	c.heldUntil = map[string]time.Duration{}
 	c.suspended = map[string]bool{}
 	c.unassigned = nil
 	c.closing = nil
 	c.tombstones = nil
 	c.publishedStates = map[string]wire.JobState{}
 	c.Index.Each(func(entry indexer.JobEntry) { c.restoreJob(epoch, entry, stored) })
+	c.holds.removeUnused()
 	for _, job := range c.jobs {
 		job.EachTask(func(t *tracker.Task) {
 			if t.Assigned() {
@@ -121,9 +122,7 @@
 		return
 	}
 	job, complete := parts.restore(entry.Job())
-	if !complete {
-		c.heldUntil[id] = c.earlierLeaseEnd(epoch, nil)
-	}
+	c.holdUndecoded(epoch, id, complete)
 	if indexer.Final(entry.RecordedState()) {
 		c.closing = append(c.closing, id)
 	}
