Forwarder: an endpoint refuses requests that its agent sent late

Cause: the agent checks zone and currency immediately before it writes the request to the endpoint. A pause between check and write is not seen by anyone.

TestPauseBetweenCheckAndSending (forwarder) makes the pause with a clock of its own.

Ruled out: a check still closer to the write (the gap gets smaller, not zero); wall-clock times (they jump); a judgement that excuses paused agents (it would excuse an agent without any check).

Change: the request carries its latest start time on CLOCK_BOOTTIME, which all processes of the host read and none can set; the sample endpoint refuses later ones as an endpoint of users should (docs/OPERATIONS.md), and the agent answers not_run. The clock is read before the check. BootClock moves to package timekeeper, because server and launcher need it.

Left: an endpoint that does not check the header keeps the gap (docs/proofs_zones.md).

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -183,7 +183,11 @@
 		Headers: request.GetHeaders(),
 		Body:    request.GetBody(),
 
-		MayStart: mayStart,
+		MayStart: func() (time.Duration, *damaskspread.RefusalError) {
+			// Read before the check, which is then at least as recent.
+			remaining := a.CurrencyLimit + a.Feed.Policy().StaleLimit - a.Feed.Age()
+			return remaining, mayStart()
+		},
 	})
 	slot.Release(refusal == nil || refusal.Outcome != wire.Outcome_OUTCOME_NOT_RUN)
 	if refusal != nil {
--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"damaskspread.example/damaskspread/emulator"
+	"damaskspread.example/damaskspread/timekeeper"
 	"damaskspread.example/damaskspread/wire"
 )
 
@@ -198,6 +199,7 @@
 func (c *cluster) newHost(id, zone string) *host {
 	endpoint := &emulator.Endpoint{
 		Clock:    clockwork.NewRealClock(),
+		Elapsed:  timekeeper.BootClock{},
 		Address:  freeAddress(c.t),
 		Behavior: c.options.behavior,
 	}
--- a/emulator/endpoint.go
+++ b/emulator/endpoint.go
@@ -66,7 +66,10 @@
 // the request's body unless Behavior or a header says otherwise. Set the exported
 // fields before Listen.
 type Endpoint struct {
-	Clock    damaskspread.Clock
+	Clock damaskspread.Clock
+	// Elapsed is the host's clock. If it is set, a request that arrives after its
+	// latest start time is not started and not recorded.
+	Elapsed  damaskspread.ElapsedClock
 	Address  string
 	Behavior Behavior
 	// Random decides which requests fail.
@@ -141,6 +144,11 @@
 		return
 	}
 	execution, behavior, failed := e.recordStart(r)
+	if execution == nil {
+		w.Header().Set(damaskspread.HeaderNotStarted, "late")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	ms, _ := strconv.ParseInt(r.Header.Get(HeaderServiceMs), 10, 64)
 	if serviceMs := max(behavior.ServiceMs, ms); serviceMs > 0 {
 		e.Clock.Sleep(time.Duration(serviceMs) * time.Millisecond)
@@ -169,11 +177,20 @@
 	_, _ = w.Write(response)
 }
 
-// recordStart adds an execution for a request. It returns the Behavior to apply and
-// whether the request is to fail.
+// isLate reports whether the latest start time of a request has passed.
+func (e *Endpoint) isLate(r *http.Request) bool {
+	latest, err := strconv.ParseInt(r.Header.Get(damaskspread.HeaderStartBefore), 10, 64)
+	return e.Elapsed != nil && err == nil && e.Elapsed.Elapsed() > time.Duration(latest)
+}
+
+// recordStart adds an execution for a request, or returns none for a late one. It also
+// returns the Behavior to apply and whether the request is to fail.
 func (e *Endpoint) recordStart(r *http.Request) (*Execution, Behavior, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.isLate(r) {
+		return nil, Behavior{}, false
+	}
 	execution := &Execution{
 		ID:          e.Address + "/" + strconv.Itoa(len(e.executions)),
 		Key:         r.Header.Get(damaskspread.HeaderKey),
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -49,6 +49,9 @@
 	case len(body) > MaxBodyBytes:
 		return nil, false, damaskspread.Unknown(damaskspread.ReasonTooLarge, "the endpoint's response body is larger than %d bytes", MaxBodyBytes)
 	}
+	if httpRequest.Header.Get(damaskspread.HeaderStartBefore) != "" && httpResponse.Header.Get(damaskspread.HeaderNotStarted) != "" {
+		return nil, false, damaskspread.NotRun(damaskspread.ReasonStaleConfiguration, "the request reached the endpoint after its latest start time")
+	}
 	reusable := writeErr == nil && !httpResponse.Close && c.reader.Buffered() == 0
 	return &Response{
 		Status:  httpResponse.StatusCode,
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -53,9 +53,9 @@
 	Headers []*wire.Header
 	Body    []byte
 	// MayStart, unless nil, is called immediately before the request is written and
-	// returns a refusal if it must not start any more. The wait for a connection may
-	// have outlasted the permission, most of all in a process that was paused.
-	MayStart func() *damaskspread.RefusalError
+	// returns for how long it may still start, or a refusal. The wait for a connection
+	// may have outlasted the permission, most of all in a process that was paused.
+	MayStart func() (time.Duration, *damaskspread.RefusalError)
 }
 
 // Response is a complete response of the endpoint, without hop-by-hop headers.
@@ -69,6 +69,9 @@
 // exported fields must be set before.
 type Forwarder struct {
 	Clock damaskspread.Clock
+	// Elapsed is the clock that the endpoint reads too. If it is nil, the endpoint is
+	// not told how long a request may start.
+	Elapsed damaskspread.ElapsedClock
 	// Address is the host:port of the endpoint.
 	Address string
 	// MaxConnections is the largest number of requests in progress, each on a
@@ -120,11 +123,9 @@
 	if err != nil {
 		return nil, damaskspread.NotRun(damaskspread.ReasonEndpointFailed, "cannot connect to the endpoint: %v", err)
 	}
-	if request.MayStart != nil {
-		if refusal := request.MayStart(); refusal != nil {
-			f.addIdle(c)
-			return nil, refusal
-		}
+	if refusal := f.checkStart(request, httpRequest); refusal != nil {
+		f.addIdle(c)
+		return nil, refusal
 	}
 	response, reusable, refusal := roundTrip(ctx, c, httpRequest)
 	if refusal != nil || !reusable {
@@ -135,6 +136,25 @@
 	return response, nil
 }
 
+// checkStart returns a refusal if the request must not start any more, else tells the
+// endpoint until when it may. The clock is read before the check, so that a pause of
+// this process in between shortens the time.
+func (f *Forwarder) checkStart(request Request, httpRequest *http.Request) *damaskspread.RefusalError {
+	httpRequest.Header.Del(damaskspread.HeaderStartBefore)
+	if request.MayStart == nil {
+		return nil
+	}
+	var now time.Duration
+	if f.Elapsed != nil {
+		now = f.Elapsed.Elapsed()
+	}
+	remaining, refusal := request.MayStart()
+	if refusal == nil && f.Elapsed != nil {
+		httpRequest.Header.Set(damaskspread.HeaderStartBefore, strconv.FormatInt(int64(now+remaining), 10))
+	}
+	return refusal
+}
+
 func (f *Forwarder) buildRequest(ctx context.Context, request Request) (*http.Request, *damaskspread.RefusalError) {
 	target, err := url.ParseRequestURI(request.Path)
 	if err != nil || target.Host != "" || target.Scheme != "" {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -14,9 +14,11 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"gopkg.in/tomb.v2"
 	"gotest.tools/v3/assert"
 
 	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/emulator"
 	"damaskspread.example/damaskspread/forwarder"
 	"damaskspread.example/damaskspread/wire"
 )
@@ -231,3 +233,45 @@
 	assert.Assert(t, timeout.Load().(string) != "")
 	assert.Equal(t, connectionHeader.Load().(string), "")
 }
+
+// hostClock is an ElapsedClock that a test sets.
+type hostClock struct{ now atomic.Int64 }
+
+func (c *hostClock) Elapsed() time.Duration { return time.Duration(c.now.Load()) }
+
+// Guards against a request that starts at an endpoint because its agent was paused
+// between the last check and the sending, and that counts as run although it did not
+// start.
+func TestPauseBetweenCheckAndSending(t *testing.T) {
+	for pause, want := range map[time.Duration]int{0: 1, 2 * time.Second: 0} {
+		clock := &hostClock{}
+		endpoint := &emulator.Endpoint{
+			Clock:   clockwork.NewRealClock(),
+			Elapsed: clock,
+			Address: "127.0.0.1:0",
+		}
+		assert.NilError(t, endpoint.Listen())
+		var tb tomb.Tomb
+		tb.Go(func() error { return endpoint.Run(&tb) })
+		f := newForwarder(strings.TrimPrefix(endpoint.URL(), "http://"))
+		f.Elapsed = clock
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		_, refusal := f.Forward(ctx, forwarder.Request{
+			Method: http.MethodPost,
+			Path:   "/fold",
+			MayStart: func() (time.Duration, *damaskspread.RefusalError) {
+				clock.now.Add(int64(pause))
+				return time.Second, nil
+			},
+		})
+		cancel()
+		assert.Equal(t, len(endpoint.Executions()), want)
+		assert.Equal(t, refusal == nil, want == 1)
+		if refusal != nil {
+			assert.Equal(t, refusal.Outcome, wire.Outcome_OUTCOME_NOT_RUN)
+			assert.Equal(t, refusal.Reason, damaskspread.ReasonStaleConfiguration)
+		}
+		tb.Kill(nil)
+		assert.NilError(t, tb.Wait())
+	}
+}
--- a/headers.go
+++ b/headers.go
@@ -13,6 +13,18 @@
 	HeaderConfigAge    = "Damaskspread-Config-Age"
 )
 
+// Headers between an agent and the endpoint on its host. A process may be paused
+// between its last check and the sending of a request, so the endpoint should check
+// again.
+const (
+	// HeaderStartBefore is the request header with the latest time at which the
+	// request may start, in nanoseconds of the host's CLOCK_BOOTTIME.
+	HeaderStartBefore = "Damaskspread-Start-Before-Ns"
+	// HeaderNotStarted is the response header of a request that arrived later, and so
+	// did not start.
+	HeaderNotStarted = "Damaskspread-Not-Started"
+)
+
 // hopByHopHeaders apply to one connection only and are not forwarded. The names
 // are in canonical form.
 var hopByHopHeaders = map[string]bool{
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -13,7 +13,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -25,12 +24,12 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
-	"golang.org/x/sys/unix"
 	"gopkg.in/tomb.v2"
 
 	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/connector"
 	"damaskspread.example/damaskspread/monitor"
+	"damaskspread.example/damaskspread/timekeeper"
 	"damaskspread.example/damaskspread/tracer"
 	"damaskspread.example/damaskspread/validator"
 )
@@ -47,18 +46,6 @@
 	gcPercent = 400
 )
 
-// bootClock implements damaskspread.ElapsedClock with CLOCK_BOOTTIME.
-type bootClock struct{}
-
-// Elapsed also counts the time during which the host was suspended.
-func (bootClock) Elapsed() time.Duration {
-	var now unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
-		panic(fmt.Sprintf("CLOCK_BOOTTIME is not available: %v", err))
-	}
-	return time.Duration(now.Nano())
-}
-
 // listenerSpec describes a listener to open. The name says what it serves or who
 // connects to it.
 type listenerSpec struct {
@@ -82,7 +69,7 @@
 }
 
 func (p *process) setUp(role string) {
-	p.elapsed = bootClock{}
+	p.elapsed = timekeeper.BootClock{}
 	p.logWriter = &monitor.LineWriter{
 		Out:   os.Stdout,
 		Clock: p.clock,
--- a/server/agent_parts.go
+++ b/server/agent_parts.go
@@ -13,6 +13,7 @@
 	"damaskspread.example/damaskspread/forwarder"
 	"damaskspread.example/damaskspread/limiter"
 	"damaskspread.example/damaskspread/subscriber"
+	"damaskspread.example/damaskspread/timekeeper"
 	"damaskspread.example/damaskspread/wire"
 )
 
@@ -134,6 +135,7 @@
 		Keys: a.dedup,
 		Forwarder: &forwarder.Forwarder{
 			Clock:          a.Clock,
+			Elapsed:        timekeeper.BootClock{},
 			Address:        s.Endpoint().Address(),
 			MaxConnections: s.Endpoint().Connections(),
 		},
--- a/server/emulator.go
+++ b/server/emulator.go
@@ -12,6 +12,7 @@
 
 	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/emulator"
+	"damaskspread.example/damaskspread/timekeeper"
 	"damaskspread.example/damaskspread/validator"
 	"damaskspread.example/damaskspread/wire"
 )
@@ -84,6 +85,7 @@
 		})
 		e.endpoints = append(e.endpoints, &emulator.Endpoint{
 			Clock:   e.Clock,
+			Elapsed: timekeeper.BootClock{},
 			Address: portAfter(s.Listen(), 2+s.Workers()+i),
 			Behavior: emulator.Behavior{
 				ServiceMs: emulatedServiceMs,
