Agents call a new life of their executor with a newer token of their session

Cause: only a leader gave out fencing tokens, one a session. Without a leader the agent renewed the new life with the token of the starts before, or did not call it at all once it was announced, so nothing made it refuse the late start.

Change: a leader gives each session 16 consecutive tokens (token_count). When the executor may have restarted under its id, the agent takes the next one before it calls again, if the present one was used for a start or a renewal with a deadline and a number. A new incarnation under the same id is called with it at once, while the session has no token of a leader yet. A start that arrives after such a call is repeated with the newer token instead of refused. The count stays within the low 20 bits: beyond half of it, sessions get one token each. Leaders and agents of earlier versions use one token, as before.

Weighed: tokens with more low bits. A leader of the version before that leads in between would give out lower ones, and executors would refuse its sessions.

Left: an incarnation that nobody has called yet carries out what arrives, and the 17th suspicion of one session has no newer token.

--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -18,6 +18,15 @@
 // within the integers that JSON numbers represent exactly.
 const sessionTokenBits = 20
 
+const (
+	// tokensPerSession lets an agent call a life of its executor that may be a new one with
+	// a newer token than that of the starts before, also while no leader responds.
+	tokensPerSession = 16
+	// lastSharedToken is the number up to which sessions get more than one token. It leaves
+	// the sessions of a leader that leads for long half of the numbers.
+	lastSharedToken = 1 << (sessionTokenBits - 1)
+)
+
 // Exchange implements wireconnect.CoordinatorServiceHandler. It is a long poll:
 // it merges the agent's report and returns when there are orders for the agent or
 // the requested wait has passed.
@@ -117,16 +126,21 @@
 	return s
 }
 
-// reopen makes an agent open a new session, with a fencing token of its own: once the
-// executor has seen it, calls that were sent for an earlier session, by an earlier
+// reopen makes an agent open a new session, with fencing tokens of its own: once the
+// executor has seen one, calls that were sent for an earlier session, by an earlier
 // process of the agent or for an earlier incarnation under the same id have no effect.
 // The caller holds the mutex.
 func (c *Coordinator) reopen() *wire.ExchangeResponse {
-	c.issuedTokens++
+	first, count := c.issuedTokens+1, int64(1)
+	if c.issuedTokens < lastSharedToken {
+		count = tokensPerSession
+	}
+	c.issuedTokens += count
 	return &wire.ExchangeResponse{
-		Epoch:  c.epoch,
-		Reopen: true,
-		Token:  c.epoch<<sessionTokenBits + c.issuedTokens,
+		Epoch:      c.epoch,
+		Reopen:     true,
+		Token:      c.epoch<<sessionTokenBits + first,
+		TokenCount: count,
 	}
 }
 
--- a/coordinator/token_test.go
+++ b/coordinator/token_test.go
@@ -49,3 +49,14 @@
 	agent.send(left)
 	assert.Assert(t, agent.send(second).GetReopen(), "a session opens again that has ended")
 }
+
+// Guards against a token of a session that is lower than one that its agent may have taken
+// of the session before.
+func TestTokensOfSessionsDoNotOverlap(t *testing.T) {
+	f := newTestFleet(t, 1, 0, fixedRunTime(-1))
+	agent, info := newManualAgent(t, f.leader(), "host-0"), executorInfo("executor-0", 1)
+	first := agent.send(agent.request("a.1", info))
+	second := agent.send(agent.request("b.1", info))
+	assert.Assert(t, first.GetTokenCount() > 1)
+	assert.Assert(t, first.GetToken()+first.GetTokenCount() <= second.GetToken(), "%d tokens from %d, then from %d", first.GetTokenCount(), first.GetToken(), second.GetToken())
+}
--- a/runner/exchange.go
+++ b/runner/exchange.go
@@ -216,6 +216,11 @@
 	r.epoch = response.GetEpoch()
 	// A leader of an earlier version gives no token.
 	r.token = cmp.Or(response.GetToken(), response.GetEpoch())
+	r.tokens = callTokens{
+		present:  r.token,
+		last:     r.token + max(0, response.GetTokenCount()-1),
+		executor: r.tokens.executor,
+	}
 	signal(r.renewWake)
 }
 
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -106,6 +106,7 @@
 	default:
 		r.learnRamp(key, order)
 		r.own(key, order)
+		r.tokens.used = true
 	}
 	switch {
 	case decision.refusal == "" || decision.definite || owner != nil:
@@ -160,7 +161,7 @@
 			r.beginAtPace(ctx, info, key, decision.lease.Token)
 			return
 		}
-		if r.handleStartError(info, key, err, mayHaveStarted) {
+		if r.handleStartError(info, key, decision.lease.Token, err, mayHaveStarted) {
 			return
 		}
 		r.pause(ctx, orderRetry)
@@ -177,14 +178,14 @@
 // the order is finished. If an earlier call got no response, or another process of
 // the agent may have made one, the refusal of a repeated call does not show whether
 // the run starts; the executor's lists or a stop order show it.
-func (r *Runner) handleStartError(info *wire.ExecutorInfo, key runKey, err error, mayHaveStarted bool) bool {
+func (r *Runner) handleStartError(info *wire.ExecutorInfo, key runKey, token int64, err error, mayHaveStarted bool) bool {
 	var refused *damaskspread.StartRefusedError
 	var fenced *damaskspread.FencedError
 	var wrong *damaskspread.WrongIncarnationError
 	switch {
 	case errors.As(err, &wrong):
 		return true
-	case errors.As(err, &fenced) && !mayHaveStarted:
+	case errors.As(err, &fenced) && !mayHaveStarted && r.isLatestToken(token):
 		r.reportRefusal(info, key, damaskspread.RefusedOrderExpired)
 		return true
 	case !errors.As(err, &refused):
@@ -203,11 +204,11 @@
 	}
 }
 
-// hasToken reports whether the token is still that of the session.
-func (r *Runner) hasToken(token int64) bool {
+// isLatestToken is hasCallToken for a caller that does not hold the mutex.
+func (r *Runner) isLatestToken(token int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.token == token
+	return r.hasCallToken(token)
 }
 
 // stop repeats the order until the executor accepts it, has left or has been
@@ -216,12 +217,12 @@
 	key := runKey{order.GetTask(), order.GetRun()}
 	for ctx.Err() == nil {
 		r.mu.Lock()
-		present, token := r.isPresent(info), r.token
+		present, hasSession, token := r.isPresent(info), r.token != 0, r.tokens.present
 		r.mu.Unlock()
 		if !present {
 			return false
 		}
-		if token == 0 {
+		if !hasSession {
 			r.pause(ctx, orderRetry)
 			continue
 		}
@@ -237,7 +238,7 @@
 			return true
 		case errors.As(err, &wrong):
 			return false
-		case errors.As(err, &fenced) && r.hasToken(token):
+		case errors.As(err, &fenced) && r.isLatestToken(token):
 			return false
 		}
 		log.Debug().Str("task", key.task).Int32("run", key.run).Err(err).Msg("stop call failed; retrying")
--- a/runner/pace.go
+++ b/runner/pace.go
@@ -68,7 +68,7 @@
 			Ramp:    r.ramps[key],
 		})
 	}
-	return r.info.GetId(), r.token, r.Pacer.Decide(samples, r.info.GetCapacity(), r.Elapsed.Elapsed())
+	return r.info.GetId(), r.tokens.present, r.Pacer.Decide(samples, r.info.GetCapacity(), r.Elapsed.Elapsed())
 }
 
 // updateInterferenceWeights replaces the pacer's weights if the leader has sent
--- a/runner/renew.go
+++ b/runner/renew.go
@@ -42,6 +42,7 @@
 	call := r.nextRenewal()
 	if call == nil {
 		r.confirmDeparture(ctx)
+		r.fenceLateStarts(ctx)
 		r.waitForSignal(ctx, r.renewWake, idleWait)
 		return
 	}
@@ -85,6 +86,11 @@
 	if r.info == nil || r.token == 0 {
 		return nil
 	}
+	mayHaveRestarted := r.mayHaveRestarted()
+	if mayHaveRestarted {
+		r.tokens.advance()
+	}
+	r.tokens.executor = r.info
 	call := &renewal{
 		info:      r.info,
 		startedAt: r.Elapsed.Elapsed(),
@@ -97,13 +103,15 @@
 	if len(r.running) > 0 && r.renewedUntil-call.startedAt < shortLease {
 		call.wait = shortRenewWait
 	}
-	if r.mayHaveRestarted() {
+	if mayHaveRestarted {
 		// The executor may have restarted under its id: the deadline is a reading
 		// of its earlier clock, and the number counts earlier ends.
 		call.lease.DeadlineMs = 0
 		call.leaseUntil = 0
 		call.dropUpTo = 0
 		call.wait = 0
+	} else {
+		r.tokens.used = true
 	}
 	if !r.listsRead || len(r.unrecordedEnds) > 0 || len(r.checksDue) > 0 {
 		call.wait = 0
@@ -134,14 +142,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.cancelRenewal = cancel
-	return r.token == call.lease.Token
+	return r.hasCallToken(call.lease.Token)
 }
 
 // executorLease converts the lease to the executor's clock. That clock may run
 // slowly, so the result is rather too early than too late. The deadline is 0
 // without a valid lease.
 func (r *Runner) executorLease() damaskspread.Lease {
-	lease := damaskspread.Lease{Token: r.token}
+	lease := damaskspread.Lease{Token: r.tokens.present}
 	now := r.Elapsed.Elapsed()
 	if left := r.leaseUntil - now; left > 0 && r.executorClock.clockMs > 0 {
 		passed := float64(now-r.executorClock.at) * minClockRate
@@ -163,7 +171,7 @@
 	case errors.As(err, &wrong):
 		r.discardExecutor()
 	}
-	if errors.As(err, &fenced) && r.token == call.lease.Token {
+	if errors.As(err, &fenced) && r.hasCallToken(call.lease.Token) {
 		r.epoch = 0
 		r.resetSession()
 		r.Leader.Redirect(nil)
@@ -206,7 +214,7 @@
 		r.crashes.addListed(runKey{run.GetTask(), run.GetRun()}, now)
 	}
 	r.listsVersion++
-	if call.lease.Token == r.token {
+	if r.hasCallToken(call.lease.Token) {
 		r.listsRead = true
 	}
 	updated := r.addEnds(state.GetEnded())
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -106,8 +106,10 @@
 	session      string
 	sessionCount int
 	epoch        int64
-	// token is the fencing token of the session; 0 until the leader has given one.
+	// token is the first fencing token of the session; 0 until the leader has given one.
 	token int64
+	// tokens are those of the calls, also before the leader has given the next ones.
+	tokens callTokens
 	// listsRead is set once the executor's lists were read with token. The executor
 	// refuses the calls of earlier sessions from then on.
 	listsRead   bool
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -18,7 +18,11 @@
 	"damaskspread.example/damaskspread/wire"
 )
 
-const waitTimeout = 5 * time.Second
+const (
+	waitTimeout = 5 * time.Second
+	// sessionTokens is the number of fencing tokens of a session.
+	sessionTokens = 3
+)
 
 type elapsedClock struct{ start time.Time }
 
@@ -39,17 +43,20 @@
 	l.requests = append(l.requests, request)
 	l.mu.Unlock()
 	if request.GetEpoch() == 0 {
-		return &wire.ExchangeResponse{Epoch: 1, Reopen: true, Token: l.tokens.Add(1)}, nil
+		return &wire.ExchangeResponse{Epoch: 1, Reopen: true, Token: l.nextToken(), TokenCount: sessionTokens}, nil
 	}
 	response := l.respond(ctx, request)
 	if response.GetReopen() {
-		response.Token = l.tokens.Add(1)
+		response.Token, response.TokenCount = l.nextToken(), sessionTokens
 	}
 	response.Epoch = 1
 	response.LeaseMs = 2000
 	return response, nil
 }
 
+// nextToken returns the first token of the next session.
+func (l *fakeLeader) nextToken() int64 { return l.tokens.Add(sessionTokens) - sessionTokens + 1 }
+
 func (l *fakeLeader) Redirect(*wire.Leadership) {}
 
 // newIdleLeader returns a leader that opens sessions and gives no orders.
