--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -17,8 +17,7 @@
 func (f *fleet) submitJobs(ctx context.Context, caller int, seed uint64, jobs chan<- string) {
 	client := &http.Client{Timeout: 3 * time.Second}
 	random := rand.New(rand.NewPCG(seed, uint64(caller)))
-	request := fmt.Sprintf(`"cpu":%d,"memMb":%d`, submittedMillicores, submittedMegabytes)
-	body := fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,%s},{"count":%d,%s,"after":[0]}]}`, firstStepTasks, request, secondStepTasks, request)
+	body := submittedBody()
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%08x%02x%06x", seed, caller, n)
 		for attempt := 0; attempt < 4 && ctx.Err() == nil; attempt++ {
@@ -34,6 +33,12 @@
 	}
 }
 
+// submittedBody is the body of a job of two short steps.
+func submittedBody() string {
+	request := fmt.Sprintf(`"cpu":%d,"memMb":%d`, submittedMillicores, submittedMegabytes)
+	return fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,%s},{"count":%d,%s,"after":[0]}]}`, firstStepTasks, request, secondStepTasks, request)
+}
+
 // response is what a caller learns of a request. The status is 0 if the connection
 // broke off without a complete response, and timedOut if none arrived in time.
 type response struct {
--- a/soak/lasting_jobs_test.go
+++ b/soak/lasting_jobs_test.go
@@ -36,12 +36,17 @@
 	return tasks
 }
 
+// lastingBody is the body of a lasting job.
+func lastingBody() string {
+	return fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,"cpu":%d,"memMb":%d,"longRunning":true}]}`, lastingJobTasks, lastingMillicores, submittedMegabytes)
+}
+
 // submitLasting submits the lasting jobs, half of them at once. One of three is canceled.
 // It returns the accepted ones when ctx ends.
 func (f *fleet) submitLasting(ctx context.Context, seed uint64) (accepted []string) {
 	random := rand.New(rand.NewPCG(seed, firstLastingCaller))
 	client := &http.Client{Timeout: 3 * time.Second}
-	body := fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,"cpu":%d,"memMb":%d,"longRunning":true}]}`, lastingJobTasks, lastingMillicores, submittedMegabytes)
+	body := lastingBody()
 	var canceling sync.WaitGroup
 	for n := range lastingJobs {
 		id := fmt.Sprintf("%08x%02x%06x", seed, firstLastingCaller, n)
