--- a/coordinator/holds.go
+++ b/coordinator/holds.go
@@ -95,12 +95,13 @@
 	return records
 }
 
-// due returns the records of the holds that are to be stored now. record is the latest own one of the topic of the leaders, whose append began at begunAt.
+// due returns the records of the holds that are to be stored now. record is the latest own one
+// of the topic of the leaders, whose append began at begunAt.
 func (h *holds) due(now time.Duration, record int64, begunAt time.Duration) ([]*wire.KeyedRecord, error) {
 	var records []*wire.KeyedRecord
 	for id, job := range h.byJob {
-		isStale := now-begunAt > maxStoreAge || now-job.storedAt < orphanStoreInterval
-		if job.storedAt != 0 && isStale {
+		mayWait := now-begunAt > maxStoreAge || now-job.storedAt < orphanStoreInterval
+		if job.storedAt != 0 && mayWait {
 			continue
 		}
 		job.storedAt = now
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -5,7 +5,8 @@
 // has not grown since the process last read it. It stays leader until another
 // process appends a claim, and renews its leadership with appends under the same
 // condition. The epoch of a claim is its offset plus 1; it fences the appends and
-// orders of earlier leaders.
+// orders of earlier leaders. A leader that renews its leadership but waits for the log
+// with all else says so in its renewals, and any process that can append takes over.
 //
 // An Elector owns the newest known leader and the state of this process's
 // leadership. Run starts no goroutine; it waits for a ticker and for appends. A
@@ -315,7 +316,6 @@
 		return
 	}
 	e.topicEnd = max(e.topicEnd, result.GetEnd())
-	e.term.confirm(started, e.confirmedAt)
 	e.confirmedAt = started
 	e.lastHeardAt = started
 	e.hearOwn(renewal, result, started)
--- a/elector/stall.go
+++ b/elector/stall.go
@@ -28,7 +28,7 @@
 // term is what this process knows of the progress of its own leadership.
 type term struct {
 	wonAt time.Duration
-	// steadySince is when the first one of the latest renewals without a gap began.
+	// steadySince is when the latest renewals without a gap began.
 	steadySince time.Duration
 	// handovers is the number of leaders in series that took over from a stalled one.
 	handovers int32
@@ -55,19 +55,15 @@
 	}
 }
 
-// confirm records that a renewal succeeded that began at a time, the one before at previous.
-func (t *term) confirm(began, previous time.Duration) {
-	if began-previous > maxRenewalGap {
-		t.steadySince = began
-	}
-}
-
 // reviewTerm decides whether this process, which leads, is stalled. The caller holds the
 // mutex.
 func (e *Elector) reviewTerm(now time.Duration) {
 	if e.WaitingSince == nil {
 		return
 	}
+	if now-e.confirmedAt > maxRenewalGap {
+		e.term.steadySince = now
+	}
 	since, waits := e.WaitingSince()
 	wasStalled := e.term.stalled
 	e.term.review(now, since, waits)
