A start without a response is repeated only after the executor was called again

Cause: the executor ends without a word, so the agent's renewal waits for up to 1.8 s. A start gets no response after 0.7 s and is repeated at once: it is the first call that the next life sees, with the token of the life before, beside a late start of an earlier session.

Change: a start without a response cancels the renewal in progress. The next one carries the next token of the session, no deadline and no number; starts wait for its response. So a new life refuses what was sent to the one before from then on.

--- a/runner/late_crash_test.go
+++ b/runner/late_crash_test.go
@@ -34,11 +34,15 @@
 }
 
 // Guards against a crash that is not counted, because the executor carried out the
-// start without response and later than the agent expects.
+// start without response and later than the agent expects. It can do that where the
+// session has no newer token for the calls that follow.
 func TestCrashAfterLateStartIsReported(t *testing.T) {
 	for _, delay := range []time.Duration{time.Second, 2500 * time.Millisecond} {
 		t.Run(delay.String(), func(t *testing.T) {
-			l := &fakeLeader{respond: orderOnce(&atomic.Int64{}, "a.0.0.0")}
+			l := &fakeLeader{
+				respond:     orderOnce(&atomic.Int64{}, "a.0.0.0"),
+				singleToken: true,
+			}
 			executor := newExecutor()
 			executor.Crashes = func(string) bool { return true }
 			startRunner(t, l, executor, &lateStarter{JobExecutor: executor, delay: delay})
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -145,7 +145,10 @@
 		session = ""
 		err := r.callStart(ctx, info, order, &decision.lease)
 		var unknown *damaskspread.WorkerUnknownError
-		mayHaveStarted = mayHaveStarted || errors.As(err, &unknown)
+		if errors.As(err, &unknown) {
+			mayHaveStarted = true
+			r.checkAfterStart(info)
+		}
 		r.watchStart(info, key, err)
 		if err == nil {
 			tracer.Write(&tracer.TaskStarted{
--- a/runner/renew.go
+++ b/runner/renew.go
@@ -120,10 +120,26 @@
 }
 
 // mayHaveRestarted reports whether another life may respond under the executor's id: the
-// last renewal failed or was canceled, or another executor was announced and the present
-// one has not responded since. The caller holds the mutex.
+// last renewal failed or was canceled, a start got no response, or another executor was
+// announced, and the present one has not responded since. The caller holds the mutex.
 func (r *Runner) mayHaveRestarted() bool {
-	return r.renewFailures > 0 || r.renewalCanceled || r.candidate != nil
+	return r.renewFailures > 0 || r.unanswered || r.candidate != nil
+}
+
+// checkAfterStart calls an executor that has not responded to a start: a renewal in progress
+// may be without response for much longer, and the start must not be the first call that
+// another life sees.
+func (r *Runner) checkAfterStart(info *wire.ExecutorInfo) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.isPresent(info) || r.mayHaveRestarted() {
+		return
+	}
+	r.unanswered = true
+	if r.cancelRenewal != nil {
+		r.cancelRenewal()
+	}
+	signal(r.renewWake)
 }
 
 // noteCanceledRenewal records that a renewal has no response: the executor may have been
@@ -132,7 +148,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.isPresent(call.info) {
-		r.renewalCanceled = true
+		r.unanswered = true
 	}
 }
 
@@ -201,7 +217,7 @@
 		log.Info().Str("executor", call.info.GetId()).Int("failures", r.renewFailures).Msg("executor lease renewal recovered")
 	}
 	r.renewFailures = 0
-	r.renewalCanceled = false
+	r.unanswered = false
 	r.lastContact = now
 	r.renewedUntil = max(r.renewedUntil, call.leaseUntil)
 	r.crashes.addContact()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -97,8 +97,9 @@
 	executorClock clockReading
 	lastContact   time.Duration
 	renewFailures int
-	// renewalCanceled is set if the latest renewal was canceled before its response.
-	renewalCanceled bool
+	// unanswered is set if a start got no response, or the latest renewal was canceled
+	// before its response, until a later renewal gets one.
+	unanswered bool
 	// reportedCapacity is the latest capacity that the leader is known to have
 	// received in this session.
 	reportedCapacity *wire.Resources
@@ -247,7 +248,7 @@
 	r.renewedUntil = 0
 	r.endsRecorded = 0
 	r.renewFailures = 0
-	r.renewalCanceled = false
+	r.unanswered = false
 	r.unrecordedEnds = map[int64]*wire.RunEnd{}
 	r.setRunning(nil)
 	r.refusedRuns = map[runKey]refusedRun{}
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -32,6 +32,8 @@
 // concurrently. The first request opens the session.
 type fakeLeader struct {
 	respond func(ctx context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse
+	// singleToken makes it give one token a session, as leaders of earlier versions do.
+	singleToken bool
 
 	tokens   atomic.Int64
 	mu       sync.Mutex
@@ -43,11 +45,11 @@
 	l.requests = append(l.requests, request)
 	l.mu.Unlock()
 	if request.GetEpoch() == 0 {
-		return &wire.ExchangeResponse{Epoch: 1, Reopen: true, Token: l.nextToken(), TokenCount: sessionTokens}, nil
+		return &wire.ExchangeResponse{Epoch: 1, Reopen: true, Token: l.nextToken(), TokenCount: l.tokenCount()}, nil
 	}
 	response := l.respond(ctx, request)
 	if response.GetReopen() {
-		response.Token, response.TokenCount = l.nextToken(), sessionTokens
+		response.Token, response.TokenCount = l.nextToken(), l.tokenCount()
 	}
 	response.Epoch = 1
 	response.LeaseMs = 2000
@@ -57,6 +59,13 @@
 // nextToken returns the first token of the next session.
 func (l *fakeLeader) nextToken() int64 { return l.tokens.Add(sessionTokens) - sessionTokens + 1 }
 
+func (l *fakeLeader) tokenCount() int64 {
+	if l.singleToken {
+		return 1
+	}
+	return sessionTokens
+}
+
 func (l *fakeLeader) Redirect(*wire.Leadership) {}
 
 // newIdleLeader returns a leader that opens sessions and gives no orders.
