tracker: a run may go on beside its speculative copy

Callers saw nothing: nobody calls Task.Copy yet.

Ends `failed` of both count, in either order and each once.

--- a/tracker/ends.go
+++ b/tracker/ends.go
@@ -5,7 +5,8 @@
 // End applies the end of a run on the executor with the given id and reports
 // whether the task changed. Of runs before the latest one only two kinds of ends
 // count: each failed run is an attempt, and a run that is done completes the task.
-// Repeated reports of the same failure count once.
+// Repeated reports of the same failure count once. A copied run and its copy may fail in
+// either order.
 func (t *Task) End(end *wire.RunEnd, executor string) bool {
 	if t.Done() || end.GetRun() > t.run {
 		return false
@@ -13,7 +14,8 @@
 	t.Job().MarkStarted()
 	// An executor that lists the end of a run has outlived it.
 	t.WithdrawExposure(end.GetRun())
-	failed := end.GetCause() == wire.EndCause_END_CAUSE_FAILED && end.GetRun() > t.failedRun
+	copied := t.takeCopied(end.GetRun(), executor)
+	failed := end.GetCause() == wire.EndCause_END_CAUSE_FAILED && (end.GetRun() > t.failedRun || copied)
 	if failed {
 		t.recordFailure(end.GetRun(), executor)
 	}
@@ -59,7 +61,7 @@
 // recordFailure counts a failed run. It fails the job once its attempts are used
 // up, unless the step is long-running.
 func (t *Task) recordFailure(run int32, executor string) {
-	t.failedRun = run
+	t.failedRun = max(t.failedRun, run)
 	t.failures++
 	t.markChanged()
 	if t.failedOn == nil {
--- a/tracker/group.go
+++ b/tracker/group.go
@@ -43,6 +43,14 @@
 // Pending returns the number of tasks that wait for a run now.
 func (g *Group) Pending() int { return g.job.pending(g.occurrence, g.step) - len(g.excluded) }
 
+// Done returns the number of tasks of a step that is not done yet that are done.
+func (g *Group) Done() int {
+	if state := g.state(); state != nil {
+		return state.done
+	}
+	return 0
+}
+
 // Name returns "JOB.OCCURRENCE.STEP", which identifies the group.
 func (g *Group) Name() string {
 	if state := g.state(); state != nil {
--- a/tracker/older_runs.go
+++ b/tracker/older_runs.go
@@ -13,6 +13,8 @@
 	Run      int32
 	Executor ExecutorKey
 	Host     string
+	// Copied means that the run may go on beside its speculative copy; see Task.Copy.
+	Copied bool
 }
 
 // OlderRuns returns the runs that hold the task back. Callers must not change the result.
@@ -49,6 +51,7 @@
 			Run:      older.GetRun(),
 			Executor: keyOf(ref),
 			Host:     ref.GetHost(),
+			Copied:   older.GetCopied(),
 		})
 	}
 }
--- a/tracker/progress.go
+++ b/tracker/progress.go
@@ -98,6 +98,7 @@
 	t.exposedRun = progress.GetExposedRun()
 	t.lostRun = progress.GetLastLostRun()
 	t.checkpoint = progress.GetCheckpoint()
+	t.copyRun = progress.GetCopyRun()
 	t.restoreOlderRuns(progress.GetOlderRuns(), executors)
 	t.step.begun = true
 	switch progress.GetState() {
@@ -208,6 +209,7 @@
 	progress.ExposedRun = t.exposedRun
 	progress.LastLostRun = t.lostRun
 	progress.Checkpoint = t.checkpoint
+	progress.CopyRun = t.copyRun
 	if t.Assigned() {
 		progress.ExecutorIndex = w.executorIndex(t.executor, t.host)
 	}
@@ -215,6 +217,7 @@
 		progress.OlderRuns = append(progress.OlderRuns, &wire.OlderRun{
 			Run:           older.Run,
 			ExecutorIndex: w.executorIndex(older.Executor, older.Host),
+			Copied:        older.Copied,
 		})
 	}
 	return progress
--- a/tracker/task.go
+++ b/tracker/task.go
@@ -45,7 +45,9 @@
 	// crashedOn has the hosts on which an executor crashed under the task.
 	crashedOn map[string]bool
 	// olderRuns are runs in progress elsewhere; see OlderRun.
-	olderRuns  []OlderRun
+	olderRuns []OlderRun
+	// copyRun is the run that Copy has started; 0 if none.
+	copyRun    int32
 	stopping   bool
 	assignedAt time.Duration
 	// startPercent is the pace with which the latest run begins; 0 if not limited.
