--- a/Makefile
+++ b/Makefile
@@ -33,8 +33,8 @@
 # then runs the benchmarks with allocation counts. Not part of the target test.
 bench:
 	mkdir -p bench
-	COMPARISON_DIR=$(CURDIR)/bench $(GO) test -p 1 -count=1 -run '^$$' -bench '^BenchmarkComparison$$' -benchtime 1x ./scheduler ./router ./predictor ./planner ./screener
-	$(GO) test -p 1 -count=1 -run '^$$' -bench . -skip '^BenchmarkComparison$$' -benchmem ./...
+	COMPARISON_DIR=$(CURDIR)/bench $(GO) test -p 1 -count=1 -run '^$$' -bench '^BenchmarkComparison' -benchtime 1x ./scheduler ./router ./predictor ./planner ./screener
+	$(GO) test -p 1 -count=1 -run '^$$' -bench . -skip '^BenchmarkComparison' -benchmem ./...
 
 # Soak test of the job processes with injected faults. It runs SOAK_SEEDS seeds,
 # from SEED on, and the seeds that soak keeps as regression tests.
