coordinator: speculative copies behind [scheduling] speculative_copies

Callers saw that a straggler held its job back although its step allows copies. With the default `no` they see no change.

Change: the leader copies what planner.ChooseCopies returns, keeps the copied run over changes of leader and sessions, counts its room, stops the other run after the first end `done`, and stops copies whose room first runs wait for. Ends of runs are applied to the task before its older runs are dropped, so that a failure of a copied run is counted. Ruled out: the straggler stays assigned and the copy is the older run; agents refuse lower run numbers.

--- a/coordinator/absence.go
+++ b/coordinator/absence.go
@@ -100,8 +100,8 @@
 			opening: true,
 		}
 		for _, end := range a.ends {
-			c.endUnassigned(view, end)
 			c.applyEnd(cycle, view, end)
+			c.endUnassigned(view, end)
 		}
 		if a.left {
 			delete(c.orphans, a.key)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -80,6 +80,8 @@
 	MaxAppendBytes int
 	// LearnRunTimes makes predictions use run times that were observed.
 	LearnRunTimes bool
+	// SpeculativeCopies makes stragglers of steps that allow it be copied.
+	SpeculativeCopies bool
 	// StatusRetention is how long the status of a finished job is kept in the log.
 	StatusRetention time.Duration
 	// RefusalRetention is how long the refusal of a job is kept in the log; 2 minutes
@@ -152,6 +154,12 @@
 	// unassigned are the runs in progress whose tasks are not assigned to their
 	// executors.
 	unassigned []unassignedRun
+	// copies are those of unassigned that were copied.
+	copies map[unassignedRun]*copiedRun
+	// copiesPlannedAt is when stragglers were last looked for.
+	copiesPlannedAt time.Duration
+	// runProgress has the progress of the runs that may be copied.
+	runProgress map[listedRun]*runProgress
 	// closing are jobs whose final status is recorded but which still have runs
 	// that are stopping.
 	closing []string
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"damaskspread.example/damaskspread/planner"
 	"damaskspread.example/damaskspread/tracer"
@@ -11,10 +12,9 @@
 // plan orders again the starts that are due and assigns pending tasks to hosts, unless the
 // known jobs or the configuration are older than maxInputAge.
 func (c *Coordinator) plan(cycle *cycleState, epoch int64) {
-	config, configAge := c.Operations.Config()
-	jobsAge := c.JobsTail.Age()
-	c.reportOldInputs(epoch, jobsAge, configAge)
-	if configAge > maxInputAge || jobsAge > maxInputAge {
+	inputs := c.inputs(epoch)
+	c.reportOldInputs(epoch, inputs.jobsAge, inputs.configAge)
+	if inputs.configAge > maxInputAge || inputs.jobsAge > maxInputAge {
 		return
 	}
 	cycle.hosts = c.hosts(cycle)
@@ -31,25 +31,46 @@
 		assignment.Task.Assign(view.key, view.host, assignment.Run, cycle.now)
 		c.recordLimitedStart(&assignment, view, cycle.now)
 		c.addStartOrder(view, assignment.Task)
-		tracer.Write(&tracer.TaskAssigned{
-			Job:           assignment.Task.ID().Job,
-			Task:          assignment.Task.ID().String(),
-			Run:           assignment.Run,
-			Host:          view.host,
-			Executor:      view.key.ID,
-			Born:          view.key.BornUnixMs,
-			Session:       view.session.id,
-			Epoch:         epoch,
-			ConfigVersion: config.GetVersion(),
-			ConfigAge:     tracer.Milliseconds(configAge),
-			JobsAge:       tracer.Milliseconds(jobsAge),
-		})
+		traceAssigned(view, assignment.Task, &inputs)
 	}
 	c.preempt(cycle, groups)
 	c.reportWaiting(groups, cycle, epoch)
 	c.reportHeld(cycle, epoch)
 }
 
+// planInputs describes what the decision to start a run was based on.
+type planInputs struct {
+	epoch, configVersion int64
+	configAge, jobsAge   time.Duration
+}
+
+func (c *Coordinator) inputs(epoch int64) planInputs {
+	config, configAge := c.Operations.Config()
+	return planInputs{
+		epoch:         epoch,
+		configVersion: config.GetVersion(),
+		configAge:     configAge,
+		jobsAge:       c.JobsTail.Age(),
+	}
+}
+
+// traceAssigned writes to the trace that the task's latest run was assigned.
+func traceAssigned(view *sessionView, t *tracker.Task, inputs *planInputs) {
+	tracer.Write(&tracer.TaskAssigned{
+		Job:           t.ID().Job,
+		Task:          t.ID().String(),
+		Run:           t.Run(),
+		Host:          view.host,
+		Executor:      view.key.ID,
+		Born:          view.key.BornUnixMs,
+		Session:       view.session.id,
+		Epoch:         inputs.epoch,
+		ConfigVersion: inputs.configVersion,
+		ConfigAge:     tracer.Milliseconds(inputs.configAge),
+		JobsAge:       tracer.Milliseconds(inputs.jobsAge),
+	})
+}
+
 // preempt stops less urgent tasks to free capacity for the most urgent task that
 // fits on no host. It does so for one task per cycle, and never for a best-effort
 // task.
@@ -119,6 +140,7 @@
 		for _, t := range c.assignments.On(view.key) {
 			host.AddAssigned(t)
 		}
+		c.addCopiedRuns(host)
 		hosts = append(hosts, host)
 		view.candidate = host
 	}
--- a/coordinator/repeated_starts.go
+++ b/coordinator/repeated_starts.go
@@ -20,13 +20,17 @@
 
 // lists reports whether the latest list of runs shows the latest run of a task.
 func (v *sessionView) lists(t *tracker.Task) bool {
+	return v.listsRun(newListedRun(t.ID().String(), t.Run()))
+}
+
+func (v *sessionView) listsRun(run listedRun) bool {
 	if v.listed == nil {
 		v.listed = make(map[listedRun]bool, len(v.running))
 		for _, run := range v.running {
 			v.listed[newListedRun(run.GetTask(), run.GetRun())] = true
 		}
 	}
-	return v.listed[newListedRun(t.ID().String(), t.Run())]
+	return v.listed[run]
 }
 
 func newListedRun(task string, run int32) listedRun {
--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -23,8 +23,8 @@
 	for _, view := range cycle.views {
 		delete(c.orphans, view.key)
 		for _, end := range view.ends {
-			c.endUnassigned(view, end)
 			c.applyEnd(cycle, view, end)
+			c.endUnassigned(view, end)
 		}
 		for _, exposure := range view.exposures {
 			c.applyExposure(cycle, view, exposure)
@@ -70,6 +70,7 @@
 	if t.CrashEvidence().Counted > counted {
 		recordCrash(t, end.GetRun(), view.host, false)
 	}
+	c.endCopy(t, end)
 	c.recordDoneWork(t)
 	c.recordEnd(view.key, end.GetCause(), firstFailure)
 	// An end that arrives with the opening of a session may be long past.
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -83,6 +83,8 @@
 	c.heldUntil = map[string]time.Duration{}
 	c.suspended = map[string]bool{}
 	c.unassigned = nil
+	c.copies = map[unassignedRun]*copiedRun{}
+	c.runProgress = map[listedRun]*runProgress{}
 	c.closing = nil
 	c.tombstones = nil
 	c.publishedStates = map[string]wire.JobState{}
--- a/coordinator/unassigned.go
+++ b/coordinator/unassigned.go
@@ -8,8 +8,8 @@
 )
 
 // unassignedRun is a run in progress whose task is not assigned to its executor: its
-// start took effect after the task was released. It is stopped, and the task gets no
-// further run until it has ended.
+// start took effect after the task was released, or it was copied; see copiedRun. It is
+// stopped unless it was copied, and the task gets no further run until it has ended.
 type unassignedRun struct {
 	task     string
 	run      int32
@@ -22,7 +22,7 @@
 // older than the one before it, so runs that it lacks stay until their ends are reported.
 func (c *Coordinator) stopUnassigned(view *sessionView) {
 	if view.opening {
-		c.forgetUnassignedOn(view.key)
+		c.keepCopied(view)
 	}
 	for _, run := range view.running {
 		listed := unassignedRun{
@@ -68,6 +68,7 @@
 		if !over(run) {
 			return false
 		}
+		delete(c.copies, run)
 		if t := c.task(run.task); t != nil {
 			t.RemoveOlderRun(run.run, run.executor)
 		}
@@ -79,15 +80,28 @@
 // stored. Their executors are orphans like those of assigned tasks.
 func (c *Coordinator) restoreUnassigned(epoch int64, t *tracker.Task) {
 	for _, older := range t.OlderRuns() {
-		c.unassigned = append(c.unassigned, unassignedRun{
-			task:     t.ID().String(),
-			run:      older.Run,
-			executor: older.Executor,
-		})
+		c.addUnassigned(t, older)
 		c.addOrphan(epoch, older.Host, older.Executor)
 	}
 }
 
+// addUnassigned adds an older run of a task.
+func (c *Coordinator) addUnassigned(t *tracker.Task, older tracker.OlderRun) {
+	run := unassignedRun{
+		task:     t.ID().String(),
+		run:      older.Run,
+		executor: older.Executor,
+	}
+	c.unassigned = append(c.unassigned, run)
+	if older.Copied {
+		c.copies[run] = &copiedRun{
+			step:      t.Step(),
+			group:     t.GroupName(),
+			copyEnded: !t.Assigned(),
+		}
+	}
+}
+
 // withoutUnassigned returns the groups without the tasks that have an unassigned run.
 // A gang waits as a whole, because its members start together.
 func (c *Coordinator) withoutUnassigned(groups []*tracker.Group) []*tracker.Group {
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -103,6 +103,8 @@
 	maxAppendBytes int
 	// learnRunTimes is that of the coordinators started later.
 	learnRunTimes bool
+	// speculativeCopies is that of the coordinators started later.
+	speculativeCopies bool
 	// statusRetention and refusalRetention are those of the coordinators started
 	// later; 0 is a minute and the default.
 	statusRetention, refusalRetention time.Duration
@@ -211,7 +213,8 @@
 		MaxAppendBytes:  f.maxAppendBytes,
 		LearnRunTimes:   f.learnRunTimes,
 
-		RefusalRetention: f.refusalRetention,
+		SpeculativeCopies: f.speculativeCopies,
+		RefusalRetention:  f.refusalRetention,
 	}
 	c.Init()
 	e.coordinator = c
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -172,6 +172,18 @@
 			events: []tracer.Event{&tracer.StopOrdered{Job: job, Task: task, Run: 1, Host: "h", Reason: tracer.StopNotAssigned, Latest: 2, LatestState: "assigned"}},
 			kind:   explainer.FindingRunStopped, subject: "h", detail: task + " run 1: not_assigned, latest run 2 is assigned",
 		},
+		"copied": {
+			events: []tracer.Event{&tracer.TaskCopied{
+				Job: job, Task: task, Run: 2, Host: "h", OlderRun: 1, OlderHost: "o", Percent: 5, Elapsed: tracer.Milliseconds(2 * time.Second),
+				Remaining: tracer.Milliseconds(30 * time.Second), NewRun: tracer.Milliseconds(3 * time.Second),
+			}},
+			kind: explainer.FindingCopied, subject: "h",
+			detail: task + " run 2 beside run 1 on o, which was at 5% after 2s: 30s left, a new run takes 3s",
+		},
+		"copy lost": {
+			events: []tracer.Event{&tracer.CopyLost{Job: job, Task: task, Run: 2, Cause: tracer.CopyOlderRunDone}},
+			kind:   explainer.FindingCopyLost, subject: task, detail: "run 2: older_run_done",
+		},
 		"lease expired": {
 			events: []tracer.Event{&tracer.RunEnded{Job: job, Task: task, Run: 1, Host: "h", Cause: "END_CAUSE_LEASE_EXPIRED"}},
 			kind:   explainer.FindingRunLost, subject: "h", detail: task + " run 1: its lease expired",
--- a/explainer/findings.go
+++ b/explainer/findings.go
@@ -40,6 +40,8 @@
 	FindingSlowOrder     FindingKind = "slow_order"
 	FindingStartRefused  FindingKind = "start_refused"
 	FindingStartRepeated FindingKind = "start_repeated"
+	FindingCopied        FindingKind = "copied"
+	FindingCopyLost      FindingKind = "copy_lost"
 	FindingRunFailed     FindingKind = "run_failed"
 	FindingRunStopped    FindingKind = "run_stopped"
 	FindingRunLost       FindingKind = "run_lost"
@@ -53,7 +55,7 @@
 
 var kindOrder = []FindingKind{
 	FindingRefused, FindingTooLate, FindingSlowAppend, FindingWaited, FindingHeld, FindingStartLimited, FindingStartForced, FindingSlowOrder, FindingStartRefused, FindingStartRepeated,
-	FindingRunFailed, FindingRunStopped, FindingRunLost, FindingCrash, FindingCrashCleared, FindingOverlap, FindingPaced, FindingCanceled, FindingUnfinished,
+	FindingCopied, FindingCopyLost, FindingRunFailed, FindingRunStopped, FindingRunLost, FindingCrash, FindingCrashCleared, FindingOverlap, FindingPaced, FindingCanceled, FindingUnfinished,
 }
 
 // Finding is one cause of a delay, refusal or failure of the job, possibly with
@@ -156,6 +158,11 @@
 		c.add(FindingStartRefused, cmp.Or(e.Host, line.Process()), "%s run %d: %s", e.Task, e.Run, e.Reason)
 	case *tracer.StartRepeated:
 		c.add(FindingStartRepeated, e.Host, "%s run %d was not listed by the agent", e.Task, e.Run)
+	case *tracer.TaskCopied:
+		c.add(FindingCopied, e.Host, "%s run %d beside run %d on %s, which was at %d%% after %s: %s left, a new run takes %s",
+			e.Task, e.Run, e.OlderRun, e.OlderHost, e.Percent, e.Elapsed, e.Remaining, e.NewRun)
+	case *tracer.CopyLost:
+		c.add(FindingCopyLost, e.Task, "run %d: %s", e.Run, e.Cause)
 	case *tracer.StopOrdered:
 		c.add(FindingRunStopped, e.Host, "%s run %d: %s%s", e.Task, e.Run, e.Reason, stopDetail(e))
 	case *tracer.TaskPaced:
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -212,6 +212,7 @@
 		LongestLease:      s.Bounds().LeaseMax(),
 		StatusRetention:   s.Bounds().StatusFor(),
 		LearnRunTimes:     s.Scheduling().LearnedRunTimes(),
+		SpeculativeCopies: s.Scheduling().SpeculativeCopies(),
 	}
 	if address := s.Peers().Advice(); address != "" {
 		e.coordinator.Advisor = &platform.AdviceClient{
--- a/tracer/counters.go
+++ b/tracer/counters.go
@@ -40,6 +40,12 @@
 		c.count("damaskspread_stops_total", "reason", string(e.Reason))
 	case *RunEnded:
 		c.count("damaskspread_runs_ended_total", "cause", strings.ToLower(strings.TrimPrefix(e.Cause, "END_CAUSE_")))
+	case *TaskCopied:
+		c.count("damaskspread_copies_total", "outcome", "ordered")
+	case *CopyDone:
+		c.count("damaskspread_copies_total", "outcome", "first")
+	case *CopyLost:
+		c.count("damaskspread_copies_total", "outcome", string(e.Cause))
 	case *TasksWaiting:
 		c.observe("damaskspread_task_wait_seconds", e.Waited)
 	}
--- a/tracer/events.go
+++ b/tracer/events.go
@@ -68,6 +68,9 @@
 	KindRunLost         Kind = "run lost with its executor"
 	KindRunAdopted      Kind = "run adopted"
 	KindCrashCounted    Kind = "crash of executor counted for task"
+	KindTaskCopied      Kind = "task copied"
+	KindCopyDone        Kind = "copy was first"
+	KindCopyLost        Kind = "copy lost"
 	KindRunEndIgnored   Kind = "run end ignored"
 	KindGangRunReleased Kind = "run released: another member of its gang is done"
 	KindRunListed       Kind = "run in the list that opens the session"
@@ -211,6 +214,11 @@
 	StopDraining StopReason = "executor_leaves"
 	// StopNotAssigned: the leader did not assign this run to the executor.
 	StopNotAssigned StopReason = "not_assigned"
+	// StopCopyDone: the speculative copy of the run is done.
+	StopCopyDone StopReason = "copy_done"
+	// StopCopyYields: a task that no run was started for waits for the room of the
+	// speculative copy.
+	StopCopyYields StopReason = "copy_yields"
 	// StopRepeated: an earlier session of the agent had an order to stop the run.
 	StopRepeated StopReason = "repeated"
 	// StopRefused: the agent stops the run by itself because it refuses the order
@@ -448,6 +456,9 @@
 	KindRunLost:         func() Event { return &RunLost{} },
 	KindRunAdopted:      func() Event { return &RunAdopted{} },
 	KindCrashCounted:    func() Event { return &CrashCounted{} },
+	KindTaskCopied:      func() Event { return &TaskCopied{} },
+	KindCopyDone:        func() Event { return &CopyDone{} },
+	KindCopyLost:        func() Event { return &CopyLost{} },
 	KindRunEndIgnored:   func() Event { return &RunEndIgnored{} },
 	KindGangRunReleased: func() Event { return &GangRunReleased{} },
 	KindRunListed:       func() Event { return &RunListed{} },
--- a/validator/job_settings.go
+++ b/validator/job_settings.go
@@ -46,6 +46,7 @@
 	bestEffortWait        time.Duration
 	bestEffortSpeed       float64
 	learnedRunTimes       bool
+	speculativeCopies     bool
 	order, preemption     string
 	admission             bool
 	admissionFromPriority int
@@ -137,6 +138,9 @@
 // task must be predicted to get, otherwise it waits.
 func (s *JobScheduling) BestEffortSpeed() float64 { return s.bestEffortSpeed }
 
+// SpeculativeCopies reports whether stragglers are copied.
+func (s *JobScheduling) SpeculativeCopies() bool { return s.speculativeCopies }
+
 // LearnedRunTimes reports whether predictions use learned run times.
 func (s *JobScheduling) LearnedRunTimes() bool { return s.learnedRunTimes }
 
@@ -224,6 +228,7 @@
 		optional("best_effort_speed", "0.5", "share of its requested processors that a best-effort task must be predicted to get to start",
 			number(&s.bestEffortSpeed, 0.1, 1)),
 		optional("learned_run_times", "no", "predictions use learned run times", boolean(&s.learnedRunTimes)),
+		optional("speculative_copies", "no", "stragglers of steps that allow it are copied to idle hosts", boolean(&s.speculativeCopies)),
 		optional("order", orderDeadline, "order in which waiting steps start", choice(&s.order, orderDeadline, orderCost)),
 		optional("preemption", preemptionPriority, "how the tasks to preempt are chosen",
 			choice(&s.preemption, preemptionPriority, preemptionLostWork)),
--- a/validator/job_settings_test.go
+++ b/validator/job_settings_test.go
@@ -37,6 +37,20 @@
 	assert.Equal(t, settings.Bounds().StatusFor(), 2*time.Minute)
 }
 
+// Guards against copies that are on by default, and against a misspelled key that leaves
+// them off without a word.
+func TestSpeculativeCopiesSetting(t *testing.T) {
+	settings, diagnostics := validator.LoadJobSettings("x.ini", validJobSettings)
+	assert.Equal(t, len(diagnostics), 0, "%v", diagnostics)
+	assert.Assert(t, !settings.Scheduling().SpeculativeCopies())
+	settings, diagnostics = validator.LoadJobSettings("x.ini", validJobSettings+"[scheduling]\nspeculative_copies = yes\n")
+	assert.Equal(t, len(diagnostics), 0, "%v", diagnostics)
+	assert.Assert(t, settings.Scheduling().SpeculativeCopies())
+	_, diagnostics = validator.LoadJobSettings("x.ini", validJobSettings+"[scheduling]\nspeculative_copy = yes\n")
+	assert.Equal(t, len(diagnostics), 1, "%v", diagnostics)
+	assert.Assert(t, strings.Contains(diagnostics[0].Error(), `did you mean "speculative_copies"?`), "%v", diagnostics[0])
+}
+
 // Guards against a process that starts with invalid settings.
 func TestInvalidJobSettings(t *testing.T) {
 	for _, change := range [][2]string{
