--- a/coordinator/held.go
+++ b/coordinator/held.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"time"
+
 	"damaskspread.example/damaskspread/tracer"
 )
 
@@ -72,6 +74,12 @@
 	}
 }
 
+// isHeld reports whether no further run of a job may start for now.
+func (c *Coordinator) isHeld(id string, now time.Duration) bool {
+	_, held := c.holds.holdsJob(id, now)
+	return held || c.suspended[id]
+}
+
 func (c *Coordinator) isOpen(id string) bool {
 	job := c.jobs[id]
 	return job != nil && !job.Over()
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -85,6 +85,8 @@
 	c.latencies = map[tracker.ExecutorKey]*hostLatency{}
 	c.suspended = map[string]bool{}
 	c.unassigned = nil
+	c.copies = map[unassignedRun]*copiedRun{}
+	c.runProgress = map[listedRun]*runProgress{}
 	c.closing = nil
 	c.tombstones = nil
 	c.publishedStates = map[string]wire.JobState{}
