A failing job makes no executor suspect: failures are weighed by step

Callers saw: with a job whose tasks all fail, the other jobs of the service waited until it was over (over 12 s in a trial with 3 hosts).

Cause: an executor became suspect after two consecutive first failures, whoever was at fault. One failing job made all executors of its service suspect, and its untried tasks took each probe, so that no other task could show that an executor is sound.

Ruled out: a higher count (the job has more tasks than any count), and counting jobs instead of failures (broken executors would be found later, and several failing jobs would still close the service).

Change: assessor.Failures weighs a failure by how the step fares on other executors, also where it is still in progress, and those by their other steps. From the evidence of two unexplained failures on an executor is suspect; it is trusted again as soon as its failures are explained. Explained failures don't lengthen a backoff. Steps that fail on most executors are the last to probe. Tasks that are neither long-running nor best-effort prefer executors without evidence, so that one that fails at once attracts nothing.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 # then runs the benchmarks with allocation counts. Not part of the target test.
 bench:
 	mkdir -p bench
-	COMPARISON_DIR=$(CURDIR)/bench $(GO) test -p 1 -count=1 -run '^$$' -bench '^BenchmarkComparison$$' -benchtime 1x ./scheduler ./router ./predictor ./planner ./screener
+	COMPARISON_DIR=$(CURDIR)/bench $(GO) test -p 1 -count=1 -run '^$$' -bench '^BenchmarkComparison$$' -benchtime 1x ./scheduler ./router ./predictor ./planner ./screener ./assessor
 	$(GO) test -p 1 -count=1 -run '^$$' -bench . -skip '^BenchmarkComparison$$' -benchmem ./...
 
 # Soak test of the job processes with injected faults. It runs SOAK_SEEDS seeds,
--- a/assessor/assessor.go
+++ b/assessor/assessor.go
@@ -1,6 +1,9 @@
 // Package assessor decides whether the executors that crashed under a task speak
 // against the task, or crashed by chance.
 //
+// It also decides whether failures of tasks speak against the executors that ran them or
+// against the tasks, see Failures.
+//
 // Evidence is what is known of one task: how many executors have crashed shortly
 // after they had started it, and how probable that is if the task is healthy.
 // Crashes estimates that probability from the crashes of a service's executors. The
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -122,7 +122,9 @@
 	// closed is when each finished job was dropped from jobs.
 	closed  map[string]time.Duration
 	orphans map[tracker.ExecutorKey]orphan
-	// suspicions has the executors with recent failures.
+	// failures weighs the failures of tasks.
+	failures assessor.Failures
+	// suspicions has the executors with failures since their last success.
 	suspicions map[tracker.ExecutorKey]*suspicion
 	// crashes are the crashes of executors that this leader has seen, by service.
 	crashes map[string]*assessor.Crashes
@@ -259,6 +261,7 @@
 // Run schedules whenever this process is the leader, until the tomb dies.
 func (c *Coordinator) Run(tb *tomb.Tomb) error {
 	ctx := tb.Context(context.Background())
+	c.Planner.Doubtful = c.doubtful
 	for tb.Alive() {
 		if epoch := c.currentEpoch(); epoch != 0 {
 			c.lead(ctx, epoch)
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -77,6 +77,7 @@
 	c.applyJobs(cycle.changedJobs)
 	c.observeCrashes(cycle)
 	c.applyReports(cycle)
+	c.reviewSuspicions(cycle.now)
 	c.applyAbsences(cycle)
 	c.releaseLostTasks(cycle)
 	c.storeOrphans(cycle)
--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -30,7 +30,7 @@
 			c.applyExposure(cycle, view, exposure)
 		}
 		for _, refusal := range view.refusals {
-			c.applyRefusal(view, refusal)
+			c.applyRefusal(cycle, view, refusal)
 		}
 		if view.runsUpdated && view.reachable {
 			c.clearOutlived(view, cycle.now)
@@ -71,7 +71,7 @@
 		recordCrash(t, end.GetRun(), view.host, false)
 	}
 	c.recordDoneWork(t)
-	c.recordEnd(view.key, end.GetCause(), firstFailure)
+	c.recordEnd(view.key, t, end.GetCause(), firstFailure, cycle.now)
 	// An end that arrives with the opening of a session may be long past.
 	if isLatest && !resumed && !view.opening {
 		c.runTimes.observe(t, c.Elapsed.Elapsed())
@@ -113,7 +113,7 @@
 	return job.Task(id)
 }
 
-func (c *Coordinator) applyRefusal(view *sessionView, refusal *wire.StartRefusal) {
+func (c *Coordinator) applyRefusal(cycle *cycleState, view *sessionView, refusal *wire.StartRefusal) {
 	t := c.task(refusal.GetTask())
 	if t == nil || !t.Assigned() || t.Run() != refusal.GetRun() || t.Executor() != view.key {
 		return
@@ -126,7 +126,7 @@
 		c.backOffNoRoom(view)
 	}
 	c.adviceCache.dropRefusedTickets(t, refusal.GetReason())
-	c.recordRefusal(view.key, refusal.GetReason())
+	c.recordRefusal(view.key, refusal.GetReason(), cycle.now)
 	tracer.Write(&tracer.StartRefused{
 		Job:      t.ID().Job,
 		Task:     refusal.GetTask(),
--- a/planner/host.go
+++ b/planner/host.go
@@ -35,7 +35,11 @@
 	// ForcedUnmeasured means that the effect of a forced start on the host isn't
 	// measured yet. The host gets no further one.
 	ForcedUnmeasured bool
-	// Suspect means that tasks failed repeatedly on the host. It gets one task
+	// FailureEvidence is how much speaks against the executor, as an
+	// assessor.Failures returns it. Of hosts that are not suspect, tasks that are neither
+	// long-running nor best-effort prefer those with the least.
+	FailureEvidence float64
+	// Suspect means that the evidence suffices to suspect the host. It gets one task
 	// at a time as a probe. Tasks assigned at ProbesFrom (monotonic time) or later
 	// count as probes.
 	Suspect    bool
@@ -192,7 +196,8 @@
 		NearTarget: h.NearTarget,
 		Suspect:    h.Suspect,
 
-		AdmitsLasting: h.AdmitsLasting,
+		AdmitsLasting:   h.AdmitsLasting,
+		FailureEvidence: h.FailureEvidence,
 
 		requested: wire.Resources{
 			Millicores:   h.requested.Millicores,
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -19,6 +19,7 @@
 	"slices"
 	"time"
 
+	"damaskspread.example/damaskspread/assessor"
 	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
 )
@@ -57,6 +58,9 @@
 	// BestEffortWait is the wait after which the start of a best-effort task that
 	// fits by capacity is forced, see WaitBound; 0 leaves the wait unbounded.
 	BestEffortWait time.Duration
+	// Doubtful reports whether the tasks of the group fail on most hosts. They probe
+	// suspect hosts only where no others do. With nil, no groups are doubtful.
+	Doubtful func(*tracker.Group) bool
 	// BestEffortSpeed is the share of its requested processors that a best-effort task
 	// must be predicted to get, otherwise it waits; 0 means defaultBestEffortSpeed.
 	// With a low share many tasks start beside each other and all of them are slow,
@@ -71,23 +75,26 @@
 	setServingLayout(groups, hosts)
 	p.setBusy(hosts)
 	early := groupsBeforeSuspected(groups)
-	plan = append(plan, p.planUnsuspected(groups, hosts, early)...)
+	doubtful := p.doubtfulGroups(groups, hosts)
+	hostsFor := hostsByDoubt(doubtful, hosts)
+	plan = append(plan, p.planUnsuspected(groups, hostsFor, early)...)
 	plan = append(plan, p.planSuspected(groups, hosts)...)
-	plan = append(plan, p.planUnsuspected(groups, hosts, func(group *tracker.Group) bool { return !early(group) })...)
+	plan = append(plan, p.planUnsuspected(groups, hostsFor, func(group *tracker.Group) bool { return !early(group) })...)
+	plan = append(plan, p.planDoubtfulProbes(groups, hosts, doubtful, plan)...)
 	return append(plan, p.planForced(groups, hosts, plan)...)
 }
 
 // planUnsuspected assigns the waiting tasks that are not suspected, of the groups that
 // include returns true for.
-func (p *Planner) planUnsuspected(groups []*tracker.Group, hosts []*Host, include func(*tracker.Group) bool) []Assignment {
+func (p *Planner) planUnsuspected(groups []*tracker.Group, hostsFor func(*tracker.Group) []*Host, include func(*tracker.Group) bool) []Assignment {
 	var plan []Assignment
 	for _, group := range groups {
 		switch {
 		case !include(group):
 		case !group.Step().GetGang():
-			plan = append(plan, p.planTasks(group, unsuspectedTasks(group), hosts)...)
+			plan = append(plan, p.planTasks(group, unsuspectedTasks(group), hostsFor(group))...)
 		case !suspected(group.First()):
-			plan = append(plan, p.planGang(group, hosts)...)
+			plan = append(plan, p.planGang(group, hostsFor(group))...)
 		}
 	}
 	return plan
@@ -225,6 +232,8 @@
 	penaltyFailedOn            = 8.0
 	penaltySuspect             = 16.0
 	weightSpeed                = 3.0
+	// weightFailures makes even a failure that is mostly explained outweigh the idle share.
+	weightFailures = 4.0
 	// penaltySameGroup applies to each task of the group that is already on the
 	// host, so that the tasks of a group spread over hosts.
 	penaltySameGroup = 0.02
@@ -248,6 +257,11 @@
 	if task.FailedOn(host.Key.ID) {
 		score -= penaltyFailedOn
 	}
+	// Long-running and best-effort tasks are placed by how they disturb each other, which a
+	// single failure must not outweigh.
+	if !step.GetLongRunning() && !step.GetFillsIdle() {
+		score -= weightFailures * min(host.FailureEvidence, assessor.SuspectEvidence)
+	}
 	if host.Suspect {
 		score -= penaltySuspect
 	}
