Tests: TestStartSentBeforeARestart waits for the start call

Seen: the package hung once, in the last wait of this test (load average 50 on 8 cores, ended by hand after 250 s). The test waited until the order was received, not until the start was called; if the executor restarts in between, the order ends with its session, the start is never called, and nothing closes the channel that the test waits for. It now waits for the call that it is about.

--- a/runner/unsettled_test.go
+++ b/runner/unsettled_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,6 +23,7 @@
 	release chan struct{}
 	done    chan struct{}
 	once    sync.Once
+	sent    atomic.Bool
 }
 
 func (e *delayingExecutor) Start(ctx context.Context, id string, order *wire.StartOrder, lease *damaskspread.Lease) error {
@@ -30,6 +32,7 @@
 	if !first {
 		return e.JobExecutor.Start(ctx, id, order, lease)
 	}
+	e.sent.Store(true)
 	go func() {
 		defer close(e.done)
 		<-e.release
@@ -68,9 +71,7 @@
 		done:        make(chan struct{}),
 	}
 	r := startRunner(t, l, executor, delaying)
-	waitFor(t, "order", func() bool {
-		return l.received(func(request *wire.ExchangeRequest) bool { return request.GetOrdersReceived() == 1 })
-	})
+	waitFor(t, "start call", delaying.sent.Load)
 	executor.Boot("executor-1")
 	restarted := executor.Info("planning", "zone", &wire.Resources{Millicores: 8000})
 	restarted.Sequence = 1
