--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -137,6 +137,9 @@
 		callers.Go(func() { lasting = f.submitLasting(ctx, seed) })
 		callers.Go(func() { f.injectLosses(ctx, seed) })
 	}
+	if seed >= firstOutageSeed {
+		callers.Go(func() { f.injectProgressOutages(ctx, seed) })
+	}
 	if f.onlyLosses {
 		<-ctx.Done()
 	} else {
