Soak: one fault of the log that turns away a leader's appends

The test of a leader without progress uses the one by process; it is stricter, since the appends of that process fail under each epoch.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -38,13 +38,11 @@
 	checker   *checker
 	log       *emulator.KeyedLog
 	logServer *httptest.Server
-	// progressOutage is the fault of the log that hits the leader's progress.
-	progressOutage progressOutage
-	entries        []*process
-	agents         []*process
-	executors      []*executorHandler
-	bootCount      atomic.Int64
-	logDir         string
+	entries   []*process
+	agents    []*process
+	executors []*executorHandler
+	bootCount atomic.Int64
+	logDir    string
 	// scheduling is set if the settings of the section [scheduling] are switched on.
 	scheduling bool
 	// restarts is set if executors restart in series under their ids, calls take effect
@@ -87,7 +85,7 @@
 	config := fmt.Sprintf(`{"version":1,"routes":[{"name":"q","host":%q,"pathPrefix":%q,"service":"s","maxAttempts":4,"stretch":2},{"name":"bulk","host":%q,"pathPrefix":%q,"service":"s","maxAttempts":4,"stretch":2,"sloMs":300,"priority":1}],"services":[{"name":"s"}]}`, hostHeader, pathPrefix, hostHeader, bulkPrefix)
 	_, err := client.Append(context.Background(), "op", []*wire.KeyedRecord{{Key: "config", Value: []byte(config)}}, nil)
 	assert.NilError(t, err)
-	f.logServer = httptest.NewServer(f.progressOutage.handler(logHandler(client)))
+	f.logServer = httptest.NewServer(logHandler(client))
 	t.Cleanup(f.logServer.Close)
 	for i := range entryCount {
 		f.entries = append(f.entries, f.newProcess("job-entry", fmt.Sprintf("entry-%d", i), ""))
