soak: the log turns away the leader's appends to one topic

Seeds from 300 on: for 14 to 18 s the appends of the leader, and half of the time of a second entry, to progress or jobs fail or get no response, while executors and agents are lost. Only the beginning counts as a fault, so tasks that last have to run again meanwhile; in odd seeds, whose entries have no other fault, none of these entries may lead after 9 s. These seeds lose no leaders otherwise. Each process gets a server of the log of its own; the faults of earlier seeds stay the same.

Before/after: DAMASKSPREAD_SOAK_SEED=301 DAMASKSPREAD_SOAK_SECONDS=25 go test -count=1 -v -run 'TestSoak/301$' ./soak.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -57,6 +57,8 @@
 	// outages is set if all entries are killed at once in place of one leader after another,
 	// and executors accept leases of longLeaseMax.
 	outages bool
+	// turnsAway is set if the log turns away appends of the leader to one topic.
+	turnsAway bool
 	// executorLog records the calls and runs of the executors.
 	executorLog *log.Logger
 }
@@ -74,7 +76,8 @@
 		restarts:   seed != 0,
 		losses:     seed >= firstLossSeed,
 		onlyLosses: seed >= firstLossSeed && seed%2 != 0,
-		outages:    seed >= firstLossSeed && seed%4 < 2,
+		outages:    seed >= firstLossSeed && seed < firstTurnedAwaySeed && seed%4 < 2,
+		turnsAway:  seed >= firstTurnedAwaySeed,
 	}
 	if kept, isKept := regressions[seed]; isKept {
 		f.restarts = kept.restarts
--- a/soak/losses_test.go
+++ b/soak/losses_test.go
@@ -64,7 +64,9 @@
 	for _, host := range agents {
 		loss.agents = append(loss.agents, plannedFault{process: f.agents[host], kind: killed, lasting: randomTime(random, 200, 4000)})
 	}
-	loss.leaders = drawLeaderFaults(random)
+	if !f.turnsAway {
+		loss.leaders = drawLeaderFaults(random)
+	}
 	return loss
 }
 
--- a/soak/processes_test.go
+++ b/soak/processes_test.go
@@ -19,6 +19,7 @@
 	role, name       string
 	settingsFile     string
 	callersAddress   string
+	gate             topicGate
 	proxy            *proxy
 	executorsAddress string
 	// faulty is held during a fault of the process.
@@ -57,10 +58,10 @@
 
 func (f *fleet) newProcess(role, name, executor string) *process {
 	p := &process{
-		role:  role,
-		name:  name,
-		proxy: newProxy(f.t, f.logServer.Listener.Addr().String()),
+		role: role,
+		name: name,
 	}
+	p.proxy = newProxy(f.t, f.gatedLog(&p.gate))
 	settings := fmt.Sprintf("[process]\nid = %s\nzone = z\n[peers]\nlog = %s\n", name, p.proxy.address())
 	listen := "[listen]\n"
 	if role == "job-entry" {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -136,6 +136,9 @@
 	if f.losses {
 		callers.Go(func() { lasting = f.submitLasting(ctx, seed) })
 		callers.Go(func() { f.injectLosses(ctx, seed) })
+		if f.turnsAway {
+			callers.Go(func() { f.injectTurnedAway(ctx, seed) })
+		}
 	}
 	if f.onlyLosses {
 		<-ctx.Done()
