--- a/soak/turned_away_test.go
+++ b/soak/turned_away_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -89,7 +90,12 @@
 		entry.gate.fault.Store(fault)
 	}
 	f.checker.endFault()
-	pause(ctx, lasting)
+	pause(ctx, lastingBound)
+	if f.onlyLosses && ctx.Err() == nil && slices.Contains(turned, f.leader(ctx)) {
+		// The entries have no other faults.
+		f.t.Errorf("an entry that the log turns away still leads after %s", lastingBound)
+	}
+	pause(ctx, lasting-lastingBound)
 	for _, entry := range turned {
 		entry.gate.fault.Store(nil)
 	}
