--- a/coordinator/copy_play_test.go
+++ b/coordinator/copy_play_test.go
@@ -164,7 +164,8 @@
 	p.waitFor("state "+state.String(), func() bool { return p.f.jobState(p.f.leader(), jobID) == state })
 }
 
-// replaceLeader kills the leader, starts another entry and makes the agents open sessions with the next one.
+// replaceLeader kills the leader, starts another entry and makes the agents open sessions
+// with the next one.
 func (p *copyPlay) replaceLeader() {
 	p.f.killEntry(p.f.leader())
 	p.f.entries = append(p.f.entries, &entry{name: "entry-next"})
