TestConfigurationNeverReverts: records expire only after every entry has read the last one

Cause: the test let all records expire once the entries had applied the same offset while the log was paused. Record 57 had been appended just before the pause, and no entry had read it, so all three were at offset 56 alike. A record that expires before any process has read it is lost by design; the comment of expireRecords says so.

Ruled out: a fault of the follower. The output has all three entries at offset 56 and 57 as the only record lost by the running ones.

Change: the test compares the offset of each entry with the end of the log, which the emulator tells without a read (LogEnd). The check is stricter than the one it replaces.

The order of events was not forced in a run.

--- a/e2e/configuration_test.go
+++ b/e2e/configuration_test.go
@@ -188,7 +188,7 @@
 			Paused: true,
 		})
 		time.Sleep(100 * time.Millisecond)
-		if c.entriesAtSameOffset() {
+		if c.entriesAtLogEnd() {
 			c.setFault(emulator.Fault{
 				Target:          "log",
 				ExpireRetention: true,
@@ -202,20 +202,21 @@
 	})
 }
 
-func (c *cluster) entriesAtSameOffset() bool {
-	offsets := map[int64]bool{}
+// entriesAtLogEnd returns whether every entry has applied the last record of the
+// state stream. Equal offsets are not enough: no entry may have read the last one.
+func (c *cluster) entriesAtLogEnd() bool {
+	last := c.platform.LogEnd("state.west") - 1
 	for _, e := range c.entries {
 		entryClient := &client.Client{
 			Entries:  []string{hostPort(e.url)},
 			MaxTries: 1,
 		}
 		config, err := entryClient.Config(c.t.Context())
-		if err != nil {
+		if err != nil || config.Offset != last {
 			return false
 		}
-		offsets[config.Offset] = true
 	}
-	return len(offsets) == 1
+	return true
 }
 
 // restartFromSnapshots restarts all entries at once after all records expired,
--- a/emulator/log.go
+++ b/emulator/log.go
@@ -66,6 +66,14 @@
 	return s
 }
 
+// LogEnd returns the offset of the next entry appended to a stream. Unlike a read, it
+// is not subject to the faults of the log.
+func (p *Platform) LogEnd(name string) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.stream(name).nextOffset()
+}
+
 func (l *appendLog) dropAll() {
 	for _, s := range l.streams {
 		s.dropOldest(len(s.entries))
