Coordinator: a takeover forgets the weighed failures with the suspicions

A process that resigned and led again kept the failures of its earlier epoch, although it had forgotten the suspicions that they led to, so that the first further failure could count as several. Found by reading; no test shows it.

Also: the soak's log gate hangs as the other stand-ins do, and hosts without tasks no longer have their silence computed.

--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -78,6 +78,7 @@
 	c.assignments = &tracker.Assignments{}
 	c.closed = map[string]time.Duration{}
 	c.orphans = map[tracker.ExecutorKey]orphan{}
+	c.failures = assessor.Failures{}
 	c.suspicions = map[tracker.ExecutorKey]*suspicion{}
 	c.crashes = map[string]*assessor.Crashes{}
 	c.waiting = waitReports{}
--- a/scheduler/silence.go
+++ b/scheduler/silence.go
@@ -84,8 +84,11 @@
 func (p *Planner) recordSilences(out *plan) {
 	record := &wire.HostsSilent{}
 	for _, h := range p.hostList {
+		if len(h.tasks) == 0 {
+			continue
+		}
 		silence := p.silence(h, out.now)
-		if len(h.tasks) == 0 || silence < p.limits.TaskHold/4 || silence < h.recordedSilence+p.silenceStep(h) {
+		if silence < p.limits.TaskHold/4 || silence < h.recordedSilence+p.silenceStep(h) {
 			continue
 		}
 		h.recordedSilence = silence
--- a/soak/turned_away_test.go
+++ b/soak/turned_away_test.go
@@ -45,8 +45,7 @@
 	}
 	// The server notices that the client is gone once the body is read.
 	_, _ = io.Copy(io.Discard, r.Body)
-	<-r.Context().Done()
-	panic(http.ErrAbortHandler)
+	hang(r)
 }
 
 // gatedLog returns the address of the log for one process.
