Split executor/decide.go and router/router.go by duty

The records of ended attempts and the router's view of endpoints have files of their own; the receiver of decider is d.

--- a/executor/decide.go
+++ b/executor/decide.go
@@ -1,25 +1,12 @@
 package executor
 
 import (
-	"fmt"
-	"strings"
 	"time"
 
 	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/wire"
 )
 
-// workerFaultPrefix begins the detail of a failure that the worker caused.
-const workerFaultPrefix = "worker"
-
-// neverStarted is the detail of an attempt that was stopped before it started.
-const neverStarted = "never_started"
-
-// maxWorkerFaults is the number of failures after which a failure caused by a
-// worker is not retried: a task that failed on that many hosts can probably
-// never run.
-const maxWorkerFaults = 5
-
 // Situation is the input of Decide. The view must be read before the status: then
 // a task that the status shows without a claim in the view is never one whose
 // start is still pending.
@@ -95,42 +82,42 @@
 // Decide returns the orders that bring the worker's tasks in line with the
 // claims, and the records about attempts that have ended. It has no side effects.
 func Decide(s Situation) Plan {
-	p := &decider{
+	d := &decider{
 		Situation: s,
 		tasks:     map[attemptKey]*wire.WorkerTask{},
 		claimed:   map[attemptKey]bool{},
 	}
-	p.Waiting = map[int64]string{}
+	d.Waiting = map[int64]string{}
 	for _, task := range s.Status.GetTasks() {
-		p.tasks[attemptKey{task: task.GetTask(), token: task.GetToken()}] = task
+		d.tasks[attemptKey{task: task.GetTask(), token: task.GetToken()}] = task
 	}
 	if s.View.Joined() {
 		for _, claim := range s.View.Claims() {
-			p.decideClaim(claim)
+			d.decideClaim(claim)
 		}
 	}
 	for _, task := range s.Status.GetTasks() {
 		id := attemptKey{task: task.GetTask(), token: task.GetToken()}
-		if task.GetPhase() == wire.WorkerTaskPhase_WORKER_TASK_PHASE_RUNNING && !p.claimed[id] {
-			p.decideUnclaimed(task)
+		if task.GetPhase() == wire.WorkerTaskPhase_WORKER_TASK_PHASE_RUNNING && !d.claimed[id] {
+			d.decideUnclaimed(task)
 		}
 	}
-	return p.Plan
+	return d.Plan
 }
 
-func (p *decider) decideClaim(claim *wire.TaskState) {
+func (d *decider) decideClaim(claim *wire.TaskState) {
 	id := attemptKey{task: claim.GetSpec().GetTask(), token: damaskspread.Token(claim.GetToken())}
-	p.claimed[id] = true
-	task := p.tasks[id]
+	d.claimed[id] = true
+	task := d.tasks[id]
 	switch {
-	case claim.GetWorkerBoot() != p.Status.GetBoot():
-		p.recordLost(claim, p.Attempts[id.token])
+	case claim.GetWorkerBoot() != d.Status.GetBoot():
+		d.recordLost(claim, d.Attempts[id.token])
 	case task == nil:
-		p.decideStart(id, claim)
+		d.decideStart(id, claim)
 	case task.GetPhase() == wire.WorkerTaskPhase_WORKER_TASK_PHASE_RUNNING:
-		p.decideRunning(claim, task)
+		d.decideRunning(claim, task)
 	default:
-		p.recordEnd(claim, task)
+		d.recordEnd(claim, task)
 	}
 }
 
@@ -138,24 +125,24 @@
 // that must not start is first stopped at the worker, so that neither a start
 // order in transit nor a later process of this agent can start it after the
 // rejection.
-func (p *decider) decideStart(id attemptKey, claim *wire.TaskState) {
-	reason, final := p.startObstacle(claim)
-	if reason == "" && !p.Overdue[id.token] {
-		p.Starts = append(p.Starts, &wire.StartRequest{
-			Boot:         p.Status.GetBoot(),
+func (d *decider) decideStart(id attemptKey, claim *wire.TaskState) {
+	reason, final := d.startObstacle(claim)
+	if reason == "" && !d.Overdue[id.token] {
+		d.Starts = append(d.Starts, &wire.StartRequest{
+			Boot:         d.Status.GetBoot(),
 			Spec:         claim.GetSpec(),
 			Token:        id.token,
-			LeaseUntilUs: p.Lease.UntilUs,
-			NotAfterUs:   p.NotAfterUs,
+			LeaseUntilUs: d.Lease.UntilUs,
+			NotAfterUs:   d.NotAfterUs,
 			Checkpoint:   claim.GetCheckpoint(),
 		})
 		return
 	}
 	if reason != "" {
-		p.Waiting[id.token] = reason
+		d.Waiting[id.token] = reason
 	}
-	if final || p.Overdue[id.token] {
-		p.Stops = append(p.Stops, Stop{
+	if final || d.Overdue[id.token] {
+		d.Stops = append(d.Stops, Stop{
 			Task:  id.task,
 			Token: id.token,
 		})
@@ -164,37 +151,37 @@
 
 // startObstacle returns why a claim may not start now, or "". If final is true,
 // the claim can never start.
-func (p *decider) startObstacle(claim *wire.TaskState) (reason string, final bool) {
+func (d *decider) startObstacle(claim *wire.TaskState) (reason string, final bool) {
 	switch {
 	case claim.GetCancelRequested():
 		return "cancellation requested", true
 	case claim.GetEvictionRequested():
 		return "eviction requested", true
-	case p.SeenTokens[damaskspread.Token(claim.GetToken())]:
+	case d.SeenTokens[damaskspread.Token(claim.GetToken())]:
 		return "the worker lost the task", true
-	case p.Draining, p.View.Leaving():
+	case d.Draining, d.View.Leaving():
 		return string(damaskspread.ReasonLeaving), true
-	case !p.View.ZoneInService(p.Zone):
+	case !d.View.ZoneInService(d.Zone):
 		return string(damaskspread.ReasonZoneOut), true
-	case p.NotAfterUs <= p.Status.GetNowUs():
+	case d.NotAfterUs <= d.Status.GetNowUs():
 		return string(damaskspread.ReasonStaleConfiguration), false
-	case !p.leaseMatchesBoot() || p.remaining(p.Lease.UntilUs) < 2*p.Margin:
+	case !d.leaseMatchesBoot() || d.remaining(d.Lease.UntilUs) < 2*d.Margin:
 		return "lease not confirmed", false
 	default:
 		return "", false
 	}
 }
 
-func (p *decider) leaseMatchesBoot() bool { return p.Lease.Boot == p.Status.GetBoot() }
+func (d *decider) leaseMatchesBoot() bool { return d.Lease.Boot == d.Status.GetBoot() }
 
-func (p *decider) remaining(untilUs int64) time.Duration {
-	return time.Duration(untilUs-p.Status.GetNowUs()) * time.Microsecond
+func (d *decider) remaining(untilUs int64) time.Duration {
+	return time.Duration(untilUs-d.Status.GetNowUs()) * time.Microsecond
 }
 
-func (p *decider) decideRunning(claim *wire.TaskState, task *wire.WorkerTask) {
+func (d *decider) decideRunning(claim *wire.TaskState, task *wire.WorkerTask) {
 	until := task.GetLeaseUntilUs()
-	if p.leaseMatchesBoot() {
-		until = max(until, p.Lease.UntilUs)
+	if d.leaseMatchesBoot() {
+		until = max(until, d.Lease.UntilUs)
 	}
 	stop := Stop{
 		Task:       task.GetTask(),
@@ -204,35 +191,35 @@
 	switch {
 	case claim.GetCancelRequested():
 		stop.Checkpoint = false
-		p.Stops = append(p.Stops, stop)
+		d.Stops = append(d.Stops, stop)
 		return
-	case claim.GetEvictionRequested(), p.Draining, p.remaining(until) < p.Margin:
-		p.Stops = append(p.Stops, stop)
+	case claim.GetEvictionRequested(), d.Draining, d.remaining(until) < d.Margin:
+		d.Stops = append(d.Stops, stop)
 		return
 	}
 	if until > task.GetLeaseUntilUs() {
-		p.Renewals = append(p.Renewals, &wire.Renewal{
+		d.Renewals = append(d.Renewals, &wire.Renewal{
 			Task:         task.GetTask(),
 			Token:        task.GetToken(),
 			LeaseUntilUs: until,
 		})
 	}
-	p.decideThrottle(claim, task)
+	d.decideThrottle(claim, task)
 }
 
 // fullShare lets a task use all of its processors, in thousandths.
 const fullShare = 1000
 
-func (p *decider) decideThrottle(claim *wire.TaskState, task *wire.WorkerTask) {
+func (d *decider) decideThrottle(claim *wire.TaskState, task *wire.WorkerTask) {
 	if claim.GetSpec().GetClass() != wire.TaskClass_TASK_CLASS_BATCH {
 		return
 	}
-	share, inForce := p.Share, p.Throttled[task.GetToken()]
+	share, inForce := d.Share, d.Throttled[task.GetToken()]
 	if share == 0 && inForce != 0 {
 		share = fullShare
 	}
 	if share != 0 && share != inForce {
-		p.Throttles = append(p.Throttles, Throttle{
+		d.Throttles = append(d.Throttles, Throttle{
 			Task:  task.GetTask(),
 			Token: task.GetToken(),
 			Share: share,
@@ -243,95 +230,14 @@
 // decideUnclaimed handles a running task without a claim in the view. The claim
 // no longer exists if the view includes its position. An older view may lack a
 // claim that still holds, so the task runs until its lease is about to end.
-func (p *decider) decideUnclaimed(task *wire.WorkerTask) {
-	claimGone := p.View.Joined() && task.GetToken() < damaskspread.Token(&wire.Position{Offset: p.View.Offset() + 1})
-	leaseEnding := p.remaining(task.GetLeaseUntilUs()) < p.Margin
+func (d *decider) decideUnclaimed(task *wire.WorkerTask) {
+	claimGone := d.View.Joined() && task.GetToken() < damaskspread.Token(&wire.Position{Offset: d.View.Offset() + 1})
+	leaseEnding := d.remaining(task.GetLeaseUntilUs()) < d.Margin
 	if claimGone || leaseEnding {
-		p.Stops = append(p.Stops, Stop{
+		d.Stops = append(d.Stops, Stop{
 			Task:       task.GetTask(),
 			Token:      task.GetToken(),
 			Checkpoint: !claimGone,
 		})
 	}
 }
-
-// recordLost adds the record of an attempt of an earlier boot: its end if the worker
-// has shown one, else an eviction with its latest checkpoint. task may be nil.
-func (p *decider) recordLost(claim *wire.TaskState, task *wire.WorkerTask) {
-	if hasEnded(task) {
-		p.recordEnd(claim, task)
-		return
-	}
-	p.recordEvicted(claim, task.GetCheckpoint(), "the worker restarted")
-}
-
-// recordEnd adds the record of an attempt that ended at the worker for any cause.
-func (p *decider) recordEnd(claim *wire.TaskState, task *wire.WorkerTask) {
-	stopped := task.GetPhase() == wire.WorkerTaskPhase_WORKER_TASK_PHASE_STOPPED
-	switch {
-	case task.GetPhase() == wire.WorkerTaskPhase_WORKER_TASK_PHASE_SUCCEEDED:
-		p.recordFinished(claim, wire.TaskResult_TASK_RESULT_SUCCEEDED, task.GetDetail())
-	case task.GetPhase() == wire.WorkerTaskPhase_WORKER_TASK_PHASE_FAILED:
-		p.recordFinished(claim, wire.TaskResult_TASK_RESULT_FAILED, task.GetDetail())
-	case claim.GetCancelRequested():
-		p.recordFinished(claim, wire.TaskResult_TASK_RESULT_CANCELED, "canceled")
-	case stopped && task.GetDetail() == neverStarted:
-		p.recordRejected(claim, p.Reasons[task.GetToken()])
-	case stopped:
-		p.recordEvicted(claim, task.GetCheckpoint(), "stopped")
-	default:
-		p.recordEvicted(claim, task.GetCheckpoint(), "the lease ended")
-	}
-}
-
-func (p *decider) recordFinished(claim *wire.TaskState, result wire.TaskResult, detail string) {
-	p.addRecord("finished", claim, &wire.Record{
-		Body: &wire.Record_TaskFinished{
-			TaskFinished: &wire.TaskFinished{
-				Task:    claim.GetSpec().GetTask(),
-				Attempt: claim.GetAttempt(),
-				Host:    claim.GetHost(),
-				Result:  result,
-				Detail:  detail,
-				Retry: result == wire.TaskResult_TASK_RESULT_FAILED &&
-					strings.HasPrefix(detail, workerFaultPrefix) && claim.GetFailures() < maxWorkerFaults,
-			},
-		},
-	})
-}
-
-func (p *decider) recordEvicted(claim *wire.TaskState, checkpoint, reason string) {
-	p.addRecord("evicted", claim, &wire.Record{
-		Body: &wire.Record_TaskEvicted{
-			TaskEvicted: &wire.TaskEvicted{
-				Task:       claim.GetSpec().GetTask(),
-				Attempt:    claim.GetAttempt(),
-				Host:       claim.GetHost(),
-				Checkpoint: checkpoint,
-				Reason:     reason,
-			},
-		},
-	})
-}
-
-func (p *decider) recordRejected(claim *wire.TaskState, reason string) {
-	if reason == "" {
-		reason = "stopped before the start"
-	}
-	p.addRecord("rejected", claim, &wire.Record{
-		Body: &wire.Record_ClaimRejected{
-			ClaimRejected: &wire.ClaimRejected{
-				Task:    claim.GetSpec().GetTask(),
-				Attempt: claim.GetAttempt(),
-				Host:    claim.GetHost(),
-				Reason:  reason,
-			},
-		},
-	})
-}
-
-// addRecord adds a record with an id that stays the same when it is written again.
-func (p *decider) addRecord(kind string, claim *wire.TaskState, record *wire.Record) {
-	record.Id = fmt.Sprintf("%s/%s/%d/%d", kind, claim.GetSpec().GetTask(), claim.GetAttempt(), damaskspread.Token(claim.GetToken()))
-	p.Records = append(p.Records, record)
-}
--- a/router/router.go
+++ b/router/router.go
@@ -65,29 +65,6 @@
 
 var _ damaskspread.EndpointPicker = (*Router)(nil)
 
-// view is an immutable set of the endpoints of all services.
-type view struct {
-	services map[string]*pool
-	hosts    map[string]*endpoint
-}
-
-// pool holds the endpoints of a service. The first localCount are in the router's
-// zone.
-type pool struct {
-	all        []*endpoint
-	localCount int
-	stats      *serviceStats
-}
-
-// serviceStats holds the counters of a service that are kept when its endpoints
-// change.
-type serviceStats struct {
-	size    atomic.Int32
-	ejected atomic.Int32
-	// Mean latency in microseconds.
-	latency average
-}
-
 func (r *Router) start() {
 	r.once.Do(func() {
 		r.startedAt = r.Clock.Now()
@@ -163,24 +140,6 @@
 	return 1
 }
 
-// withPool returns a copy in which the pool of a service is replaced.
-func (v *view) withPool(service string, changed *pool) *view {
-	next := &view{
-		services: make(map[string]*pool, len(v.services)+1),
-		hosts:    make(map[string]*endpoint, len(v.hosts)),
-	}
-	for name, p := range v.services {
-		next.services[name] = p
-	}
-	next.services[service] = changed
-	for _, p := range next.services {
-		for _, e := range p.all {
-			next.hosts[e.spec.Host] = e
-		}
-	}
-	return next
-}
-
 // Pick implements damaskspread.EndpointPicker.
 func (r *Router) Pick(service, avoid string) (damaskspread.Pick, bool) {
 	r.start()
@@ -220,16 +179,6 @@
 	return e.beginRequest(), true
 }
 
-// other returns an endpoint that is not on the host avoid, if there is one.
-func (p *pool) other(avoid string) *endpoint {
-	for _, e := range p.all {
-		if e.spec.Host != avoid {
-			return e
-		}
-	}
-	return p.all[0]
-}
-
 // lessLoaded draws random endpoints until two may be picked and returns the
 // less loaded one with its load. It returns nil if none may be picked.
 func (r *Router) lessLoaded(candidates []*endpoint, avoid string, now int64) (*endpoint, float64) {
