--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -158,9 +158,11 @@
 	awaiting.Wait()
 	stopWatching()
 	watching.Wait()
-	for _, violation := range f.checker.report() {
+	violations := f.checker.report()
+	for _, violation := range violations {
 		t.Errorf("seed %d: %s", seed, violation)
 	}
+	f.logViolations(violations)
 	t.Logf("seed %d: %s, logs in %s", seed, f.checker.summary(), f.logDir)
 }
 
