Elector: a leader is replaced also while reads of the log take long

While each read of the leader topic takes 0.6 s longer, a leader that is gone is not replaced by anybody, so no task runs again until the log is fast again.

Cause: a candidate restarted the time since the leader's last record whenever its view of the topic was older than 1.5 s. A view ages by up to two reads, each of 0.4 s (the wait for a record) and the time of a call, so that from 0.35 s a call the time began again with each read and never reached 0.9 s.

Change: the time begins again only after a gap of more than 1.5 s between the starts of two reads that reached the end, that is after an outage. On a view older than 1.5 s nothing is claimed, as before; a claim is conditional on the end of the topic, so a view that is behind claims nothing from a leader that renews.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -47,7 +47,10 @@
 	vacantDelayDivisor = 6
 	// maxTopicAge is the age of the replayed topic above which a candidate doesn't
 	// claim: perhaps the leader still renews and only the log can't be read.
-	maxTopicAge   = 1500 * time.Millisecond
+	maxTopicAge = 1500 * time.Millisecond
+	// maxReadGap is the time between the starts of two successful reads above which
+	// the log could not be read in between.
+	maxReadGap    = 1500 * time.Millisecond
 	tickInterval  = 25 * time.Millisecond
 	appendTimeout = 900 * time.Millisecond
 	// ConfirmationTimeout is how long a successful renewal confirms the leadership.
@@ -84,6 +87,7 @@
 	leader      *wire.Leadership
 	topicEnd    int64         // offset after the last known record of the topic
 	lastHeardAt time.Duration // last sign of the leader
+	readAsOf    time.Duration // start of the last read that reached the end of the topic
 	epoch       int64         // 0 unless this process leads
 	confirmedAt time.Duration // start of the last successful claim or renewal
 	nextRenewal time.Duration
@@ -211,6 +215,7 @@
 func (e *Elector) claimOrRenew(ctx context.Context) {
 	now := e.Elapsed.Elapsed()
 	e.mu.Lock()
+	e.observeReads(now)
 	leads := e.epoch != 0
 	renew := leads && now >= e.nextRenewal
 	claim := !leads && !e.resigned && e.claimDue(now)
@@ -227,13 +232,26 @@
 	}
 }
 
+// observeReads restarts the time without a record of the leader after the log could not be
+// read: the leader could not renew either, and may do so next. Reads that succeed and only
+// take long don't restart it. The caller holds the mutex.
+func (e *Elector) observeReads(now time.Duration) {
+	age := e.Tail.Age()
+	if age == damaskspread.MaxAge {
+		e.lastHeardAt = now
+		return
+	}
+	readAsOf := now - age
+	if readAsOf-e.readAsOf > maxReadGap {
+		e.lastHeardAt = now
+	}
+	e.readAsOf = readAsOf
+}
+
 // claimDue reports whether the leader has resigned, is stalled, or sent no record for so
-// long that this process claims the leadership. While the replayed topic is too old, it
-// restarts that time. The caller holds the mutex.
+// long that this process claims the leadership. The caller holds the mutex.
 func (e *Elector) claimDue(now time.Duration) bool {
 	if e.Tail.Age() > maxTopicAge {
-		// Time in which the process could not read the log doesn't count.
-		e.lastHeardAt = now
 		return false
 	}
 	// A leader with this process's name is an earlier incarnation, which has
