Tests of package coordinator run side by side

Cause: none of the tests was marked parallel. Each has a fleet of its own in its process (log, entries, agents, executors), so they share no state.

Ruled out: a semaphore in the test's world.

Change: t.Parallel in 121 tests. TestHeldTaskIsTraced, TestStalledAppendIsLogged and TestReleasesAreTraced stay sequential: they replace the logger of the process, and would read lines of other fleets. No bound was changed and no test left out.

--- a/coordinator/absence_test.go
+++ b/coordinator/absence_test.go
@@ -35,6 +35,7 @@
 // granted, although the agent of the host knows that the lease ends sooner. It must not
 // start before that either.
 func TestLeaseThatOnlyTheAgentKnows(t *testing.T) {
+	t.Parallel()
 	o := newOrderedBefore(t, oneTask())
 	ordered := o.second()
 	const left = 1500 * time.Millisecond
@@ -49,6 +50,7 @@
 // Guards against a late report that ends the lease of an executor which has opened a
 // session meanwhile, and against one of an earlier epoch.
 func TestLateReportOfASilentExecutor(t *testing.T) {
+	t.Parallel()
 	o := newOrderedBefore(t, oneTask())
 	ordered := o.second()
 	old := o.silent(0)
@@ -65,6 +67,7 @@
 // would wait for the lease. Its agent repeats the report, with the ends that no leader has
 // stored, and a task that is done there must not run again.
 func TestDepartureIsReportedToEachLeader(t *testing.T) {
+	t.Parallel()
 	for name, cause := range map[string]wire.EndCause{
 		"stopped": wire.EndCause_END_CAUSE_STOPPED,
 		"done":    wire.EndCause_END_CAUSE_DONE,
@@ -88,6 +91,7 @@
 
 // Guards against an agent that forgets a departure before it is stored.
 func TestDepartureIsNotAcknowledgedBeforeItIsStored(t *testing.T) {
+	t.Parallel()
 	o := newOrderedBefore(t, oneTask())
 	o.second()
 	leader := o.f.leader()
--- a/coordinator/adoption_test.go
+++ b/coordinator/adoption_test.go
@@ -26,6 +26,7 @@
 // start that took effect in the new incarnation is in progress there, so the leader
 // must not start the next run beside it.
 func TestRunOfARestartedExecutorIsAdopted(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 0, fixedRunTime(time.Minute))
 	leader := f.leader()
 	agent := newManualAgent(t, leader, "host-0")
--- a/coordinator/capacity_test.go
+++ b/coordinator/capacity_test.go
@@ -28,6 +28,7 @@
 // against room that is not used again once it has grown, and against jobs that are
 // lost meanwhile.
 func TestCapacityShrinksAndGrows(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 3, 3, fixedRunTime(300*time.Millisecond))
 	for _, h := range f.hosts {
 		h.executor.StopTime = 200 * time.Millisecond
@@ -71,6 +72,7 @@
 // Guards against a new leader that repeats the starts of the leader before, which
 // the agent never received, on an executor that has shrunk since.
 func TestShrunkWhileAgentIsAway(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 2, 1, fixedRunTime(2*time.Second))
 	host, leader := f.hosts[0], f.leader()
 	f.submit(leader, &wire.Job{Id: jobID, Steps: steps(1)})
@@ -93,6 +95,7 @@
 // Guards against starts by the capacity of the incarnation before, when an executor
 // restarts under its id with less and has not announced itself yet.
 func TestExecutorRestartsSmaller(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 0, fixedRunTime(200*time.Millisecond))
 	f.announceInterval = 1500 * time.Millisecond
 	host := f.newHost("host-0")
@@ -156,6 +159,7 @@
 // Guards against a larger, older capacity that replaces a newer one because a
 // request was overtaken on its way.
 func TestOvertakenAnnouncement(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 0, nil)
 	leader := f.leader()
 	a := newFakeAgent(t, leader, defaultMillicores)
@@ -168,6 +172,7 @@
 // Guards against a task that the leader assigns again and again to a host whose
 // agent counts more runs than the leader knows.
 func TestNoRoomBackoff(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 0, nil)
 	leader := f.leader()
 	a := newFakeAgent(t, leader, defaultMillicores)
--- a/coordinator/chance_crash_test.go
+++ b/coordinator/chance_crash_test.go
@@ -20,6 +20,7 @@
 // Guards against a healthy job that is given up because all executors crash together,
 // each time shortly after its task has started.
 func TestCommonCrashesAreByChance(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 5, taskTime(300*time.Millisecond))
 	f.bootCrashed()
 	f.submit(f.leader(), &wire.Job{Id: jobID, Steps: steps(1)})
@@ -33,6 +34,7 @@
 // Guards against a healthy job that is given up at its third crash because the leader
 // that has seen the other executors crash was replaced before.
 func TestCommonCrashesUnderChangingLeaders(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 3, 5, taskTime(300*time.Millisecond))
 	f.bootCrashed()
 	f.submit(f.leader(), &wire.Job{Id: jobID, Steps: steps(1)})
@@ -46,6 +48,7 @@
 
 // Guards against crashes that stay held against a task that has run for a long time.
 func TestLongRunAfterCrashesClears(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 2, taskTime(time.Minute))
 	f.bootCrashed()
 	f.submit(f.leader(), &wire.Job{Id: jobID, Steps: steps(1)})
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -20,6 +20,7 @@
 // Guards against steps that start before the steps they depend on have ended, and
 // against tasks that run more than once although nothing fails.
 func TestStepsRunInOrder(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 2, 3, fixedRunTime(30*time.Millisecond))
 	f.submit(f.entries[0], &wire.Job{Id: jobID, Steps: steps(6, 4)})
 	f.waitSucceeded(f.entries[1], jobID)
@@ -40,6 +41,7 @@
 // Guards against a job that is lost, or a task that runs twice, when the leader
 // dies while the job runs.
 func TestLeaderDies(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 3, 3, fixedRunTime(400*time.Millisecond))
 	leader := f.leader()
 	f.submit(leader, &wire.Job{Id: jobID, Steps: steps(8, 8)})
@@ -53,6 +55,7 @@
 // Guards against a successor that waits for the takeover timeout although the
 // leader has resigned.
 func TestLeaderResigns(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 3, 1, fixedRunTime(10*time.Millisecond))
 	leader := f.leader()
 	started := time.Now()
@@ -65,6 +68,7 @@
 // Guards against a fleet without a leader when the leader can't reach the log,
 // and against tasks that the old and the new leader both start.
 func TestLeaderLosesTheLog(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 3, 3, fixedRunTime(200*time.Millisecond))
 	leader := f.leader()
 	leader.client.SetDown(true)
@@ -91,6 +95,7 @@
 // Guards against accepted jobs that are lost when every process loses power, and
 // against a leader that waits for tasks of executors that were replaced.
 func TestPowerLoss(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 2, 2, fixedRunTime(300*time.Millisecond))
 	f.submit(f.entries[0], &wire.Job{Id: jobID, Steps: steps(4, 4)})
 	f.waitFor("start", func() bool { return f.countEvents(wire.EndCause_END_CAUSE_UNSPECIFIED) >= 2 })
@@ -117,6 +122,7 @@
 // Guards against a restarted agent that starts again the tasks that its executor
 // already runs.
 func TestAgentRestarts(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 1, fixedRunTime(800*time.Millisecond))
 	f.submit(f.entries[0], &wire.Job{Id: jobID, Steps: steps(4)})
 	f.waitFor("start", func() bool { return f.hosts[0].executor.Running() == 4 })
@@ -129,6 +135,7 @@
 // Guards against tasks that stay assigned to an executor incarnation that has
 // ended.
 func TestExecutorReplaced(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 2, fixedRunTime(500*time.Millisecond))
 	f.submit(f.entries[0], &wire.Job{Id: jobID, Steps: steps(8)})
 	f.boot(f.busyHost())
@@ -139,6 +146,7 @@
 // Guards against a task that runs twice when its executor stops responding before
 // its lease has expired.
 func TestSilentExecutor(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 2, fixedRunTime(600*time.Millisecond))
 	f.submit(f.entries[0], &wire.Job{Id: jobID, Steps: steps(8)})
 	f.busyHost().executor.SetUnresponsive(true)
@@ -149,6 +157,7 @@
 // Guards against a start that took effect without a response and is then given up
 // or repeated on another executor.
 func TestStartsWithoutAnswer(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 2, fixedRunTime(200*time.Millisecond))
 	for _, h := range f.hosts {
 		h.executor.SetLosingStartResponses(true)
@@ -162,6 +171,7 @@
 // Guards against a job, submitted at two entries, that runs twice or not at all
 // when the responses of the log are lost.
 func TestLostAppendAnswers(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 2, 2, fixedRunTime(50*time.Millisecond))
 	leader := f.leader()
 	for _, e := range f.entries {
@@ -177,6 +187,7 @@
 
 // Guards against tasks that keep running or start after their job was canceled.
 func TestCancel(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 2, 2, fixedRunTime(-1))
 	job := &wire.Job{Id: jobID, Steps: steps(4)}
 	job.Steps[0].LongRunning = true
@@ -196,6 +207,7 @@
 // Guards against one executor on which all tasks fail and that uses up the
 // attempts of jobs.
 func TestFailingExecutor(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 3, fixedRunTime(100*time.Millisecond))
 	f.hosts[0].executor.SetFailingTasks(true)
 	for _, id := range []string{"00000000000000b1", "00000000000000b2", "00000000000000b3"} {
@@ -210,6 +222,7 @@
 // Guards against an agent that gets no orders after it was disconnected from the
 // leader for longer than its lease.
 func TestAgentCutOff(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 1, fixedRunTime(50*time.Millisecond))
 	f.submit(f.entries[0], &wire.Job{Id: jobID, Steps: steps(6)})
 	f.waitSucceeded(f.entries[0], jobID)
@@ -226,6 +239,7 @@
 // Guards against starts on executors without a ticket, and against one advice
 // request per task instead of per step.
 func TestAdvice(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 3, fixedRunTime(50*time.Millisecond))
 	f.advisor.host = "host-1"
 	queue := &wire.Queue{Name: "advised", Service: service, MaxAttempts: 3, Advice: &wire.AdvicePolicy{}}
@@ -242,6 +256,7 @@
 // Guards against tickets that a leader keeps for each step that it ever had: they take its
 // memory in weeks.
 func TestTicketsOfDoneStepsAreDropped(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 1, fixedRunTime(5*time.Millisecond))
 	f.advisor.host = "host-0"
 	queue := &wire.Queue{Name: "advised", Service: service, MaxAttempts: 3, Advice: &wire.AdvicePolicy{}}
@@ -258,6 +273,7 @@
 // Guards against a restarted leader that waits for its own earlier leadership to
 // time out. After a power loss that delays the whole fleet.
 func TestLeaderRestarts(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 1, fixedRunTime(10*time.Millisecond))
 	leader := f.leader()
 	f.killEntry(leader)
@@ -270,6 +286,7 @@
 // Guards against progress that is never stored because one append is larger than
 // the log takes: the leader would repeat it for good and start nothing more.
 func TestAppendsFitTheLog(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 0, 0, fixedRunTime(20*time.Millisecond))
 	f.log.MaxCallBytes = 2000
 	f.maxAppendBytes = f.log.MaxCallBytes
@@ -290,6 +307,7 @@
 // from taking over: jobs that can't be scheduled, and progress that can't be
 // decoded.
 func TestMalformedRecords(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 1, fixedRunTime(20*time.Millisecond))
 	leader := f.leader()
 	for _, job := range []*wire.Job{
--- a/coordinator/copies_faults_test.go
+++ b/coordinator/copies_faults_test.go
@@ -131,6 +131,7 @@
 // Guards against copies that agents and executors don't carry out, that save no time, or
 // whose stragglers go on.
 func TestCopyEndsAJobEarlier(t *testing.T) {
+	t.Parallel()
 	f := newStragglerFleet(t, 1, 2)
 	started := time.Now()
 	f.submitCopied()
@@ -144,6 +145,7 @@
 // Guards against a third run, two runs on one executor, a start after an end or a run that
 // goes on, when something fails beside a copy.
 func TestFaultsBesideACopy(t *testing.T) {
+	t.Parallel()
 	faults := map[string]func(f *testFleet, copied, copying *host){
 		"leader killed": func(f *testFleet, _, _ *host) { f.killEntry(f.leader()) },
 		"agent of the copied run killed": func(f *testFleet, copied, _ *host) {
@@ -191,6 +193,7 @@
 // Guards against copies that break a rule, or keep a job from its end, while leaders, agents
 // and executors fail in series.
 func TestCopiesUnderFaultsInSeries(t *testing.T) {
+	t.Parallel()
 	const seed, tasks, faults = 5, 24, 8
 	random := rand.New(rand.NewPCG(seed, 1))
 	f := newStragglerFleet(t, 3, 4)
@@ -229,6 +232,7 @@
 // Guards against a start of the copy that is carried out after the copied run is done and
 // the job over.
 func TestLateStartOfACopy(t *testing.T) {
+	t.Parallel()
 	f := newStragglerFleet(t, 1, 2)
 	for _, h := range f.hosts {
 		h.executor.SetHeldStarts(func(order *wire.StartOrder) bool { return order.GetRun() == 2 })
--- a/coordinator/copies_test.go
+++ b/coordinator/copies_test.go
@@ -14,6 +14,7 @@
 // Guards against copies where nobody has asked for them: the switch is off, or the step
 // doesn't allow them.
 func TestNoCopyUnlessAllowed(t *testing.T) {
+	t.Parallel()
 	t.Run("switched off", func(t *testing.T) {
 		p := newStraggler(newTestFleet(t, 1, 0, fixedRunTime(-1)), speculativeStep())
 		p.assertNoCopy()
@@ -49,6 +50,7 @@
 // Guards against a task that isn't done by the first end of its runs, or whose other run
 // goes on.
 func TestFirstEndCounts(t *testing.T) {
+	t.Parallel()
 	t.Run("copy", func(t *testing.T) {
 		p := newCopyPlay(t)
 		p.assertUndisturbed()
@@ -82,6 +84,7 @@
 // Guards against a new leader that stops one of the two runs, or starts a third one,
 // because it doesn't know that one is a copy of the other.
 func TestLeaderReplacedBesideACopy(t *testing.T) {
+	t.Parallel()
 	t.Run("copy is first", func(t *testing.T) {
 		p := newCopyPlay(t)
 		p.replaceLeader()
@@ -118,6 +121,7 @@
 
 // Guards against a run that goes on because its agent has lost the stop with its session.
 func TestLostStopOfACopiedRun(t *testing.T) {
+	t.Parallel()
 	p := newCopyPlay(t)
 	p.second.end(2, wire.EndCause_END_CAUSE_DONE)
 	p.waitFor("stop of run 1", func() bool { return p.first.stops(1) })
@@ -129,6 +133,7 @@
 // Guards against a third run beside the copied one, or none once both have ended, when the
 // executor of one of both restarts.
 func TestExecutorRestartsBesideACopy(t *testing.T) {
+	t.Parallel()
 	t.Run("of the copy", func(t *testing.T) {
 		p := newCopyPlay(t)
 		p.second.info, p.second.running = executorInfo("executor-1", 2), nil
@@ -175,6 +180,7 @@
 // Guards against a third run, or a copy that is stopped, when the lease of one of the two
 // executors lapses.
 func TestLeaseLapsesBesideACopy(t *testing.T) {
+	t.Parallel()
 	t.Run("of the copied run", func(t *testing.T) {
 		p := newCopyPlay(t)
 		p.reportOnly(p.second)
@@ -214,6 +220,7 @@
 // Guards against failures of a run and its copy that fail the job before its attempts are
 // used up, or that aren't counted, so that a task starts too often.
 func TestFailuresOfACopyAreAttempts(t *testing.T) {
+	t.Parallel()
 	for _, copyFirst := range []bool{true, false} {
 		p := newCopyPlay(t)
 		failures := []func(){
@@ -240,6 +247,7 @@
 // Guards against a refused copy that keeps the copied run from completing its task, or
 // that is ordered again.
 func TestRefusedCopy(t *testing.T) {
+	t.Parallel()
 	p := newStraggler(newCopyFleet(t, 1), speculativeStep())
 	p.waitFor("copy", func() bool { return p.second.starts(2) })
 	p.second.refusals = []*wire.StartRefusal{{
@@ -254,6 +262,7 @@
 
 // Guards against a canceled job of which one of the two runs goes on.
 func TestCanceledBesideACopy(t *testing.T) {
+	t.Parallel()
 	p := newCopyPlay(t)
 	assert.NilError(t, p.f.leader().submitter.Cancel(t.Context(), nil, jobID))
 	p.waitFor("stops", func() bool { return p.first.stops(1) && p.second.stops(2) })
@@ -262,6 +271,7 @@
 // Guards against a copied run whose room is given away, and against a copy that keeps a
 // first run waiting.
 func TestRoomBesideACopy(t *testing.T) {
+	t.Parallel()
 	const otherJob = "00000000000000b2"
 	p := newCopyPlay(t)
 	large := steps(2)
--- a/coordinator/crash_test.go
+++ b/coordinator/crash_test.go
@@ -95,6 +95,7 @@
 // Guards against a task that crashes each executor that starts it and is started
 // without end.
 func TestTaskCrashesExecutors(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 2, 3, fixedRunTime(200*time.Millisecond))
 	f.crashExecutors()
 	f.submitHealthy(f.leader(), 4)
@@ -105,6 +106,7 @@
 // Guards against a long-running task that crashes executors and, since it has no
 // limit of attempts, is started without end.
 func TestLongRunningTaskCrashesExecutors(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 2, fixedRunTime(200*time.Millisecond))
 	f.crashExecutors()
 	job := &wire.Job{Id: jobID, Steps: steps(1)}
@@ -116,6 +118,7 @@
 
 // Guards against a count of crashes that is lost with the leader.
 func TestLeaderDiesBetweenCrashes(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 3, 3, fixedRunTime(200*time.Millisecond))
 	f.crashExecutors()
 	leader := f.leader()
@@ -134,6 +137,7 @@
 // Guards against a crash that is not counted because the agent ends shortly after
 // it.
 func TestAgentDiesAfterCrash(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 2, fixedRunTime(200*time.Millisecond))
 	f.crashExecutors()
 	f.submit(f.leader(), &wire.Job{Id: jobID, Steps: steps(1)})
@@ -153,6 +157,7 @@
 // Guards against a crash that is not counted because the response to the start is
 // lost.
 func TestCrashAfterLostStartResponse(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 3, fixedRunTime(200*time.Millisecond))
 	f.crashExecutors()
 	for _, h := range f.hosts {
@@ -166,6 +171,7 @@
 // Guards against healthy jobs that are given up because all hosts lose power several
 // times, each time shortly after a start.
 func TestPowerLossesAreNoCrashes(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 2, 2, fixedRunTime(300*time.Millisecond))
 	f.submit(f.entries[0], &wire.Job{Id: jobID, Steps: steps(1)})
 	f.submitHealthy(f.entries[0], 2)
@@ -186,6 +192,7 @@
 // Guards against healthy jobs that are given up because executors stop responding
 // until their lease has expired, and return.
 func TestCutExecutorsAreNoCrashes(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 2, fixedRunTime(300*time.Millisecond))
 	f.submit(f.entries[0], &wire.Job{Id: jobID, Steps: steps(1)})
 	f.submitHealthy(f.entries[0], 2)
@@ -209,6 +216,7 @@
 // Guards against a long task that is given up because executors crashed by chance
 // while it ran.
 func TestChanceCrashesUnderLongTasks(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 2, func(task string) time.Duration {
 		if strings.HasPrefix(task, jobID) {
 			return 1500 * time.Millisecond
--- a/coordinator/failing_job_test.go
+++ b/coordinator/failing_job_test.go
@@ -14,6 +14,7 @@
 // Guards against a long-running task that waits on a free fleet, because the probes of a
 // job whose tasks all fail keep each host suspect.
 func TestLongRunningTaskBesideAFailingJob(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 3, func(task string) time.Duration {
 		if strings.HasPrefix(task, servingJob) {
 			return -1
@@ -38,6 +39,7 @@
 // Guards against a healthy job that waits until a job whose tasks all fail is over,
 // because each executor of the service is suspect.
 func TestHealthyJobBesideAFailingJob(t *testing.T) {
+	t.Parallel()
 	const otherJob = "00000000000000b2"
 	f := newTestFleet(t, 1, 3, fixedRunTime(30*time.Millisecond))
 	for _, h := range f.hosts {
@@ -55,6 +57,7 @@
 // Guards against a broken executor that is not found beside a job whose tasks fail
 // everywhere: healthy jobs lose their attempts on it.
 func TestBrokenExecutorBesideAFailingJob(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 3, fixedRunTime(30*time.Millisecond))
 	for _, h := range f.hosts[1:] {
 		h.executor.SetFailing(func(task string) bool { return strings.HasPrefix(task, jobID) })
--- a/coordinator/false_crash_test.go
+++ b/coordinator/false_crash_test.go
@@ -38,6 +38,7 @@
 // Guards against a healthy job that is given up because the connections of a living
 // executor were reset and it then did not respond until its lease had expired.
 func TestResetBeforeLeaseExpiryIsNoCrash(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 2, taskTime(10*time.Second))
 	f.submit(f.leader(), &wire.Job{Id: jobID, Steps: steps(1)})
 	for round := 1; round <= 3; round++ {
@@ -59,6 +60,7 @@
 // starts: connections were reset at each start, and the agent ended before it could
 // withdraw its report.
 func TestExposureEndsWithRestartOfAgent(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 1, taskTime(10*time.Second))
 	f.bootCrashed()
 	f.submit(f.leader(), &wire.Job{Id: jobID, Steps: steps(1)})
--- a/coordinator/holds_test.go
+++ b/coordinator/holds_test.go
@@ -26,6 +26,7 @@
 
 // Guards against a job with undecodable progress that waits anew with each leader.
 func TestUndecodableJobRunsAgainWhileLeadersAreLostInSeries(t *testing.T) {
+	t.Parallel()
 	for name, all := range map[string]bool{
 		"leaders lost in series":        false,
 		"all entries restart in series": true,
@@ -45,6 +46,7 @@
 // Guards against a hold that is forgotten once a change of the job is stored: a later leader
 // would start tasks whose runs it doesn't know.
 func TestUndecodableJobIsHeldByTheNextLeader(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 3, 3, fixedRunTime(-1))
 	job := &wire.Job{Id: jobID, Steps: steps(2)}
 	job.Steps[0].Resources.Millicores = defaultMillicores
--- a/coordinator/late_list_test.go
+++ b/coordinator/late_list_test.go
@@ -11,6 +11,7 @@
 // Guards against two runs of one task: a request whose list was read before an older
 // run of the task showed up arrives after the one that shows it.
 func TestNextRunWaitsAlthoughALateListLacksTheOlderRun(t *testing.T) {
+	t.Parallel()
 	o := newOlderRun(t)
 	late := o.agent.request(o.session, o.info)
 	late.HasRunning = true
@@ -25,6 +26,7 @@
 // Guards against two runs of one task: a new leader orders the next run before the
 // agent on whose executor an older one is being stopped has opened a session.
 func TestNextRunWaitsForAnOlderRunAfterATakeover(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 2, 0, fixedRunTime(-1))
 	o := newOlderRunIn(t, f)
 	o.listInOpening()
--- a/coordinator/late_opening_after_departure_test.go
+++ b/coordinator/late_opening_after_departure_test.go
@@ -13,6 +13,7 @@
 // arrives after its successor's session was opened. The leader must not release the
 // successor's runs, which are in progress, nor refuse the successor's next session.
 func TestLateOpeningOfDepartedExecutor(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 0, fixedRunTime(-1))
 	leader := f.leader()
 	agent, other := newManualAgent(t, leader, "host-0"), newManualAgent(t, leader, "host-1")
--- a/coordinator/late_opening_test.go
+++ b/coordinator/late_opening_test.go
@@ -13,6 +13,7 @@
 // replaced, processed only after its successor's session was opened, must not make
 // the leader release the runs of the successor, which are in progress.
 func TestLateOpeningOfReplacedExecutor(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 0, fixedRunTime(-1))
 	leader := f.leader()
 	agent := newManualAgent(t, leader, "host-0")
@@ -43,6 +44,7 @@
 // are replaced while a second host has room: see TestLateOpeningOfReplacedExecutor.
 // The next run must not be ordered on another host.
 func TestLateOpeningStartsNoRunElsewhere(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 0, fixedRunTime(-1))
 	leader := f.leader()
 	agent, other := newManualAgent(t, leader, "host-0"), newManualAgent(t, leader, "host-1")
--- a/coordinator/late_opening_unseen_test.go
+++ b/coordinator/late_opening_unseen_test.go
@@ -12,6 +12,7 @@
 // before the leader ever heard of it arrives after its successor's session was opened.
 // The leader must not release the successor's runs, which are in progress.
 func TestLateOpeningOfUnknownExecutor(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 0, fixedRunTime(-1))
 	leader := f.leader()
 	agent := newManualAgent(t, leader, "host-0")
--- a/coordinator/late_start_test.go
+++ b/coordinator/late_start_test.go
@@ -70,6 +70,7 @@
 // Guards against two runs of one task: a start call of an agent that was killed takes
 // effect after its executor restarted and the next agent has listed no runs there.
 func TestLateStartOfAKilledAgentAfterARestart(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 1, fixedRunTime(-1))
 	h := f.hosts[0]
 	h.executor.SetHeldStarts(isRun1)
@@ -91,6 +92,7 @@
 // response and reports it as refused, and the start takes effect after the executor
 // restarted and listed no runs.
 func TestLateStartOfARefusedRunAfterARestart(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 1, fixedRunTime(-1))
 	h := f.hosts[0]
 	h.executor.SetHeldStarts(isRun1)
--- a/coordinator/lease_test.go
+++ b/coordinator/lease_test.go
@@ -59,6 +59,7 @@
 // because the deadline is a reading of the earlier clock. The leader must not release
 // the runs of the new life before that lease is over.
 func TestLeaseOfTheLifeBefore(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 0, fixedRunTime(-1))
 	h := f.newHost("host-0")
 	f.hosts = append(f.hosts, h)
--- a/coordinator/list_before_end_test.go
+++ b/coordinator/list_before_end_test.go
@@ -11,6 +11,7 @@
 // Guards against a task that waits for good: the leader receives the end of a run right
 // after a list that still shows it, and takes it for a run in progress.
 func TestNextRunFollowsAnEndAfterAnOlderList(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 0, fixedRunTime(time.Minute))
 	leader := f.leader()
 	agent := newManualAgent(t, leader, "host-0")
--- a/coordinator/load_test.go
+++ b/coordinator/load_test.go
@@ -34,6 +34,7 @@
 // ends or the capacity, against entries that respond with an estimate of their own, and
 // against a new leader without an estimate.
 func TestLeaderServesLoad(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 2, 1, fixedRunTime(300*time.Millisecond))
 	job := &wire.Job{Id: jobID, Steps: steps(400)}
 	job.Steps[0].EstimateMs = 300
@@ -74,6 +75,7 @@
 // Guards against a failure of calls to a process that computes no estimates, as with
 // the default settings.
 func TestNoLoadWithoutAppraiser(t *testing.T) {
+	t.Parallel()
 	c := &coordinator.Coordinator{Elector: &elector.Elector{}}
 	c.Init()
 	response, err := c.GetLoad(context.Background(), connect.NewRequest(&wire.GetLoadRequest{}))
--- a/coordinator/log_outage_test.go
+++ b/coordinator/log_outage_test.go
@@ -12,6 +12,7 @@
 // Guards against runs that lose their lease in an outage of the log that is shorter than
 // the lease, because its extension afterwards is delayed.
 func TestRunsOutliveAShortOutageOfTheLog(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 6, fixedRunTime(-1))
 	job := &wire.Job{Id: jobID, Steps: steps(12)}
 	job.Steps[0].LongRunning = true
--- a/coordinator/lost_stop_preempted_test.go
+++ b/coordinator/lost_stop_preempted_test.go
@@ -11,6 +11,7 @@
 // Guards against an urgent task that waits without end, because the agent ended
 // before its executor had accepted the stop of the task that was preempted for it.
 func TestStopOfPreemptedTaskOutlivesAgent(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 1, func(task string) time.Duration {
 		if strings.HasPrefix(task, jobID) {
 			return time.Minute
--- a/coordinator/lost_stop_test.go
+++ b/coordinator/lost_stop_test.go
@@ -12,6 +12,7 @@
 // next session, before it has carried out the stop of the run that occupies the host.
 // The leader counts the run as stopping and preempts no other.
 func TestStopIsRepeatedInTheNextSession(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 0, fixedRunTime(-1))
 	leader := f.leader()
 	agent := newManualAgent(t, leader, "host-0")
--- a/coordinator/lost_together_test.go
+++ b/coordinator/lost_together_test.go
@@ -68,6 +68,7 @@
 
 // Guards against a wait for the lease of a lost executor that begins again with each leader.
 func TestTaskOfALostHostRunsAgainWhileLeadersAreLostInSeries(t *testing.T) {
+	t.Parallel()
 	f, lost := newLastingTask(t)
 	lost.executor.Crash()
 	f.killAgent(lost)
@@ -79,6 +80,7 @@
 
 // Guards against a wait that is forgotten when all entry processes restart.
 func TestTaskOfALostHostRunsAgainWhileAllEntriesRestartInSeries(t *testing.T) {
+	t.Parallel()
 	f, lost := newLastingTask(t)
 	lost.executor.Crash()
 	f.killAgent(lost)
@@ -91,6 +93,7 @@
 // Guards against a second run beside one whose executor lives and holds its lease, without
 // an agent and through several leaders.
 func TestRunWithoutAgentIsOverBeforeTheNextStarts(t *testing.T) {
+	t.Parallel()
 	for name, all := range map[string]bool{
 		"leaders lost in series":        false,
 		"all entries restart in series": true,
--- a/coordinator/odd_records_test.go
+++ b/coordinator/odd_records_test.go
@@ -25,6 +25,7 @@
 // Guards against a record of another writer in the leader topic that ends the leadership, or
 // keeps each process from having it: its appends are conditional on the end of the topic.
 func TestOddLeaderRecords(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 2, 1, fixedRunTime(20*time.Millisecond))
 	epoch := f.leader().elector.Epoch()
 	writer := &emulator.KeyedLogClient{Log: f.log}
@@ -48,6 +49,7 @@
 
 // Guards against an entry process whose record has no address to call.
 func TestOddPresences(t *testing.T) {
+	t.Parallel()
 	var records []*wire.KeyedRecord
 	for _, address := range []string{"", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:99999", "10.0.0.1:-1", ":80", "10.0.0.2:7100"} {
 		records = append(records, &wire.KeyedRecord{Key: "e", Value: encoded(t, &wire.EntryPresence{Address: address})})
@@ -60,6 +62,7 @@
 // Guards against a job record under the key of another job, and numbers of a job that
 // overflow: other jobs go on, and a far one is not due.
 func TestOddJobRecords(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 1, fixedRunTime(20*time.Millisecond))
 	const far, mismatched = "00000000000000f1", "00000000000000f2"
 	writer := &emulator.KeyedLogClient{Log: f.log}
--- a/coordinator/older_run_test.go
+++ b/coordinator/older_run_test.go
@@ -138,6 +138,7 @@
 // Guards against two runs of one task: the list that opens a session shows an older
 // run of a task that waits, and the leader orders its next run beside it.
 func TestNextRunWaitsForAnOlderRunOfTheOpening(t *testing.T) {
+	t.Parallel()
 	t.Run("ended", func(t *testing.T) {
 		o := newOlderRun(t)
 		o.listInOpening()
@@ -167,6 +168,7 @@
 // Guards against two runs of one task: a later list of an open session shows an
 // older run of a task that waits, and the leader orders its next run beside it.
 func TestNextRunWaitsForAnOlderRunOfALaterList(t *testing.T) {
+	t.Parallel()
 	o := newOlderRun(t)
 	o.listLater()
 	o.assertHeldBack()
@@ -177,6 +179,7 @@
 // Guards against a start after an end "done": a run that is not the latest one of its
 // task is done, also before the stop that the leader ordered takes effect.
 func TestNoRunAfterAnOlderRunIsDone(t *testing.T) {
+	t.Parallel()
 	t.Run("listed before", func(t *testing.T) {
 		o := newOlderRun(t)
 		o.listInOpening()
--- a/coordinator/preview_test.go
+++ b/coordinator/preview_test.go
@@ -30,6 +30,7 @@
 // Guards against a preview that isn't that of the leader, that lacks the tasks which run
 // or wait, or that starts, stores or keeps something.
 func TestPreviewJob(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 2, 1, fixedRunTime(-1))
 	leader := f.leader()
 	// 16 tasks of half a processor run at a time.
@@ -84,6 +85,7 @@
 // Guards against callers of previews that take the leader's time from the scheduling:
 // jobs start as before, and of the calls, some are refused at once.
 func TestManyPreviews(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 1, fixedRunTime(10*time.Millisecond))
 	leader := f.leader()
 	var calls sync.WaitGroup
@@ -111,6 +113,7 @@
 
 // Guards against a call to a process that doesn't lead that waits or fails.
 func TestPreviewWithoutLeader(t *testing.T) {
+	t.Parallel()
 	c := &coordinator.Coordinator{Elector: &elector.Elector{}}
 	c.Init()
 	response, err := c.PreviewJob(t.Context(), connect.NewRequest(&wire.PreviewJobRequest{}))
--- a/coordinator/recovery_order_test.go
+++ b/coordinator/recovery_order_test.go
@@ -15,6 +15,7 @@
 // place of jobs that are still of use. While there was no leader and then no
 // store, an urgent job became overdue. Two batch jobs can still be in time.
 func TestJobsOfUseStartFirstAfterOutage(t *testing.T) {
+	t.Parallel()
 	for _, outage := range []string{"leader", "store"} {
 		t.Run(outage, func(t *testing.T) {
 			f := newTestFleet(t, 2, 1, fixedRunTime(300*time.Millisecond))
--- a/coordinator/refusals_test.go
+++ b/coordinator/refusals_test.go
@@ -41,6 +41,7 @@
 // because its refusal expires, against an id that stays unusable, and against keys that
 // stay in the log for good.
 func TestRefusalsExpire(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 1, func(string) time.Duration { return 50 * time.Millisecond })
 	leader := f.leader()
 	f.killEntry(leader)
--- a/coordinator/rejected_record_test.go
+++ b/coordinator/rejected_record_test.go
@@ -17,6 +17,7 @@
 // Guards against a record that the log rejects for its size and the leader appends again
 // and again: no other job would start any more.
 func TestRejectedRecordStopsNoOtherJob(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 1, fixedRunTime(20*time.Millisecond))
 	const large, other = "00000000000000a1", "00000000000000b2"
 	f.log.MaxRecordBytes = 1000
@@ -29,6 +30,7 @@
 // Guards against a new leader that forgets runs of a job whose progress takes several
 // records: they would start again elsewhere.
 func TestTakeoverOfALargeJob(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 2, 2, func(task string) time.Duration {
 		if strings.HasSuffix(task, "0") {
 			return 2 * time.Second
@@ -53,6 +55,7 @@
 
 // Guards against records of a closed job that stay in the log: those of its further parts.
 func TestAllPartsOfAClosedJobAreRemoved(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 1, fixedRunTime(5*time.Millisecond))
 	const job = "00000000000000a1"
 	f.submit(f.leader(), &wire.Job{Id: job, Steps: []*wire.JobStep{{Count: 600, Resources: &wire.Resources{Millicores: 1}}}})
@@ -69,6 +72,7 @@
 // Guards against undecodable or odd records of the progress topic that keep a new leader
 // from taking over.
 func TestOddProgressRecords(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 1, fixedRunTime(20*time.Millisecond))
 	leader := f.leader()
 	f.killEntry(leader)
--- a/coordinator/repeated_start_test.go
+++ b/coordinator/repeated_start_test.go
@@ -47,6 +47,7 @@
 // Guards against a new leader that repeats the start of an earlier one in a zone that was
 // taken out of service meanwhile. The task has to start elsewhere.
 func TestStartIsNotRepeatedInAZoneThatIsOut(t *testing.T) {
+	t.Parallel()
 	o := newOrderedBefore(t, oneTask())
 	o.f.operations.takeOut("zone")
 	started, stopped := o.orders()
@@ -69,6 +70,7 @@
 // Guards against a repeated start on a host that no longer has the label of the step, or
 // whose executor leaves.
 func TestStartIsNotRepeatedAgainstConditions(t *testing.T) {
+	t.Parallel()
 	for name, change := range map[string]func(*wire.ExecutorInfo){
 		"draining":      func(info *wire.ExecutorInfo) { info.Draining = true },
 		"other service": func(info *wire.ExecutorInfo) { info.Service = "other" },
@@ -86,6 +88,7 @@
 // Guards against a run in progress that is stopped because its zone was taken out of
 // service.
 func TestRunInProgressStaysInAZoneThatIsOut(t *testing.T) {
+	t.Parallel()
 	o := newOrderedBefore(t, oneTask())
 	o.f.operations.takeOut("zone")
 	_, stopped := o.orders(&wire.TaskRun{Task: olderRunTask, Run: 1})
@@ -95,6 +98,7 @@
 // Guards against a run in progress that is stopped because the list shows an older run of
 // its task after it.
 func TestRunBesideAnOlderOneStays(t *testing.T) {
+	t.Parallel()
 	o := newOrderedBefore(t, oneTask())
 	o.f.operations.takeOut("zone")
 	_, stopped := o.orders(&wire.TaskRun{Task: olderRunTask, Run: 1}, &wire.TaskRun{Task: olderRunTask, Run: 7})
@@ -104,6 +108,7 @@
 // Guards against a start that is repeated on a configuration that is too old to decide, and
 // against one that is then not repeated at all.
 func TestStartIsRepeatedOnceTheConfigurationIsCurrent(t *testing.T) {
+	t.Parallel()
 	o := newOrderedBefore(t, oneTask())
 	o.f.operations.configAge.Store(int64(2 * time.Second))
 	started, stopped := o.orders()
@@ -117,6 +122,7 @@
 
 // Guards against a gang of which some members start, because the others may not.
 func TestGangIsNotRepeatedInPart(t *testing.T) {
+	t.Parallel()
 	job := &wire.Job{Id: jobID, Steps: []*wire.JobStep{{Count: 2, Gang: true, AntiAffinity: 1, Resources: &wire.Resources{Millicores: 100}}}}
 	f := newTestFleet(t, 2, 0, fixedRunTime(-1))
 	leader := f.leader()
@@ -153,6 +159,7 @@
 // Guards against jobs that are not counted as pending, although none of their tasks has
 // started anywhere, because they are assigned to an executor whose agent is silent.
 func TestJobOfASilentHostIsPending(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 1, fixedRunTime(5*time.Second))
 	leader := f.leader()
 	f.waitFor("session", func() bool { return leader.coordinator.Sessions() == 1 })
--- a/coordinator/restart_under_same_id_test.go
+++ b/coordinator/restart_under_same_id_test.go
@@ -202,6 +202,7 @@
 // Guards against the next run of a task beside one that an executor has started after it
 // restarted under its id.
 func TestRestartUnderTheSameID(t *testing.T) {
+	t.Parallel()
 	for _, c := range []restartCase{
 		{downFor: time.Second, delivery: deliverAnswered},
 		{downFor: time.Second, delivery: deliverUnanswered},
--- a/coordinator/restarts_test.go
+++ b/coordinator/restarts_test.go
@@ -62,6 +62,7 @@
 // restarts of an executor under one id, of which some are silent before and some
 // refuse connections, with start calls that take effect late.
 func TestRestartsUnderOneID(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{1, 2, 3, 4} {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			f := newTestFleet(t, 1, 2, fixedRunTime(restartRunTime))
--- a/coordinator/run_times_test.go
+++ b/coordinator/run_times_test.go
@@ -57,6 +57,7 @@
 // Guards against run times that nobody learns from, that differ from the time from
 // assignment to end, or that a new leader begins without.
 func TestRunTimesOutliveTheLeader(t *testing.T) {
+	t.Parallel()
 	const runTime, estimate = 300 * time.Millisecond, 100 * time.Millisecond
 	f := learningFleet(t, 1, runTime)
 	first := f.leader()
@@ -85,6 +86,7 @@
 // Guards against predictions from the wall time of best-effort runs, which are
 // paced.
 func TestBestEffortRunsAreNotLearned(t *testing.T) {
+	t.Parallel()
 	f := learningFleet(t, 1, 50*time.Millisecond)
 	job := &wire.Job{Id: jobID, Steps: estimatedSteps(2, 20*time.Millisecond)}
 	job.Steps[0].FillsIdle = true
@@ -96,6 +98,7 @@
 // Guards against learning from the rest of a run that began from a checkpoint, from
 // a run that failed, and from an end that waited for the agent's next session.
 func TestPartialRunsAreNotLearned(t *testing.T) {
+	t.Parallel()
 	f := learningFleet(t, 0, -1)
 	leader := f.leader()
 	agent := newManualAgent(t, leader, "host-0")
@@ -146,6 +149,7 @@
 // leader from taking over or from learning, and against a leader with the setting
 // off that takes the record for a job or writes one.
 func TestUndecodableRunTimes(t *testing.T) {
+	t.Parallel()
 	for _, learn := range []bool{true, false} {
 		f := newTestFleet(t, 0, 0, fixedRunTime(20*time.Millisecond))
 		f.learnRunTimes = learn
--- a/coordinator/sessions_test.go
+++ b/coordinator/sessions_test.go
@@ -105,6 +105,7 @@
 // Guards against a session that is opened while the silence of the one before is being
 // stored and gets leases without a record: the next leader would consider them over.
 func TestReopenedWhileItsSilenceIsStored(t *testing.T) {
+	t.Parallel()
 	f, busy := newLastingTask(t)
 	leader := f.leader()
 	leader.writes.silenceDelay.Store(int64(800 * time.Millisecond))
@@ -121,6 +122,7 @@
 // Guards against a lease that a leader of an earlier version granted, after a leader that
 // stored the session of the executor.
 func TestLeaseOfAnEarlierVersionInBetween(t *testing.T) {
+	t.Parallel()
 	f, busy := newLastingTask(t)
 	first := f.leader()
 	for _, e := range f.entries {
@@ -145,6 +147,7 @@
 // Guards against an agent that polls without a pause, because a lease is due that its
 // executor can't get.
 func TestUnreachableExecutorAfterAnOutageOfTheLog(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 0, fixedRunTime(-1))
 	leader := f.leader()
 	agent, info := newManualAgent(t, leader, "host-0"), executorInfo("executor-0", 1)
@@ -169,6 +172,7 @@
 
 // Guards against session records of hosts that are gone, which would stay for ever.
 func TestSessionsOfLostHostsAreRemoved(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 2, 2, fixedRunTime(-1))
 	leader := f.leader()
 	f.waitFor("sessions", func() bool { return leader.coordinator.Sessions() == 2 })
--- a/coordinator/slow_link_test.go
+++ b/coordinator/slow_link_test.go
@@ -9,6 +9,7 @@
 // Guards against a leader that stops scheduling because its link takes longer for an append
 // than the append may take, while it renews its leadership.
 func TestAppendOverSlowLink(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 2, fixedRunTime(-1))
 	leader := f.leader()
 	leader.client.SetUploadRate(30_000)
--- a/coordinator/stalled_leader_test.go
+++ b/coordinator/stalled_leader_test.go
@@ -62,6 +62,7 @@
 // Guards against a leader that renews its leadership, can't store progress, and schedules
 // nothing although another process could.
 func TestLeaderThatCannotStoreProgressIsReplaced(t *testing.T) {
+	t.Parallel()
 	for name, fault := range map[string]*appendFault{
 		"progress fails": {topic: "progress"},
 		"progress hangs": {topic: "progress", hangs: true},
@@ -80,6 +81,7 @@
 
 // Guards against a candidate that takes over although it can't store progress either.
 func TestOnlyACandidateThatStoresProgressTakesOver(t *testing.T) {
+	t.Parallel()
 	f := newLastingTasks(t)
 	leader := f.leader()
 	var able *entry
@@ -102,6 +104,7 @@
 // Guards against changes of leader while no process can store progress: each would end
 // the leases that its leader can't grant.
 func TestStalledLeaderStaysWhileNoneCanStoreProgress(t *testing.T) {
+	t.Parallel()
 	f := newLastingTasks(t)
 	epoch := f.leader().elector.Epoch()
 	setFault(&appendFault{topic: "progress"}, f.entries...)
@@ -115,6 +118,7 @@
 
 // Guards against a new leader that waits for ever for its first append.
 func TestNewLeaderThatCannotStoreProgressIsReplaced(t *testing.T) {
+	t.Parallel()
 	f := newLastingTasks(t)
 	first := f.leader()
 	var others []*entry
@@ -144,6 +148,7 @@
 // Guards against leaders that replace each other without a pause, because the append of a
 // candidate succeeds and those of a leader do not.
 func TestStalledLeadersReplaceEachOtherMoreAndMoreRarely(t *testing.T) {
+	t.Parallel()
 	f := newLastingTasks(t)
 	setFault(&appendFault{topic: "progress", leadersOnly: true}, f.entries...)
 	f.submit(f.leader(), &wire.Job{Id: nextJobID, Steps: steps(2)})
--- a/coordinator/token_test.go
+++ b/coordinator/token_test.go
@@ -9,6 +9,7 @@
 // Guards against a host without a session while two processes of its agent overlap:
 // the token that one asks for makes the opening of the other late, and so on.
 func TestTokenRequestsOfTwoAgentsLetASessionOpen(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 0, fixedRunTime(-1))
 	agent, info := newManualAgent(t, f.leader(), "host-0"), executorInfo("executor-0", 1)
 	agent.open(f, "z.1", info)
@@ -35,6 +36,7 @@
 // since, in the place of the present session, and against a session that opens again by a
 // late copy of its opening.
 func TestOpeningWithAnEarlierTokenIsLate(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 0, fixedRunTime(-1))
 	agent, info := newManualAgent(t, f.leader(), "host-0"), executorInfo("executor-0", 1)
 	agent.open(f, "z.1", info)
@@ -53,6 +55,7 @@
 // Guards against a token of a session that is lower than one that its agent may have taken
 // of the session before.
 func TestTokensOfSessionsDoNotOverlap(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 1, 0, fixedRunTime(-1))
 	agent, info := newManualAgent(t, f.leader(), "host-0"), executorInfo("executor-0", 1)
 	first := agent.send(agent.request("a.1", info))
--- a/coordinator/wait_test.go
+++ b/coordinator/wait_test.go
@@ -82,6 +82,7 @@
 // at full pace there, also by the next leader's repetition of the order, and a second
 // start while the job has a run in progress.
 func TestStartIsForcedAtTheBound(t *testing.T) {
+	t.Parallel()
 	f, a := newStrainedFleet(t, 700*time.Millisecond)
 	f.submit(f.entries[0], bestEffortJob())
 	submitted := time.Now()
@@ -109,6 +110,7 @@
 
 // Guards against a wait that begins anew with each leader.
 func TestNewLeaderContinuesTheWait(t *testing.T) {
+	t.Parallel()
 	const wait = 6 * time.Second
 	f, a := newStrainedFleet(t, wait)
 	f.submit(f.entries[0], bestEffortJob())
