Tests of package runner run side by side

Cause: none of its tests was marked parallel, though they share no state.

Change: t.Parallel in 54 tests. TestRunsAreTraced stays sequential, because it replaces the logger of the process, and TestStartsBesideThousandsOfRuns, because it bounds what the process allocates. No bound was changed.

--- a/runner/announcement_test.go
+++ b/runner/announcement_test.go
@@ -31,6 +31,7 @@
 // Guards against a host that is lost for good after its clock was set back: the new
 // executor then has an earlier time of its start than the one before.
 func TestClockSetBackBetweenExecutors(t *testing.T) {
+	t.Parallel()
 	l := &fakeLeader{}
 	l.respond = func(context.Context, *wire.ExchangeRequest) *wire.ExchangeResponse {
 		time.Sleep(10 * time.Millisecond)
@@ -65,6 +66,7 @@
 // Guards against a host that is lost for good after a heartbeat of another writer
 // that names a later time of start or a greater sequence than the executor.
 func TestHeartbeatOfAnotherWriter(t *testing.T) {
+	t.Parallel()
 	l := &fakeLeader{}
 	l.respond = func(context.Context, *wire.ExchangeRequest) *wire.ExchangeResponse {
 		time.Sleep(10 * time.Millisecond)
--- a/runner/capacity_test.go
+++ b/runner/capacity_test.go
@@ -108,6 +108,7 @@
 // brings the executor over the one it announced last, and against starts on a host
 // that is over its capacity.
 func TestStartsWithinAnnouncedCapacity(t *testing.T) {
+	t.Parallel()
 	q := newOrderQueue()
 	executor := newExecutor()
 	a := newAnnouncer(t, q, executor)
@@ -133,6 +134,7 @@
 // Guards against a stopped run whose request is taken for free before its end is
 // listed, or for used afterwards.
 func TestStoppingRunCounts(t *testing.T) {
+	t.Parallel()
 	q := newOrderQueue()
 	executor := newExecutor()
 	executor.StopTime = 400 * time.Millisecond
@@ -152,6 +154,7 @@
 // Guards against an agent that has restarted and starts tasks beside runs whose
 // requests it does not know, or that refuses them although the orders tell it.
 func TestRestartedAgentCountsRuns(t *testing.T) {
+	t.Parallel()
 	q := newOrderQueue()
 	executor := newExecutor()
 	lease := &damaskspread.Lease{Token: 1, DeadlineMs: time.Minute.Milliseconds()}
@@ -171,6 +174,7 @@
 // Guards against a leader that learns of a changed capacity only with the next poll,
 // up to a second later, and plans by the old one until then.
 func TestChangedCapacityIsReportedAtOnce(t *testing.T) {
+	t.Parallel()
 	const reportBound = 300 * time.Millisecond
 	q := newOrderQueue()
 	executor := newExecutor()
@@ -232,6 +236,7 @@
 // next incarnation with the same id, before the agent knows that it is another one
 // and how large it is.
 func TestOrdersWaitForAnExecutorThatIsDown(t *testing.T) {
+	t.Parallel()
 	q := newOrderQueue()
 	executor := newExecutor()
 	var starts atomic.Int64
@@ -257,6 +262,7 @@
 // Guards against a start that waits for the next long renewal although the executor
 // is reachable again.
 func TestStartAfterAFailedRenewal(t *testing.T) {
+	t.Parallel()
 	const startBound = 500 * time.Millisecond
 	q := newOrderQueue()
 	executor := newExecutor()
@@ -276,6 +282,7 @@
 // Guards against a restarted executor that is reported with the capacity and the
 // labels of the incarnation before, which had the same id.
 func TestRestartedExecutorHasNoCapacityYet(t *testing.T) {
+	t.Parallel()
 	q := newOrderQueue()
 	executor := newExecutor()
 	a := newAnnouncer(t, q, executor)
--- a/runner/crash_test.go
+++ b/runner/crash_test.go
@@ -43,6 +43,7 @@
 // reported at once, and again until they are stored, also after the executor was
 // replaced.
 func TestCrashIsReportedUntilStored(t *testing.T) {
+	t.Parallel()
 	recorded := &atomic.Int64{}
 	l := &fakeLeader{respond: orderOnce(recorded, "a.0.0.0", "b.0.0.0")}
 	executor := newExecutor()
@@ -72,6 +73,7 @@
 
 // Guards against a crash that is reported for runs that started long before it.
 func TestOldRunsAreNotExposed(t *testing.T) {
+	t.Parallel()
 	l := &fakeLeader{respond: orderOnce(&atomic.Int64{}, "a.0.0.0")}
 	r, executor := startWithEmulator(t, l)
 	waitFor(t, "run", func() bool { return executor.Running() == 1 })
@@ -103,6 +105,7 @@
 // Guards against healthy tasks that count as crashing because connections were
 // reset, or because the executor did not respond for some time.
 func TestLostCallsOfALivingExecutor(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		err     error
 		exposed bool
--- a/runner/departure_test.go
+++ b/runner/departure_test.go
@@ -17,6 +17,7 @@
 // is lost: the executor then ends some seconds later, and the leader must not learn
 // that it left while its runs are in progress.
 func TestDepartureOfARunningExecutor(t *testing.T) {
+	t.Parallel()
 	l := &fakeLeader{}
 	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
 		time.Sleep(5 * time.Millisecond)
@@ -39,6 +40,7 @@
 // Guards against tasks that wait for the end of a lease although their executor has
 // ended as planned.
 func TestDepartureOfAnEndedExecutor(t *testing.T) {
+	t.Parallel()
 	l := newIdleLeader()
 	executor := newExecutor()
 	crashing := &crashingExecutor{JobExecutor: executor}
@@ -59,6 +61,7 @@
 // Guards against an agent that forgets a departure, and the ends that go with it, once any
 // leader has responded: one that dies before it has stored them leaves no trace.
 func TestDepartureIsRepeatedUntilItIsStored(t *testing.T) {
+	t.Parallel()
 	l := newIdleLeader()
 	var stored, departures atomic.Int64
 	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
@@ -105,6 +108,7 @@
 // Guards against a new leader that does not learn when the lease of an executor ends which
 // does not respond: its agent can open no session without the executor's lists.
 func TestSilenceIsReportedToANewLeader(t *testing.T) {
+	t.Parallel()
 	l := newIdleLeader()
 	executor := newExecutor()
 	crashing := &crashingExecutor{JobExecutor: executor}
--- a/runner/deregistration_test.go
+++ b/runner/deregistration_test.go
@@ -13,6 +13,7 @@
 // deregistration of the incarnation before it under the same id arrives late: the
 // leader would start its tasks elsewhere at once.
 func TestLateDeregistration(t *testing.T) {
+	t.Parallel()
 	l := newIdleLeader()
 	r, executor := startWithEmulator(t, l)
 	executor.Boot("executor-1")
@@ -31,6 +32,7 @@
 
 // Guards against an executor that drained and left and is not reported as left.
 func TestDeregistrationAfterDraining(t *testing.T) {
+	t.Parallel()
 	l := newIdleLeader()
 	executor := newExecutor()
 	crashing := &crashingExecutor{JobExecutor: executor}
--- a/runner/drain_fenced_test.go
+++ b/runner/drain_fenced_test.go
@@ -45,6 +45,7 @@
 // Guards against a run whose progress is lost with a draining executor because the stop
 // was refused with a fence during a change of leader.
 func TestFencedDrainStopIsRepeated(t *testing.T) {
+	t.Parallel()
 	l := &fakeLeader{}
 	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
 		time.Sleep(5 * time.Millisecond)
--- a/runner/incarnation_test.go
+++ b/runner/incarnation_test.go
@@ -121,6 +121,7 @@
 // must not be carried out on the executor that replaces it, because the leader
 // releases the run with the old one and orders the next run.
 func TestOrderEndsWithItsExecutor(t *testing.T) {
+	t.Parallel()
 	for _, downtime := range []time.Duration{100 * time.Millisecond, 250 * time.Millisecond, 280 * time.Millisecond, 440 * time.Millisecond, 590 * time.Millisecond} {
 		t.Run(downtime.String(), func(t *testing.T) { testOrderEndsWithItsExecutor(t, downtime) })
 	}
--- a/runner/late_crash_test.go
+++ b/runner/late_crash_test.go
@@ -37,6 +37,7 @@
 // start without response and later than the agent expects. It can do that where the
 // session has no newer token for the calls that follow.
 func TestCrashAfterLateStartIsReported(t *testing.T) {
+	t.Parallel()
 	for _, delay := range []time.Duration{time.Second, 2500 * time.Millisecond} {
 		t.Run(delay.String(), func(t *testing.T) {
 			l := &fakeLeader{
--- a/runner/late_start_test.go
+++ b/runner/late_start_test.go
@@ -50,6 +50,7 @@
 // of its predecessor may still be executed after the successor reported the run as
 // refused, and the leader then starts the next run elsewhere.
 func TestLateStartOfTheAgentBefore(t *testing.T) {
+	t.Parallel()
 	t.Run("refused by the executor", func(t *testing.T) { testLateStartOfTheAgentBefore(t, 0) })
 	t.Run("expired at the agent", func(t *testing.T) { testLateStartOfTheAgentBefore(t, time.Minute) })
 }
--- a/runner/late_token_test.go
+++ b/runner/late_token_test.go
@@ -62,6 +62,7 @@
 // new life of the executor is called only with the token of the life before or not at all,
 // and carries out a start that arrives late.
 func TestLateStartInANewLifeWithoutLeader(t *testing.T) {
+	t.Parallel()
 	t.Run("announced", func(t *testing.T) { testLateStartInANewLife(t, true) })
 	t.Run("not announced", func(t *testing.T) { testLateStartInANewLife(t, false) })
 }
@@ -114,6 +115,7 @@
 // Guards against a start that is refused because the agent itself has called the executor
 // with a newer token in the meantime.
 func TestStartIsRepeatedWithTheNewerToken(t *testing.T) {
+	t.Parallel()
 	executor := newExecutor()
 	fencing := &overtakenExecutor{countedExecutor: countedExecutor{lateStartExecutor: lateStartExecutor{JobExecutor: executor}}}
 	fencing.born.Store(executor.Info("planning", "zone", &wire.Resources{}).GetBornUnixMs())
--- a/runner/lost_check_test.go
+++ b/runner/lost_check_test.go
@@ -57,6 +57,7 @@
 // and the session ends before the executor's lists show what became of the run. The
 // order of the next session must be answered by a start or by a refusal.
 func TestStartWithoutResultInTheNextSession(t *testing.T) {
+	t.Parallel()
 	for name, fenced := range map[string]bool{"check lost with the session": false, "stop fenced": true} {
 		t.Run(name, func(t *testing.T) {
 			l := &fakeLeader{}
--- a/runner/next_run_done_test.go
+++ b/runner/next_run_done_test.go
@@ -17,6 +17,7 @@
 // Guards against a start after an end "done": the run for which the next run's start
 // waits is done, and the agent starts the next one before the leader has the end.
 func TestNextRunDoesNotFollowARunThatIsDone(t *testing.T) {
+	t.Parallel()
 	q := newOrderQueue()
 	executor, checker := newCheckedExecutor()
 	executor.TaskDuration = func(string) time.Duration { return 300 * time.Millisecond }
@@ -35,6 +36,7 @@
 // Guards against starts that wait for earlier runs of their tasks and keep the stops of
 // these runs from being carried out.
 func TestWaitingStartsDoNotDelayStops(t *testing.T) {
+	t.Parallel()
 	const tasks = 12
 	q := newOrderQueue()
 	executor, _ := newCheckedExecutor()
--- a/runner/next_run_test.go
+++ b/runner/next_run_test.go
@@ -99,6 +99,7 @@
 // Guards against two runs of one task: the leader orders the next run while the
 // executor still stops the one before.
 func TestNextRunWaitsForTheRunBeingStopped(t *testing.T) {
+	t.Parallel()
 	q := newOrderQueue()
 	executor, checker := newCheckedExecutor()
 	startRunner(t, &q.fakeLeader, executor, executor)
@@ -112,6 +113,7 @@
 // Guards against two runs of one task: the first lists that the agent reads show a
 // run that an earlier process of the agent has stopped.
 func TestNextRunWaitsForTheRunOfTheAgentBefore(t *testing.T) {
+	t.Parallel()
 	q := newOrderQueue()
 	executor, checker := newCheckedExecutor()
 	lease := &damaskspread.Lease{
--- a/runner/odd_announcement_test.go
+++ b/runner/odd_announcement_test.go
@@ -13,6 +13,7 @@
 // Guards against an announcement of another writer that hides the executor which responds:
 // its session would end and its lease lapse. The executor goes on behind its id.
 func TestOddAnnouncementsHideNoExecutor(t *testing.T) {
+	t.Parallel()
 	for name, odd := range map[string]func(*wire.ExecutorInfo){
 		"later start":          func(info *wire.ExecutorInfo) { info.BornUnixMs += 1 << 40 },
 		"other id":             func(info *wire.ExecutorInfo) { info.Id = "executor-9"; info.BornUnixMs += 1 << 40 },
@@ -59,6 +60,7 @@
 // Guards against an executor that is never followed, because the first announcement of
 // another writer has a sequence number far below its own.
 func TestExecutorWithAFarSequenceIsFollowed(t *testing.T) {
+	t.Parallel()
 	l := newIdleLeader()
 	r, executor := startWithEmulator(t, l)
 	waitFor(t, "change of its capacity", func() bool {
--- a/runner/orders_test.go
+++ b/runner/orders_test.go
@@ -41,6 +41,7 @@
 // Guards against a run that is reported as refused because its repeated start
 // was refused, although the first call started it.
 func TestRefusedRepeatLeavesTheRunOpen(t *testing.T) {
+	t.Parallel()
 	l := &fakeLeader{}
 	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
 		if request.GetWaitMs() > 0 {
@@ -65,6 +66,7 @@
 // Guards against starts without a valid lease, and against runs that are started
 // twice or refused because their order is repeated.
 func TestRepeatedOrdersStartRunsOnce(t *testing.T) {
+	t.Parallel()
 	l := &fakeLeader{}
 	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
 		if request.GetWaitMs() > 0 {
@@ -85,6 +87,7 @@
 // Guards against a run that starts after it was reported as refused: the leader
 // may have given the task to another executor by then.
 func TestRefusedRunStaysRefused(t *testing.T) {
+	t.Parallel()
 	l := &fakeLeader{}
 	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
 		if request.GetWaitMs() > 0 {
@@ -115,6 +118,7 @@
 // Guards against an agent whose memory grows with each refused start until its
 // executor restarts.
 func TestRefusedRunsAreForgotten(t *testing.T) {
+	t.Parallel()
 	l := &fakeLeader{}
 	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
 		time.Sleep(time.Millisecond)
@@ -133,6 +137,7 @@
 // Guards against two orders for the same run, of which one starts the run and
 // the other, which has expired, reports it as refused.
 func TestOrdersForOneRun(t *testing.T) {
+	t.Parallel()
 	const tasks = 40
 	name := func(i int) string { return fmt.Sprintf("a.0.0.%d", i) }
 	l := &fakeLeader{}
@@ -184,6 +189,7 @@
 // Guards against starting a task without its specification: orders that refer to a
 // step of the session get it, others are refused.
 func TestOrdersThatReferToAStep(t *testing.T) {
+	t.Parallel()
 	l := &fakeLeader{}
 	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
 		if request.GetWaitMs() > 0 {
--- a/runner/ramp_test.go
+++ b/runner/ramp_test.go
@@ -66,6 +66,7 @@
 // Guards against a run that begins at full pace although its order limits it, also if
 // the first pace call fails, and against a limit that is never raised.
 func TestRunBeginsAtThePaceOfItsOrder(t *testing.T) {
+	t.Parallel()
 	for _, failures := range []int{0, 1} {
 		executor := &pacedExecutor{JobExecutor: newExecutor(), failures: failures}
 		startRunnerWith(t, leaderWithOrder(10), executor.JobExecutor, executor, withPacer)
@@ -76,6 +77,7 @@
 
 // Guards against a pace call for an order without a limit.
 func TestRunWithoutLimit(t *testing.T) {
+	t.Parallel()
 	executor := &pacedExecutor{JobExecutor: newExecutor()}
 	startRunnerWith(t, leaderWithOrder(0), executor.JobExecutor, executor, withPacer)
 	waitFor(t, "start", func() bool { return executor.Running() == 1 })
@@ -86,6 +88,7 @@
 // Guards against a run that keeps its limited pace for good because the agent was
 // restarted: the new process doesn't know the pace.
 func TestLimitOutlivesTheAgent(t *testing.T) {
+	t.Parallel()
 	executor := &pacedExecutor{JobExecutor: newExecutor()}
 	l := leaderWithOrder(10)
 	_, kill := startKillableRunnerWith(t, l, executor.JobExecutor, executor, withPacer)
--- a/runner/rediscovery_test.go
+++ b/runner/rediscovery_test.go
@@ -35,6 +35,7 @@
 // executor for a moment: a start call without a response may still be executed, so the
 // order's refusal after that must wait for an accepted stop.
 func TestStartInProgressWhileTheExecutorIsHidden(t *testing.T) {
+	t.Parallel()
 	l := &fakeLeader{}
 	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
 		time.Sleep(5 * time.Millisecond)
--- a/runner/renewal_test.go
+++ b/runner/renewal_test.go
@@ -66,6 +66,7 @@
 // before acknowledges ends that it has not listed yet. A run whose end is lost is
 // reported as refused, and the next run starts after this one was done.
 func TestRenewalAcknowledgesNoEndsOfTheNextLife(t *testing.T) {
+	t.Parallel()
 	executor := &renewalRecorder{JobExecutor: &emulator.JobExecutor{
 		Clock:        clockwork.NewRealClock(),
 		TaskDuration: func(string) time.Duration { return 10 * time.Millisecond },
@@ -150,6 +151,7 @@
 // Guards against a healthy executor that loses its lease because single renewals
 // fail: the one after a failure only reads the lists, the next one extends the lease.
 func TestLeaseIsExtendedBetweenFailures(t *testing.T) {
+	t.Parallel()
 	executor := newExecutor()
 	flaky := &flakyRenewals{JobExecutor: executor}
 	l := newLeaderWithOneStart()
@@ -197,6 +199,7 @@
 // Guards against a lease that ends while its extension waits for a renewal that the
 // executor holds.
 func TestRenewalsAreShortWhileTheLeaseEndsSoon(t *testing.T) {
+	t.Parallel()
 	executor := &heldRenewals{JobExecutor: newExecutor()}
 	l := newLeaderWithOneStart()
 	startRunner(t, l, executor.JobExecutor, executor)
--- a/runner/restart_call_test.go
+++ b/runner/restart_call_test.go
@@ -87,6 +87,7 @@
 // has heard of it, and calls it under its id with the numbers and the deadline of the life
 // before. A run that is done there would start again.
 func TestNewLifeGetsNoNumbersOfTheLifeBefore(t *testing.T) {
+	t.Parallel()
 	executor := &restartingExecutor{born: 1}
 	l := &fakeLeader{}
 	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
@@ -111,6 +112,7 @@
 // Guards against the same where the leader changes while a call to the life before has no
 // response yet: the end of the session cancels the call, which then doesn't count as failed.
 func TestNewLifeGetsNoNumbersOfTheLifeBeforeInANewSession(t *testing.T) {
+	t.Parallel()
 	executor := &restartingExecutor{born: 1}
 	var reopens atomic.Bool
 	l := &fakeLeader{}
--- a/runner/restart_draining_test.go
+++ b/runner/restart_draining_test.go
@@ -14,6 +14,7 @@
 // arrives after the lists of runs have shown the restart and before the first
 // announcement.
 func TestLateDeregistrationAfterDrainingRestart(t *testing.T) {
+	t.Parallel()
 	l := newIdleLeader()
 	r, executor := startWithEmulator(t, l)
 	draining := executor.Info("planning", "zone", &wire.Resources{Millicores: 8000})
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -156,6 +156,7 @@
 // a request that was sent before the refusal arose must not acknowledge it.
 // Otherwise the task would stay assigned forever.
 func TestRefusalsOfOverlappingCalls(t *testing.T) {
+	t.Parallel()
 	l := &fakeLeader{}
 	release := make(chan struct{})
 	var once sync.Once
@@ -190,6 +191,7 @@
 // Guards against a delayed announcement of an executor that has been replaced:
 // it must not bring the old executor back.
 func TestLateAnnouncement(t *testing.T) {
+	t.Parallel()
 	l := &fakeLeader{}
 	l.respond = func(context.Context, *wire.ExchangeRequest) *wire.ExchangeResponse {
 		time.Sleep(10 * time.Millisecond)
@@ -215,6 +217,7 @@
 
 // Guards against interference weights that end an agent which sets no paces.
 func TestWeightsWithoutPacer(t *testing.T) {
+	t.Parallel()
 	l := &fakeLeader{}
 	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
 		time.Sleep(time.Millisecond)
@@ -230,6 +233,7 @@
 // Guards against a new executor without orders for as long as the poll for the one
 // before it waits at the leader.
 func TestNewExecutorDoesNotWaitForTheOldPoll(t *testing.T) {
+	t.Parallel()
 	polling := make(chan struct{}, 1)
 	l := &fakeLeader{}
 	l.respond = func(ctx context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
--- a/runner/session_orders_test.go
+++ b/runner/session_orders_test.go
@@ -15,6 +15,7 @@
 // Guards against a start that outlives its session: a stop of it may have been fenced,
 // and the leader repeats at the opening what it still wants to start.
 func TestStartEndsWithItsSession(t *testing.T) {
+	t.Parallel()
 	l := &fakeLeader{}
 	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
 		time.Sleep(5 * time.Millisecond)
--- a/runner/unanswered_start_test.go
+++ b/runner/unanswered_start_test.go
@@ -66,6 +66,7 @@
 // first call that it sees is a start that the life before has not answered, and a late
 // start of an earlier session is carried out beside it.
 func TestUnansweredStartIsRepeatedAfterARenewal(t *testing.T) {
+	t.Parallel()
 	executor := newExecutor()
 	unanswering := &unansweringExecutor{JobExecutor: executor}
 	startRunner(t, &fakeLeader{respond: orderOneStart}, executor, unanswering)
--- a/runner/unsettled_test.go
+++ b/runner/unsettled_test.go
@@ -46,6 +46,7 @@
 // start that was sent before must not take effect after the session for the new
 // incarnation is open, because the leader orders the next run then.
 func TestStartSentBeforeARestart(t *testing.T) {
+	t.Parallel()
 	l := &fakeLeader{}
 	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
 		if request.GetWaitMs() > 0 {
