Router: an endpoint that refuses because it leaves is not picked for 5 s

Seen: callers got 502 unknown connection_lost ("connection reset by peer") for 1 to 15 of about 2,500 requests without a key, as an agent's process ended that reached no entry (TestLeaveUnheardByHalfOfTheEntries, load average 45 and more).

Cause: an agent that stops refuses new requests as leaving and closes its connections 1 to 4 s later. An entry that reads the log drops the endpoint by then. One that can't keeps picking it until the end, because the router ignores these refusals: they are no failures and have no retry delay. http.Server.Shutdown closes a connection as idle as long as the server has not read its next request. On a loaded machine a request waits there for longer, and its caller can't tell whether it ran.

Ruled out: changing listener.drain. No order of closing is safe for a client that still sends: whatever the agent sends last, a request may be under way.

Change: PickResult.Leaving, set for refusals of the agent with the reason leaving. The router picks no such endpoint for 5 s after the latest one, longer than the 4 s until the connections close. If all draws fail, it takes the first endpoint that is not ejected or leaving before it takes one that is; with two endpoints the draws miss 1.6% of the time.

Left: a request of an entry that had none refused before, and requests with a key, which go to the shard's primary (docs/proofs_zones.md, "Not proved").

--- a/dispatcher/tries.go
+++ b/dispatcher/tries.go
@@ -156,6 +156,7 @@
 		Failed:     failed,
 		Refused:    !failed,
 		RetryAfter: refusal.RetryAfter,
+		Leaving:    fromAgent && refusal.Reason == damaskspread.ReasonLeaving,
 	}
 }
 
--- a/picker.go
+++ b/picker.go
@@ -33,6 +33,8 @@
 	// RetryAfter is the wait that the endpoint asked for with its refusal, or
 	// zero.
 	RetryAfter time.Duration
+	// Leaving means that the endpoint refused the request because it leaves.
+	Leaving bool
 	// Empty means that the response is complete but has no body.
 	Empty bool
 }
--- a/router/endpoint.go
+++ b/router/endpoint.go
@@ -39,6 +39,12 @@
 	// maxFullTime limits, in nanoseconds, how long a refusal marks an endpoint as
 	// full: the queued requests may be of a lower class than the next request.
 	maxFullTime = int64(250 * time.Millisecond)
+	// leavingTime is how long, in nanoseconds, an endpoint is not picked after it refused
+	// a request because it leaves. An entry that can't read the log learns of the leave
+	// from refusals only. The agent closes its connections up to 4 s after the first one
+	// (record of the leave 3 s, routes 1 s); the outcome of a request that arrives then is
+	// unknown.
+	leavingTime = int64(5 * time.Second)
 )
 
 // average is an exponentially weighted moving average. Of two concurrent
@@ -93,6 +99,8 @@
 	latencySamples      atomic.Int32
 	// fullUntil is when the retry delay of the latest refusal ends; see load.
 	fullUntil atomic.Int64
+	// leavingUntil is when leavingTime after the latest refusal by the leaving endpoint ends.
+	leavingUntil atomic.Int64
 }
 
 // beginRequest counts one more request in flight until Done.
@@ -151,8 +159,14 @@
 	return load
 }
 
+// mayBePicked reports whether the endpoint neither leaves nor is ejected. It readmits one
+// whose ejection time is over.
+func (e *endpoint) mayBePicked(now int64) bool {
+	return now >= e.leavingUntil.Load() && e.readmitIfDue(now)
+}
+
 // readmitIfDue readmits an endpoint whose ejection time is over, with a new slow
-// start. It reports whether the endpoint may be picked.
+// start. It reports whether the endpoint is not ejected.
 func (e *endpoint) readmitIfDue(now int64) bool {
 	until := e.ejectedUntil.Load()
 	if until == 0 {
@@ -180,6 +194,9 @@
 		return
 	}
 	e.consecutiveFailures.Store(0)
+	if result.Leaving {
+		e.leavingUntil.Store(now + leavingTime)
+	}
 	if result.Refused {
 		if result.RetryAfter > 0 {
 			e.fullUntil.Store(now + min(int64(result.RetryAfter), maxFullTime))
--- a/router/router.go
+++ b/router/router.go
@@ -200,12 +200,7 @@
 		}
 	}
 	if chosen == nil {
-		// All draws were ejected or on the avoided host. An ejected endpoint may
-		// still respond, while a request without an endpoint fails.
-		chosen = p.all[r.nextRandom()%uint64(len(p.all))]
-		if chosen.spec.Host == avoid && len(p.all) > 1 {
-			chosen = p.other(avoid)
-		}
+		chosen = r.undrawn(p, avoid, now)
 	}
 	return chosen.beginRequest(), true
 }
@@ -220,6 +215,23 @@
 	return e.beginRequest(), true
 }
 
+// undrawn returns an endpoint when all draws were ejected, leaving or on the avoided host:
+// the first one from a random one on that is none of these. Without one it returns one that
+// is ejected or leaving, which may still respond, while a request without an endpoint fails.
+func (r *Router) undrawn(p *pool, avoid string, now int64) *endpoint {
+	start := int(r.nextRandom() % uint64(len(p.all)))
+	for i := range p.all {
+		e := p.all[(start+i)%len(p.all)]
+		if e.spec.Host != avoid && e.mayBePicked(now) {
+			return e
+		}
+	}
+	if p.all[start].spec.Host != avoid {
+		return p.all[start]
+	}
+	return p.other(avoid)
+}
+
 // other returns an endpoint that is not on the host avoid, if there is one.
 func (p *pool) other(avoid string) *endpoint {
 	for _, e := range p.all {
@@ -238,7 +250,7 @@
 	found := 0
 	for i := 0; i < maxDraws && found < 2 && len(candidates) > 0; i++ {
 		e := candidates[r.nextRandom()%uint64(len(candidates))]
-		if e == best || e.spec.Host == avoid || !e.readmitIfDue(now) {
+		if e == best || e.spec.Host == avoid || !e.mayBePicked(now) {
 			continue
 		}
 		found++
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -212,6 +212,25 @@
 	assert.Assert(t, !ok)
 }
 
+// Guards against picking an endpoint that has said that it leaves, of which an entry that
+// can't read the log learns from nothing else, and against a request without an endpoint
+// if all leave.
+func TestLeavingEndpoint(t *testing.T) {
+	r, clock := newRouter(2, 1)
+	leave := func(host string) {
+		pick, ok := r.Assign(host)
+		assert.Assert(t, ok)
+		r.Done(pick, damaskspread.PickResult{Refused: true, Leaving: true})
+	}
+	leave("h0")
+	assert.Equal(t, countPicks(t, r, 1000, true)["h0"], 0)
+	clock.Advance(5 * time.Second)
+	assert.Assert(t, countPicks(t, r, 100, true)["h0"] > 20)
+	leave("h0")
+	leave("h1")
+	countPicks(t, r, 100, true)
+}
+
 // Guards against a retry at the endpoint that refused the first try.
 func TestAvoid(t *testing.T) {
 	r, _ := newRouter(2, 1)
