--- /dev/null
+++ b/scheduler/fence.go
@@ -0,0 +1,109 @@
+package scheduler
+
+import (
+	"strings"
+	"time"
+
+	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/wire"
+)
+
+const (
+	fenceRetryInterval = 5 * time.Second
+	// workerFaultPrefix starts the detail of a failure that the worker caused.
+	workerFaultPrefix = "worker"
+)
+
+// Fence is a request to make the worker of an expired host stop all its tasks.
+type Fence struct {
+	Spec *wire.HostSpec
+	// MinToken is one above the offset of the replayed state, and so above the token
+	// of every claim of the host. An expired host gets no new claims until it joins
+	// again.
+	MinToken      int64
+	alivePosition *wire.Position
+}
+
+// HostsToFence returns the expired hosts with tasks that this entry has to fence
+// now. A host is returned again after fenceRetryInterval. age is the age of the
+// state; HostsToFence returns none while it exceeds the currency limit.
+func (p *Planner) HostsToFence(now time.Time, age time.Duration) []Fence {
+	if age > p.limits.CurrencyLimit {
+		return nil
+	}
+	var fences []Fence
+	for _, h := range p.hostList {
+		if !h.expired || len(h.tasks) == 0 || now.Sub(h.fenceTriedAt) < fenceRetryInterval || !p.owns("host/"+h.spec.GetHost()) {
+			continue
+		}
+		h.fenceTriedAt = now
+		fences = append(fences, Fence{
+			Spec: h.spec,
+			MinToken: damaskspread.Token(&wire.Position{
+				Offset: p.offset + 1,
+			}),
+			alivePosition: h.alivePosition,
+		})
+	}
+	return fences
+}
+
+// FencedRecords returns the records that release a host after its worker confirmed
+// the fence with the state of its tasks. It returns none if the host joined again
+// in the meantime. The results and checkpoints of the tasks come before the
+// release, because the agent may have died before it recorded them: a finished task
+// must not run again, and a stopped task resumes from its checkpoint.
+func (p *Planner) FencedRecords(f Fence, tasks []*wire.WorkerTask, now time.Time) []*wire.Record {
+	h := p.hosts[f.Spec.GetHost()]
+	if h == nil || !h.expired || h.spec.GetWorkerBoot() != f.Spec.GetWorkerBoot() {
+		return nil
+	}
+	var records []*wire.Record
+	for _, task := range tasks {
+		r := h.tasks[task.GetTask()]
+		if r == nil || r.token != task.GetToken() {
+			continue
+		}
+		if record := recordOfFencedTask(r, task); record != nil {
+			records = append(records, p.addMetadata(record, now))
+		}
+	}
+	release := releaseRecord(f.Spec, f.alivePosition, wire.ReleaseReason_RELEASE_REASON_FENCED)
+	return append(records, p.addMetadata(release, now))
+}
+
+// recordOfFencedTask returns a TaskFinished record if the fenced worker reports
+// that the task ended, else a CheckpointTaken record, or nil without a checkpoint.
+func recordOfFencedTask(r *runningTask, task *wire.WorkerTask) *wire.Record {
+	finished := &wire.TaskFinished{
+		Task:    task.GetTask(),
+		Attempt: r.attempt,
+		Host:    r.host,
+		Detail:  task.GetDetail(),
+	}
+	switch {
+	case task.GetPhase() == wire.WorkerTaskPhase_WORKER_TASK_PHASE_SUCCEEDED:
+		finished.Result = wire.TaskResult_TASK_RESULT_SUCCEEDED
+	case task.GetPhase() == wire.WorkerTaskPhase_WORKER_TASK_PHASE_FAILED:
+		finished.Result = wire.TaskResult_TASK_RESULT_FAILED
+		finished.Retry = strings.HasPrefix(task.GetDetail(), workerFaultPrefix)
+	case task.GetCheckpoint() != "":
+		return &wire.Record{
+			Body: &wire.Record_CheckpointTaken{
+				CheckpointTaken: &wire.CheckpointTaken{
+					Task:       task.GetTask(),
+					Attempt:    r.attempt,
+					Host:       r.host,
+					Checkpoint: task.GetCheckpoint(),
+				},
+			},
+		}
+	default:
+		return nil
+	}
+	return &wire.Record{
+		Body: &wire.Record_TaskFinished{
+			TaskFinished: finished,
+		},
+	}
+}
