Scheduler: the worker of a silent member is read before its release

Cause: a release after task_hold counts from the latest heartbeat in the log, an expiry from the agent's latest sync. An agent that cannot reach its worker sends no heartbeats but remains a member. If it dies when the worker can be reached again, task_hold passes before the host expires, and only expired hosts are fenced. So nobody read the results, and the release ran the tasks again.

Ruled out: to fence members shortly before the release. It stops tasks whose agent has just renewed their leases or adopts them after a restart, because the state may be up to currency_limit old. Reading suffices: the leases have ended at task_hold x 0.9, the release follows at 1.1. Also ruled out: to let the release wait for a read; it comes when it would have.

Change: from half of task_hold on, the owner of a silent member reads the worker's status without stopping anything, in a goroutine of its own, up to 16 workers at once. It appends the results, and the last checkpoints of tasks that no longer run; a worker with another boot is left alone. Expired hosts are fenced as before. A result that was read and whose append fails is read again a second later, and lost if the worker restarts in that second.

--- a/e2e/tasks_restart_test.go
+++ b/e2e/tasks_restart_test.go
@@ -1,6 +1,8 @@
 package e2e_test
 
 import (
+	"fmt"
+	"maps"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -80,3 +82,37 @@
 	c.checkFinished(task)
 	assert.Equal(t, len(c.events(task, "finish")), 2, c.history(task))
 }
+
+// TestReleaseKeepsResultsThatNobodyRead guards against a second run of tasks that ended
+// while their agent could not reach the worker. The agent dies when the worker can be
+// reached again, so the host is still a member when its task_hold has passed.
+func TestReleaseKeepsResultsThatNobodyRead(t *testing.T) {
+	runParallel(t)
+	limits := maps.Clone(taskLimits)
+	limits["task_hold"] = "6s"
+	limits["member_hold"] = "6s"
+	c := prepareCluster(t, options{
+		hosts:    2,
+		document: taskDocument,
+		limits:   limits,
+	})
+	c.startAll()
+	// An entry releases no host until it has been current for 10 s.
+	time.Sleep(10 * time.Second)
+	var tasks []string
+	for i := range 4 {
+		tasks = append(tasks, c.submitTo(nil, taskRequest(fmt.Sprintf("ledger-%d", i), 3*time.Second)))
+	}
+	host := c.waitStart(tasks[0], 0).Host
+	for _, task := range tasks {
+		c.waitStart(task, 0)
+	}
+	c.proxies.refuse("worker/" + host)
+	time.Sleep(4 * time.Second)
+	c.host(host).kill()
+	c.proxies.restore("worker/" + host)
+	c.checkFinished(tasks...)
+	for _, task := range tasks {
+		assert.Equal(t, len(c.events(task, "start")), 1, c.history(task))
+	}
+}
--- a/scheduler/fence.go
+++ b/scheduler/fence.go
@@ -58,23 +58,30 @@
 	if h == nil || !h.expired || h.spec.GetWorkerBoot() != f.Spec.GetWorkerBoot() {
 		return nil
 	}
+	records := p.endRecords(h, tasks, now)
+	release := releaseRecord(f.Spec, f.alivePosition, wire.ReleaseReason_RELEASE_REASON_FENCED)
+	return append(records, p.addMetadata(release, now))
+}
+
+// endRecords returns the records of the ends and last checkpoints of the tasks of a
+// host that no longer run.
+func (p *Planner) endRecords(h *hostInfo, tasks []*wire.WorkerTask, now time.Time) []*wire.Record {
 	var records []*wire.Record
 	for _, task := range tasks {
 		r := h.tasks[task.GetTask()]
 		if r == nil || r.token != task.GetToken() {
 			continue
 		}
-		if record := recordOfFencedTask(r, task); record != nil {
+		if record := recordOfEndedTask(r, task); record != nil {
 			records = append(records, p.addMetadata(record, now))
 		}
 	}
-	release := releaseRecord(f.Spec, f.alivePosition, wire.ReleaseReason_RELEASE_REASON_FENCED)
-	return append(records, p.addMetadata(release, now))
+	return records
 }
 
-// recordOfFencedTask returns a TaskFinished record if the fenced worker reports
-// that the task ended, else a CheckpointTaken record, or nil without a checkpoint.
-func recordOfFencedTask(r *runningTask, task *wire.WorkerTask) *wire.Record {
+// recordOfEndedTask returns a TaskFinished record if the worker reports the task's
+// result, else a CheckpointTaken record, or nil without a new checkpoint.
+func recordOfEndedTask(r *runningTask, task *wire.WorkerTask) *wire.Record {
 	finished := &wire.TaskFinished{
 		Task:    task.GetTask(),
 		Attempt: r.attempt,
@@ -87,7 +94,7 @@
 	case task.GetPhase() == wire.WorkerTaskPhase_WORKER_TASK_PHASE_FAILED:
 		finished.Result = wire.TaskResult_TASK_RESULT_FAILED
 		finished.Retry = strings.HasPrefix(task.GetDetail(), workerFaultPrefix)
-	case task.GetCheckpoint() != "":
+	case task.GetCheckpoint() != "" && task.GetCheckpoint() != r.checkpoint:
 		return &wire.Record{
 			Body: &wire.Record_CheckpointTaken{
 				CheckpointTaken: &wire.CheckpointTaken{
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -77,6 +77,8 @@
 	token         int64
 	claimedAt     time.Time
 	stopRequested bool
+	// checkpoint is the latest checkpoint in the state.
+	checkpoint string
 	// evictionRequestedAt is when this planner appended an eviction request, or
 	// zero. stopRequested is set once the state shows the request.
 	evictionRequestedAt time.Time
@@ -106,9 +108,10 @@
 	// leavingSince is when the planner observed that the host is leaving.
 	leavingSince time.Time
 	expired      bool
-	// releaseTriedAt and fenceTriedAt are the times of the latest attempts.
+	// releaseTriedAt, fenceTriedAt and readTriedAt are the times of the latest attempts.
 	releaseTriedAt time.Time
 	fenceTriedAt   time.Time
+	readTriedAt    time.Time
 }
 
 // Planner decides which scheduling records an entry appends to the log. It
--- /dev/null
+++ b/scheduler/read.go
@@ -0,0 +1,116 @@
+package scheduler
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"gopkg.in/tomb.v2"
+
+	"damaskspread.example/damaskspread/wire"
+)
+
+const (
+	readInterval    = time.Second
+	maxReadTimeout  = 2 * time.Second
+	maxReadInterval = 5 * time.Second
+	// maxConcurrentReads bounds the workers that are read at the same time, so that
+	// workers that do not respond delay others little.
+	maxConcurrentReads = 16
+)
+
+// SilentHost is a member without heartbeats in the log whose worker is to be read.
+type SilentHost struct {
+	Spec *wire.HostSpec
+	// Timeout is short compared to TaskHold, so that a call without a response leaves
+	// time for the next one before the release of the host.
+	Timeout time.Duration
+}
+
+// HostsToRead returns the hosts with tasks that this entry owns and that have been
+// silent for half of TaskHold. Unless their workers are read, a release returns tasks
+// to the queue that have ended there. Expired hosts are fenced instead (see
+// HostsToFence). A member is not fenced: its agent may be about to renew the leases,
+// or to restart and adopt the tasks. age is the age of the state; HostsToRead returns
+// none while it exceeds the currency limit.
+func (p *Planner) HostsToRead(now time.Time, age time.Duration) []SilentHost {
+	if age > p.limits.CurrencyLimit {
+		return nil
+	}
+	retryInterval := min(maxReadInterval, p.limits.TaskHold/10)
+	var hosts []SilentHost
+	for _, h := range p.hostList {
+		if h.expired || len(h.tasks) == 0 || p.silence(h, now) < p.limits.TaskHold/2 ||
+			now.Sub(h.readTriedAt) < retryInterval || !p.owns("host/"+h.spec.GetHost()) {
+			continue
+		}
+		h.readTriedAt = now
+		hosts = append(hosts, SilentHost{
+			Spec:    h.spec,
+			Timeout: min(maxReadTimeout, p.limits.TaskHold/4),
+		})
+	}
+	return hosts
+}
+
+// ReadRecords returns the records of the tasks that have ended according to the worker
+// of a silent host. The agent may record the same; the first record of an attempt's
+// end counts. A checkpoint of a task that runs is left out, because the agent may have
+// recorded a newer one.
+func (p *Planner) ReadRecords(spec *wire.HostSpec, tasks []*wire.WorkerTask, now time.Time) []*wire.Record {
+	h := p.hosts[spec.GetHost()]
+	if h == nil || h.spec.GetWorkerBoot() != spec.GetWorkerBoot() {
+		return nil
+	}
+	ended := slices.DeleteFunc(slices.Clone(tasks), func(task *wire.WorkerTask) bool {
+		return task.GetPhase() == wire.WorkerTaskPhase_WORKER_TASK_PHASE_RUNNING
+	})
+	return p.endRecords(h, ended, now)
+}
+
+func (s *Scheduler) readLoop(t *tomb.Tomb) error {
+	ticker := s.Clock.NewTicker(readInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-t.Dying():
+			return nil
+		case <-ticker.Chan():
+			s.ReadSilent(t.Context(nil)) //nolint:staticcheck // The tomb's own background context.
+		}
+	}
+}
+
+// ReadSilent reads the workers of the silent hosts that this entry owns and appends
+// the ends of their tasks.
+func (s *Scheduler) ReadSilent(ctx context.Context) {
+	var hosts []SilentHost
+	s.withLock(func() { hosts = s.Planner.HostsToRead(s.Clock.Now(), s.Follower.Age()) })
+	slots := make(chan struct{}, maxConcurrentReads)
+	var group sync.WaitGroup
+	for _, host := range hosts {
+		slots <- struct{}{}
+		group.Go(func() {
+			defer func() { <-slots }()
+			s.readHost(ctx, host)
+		})
+	}
+	group.Wait()
+}
+
+func (s *Scheduler) readHost(ctx context.Context, host SilentHost) {
+	readCtx, cancel := context.WithTimeout(ctx, host.Timeout)
+	defer cancel()
+	tasks, err := s.Read(readCtx, host.Spec)
+	if err != nil {
+		log.Info().Err(err).Str("host", host.Spec.GetHost()).Msg("reading the worker of a silent host failed")
+		return
+	}
+	var records []*wire.Record
+	s.withLock(func() { records = s.Planner.ReadRecords(host.Spec, tasks, s.Clock.Now()) })
+	if len(records) > 0 {
+		s.appendRecords(ctx, records)
+	}
+}
--- a/scheduler/refresh.go
+++ b/scheduler/refresh.go
@@ -218,6 +218,7 @@
 		}
 	}
 	r.stopRequested = task.GetEvictionRequested() || task.GetCancelRequested()
+	r.checkpoint = task.GetCheckpoint()
 }
 
 func (p *Planner) removeRunning(r *runningTask) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -7,9 +7,10 @@
 // tasks, the index of committed resources (including claims that the log does
 // not show yet) and the quarantine of failing workers.
 //
-// A Scheduler runs a Planner with up to three goroutines: one waits for changes
-// of the state, one plans and appends on every tick, and one fences expired
-// hosts on every tick if Fence is set. A scheduling cycle waits for the result of
+// A Scheduler runs a Planner with up to four goroutines: one waits for changes
+// of the state, one plans and appends on every tick, one fences expired hosts on
+// every tick if Fence is set, and one reads the workers of silent hosts if Read is
+// set, with further goroutines that it waits for. A scheduling cycle waits for the result of
 // its append, so an outage of the log leaves no backlog of claims.
 //
 // Known limitation: the replayer doesn't check quotas, so a team may briefly
@@ -64,6 +65,9 @@
 	// Fence makes a worker stop all tasks with a token below minToken and
 	// returns the worker's tasks. If Fence is nil, expired hosts are not fenced.
 	Fence func(ctx context.Context, host *wire.HostSpec, minToken int64) ([]*wire.WorkerTask, error)
+	// Read returns the tasks of a host's worker, or none if the worker has another
+	// boot. It is called concurrently. If Read is nil, silent hosts are not read.
+	Read func(ctx context.Context, host *wire.HostSpec) ([]*wire.WorkerTask, error)
 
 	// mu protects Planner.
 	mu sync.Mutex
@@ -79,6 +83,9 @@
 	if s.Fence != nil {
 		t.Go(func() error { return s.fenceLoop(t) })
 	}
+	if s.Read != nil {
+		t.Go(func() error { return s.readLoop(t) })
+	}
 	return s.planLoop(t)
 }
 
--- a/server/entry_parts.go
+++ b/server/entry_parts.go
@@ -159,6 +159,7 @@
 		Recorder:     e.recorder,
 		Clock:        e.Clock,
 		Fence:        e.fence,
+		Read:         e.readWorker,
 		Planner: &scheduler.Planner{
 			Entry:     s.Process().ID(),
 			Index:     index,
@@ -180,10 +181,7 @@
 // below minToken, so that they can restart elsewhere before their leases end. It
 // returns the tasks that the worker reports afterwards.
 func (e *Entry) fence(ctx context.Context, host *wire.HostSpec, minToken int64) ([]*wire.WorkerTask, error) {
-	workerClient := &connector.Worker{
-		Address: "http://" + host.GetWorkerAddress(),
-		HTTP:    e.http,
-	}
+	workerClient := e.workerClient(host)
 	if err := workerClient.Fence(ctx, host.GetWorkerBoot(), minToken); err != nil {
 		return nil, err
 	}
@@ -191,6 +189,23 @@
 	return status.GetTasks(), err
 }
 
+// readWorker returns the tasks of a host's worker, or none if the worker has restarted
+// and so has forgotten the tasks of the host.
+func (e *Entry) readWorker(ctx context.Context, host *wire.HostSpec) ([]*wire.WorkerTask, error) {
+	status, err := e.workerClient(host).Status(ctx)
+	if err != nil || status.GetBoot() != host.GetWorkerBoot() {
+		return nil, err
+	}
+	return status.GetTasks(), nil
+}
+
+func (e *Entry) workerClient(host *wire.HostSpec) *connector.Worker {
+	return &connector.Worker{
+		Address: "http://" + host.GetWorkerAddress(),
+		HTTP:    e.http,
+	}
+}
+
 // batchShare returns the smallest processor share, in permille, to which a batch
 // task of the host has to be throttled, or 0 if none has to be.
 func (e *Entry) batchShare(host string) int {
