Scheduler: the wait for a leaving host outlives the process that waits

Cause: leavingSince counts from the start of the process, which knows no time of the record, and clocks of other hosts jump.

Ruled out: wall-clock times of records; a record for each wait, as for silences: each further wait would need a kind of its own. To let each process count on from the state's elapsed time instead of from its own first record: delays that vary would add up, since the next record of another process counts on from there.

Change: EntryAlive carries the uptime of its process, and the replayed state adds the uptimes up to an elapsed time, a lower bound (docs/design.md). The state keeps the elapsed time at which a host began to leave, and a process that starts counts from it, less one step of at most 5 s. Entries of earlier versions send no uptime and ignore it.

Before: TestLeavingHostIsDrainedWhileEntryRestartsInSeries (a start each 21 s) fails with the line in refreshHost as it was: no eviction within 5 min. After: 60 to 85 s.

--- a/feeder/feeder.go
+++ b/feeder/feeder.go
@@ -87,6 +87,7 @@
 	mu          sync.Mutex
 	sessions    map[string]*session
 	leaving     bool
+	startedAt   time.Time
 	detector    *failureDetector
 	attachments *queuer.Ring[*session]
 	// snapshotSlot admits one FetchSnapshot at a time, since each copies the
@@ -107,6 +108,7 @@
 		if f.Entry.GetIncarnation() == "" {
 			f.Entry.Incarnation = recorder.NewID()
 		}
+		f.startedAt = f.Clock.Now()
 		f.sessions = map[string]*session{}
 		f.detector = newFailureDetector(f)
 		f.attachments = queuer.New[*session]("feeder_attachments", attachQueueCapacity)
@@ -160,6 +162,7 @@
 func (f *Feeder) appendAlive(ctx context.Context) error {
 	alive := proto.CloneOf(f.Entry)
 	alive.Leaving = f.isLeaving()
+	alive.UptimeMs = max(1, f.Clock.Since(f.startedAt).Milliseconds())
 	_, err := f.append(ctx, &wire.Record{
 		Body: &wire.Record_EntryAlive{
 			EntryAlive: alive,
--- a/feeder/feeder_test.go
+++ b/feeder/feeder_test.go
@@ -168,3 +168,19 @@
 	eventually(t, "the start from peers after records expired", e4.follower.Ready)
 	assert.NilError(t, e4.follower.Wait(t.Context(), offset))
 }
+
+// Guards against entries that do not record their uptime, so that waits begin again
+// with each of their starts.
+func TestEntriesRecordElapsedTime(t *testing.T) {
+	began := time.Now()
+	e := startEntry(t, newLog(), "e1", false)
+	uptime := func() (ms int64) {
+		e.follower.View(func(state *replayer.State) {
+			entry, _ := state.Entry("e1")
+			ms = entry.GetElapsedMs()
+		})
+		return ms
+	}
+	eventually(t, "300 ms are counted", func() bool { return uptime() >= 300 })
+	assert.Assert(t, time.Since(began) >= 300*time.Millisecond)
+}
--- a/replayer/apply.go
+++ b/replayer/apply.go
@@ -167,10 +167,12 @@
 }
 
 func (s *State) applyEntryAlive(c Change, alive *wire.EntryAlive) {
-	s.entries[alive.GetEntry()] = &wire.EntryState{
+	entry := &wire.EntryState{
 		Entry: alive,
 		Alive: c.position,
 	}
+	s.advanceElapsed(s.entries[alive.GetEntry()], entry)
+	s.entries[alive.GetEntry()] = entry
 	s.addChange(c, EntryChanged, alive.GetEntry())
 }
 
@@ -187,7 +189,8 @@
 // Snapshot returns a copy of the state with its objects in a fixed order.
 func (s *State) Snapshot() *wire.Snapshot {
 	snapshot := &wire.Snapshot{
-		Offset: s.offset,
+		Offset:    s.offset,
+		ElapsedMs: s.elapsedMs,
 	}
 	for _, name := range sortedKeys(s.sections) {
 		snapshot.Sections = append(snapshot.Sections, proto.CloneOf(s.sections[name]))
@@ -223,6 +226,7 @@
 	s := New()
 	snapshot = proto.CloneOf(snapshot)
 	s.offset = snapshot.GetOffset()
+	s.elapsedMs = max(s.elapsedMs, snapshot.GetElapsedMs())
 	// The snapshot has no routes version. The last index of its batch differs from
 	// every version that readers may have seen before.
 	s.routesVersion = damaskspread.Token(&wire.Position{
--- a/replayer/hosts.go
+++ b/replayer/hosts.go
@@ -124,6 +124,9 @@
 		s.ignore(c, ref.GetHost(), damaskspread.ReasonNotFound, "the host is unknown or has another incarnation")
 		return
 	}
+	if !h.state.GetLeaving() {
+		h.state.LeavingElapsedMs = s.elapsedMs
+	}
 	h.state.Leaving = true
 	s.addChange(c, HostChanged, ref.GetHost())
 	s.assignShards(c, h.state.GetSpec().GetEndpoint().GetService())
--- a/replayer/state.go
+++ b/replayer/state.go
@@ -38,6 +38,9 @@
 	finishedHead   int      // index in finished of the oldest task that is kept
 	// sectionsOffset is the offset of the latest section change.
 	sectionsOffset int64
+	// elapsedMs is the time that entry processes have measured so far. It starts at 1,
+	// as 0 stands for unknown where it is stored.
+	elapsedMs int64
 }
 
 type teamKey struct {
@@ -59,6 +62,7 @@
 		offset:         -1,
 		routesVersion:  -1,
 		sectionsOffset: -1,
+		elapsedMs:      1,
 		sections:       map[string]*wire.SectionState{},
 		zonesOut:       map[string]bool{},
 		hosts:          map[string]*host{},
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -105,7 +105,8 @@
 	// recorded.
 	recordedSilence time.Duration
 	leaving         bool
-	// leavingSince is when the planner observed that the host is leaving.
+	// leavingSince is when the planner observed that the host is leaving, or earlier if
+	// the state shows that it was.
 	leavingSince time.Time
 	expired      bool
 	// releaseTriedAt, fenceTriedAt and readTriedAt are the times of the latest attempts.
--- a/scheduler/refresh.go
+++ b/scheduler/refresh.go
@@ -102,7 +102,7 @@
 	switch {
 	case !h.leaving && state.GetLeaving():
 		p.leavingHosts++
-		h.leavingSince = now
+		h.leavingSince = now.Add(-s.ElapsedSince(state.GetLeavingElapsedMs()))
 	case h.leaving && !state.GetLeaving():
 		p.leavingHosts--
 	}
--- a/scheduler/restart_test.go
+++ b/scheduler/restart_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -10,20 +11,20 @@
 	"damaskspread.example/damaskspread/wire"
 )
 
-// restart replaces an entry by a new process that reads the state after a time.
-func (c *cluster) restart(entry int, away time.Duration) {
-	limits := c.planners[entry].Limits
-	fresh := newCluster(entry+1, nil).planners[entry]
+// restart replaces the first entry by a new process that reads the state after a time.
+func (c *cluster) restart(away time.Duration) {
+	limits := c.planners[0].Limits
+	fresh := newCluster(1, nil).planners[0]
 	fresh.Limits = limits
-	c.planners[entry] = &scheduler.Planner{
+	c.planners[0] = &scheduler.Planner{
 		Entry:  "away",
 		Index:  fresh.Index,
 		Policy: fresh.Policy,
 		Random: fresh.Random,
 	}
-	c.planners[entry].Reload(c.state, c.now)
+	c.planners[0].Reload(c.state, c.now)
 	c.stepFor(away)
-	c.planners[entry] = fresh
+	c.planners[0] = fresh
 	fresh.Reload(c.state, c.now)
 }
 
@@ -44,7 +45,7 @@
 	began := c.now
 	for c.task("b").GetPhase() == claimed && c.now.Sub(began) < 5*time.Minute {
 		c.stepFor(25 * time.Second)
-		c.restart(0, 5*time.Second)
+		c.restart(5 * time.Second)
 	}
 	waited := c.now.Sub(began)
 	// The host is silent for 1.1 minutes. Each start costs up to a tenth of a
@@ -72,7 +73,7 @@
 	began := c.now
 	for len(c.claims()) > 0 && c.now.Sub(began) < 3*time.Minute {
 		c.stepFor(11 * time.Second)
-		c.restart(0, tick)
+		c.restart(tick)
 	}
 	assert.Assert(t, c.now.Sub(began) <= 100*time.Second, "%d claims", len(c.claims()))
 }
@@ -95,7 +96,7 @@
 	c.apply(late)
 	host, _ = c.state.Host("h")
 	assert.Equal(t, host.GetSilentMs(), int64(0))
-	c.restart(0, time.Second)
+	c.restart(time.Second)
 	c.stepFor(60 * time.Second)
 	assert.Equal(t, c.task("b").GetPhase(), claimed)
 	c.stepFor(10 * time.Second)
@@ -111,3 +112,51 @@
 	}
 	assert.Equal(t, c.recordCounts["*wire.Record_HostsSilent"], 0)
 }
+
+// sendUptime appends the heartbeat of an entry.
+func (c *cluster) sendUptime(entry, incarnation string, uptime time.Duration) {
+	c.apply(&wire.Record{Body: &wire.Record_EntryAlive{EntryAlive: &wire.EntryAlive{
+		Entry:       entry,
+		Incarnation: incarnation,
+		UptimeMs:    max(1, uptime.Milliseconds()),
+	}}})
+}
+
+// waitWithRestarts restarts the only entry each 21 s until the condition holds, and
+// returns how long that took. Its heartbeats come each 2 s, one of them twice and late.
+func (c *cluster) waitWithRestarts(condition func() bool) time.Duration {
+	began := c.now
+	for life := 0; c.now.Sub(began) < 5*time.Minute; life++ {
+		incarnation := fmt.Sprint("life", life)
+		for uptime := time.Duration(0); uptime <= 20*time.Second; uptime += tick {
+			if uptime%(2*time.Second) == 0 {
+				c.sendUptime("entry0", incarnation, uptime)
+				c.sendUptime("entry0", incarnation, uptime/2)
+				c.sendUptime("entry0", incarnation, uptime)
+			}
+			if condition() {
+				return c.now.Sub(began)
+			}
+			c.step(tick)
+		}
+		c.restart(time.Second)
+	}
+	return c.now.Sub(began)
+}
+
+// Guards against tasks that stay on a leaving host for ever, because the owning entry
+// restarts more often than each minute and its wait begins again.
+func TestLeavingHostIsDrainedWhileEntryRestartsInSeries(t *testing.T) {
+	c := newCluster(1, nil)
+	c.join("h", "z", 16_000, 60)
+	c.submit(spec("kept", false, 1_000, 1))
+	c.step(tick)
+	host, _ := c.state.Host("h")
+	c.apply(&wire.Record{Body: &wire.Record_HostLeaving{HostLeaving: &wire.HostLeaving{Host: &wire.HostRef{
+		Host:        "h",
+		Incarnation: host.GetSpec().GetIncarnation(),
+	}}}})
+	waited := c.waitWithRestarts(func() bool { return c.task("kept").GetEvictionRequested() })
+	// The host keeps its tasks for a minute, and each start may cost three seconds.
+	assert.Assert(t, waited >= 60*time.Second && waited <= 85*time.Second, "%s", waited)
+}
