Scheduler: a quarantine outlives the process that waits

Cause: quarantine.restore counts from the start of the process.

Ruled out: to derive the doubled duration from the number of failures: failures that are the task's fault count there too. A process that starts begins with the minimum, as before.

Change: the state keeps the elapsed time (docs/design.md) at the latest failure of a host, and restore counts from it.

Before: TestQuarantineEndsWhileEntryRestartsInSeries (a start each 21 s) fails with restore counting from the start: no probe within 5 min. After: 30 to 45 s. go test -race ./scheduler passes.

--- a/replayer/hosts.go
+++ b/replayer/hosts.go
@@ -70,6 +70,7 @@
 		s.releaseClaims(c, h, "the worker restarted")
 	} else {
 		state.ConsecutiveFailures = h.state.GetConsecutiveFailures()
+		state.FailedElapsedMs = h.state.GetFailedElapsedMs()
 	}
 	if old.GetEndpoint().GetService() == state.GetSpec().GetEndpoint().GetService() {
 		h.state = state
--- a/replayer/tasks.go
+++ b/replayer/tasks.go
@@ -258,6 +258,7 @@
 		h.state.ConsecutiveFailures = 0
 	case wire.TaskResult_TASK_RESULT_FAILED:
 		h.state.ConsecutiveFailures++
+		h.state.FailedElapsedMs = s.elapsedMs
 	}
 }
 
--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -69,11 +69,11 @@
 }
 
 // restore quarantines a worker whose failures before this entry started are
-// recorded in the state. The failed tasks are not known, so the quarantine
-// starts with its minimum duration.
-func (q *quarantine) restore(host string, failures int32, now time.Time) {
+// recorded in the state, the latest at failedAt. The failed tasks are not known, so
+// the quarantine starts with its minimum duration.
+func (q *quarantine) restore(host string, failures int32, failedAt time.Time) {
 	if failures >= quarantineAfterFailures {
-		q.quarantineHost(host, now)
+		q.quarantineHost(host, failedAt)
 	}
 }
 
--- a/scheduler/refresh.go
+++ b/scheduler/refresh.go
@@ -82,7 +82,8 @@
 		}
 		p.hosts[id] = h
 		p.hostList = append(p.hostList, h)
-		p.quarantine.restore(id, state.GetConsecutiveFailures(), now)
+		failedAt := now.Add(-s.ElapsedSince(state.GetFailedElapsedMs()))
+		p.quarantine.restore(id, state.GetConsecutiveFailures(), failedAt)
 	}
 	if h.spec != nil && h.spec.GetWorkerBoot() != state.GetSpec().GetWorkerBoot() {
 		p.quarantine.forgetHost(id)
--- a/scheduler/restart_test.go
+++ b/scheduler/restart_test.go
@@ -160,3 +160,20 @@
 	// The host keeps its tasks for a minute, and each start may cost three seconds.
 	assert.Assert(t, waited >= 60*time.Second && waited <= 85*time.Second, "%s", waited)
 }
+
+// Guards against a worker that is never probed again, because the owning entry restarts
+// more often than each 30 s and the quarantine begins again.
+func TestQuarantineEndsWhileEntryRestartsInSeries(t *testing.T) {
+	c := newCluster(1, nil)
+	c.join("h", "z", 16_000, 60)
+	for i := range 3 {
+		c.submit(spec(fmt.Sprint("t", i), false, 1_000, 1))
+	}
+	c.step(tick)
+	for _, task := range c.claims() {
+		c.finish(task.GetSpec().GetTask(), wire.TaskResult_TASK_RESULT_FAILED)
+	}
+	c.submit(spec("probe", false, 1_000, 1))
+	waited := c.waitWithRestarts(func() bool { return len(c.claims()) > 0 })
+	assert.Assert(t, waited >= 30*time.Second && waited <= 45*time.Second, "%s", waited)
+}
