--- a/replayer/hosts.go
+++ b/replayer/hosts.go
@@ -70,6 +70,7 @@
 		s.releaseClaims(c, h, "the worker restarted")
 	} else {
 		state.ConsecutiveFailures = h.state.GetConsecutiveFailures()
+		state.FailedElapsedMs = h.state.GetFailedElapsedMs()
 	}
 	if old.GetEndpoint().GetService() == state.GetSpec().GetEndpoint().GetService() {
 		h.state = state
@@ -124,6 +125,9 @@
 		s.ignore(c, ref.GetHost(), damaskspread.ReasonNotFound, "the host is unknown or has another incarnation")
 		return
 	}
+	if !h.state.GetLeaving() {
+		h.state.LeavingElapsedMs = s.elapsedMs
+	}
 	h.state.Leaving = true
 	s.addChange(c, HostChanged, ref.GetHost())
 	s.assignShards(c, h.state.GetSpec().GetEndpoint().GetService())
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -77,6 +77,8 @@
 	token         int64
 	claimedAt     time.Time
 	stopRequested bool
+	// checkpoint is the latest checkpoint in the state.
+	checkpoint string
 	// evictionRequestedAt is when this planner appended an eviction request, or
 	// zero. stopRequested is set once the state shows the request.
 	evictionRequestedAt time.Time
@@ -103,12 +105,14 @@
 	// recorded.
 	recordedSilence time.Duration
 	leaving         bool
-	// leavingSince is when the planner observed that the host is leaving.
+	// leavingSince is when the planner observed that the host is leaving, or earlier if
+	// the state shows that it was.
 	leavingSince time.Time
 	expired      bool
-	// releaseTriedAt and fenceTriedAt are the times of the latest attempts.
+	// releaseTriedAt, fenceTriedAt and readTriedAt are the times of the latest attempts.
 	releaseTriedAt time.Time
 	fenceTriedAt   time.Time
+	readTriedAt    time.Time
 }
 
 // Planner decides which scheduling records an entry appends to the log. It
--- a/scheduler/refresh.go
+++ b/scheduler/refresh.go
@@ -82,7 +82,8 @@
 		}
 		p.hosts[id] = h
 		p.hostList = append(p.hostList, h)
-		p.quarantine.restore(id, state.GetConsecutiveFailures(), now)
+		failedAt := now.Add(-s.ElapsedSince(state.GetFailedElapsedMs()))
+		p.quarantine.restore(id, state.GetConsecutiveFailures(), failedAt)
 	}
 	if h.spec != nil && h.spec.GetWorkerBoot() != state.GetSpec().GetWorkerBoot() {
 		p.quarantine.forgetHost(id)
@@ -102,7 +103,7 @@
 	switch {
 	case !h.leaving && state.GetLeaving():
 		p.leavingHosts++
-		h.leavingSince = now
+		h.leavingSince = now.Add(-s.ElapsedSince(state.GetLeavingElapsedMs()))
 	case h.leaving && !state.GetLeaving():
 		p.leavingHosts--
 	}
@@ -218,6 +219,7 @@
 		}
 	}
 	r.stopRequested = task.GetEvictionRequested() || task.GetCancelRequested()
+	r.checkpoint = task.GetCheckpoint()
 }
 
 func (p *Planner) removeRunning(r *runningTask) {
