--- a/coordinator/release_trace_test.go
+++ b/coordinator/release_trace_test.go
@@ -14,7 +14,8 @@
 )
 
 // captureLog redirects the log until the test ends. It is called before the fleet is
-// made, which then ends first.
+// made, which then ends first. The test must not be parallel: the log is that of the
+// process.
 func captureLog(t *testing.T) *emulator.LogLines {
 	lines := &emulator.LogLines{}
 	previous := log.DefaultLogger
--- a/runner/many_runs_test.go
+++ b/runner/many_runs_test.go
@@ -72,6 +72,8 @@
 	assert.Assert(t, allocatedBytes()-before < 200<<20, "%d bytes", allocatedBytes()-before)
 }
 
+// allocatedBytes counts those of the whole process, so a test that calls it must not be
+// parallel.
 func allocatedBytes() uint64 {
 	var stats runtime.MemStats
 	runtime.ReadMemStats(&stats)
--- a/runner/run_trace_test.go
+++ b/runner/run_trace_test.go
@@ -17,7 +17,8 @@
 )
 
 // captureLog redirects the log until the test ends. It is called before the runner is
-// started, which then ends first.
+// started, which then ends first. The test must not be parallel: the log is that of the
+// process.
 func captureLog(t *testing.T) *emulator.LogLines {
 	capture := &emulator.LogLines{}
 	previous := log.DefaultLogger
