--- a/emulator/job_executor.go
+++ b/emulator/job_executor.go
@@ -24,9 +24,9 @@
 	// Observe is called at each start and end of a run, with the executor's lock
 	// held; it may be nil.
 	Observe func(event RunEvent)
-	// Acknowledged is called for each end that Renew drops from the list, with the
-	// executor's lock held; it may be nil.
-	Acknowledged func(end *wire.RunEnd)
+	// Acknowledged is called for each end that Renew drops from the list, and whether the
+	// lease has lapsed since the end, with the executor's lock held; it may be nil.
+	Acknowledged func(end *wire.RunEnd, lapsed bool)
 	// Crashes reports whether a task crashes the executor shortly after its start;
 	// nil if none does.
 	Crashes func(task string) bool
@@ -42,8 +42,10 @@
 	endedRun      map[string]int32
 	ended         []*wire.RunEnd
 	lastEndNumber int64
-	unresponsive  bool
-	resetting     bool
+	// lapsedEnds is the number of the last end before the latest lapse of the lease.
+	lapsedEnds   int64
+	unresponsive bool
+	resetting    bool
 	// fails reports whether a task fails at once; nil if none does.
 	fails               func(task string) bool
 	losesStartResponses bool
@@ -100,6 +102,7 @@
 	e.endedRun = map[string]int32{}
 	e.ended = nil
 	e.lastEndNumber = 0
+	e.lapsedEnds = 0
 	e.signal()
 }
 
@@ -225,6 +228,9 @@
 			e.endRun(id, run, wire.EndCause_END_CAUSE_LEASE_EXPIRED)
 		}
 	}
+	if now.After(e.leaseEnd) {
+		e.lapsedEnds = e.lastEndNumber
+	}
 }
 
 func (e *JobExecutor) endRun(id runID, run *jobRun, cause wire.EndCause) {
--- a/emulator/job_executor_calls.go
+++ b/emulator/job_executor_calls.go
@@ -83,7 +83,7 @@
 	e.ended = slices.DeleteFunc(e.ended, func(end *wire.RunEnd) bool {
 		dropped := end.GetNumber() <= seen
 		if dropped && e.Acknowledged != nil {
-			e.Acknowledged(end)
+			e.Acknowledged(end, end.GetNumber() <= e.lapsedEnds)
 		}
 		return dropped
 	})
--- a/emulator/job_executor_test.go
+++ b/emulator/job_executor_test.go
@@ -66,3 +66,30 @@
 		wire.EndCause_END_CAUSE_LEASE_EXPIRED, wire.EndCause_END_CAUSE_LEASE_EXPIRED,
 	})
 }
+
+// Guards against an end that is reported as acknowledged in time although the lease lapsed
+// in between, and was renewed since, or the other way round.
+func TestLapseBeforeAcknowledgement(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	lapsed := map[string]bool{}
+	e := &emulator.JobExecutor{
+		Clock:        clock,
+		TaskDuration: func(string) time.Duration { return 100 * time.Millisecond },
+		Acknowledged: func(end *wire.RunEnd, isLapsed bool) { lapsed[end.GetTask()] = isLapsed },
+	}
+	e.Boot("i")
+	play := func(task string, deadlineMs int64, pause time.Duration) {
+		lease := &damaskspread.Lease{Token: 1, DeadlineMs: deadlineMs}
+		assert.NilError(t, e.Start(t.Context(), "i", &wire.StartOrder{Task: task, Run: 1}, lease))
+		clock.Advance(pause)
+	}
+	renew := func(deadlineMs, seen int64) {
+		_, err := e.Renew(t.Context(), "i", &damaskspread.Lease{Token: 1, DeadlineMs: deadlineMs}, seen, 0)
+		assert.NilError(t, err)
+	}
+	play("before.0.0.0", 1000, 2*time.Second)
+	renew(3000, 0)
+	play("after.0.0.0", 3000, 500*time.Millisecond)
+	renew(4000, 2)
+	assert.DeepEqual(t, lapsed, map[string]bool{"before.0.0.0": true, "after.0.0.0": false})
+}
