--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -7,11 +7,9 @@
 	"strconv"
 	"strings"
 	"sync"
-	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"gotest.tools/v3/assert"
 
 	"damaskspread.example/damaskspread/emulator"
 	"damaskspread.example/damaskspread/wire"
@@ -278,53 +276,3 @@
 	}
 	return violations
 }
-
-// Checks that the checker detects each kind of violation.
-func TestCheckerSeesPlantedFaults(t *testing.T) {
-	start := func(task, executor string) emulator.RunEvent {
-		return emulator.RunEvent{Task: task, Executor: executor}
-	}
-	newChecker := func() *checker {
-		c := newChecker()
-		for _, executor := range []string{"x", "y"} {
-			c.capacities.Booted(executor, &wire.Resources{Millicores: submittedMillicores, MemoryBytes: defaultCapacity.GetMemoryBytes()})
-		}
-		return c
-	}
-	twice := newChecker()
-	twice.observe(start("a.0.0.0", "x"))
-	twice.observe(start("a.0.0.0", "y"))
-	assert.Equal(t, len(twice.report()), 1)
-	sameExecutor := newChecker()
-	sameExecutor.capacities.Booted("x", defaultCapacity)
-	sameExecutor.observe(start("a.0.0.0", "x"))
-	sameExecutor.observe(emulator.RunEvent{Task: "a.0.0.0", Run: 2, Executor: "x"})
-	assert.Equal(t, len(sameExecutor.report()), 1)
-	sameID := newChecker()
-	sameID.capacities.Booted("x", defaultCapacity)
-	lost := emulator.RunEvent{Task: "a.0.0.0", Executor: "x", Cause: wire.EndCause_END_CAUSE_LEASE_EXPIRED}
-	sameID.observe(start("a.0.0.0", "x"))
-	sameID.observe(lost)
-	sameID.observe(start("a.0.0.0", "x"))
-	assert.Equal(t, len(sameID.report()), 0, "a run that was lost in a crash counts as running")
-	sameID.observe(emulator.RunEvent{Task: "a.0.0.0", Run: 2, Executor: "x"})
-	sameID.observe(lost)
-	sameID.observe(emulator.RunEvent{Task: "a.0.0.0", Run: 3, Executor: "x"})
-	assert.Equal(t, len(sameID.report()), 2, "the end of one run hides another one on the same executor")
-	afterDone := newChecker()
-	afterDone.observe(start("a.0.0.0", "x"))
-	afterDone.observe(emulator.RunEvent{Task: "a.0.0.0", Executor: "x", Cause: wire.EndCause_END_CAUSE_DONE})
-	afterDone.acknowledge(&wire.RunEnd{Task: "a.0.0.0", Cause: wire.EndCause_END_CAUSE_DONE}, false)
-	afterDone.observe(emulator.RunEvent{Task: "a.0.0.0", Run: 1, Executor: "y"})
-	assert.Equal(t, len(afterDone.report()), 1)
-	overCapacity := newChecker()
-	overCapacity.observe(start("a.0.0.0", "x"))
-	overCapacity.observe(start("a.0.0.1", "x"))
-	assert.Equal(t, len(overCapacity.report()), 1)
-	early := newChecker()
-	early.observe(start("a.0.1.0", "x"))
-	assert.Assert(t, len(early.report()) > 0)
-	incomplete := newChecker()
-	incomplete.checkFinished("a")
-	assert.Assert(t, len(incomplete.report()) > 0)
-}
