Scheduler: the age of a running task outlives the process that observed its claim

After a start of the owning entry its age began at zero, so the task was expected to run for long, was evicted at once and lost its work. The cost of a preemption, which grows with the age, was too low as well.

Cause: claimedAt counts from the start of the process.

Ruled out: phase_unix_ms of the state: wall clocks of the entries jump.

Change: the state keeps the elapsed time (docs/design.md) at the claim of a task, and a process that starts counts the age from it.

Before: TestAgeOfTaskCountsOnWhileEntryRestartsInSeries (a start each 21 s) fails with claimedAt as it was: the task is evicted. After: it passes.

--- a/replayer/tasks.go
+++ b/replayer/tasks.go
@@ -82,6 +82,7 @@
 	task.Token = c.position
 	task.Reason = claimed.GetReason()
 	task.PhaseUnixMs = c.record.GetRecordedUnixMs()
+	task.ClaimedElapsedMs = s.elapsedMs
 	delete(s.pending, claimed.GetTask())
 	s.addClaim(task)
 	s.addChange(c, TaskChanged, claimed.GetTask())
--- a/scheduler/refresh.go
+++ b/scheduler/refresh.go
@@ -136,7 +136,7 @@
 	case wire.TaskPhase_TASK_PHASE_CLAIMED:
 		committed := p.confirmClaim(task)
 		p.removePending(id, now)
-		p.refreshRunning(task, committed, now)
+		p.refreshRunning(s, task, committed, now)
 	default:
 		p.removePending(id, now)
 		p.quarantine.forgetTask(id)
@@ -196,7 +196,7 @@
 	return true
 }
 
-func (p *Planner) refreshRunning(task *wire.TaskState, committed bool, now time.Time) {
+func (p *Planner) refreshRunning(s *replayer.State, task *wire.TaskState, committed bool, now time.Time) {
 	id := task.GetSpec().GetTask()
 	r := p.running[id]
 	if r == nil {
@@ -205,7 +205,7 @@
 			attempt:   task.GetAttempt(),
 			host:      task.GetHost(),
 			token:     damaskspread.Token(task.GetToken()),
-			claimedAt: now,
+			claimedAt: now.Add(-s.ElapsedSince(task.GetClaimedElapsedMs())),
 		}
 		p.running[id] = r
 		if !committed {
--- a/scheduler/restart_test.go
+++ b/scheduler/restart_test.go
@@ -126,8 +126,8 @@
 // returns how long that took. Its heartbeats come each 2 s, one of them twice and late.
 func (c *cluster) waitWithRestarts(condition func() bool) time.Duration {
 	began := c.now
-	for life := 0; c.now.Sub(began) < 5*time.Minute; life++ {
-		incarnation := fmt.Sprint("life", life)
+	for c.now.Sub(began) < 5*time.Minute {
+		incarnation := fmt.Sprint("from ", c.now)
 		for uptime := time.Duration(0); uptime <= 20*time.Second; uptime += tick {
 			if uptime%(2*time.Second) == 0 {
 				c.sendUptime("entry0", incarnation, uptime)
@@ -177,3 +177,27 @@
 	waited := c.waitWithRestarts(func() bool { return len(c.claims()) > 0 })
 	assert.Assert(t, waited >= 30*time.Second && waited <= 45*time.Second, "%s", waited)
 }
+
+// oldTask starts a task without checkpoints that is expected to end 110 s later, lets
+// the entry restart in series for 75 s, and then takes the zone out of service.
+func (c *cluster) oldTask() {
+	c.join("h", "z", 16_000, 60)
+	old := spec("old", false, 1_000, 1)
+	old.CanCheckpoint = false
+	old.ExpectedDurationMs = (110 * time.Second).Milliseconds()
+	c.submit(old)
+	c.step(tick)
+	began := c.now
+	c.waitWithRestarts(func() bool { return c.now.Sub(began) >= 75*time.Second })
+	c.setZone("z", false)
+}
+
+// Guards against a task that loses its work shortly before its end, because its age
+// counts from the start of the owning entry.
+func TestAgeOfTaskCountsOnWhileEntryRestartsInSeries(t *testing.T) {
+	c := newCluster(1, nil)
+	c.oldTask()
+	drained := c.now
+	c.waitWithRestarts(func() bool { return c.now.Sub(drained) >= 45*time.Second })
+	assert.Assert(t, !c.task("old").GetEvictionRequested())
+}
