Scheduler: the grace of a zone's drain outlives the process that waits

Each start of the owning entry began the minute again, so with starts in series a task that runs longer than expected stayed in the zone for ever.

Cause: drain.startedAt counts from the first plan of the process.

Ruled out: published_unix_ms: wall clocks of the entries jump. To count from the record that took the zone out: the drain of a zone may be switched on later, by another publication of its section, so the time counts from the latest one.

Change: the state keeps the elapsed time (docs/design.md) at each publication. The planner keeps since when a zone is out, and a drain starts then; that of a leaving host starts when its minute is over.

Before: TestZoneIsDrainedWhileEntryRestartsInSeries (a start each 21 s) fails with the drain counted from the start of the process: no eviction within 5 min. After: 60 to 80 s. go test -race -p 2 ./scheduler ./replayer ./feeder passes.

--- a/replayer/apply.go
+++ b/replayer/apply.go
@@ -118,13 +118,14 @@
 		return
 	}
 	s.sections[name] = &wire.SectionState{
-		Section:         name,
-		Text:            published.GetText(),
-		Removed:         published.GetRemoved(),
-		Team:            published.GetTeam(),
-		Position:        c.position,
-		Actor:           c.record.GetActor(),
-		PublishedUnixMs: c.record.GetRecordedUnixMs(),
+		Section:            name,
+		Text:               published.GetText(),
+		Removed:            published.GetRemoved(),
+		Team:               published.GetTeam(),
+		Position:           c.position,
+		Actor:              c.record.GetActor(),
+		PublishedUnixMs:    c.record.GetRecordedUnixMs(),
+		PublishedElapsedMs: s.elapsedMs,
 	}
 	s.sectionsOffset = c.position.GetOffset()
 	if s.updateZone(s.sections[name]) {
--- a/replayer/state.go
+++ b/replayer/state.go
@@ -112,6 +112,11 @@
 // section. A zone without a section is in service.
 func (s *State) ZoneInService(zone string) bool { return !s.zonesOut[zone] }
 
+// ZoneSection returns the section of a zone, or nil if it was never published.
+func (s *State) ZoneSection(zone string) *wire.SectionState {
+	return s.sections[zoneSectionPrefix+zone]
+}
+
 // Host returns a known host, also if it is leaving or expired.
 func (s *State) Host(id string) (*wire.HostState, bool) {
 	h, ok := s.hosts[id]
--- a/scheduler/leave.go
+++ b/scheduler/leave.go
@@ -46,7 +46,7 @@
 		}
 		group := ""
 		switch {
-		case p.zonesOut[h.spec.GetZone()] && p.drainsZone(h.spec.GetZone()):
+		case p.isOut(h.spec.GetZone()) && p.drainsZone(h.spec.GetZone()):
 			group = h.spec.GetZone()
 		case h.leaving && out.now.Sub(h.leavingSince) >= leavingHostGrace:
 			group = "host " + h.spec.GetHost()
@@ -74,7 +74,7 @@
 	if d == nil {
 		d = &drain{
 			limit:     max(minDrainLimit, len(tasks)*p.limits.MaxEvictingPermille/1000),
-			startedAt: out.now,
+			startedAt: p.drainStart(group, p.hosts[tasks[0].host]),
 		}
 		p.drains[group] = d
 	}
@@ -108,10 +108,27 @@
 	startedAt time.Time
 }
 
+// zoneOut is a zone that is out of service.
+type zoneOut struct {
+	// published is the token of the publication that took the zone out, or of the
+	// latest one since.
+	published int64
+	// since is the time of that publication.
+	since time.Time
+}
+
+// drainStart returns when the drain of a zone, or of the host, began.
+func (p *Planner) drainStart(group string, h *hostInfo) time.Time {
+	if group == h.spec.GetZone() {
+		return p.zonesOut[group].since
+	}
+	return h.leavingSince.Add(leavingHostGrace)
+}
+
 // mayFinish reports whether a task that cannot be checkpointed is not evicted yet,
 // because it is expected to end within finishGrace of the start of the drain.
 func (p *Planner) mayFinish(r *runningTask, d *drain, now time.Time) bool {
-	if isUrgent(r.spec) || r.spec.GetCanCheckpoint() || !p.zonesOut[p.hosts[r.host].spec.GetZone()] {
+	if isUrgent(r.spec) || r.spec.GetCanCheckpoint() || !p.isOut(p.hosts[r.host].spec.GetZone()) {
 		return false
 	}
 	graceLeft := finishGrace - now.Sub(d.startedAt)
--- a/scheduler/planner.go
+++ b/scheduler/planner.go
@@ -142,7 +142,7 @@
 	hostsStableSince time.Time
 	hosts            map[string]*hostInfo
 	hostList         []*hostInfo
-	zonesOut         map[string]bool
+	zonesOut         map[string]zoneOut
 	drains           map[string]*drain
 	liveEntries      []string
 	teams            map[string]*team
@@ -187,7 +187,7 @@
 		p.pending = map[string]*pendingTask{}
 		p.outsideQueues = map[string]*pendingTask{}
 		p.unrunnable = map[string]*pendingTask{}
-		p.zonesOut = map[string]bool{}
+		p.zonesOut = map[string]zoneOut{}
 		p.drains = map[string]*drain{}
 		p.throttles = map[string]estimator.Response{}
 		p.urgent.teams = map[string]*teamQueue{}
--- a/scheduler/refresh.go
+++ b/scheduler/refresh.go
@@ -47,16 +47,11 @@
 func (p *Planner) refreshConfiguration(s *replayer.State, now time.Time) {
 	for _, h := range p.hostList {
 		zone := h.spec.GetZone()
-		out := !s.ZoneInService(zone)
-		if out == p.zonesOut[zone] {
-			continue
-		}
-		p.Index.SetZone(zone, !out, now)
-		delete(p.zonesOut, zone)
-		delete(p.drains, zone)
-		if out {
-			p.zonesOut[zone] = true
+		if s.ZoneInService(zone) == p.isOut(zone) {
+			p.Index.SetZone(zone, s.ZoneInService(zone), now)
+			delete(p.drains, zone)
 		}
+		p.refreshZone(s, zone, now)
 	}
 	if p.Teams != nil {
 		for name, t := range p.teams {
@@ -70,6 +65,29 @@
 	p.refreshOwnership(now)
 }
 
+// refreshZone updates since when a zone is out of service. A publication that leaves it
+// out may begin its drain, so the time counts from there.
+func (p *Planner) refreshZone(s *replayer.State, zone string, now time.Time) {
+	if s.ZoneInService(zone) {
+		delete(p.zonesOut, zone)
+		return
+	}
+	section := s.ZoneSection(zone)
+	published := damaskspread.Token(section.GetPosition())
+	if p.isOut(zone) && p.zonesOut[zone].published == published {
+		return
+	}
+	p.zonesOut[zone] = zoneOut{
+		published: published,
+		since:     now.Add(-s.ElapsedSince(section.GetPublishedElapsedMs())),
+	}
+}
+
+func (p *Planner) isOut(zone string) bool {
+	_, out := p.zonesOut[zone]
+	return out
+}
+
 func (p *Planner) refreshHost(s *replayer.State, id string, now time.Time) {
 	state, ok := s.Host(id)
 	if !ok {
@@ -111,9 +129,7 @@
 	p.hostsStableSince = now
 	p.Index.SetHost(state)
 	p.Index.SetZone(h.spec.GetZone(), s.ZoneInService(h.spec.GetZone()), now)
-	if !s.ZoneInService(h.spec.GetZone()) {
-		p.zonesOut[h.spec.GetZone()] = true
-	}
+	p.refreshZone(s, h.spec.GetZone(), now)
 	if p.Estimates != nil {
 		p.Estimates.SetHost(h.spec)
 	}
--- a/scheduler/restart_test.go
+++ b/scheduler/restart_test.go
@@ -201,3 +201,12 @@
 	c.waitWithRestarts(func() bool { return c.now.Sub(drained) >= 45*time.Second })
 	assert.Assert(t, !c.task("old").GetEvictionRequested())
 }
+
+// Guards against tasks without checkpoints that stay for ever in a zone that is out of
+// service, because the owning entry restarts more often than each minute.
+func TestZoneIsDrainedWhileEntryRestartsInSeries(t *testing.T) {
+	c := newCluster(1, nil)
+	c.oldTask()
+	waited := c.waitWithRestarts(func() bool { return c.task("old").GetEvictionRequested() })
+	assert.Assert(t, waited >= 60*time.Second && waited <= 80*time.Second, "%s", waited)
+}
