Scheduler: a worker that does not respond delays neither its next fence nor others

What callers saw: nothing yet; found while the release of silent members was examined. With task_hold below about 7 s a worker that missed one fence was not fenced again before its host was released, and finished tasks ran again. With the default of 15 min each worker that does not respond took 2 s of the others' time: after a loss of power of some hundred hosts, the tasks of hosts whose worker still runs waited for minutes.

Cause: a fence was tried again after a fixed 5 s, and one after the other.

Ruled out: to let the release wait for a fence; it comes when it would have.

Change: fences are tried again after 5 s or task_hold/10, with a timeout of 2 s or task_hold/4, whichever is shorter, up to 16 at once, as reads of silent members are.

The minutes after a loss of power are calculated, not measured.

--- a/scheduler/fence.go
+++ b/scheduler/fence.go
@@ -9,7 +9,13 @@
 )
 
 const (
-	fenceRetryInterval = 5 * time.Second
+	// maxWorkerRetryInterval and maxWorkerTimeout bound the calls to workers of hosts
+	// that are to be released.
+	maxWorkerRetryInterval = 5 * time.Second
+	maxWorkerTimeout       = 2 * time.Second
+	// maxConcurrentCalls bounds the workers that are called at the same time, so that
+	// workers that do not respond delay others little.
+	maxConcurrentCalls = 16
 	// workerFaultPrefix starts the detail of a failure that the worker caused.
 	workerFaultPrefix = "worker"
 )
@@ -21,11 +27,25 @@
 	// of every claim of the host. An expired host gets no new claims until it joins
 	// again.
 	MinToken      int64
+	Timeout       time.Duration
 	alivePosition *wire.Position
 }
 
+// workerRetryInterval is how long a worker that did not respond is left alone. It is
+// short compared to TaskHold, so that a worker that can be reached again is called
+// before the release of its host.
+func (p *Planner) workerRetryInterval() time.Duration {
+	return min(maxWorkerRetryInterval, p.limits.TaskHold/10)
+}
+
+// workerTimeout bounds a call to a worker. A call without a response leaves time for
+// the next one before the release.
+func (p *Planner) workerTimeout() time.Duration {
+	return min(maxWorkerTimeout, p.limits.TaskHold/4)
+}
+
 // HostsToFence returns the expired hosts with tasks that this entry has to fence
-// now. A host is returned again after fenceRetryInterval. age is the age of the
+// now. A host is returned again after workerRetryInterval. age is the age of the
 // state; HostsToFence returns none while it exceeds the currency limit.
 func (p *Planner) HostsToFence(now time.Time, age time.Duration) []Fence {
 	if age > p.limits.CurrencyLimit {
@@ -33,7 +53,7 @@
 	}
 	var fences []Fence
 	for _, h := range p.hostList {
-		if !h.expired || len(h.tasks) == 0 || now.Sub(h.fenceTriedAt) < fenceRetryInterval || !p.owns("host/"+h.spec.GetHost()) {
+		if !h.expired || len(h.tasks) == 0 || now.Sub(h.fenceTriedAt) < p.workerRetryInterval() || !p.owns("host/"+h.spec.GetHost()) {
 			continue
 		}
 		h.fenceTriedAt = now
@@ -42,6 +62,7 @@
 			MinToken: damaskspread.Token(&wire.Position{
 				Offset: p.offset + 1,
 			}),
+			Timeout:       p.workerTimeout(),
 			alivePosition: h.alivePosition,
 		})
 	}
--- a/scheduler/read.go
+++ b/scheduler/read.go
@@ -12,20 +12,11 @@
 	"damaskspread.example/damaskspread/wire"
 )
 
-const (
-	readInterval    = time.Second
-	maxReadTimeout  = 2 * time.Second
-	maxReadInterval = 5 * time.Second
-	// maxConcurrentReads bounds the workers that are read at the same time, so that
-	// workers that do not respond delay others little.
-	maxConcurrentReads = 16
-)
+const readInterval = time.Second
 
 // SilentHost is a member without heartbeats in the log whose worker is to be read.
 type SilentHost struct {
-	Spec *wire.HostSpec
-	// Timeout is short compared to TaskHold, so that a call without a response leaves
-	// time for the next one before the release of the host.
+	Spec    *wire.HostSpec
 	Timeout time.Duration
 }
 
@@ -39,17 +30,16 @@
 	if age > p.limits.CurrencyLimit {
 		return nil
 	}
-	retryInterval := min(maxReadInterval, p.limits.TaskHold/10)
 	var hosts []SilentHost
 	for _, h := range p.hostList {
 		if h.expired || len(h.tasks) == 0 || p.silence(h, now) < p.limits.TaskHold/2 ||
-			now.Sub(h.readTriedAt) < retryInterval || !p.owns("host/"+h.spec.GetHost()) {
+			now.Sub(h.readTriedAt) < p.workerRetryInterval() || !p.owns("host/"+h.spec.GetHost()) {
 			continue
 		}
 		h.readTriedAt = now
 		hosts = append(hosts, SilentHost{
 			Spec:    h.spec,
-			Timeout: min(maxReadTimeout, p.limits.TaskHold/4),
+			Timeout: p.workerTimeout(),
 		})
 	}
 	return hosts
@@ -88,13 +78,18 @@
 func (s *Scheduler) ReadSilent(ctx context.Context) {
 	var hosts []SilentHost
 	s.withLock(func() { hosts = s.Planner.HostsToRead(s.Clock.Now(), s.Follower.Age()) })
-	slots := make(chan struct{}, maxConcurrentReads)
+	callEach(hosts, func(host SilentHost) { s.readHost(ctx, host) })
+}
+
+// callEach calls workers concurrently and waits for all calls.
+func callEach[T any](targets []T, call func(T)) {
+	slots := make(chan struct{}, maxConcurrentCalls)
 	var group sync.WaitGroup
-	for _, host := range hosts {
+	for _, target := range targets {
 		slots <- struct{}{}
 		group.Go(func() {
 			defer func() { <-slots }()
-			s.readHost(ctx, host)
+			call(target)
 		})
 	}
 	group.Wait()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -10,7 +10,7 @@
 // A Scheduler runs a Planner with up to four goroutines: one waits for changes
 // of the state, one plans and appends on every tick, one fences expired hosts on
 // every tick if Fence is set, and one reads the workers of silent hosts if Read is
-// set, with further goroutines that it waits for. A scheduling cycle waits for the result of
+// set. The last two wait for further goroutines, one for each call. A scheduling cycle waits for the result of
 // its append, so an outage of the log leaves no backlog of claims.
 //
 // Known limitation: the replayer doesn't check quotas, so a team may briefly
@@ -36,7 +36,6 @@
 	// have to start, and limits an entry to ten appends per second.
 	cycleInterval = 100 * time.Millisecond
 	appendTimeout = 10 * time.Second
-	fenceTimeout  = 2 * time.Second
 )
 
 // Follower gives access to the replayed state.
@@ -63,7 +62,8 @@
 	Clock        damaskspread.Clock
 	Planner      *Planner
 	// Fence makes a worker stop all tasks with a token below minToken and
-	// returns the worker's tasks. If Fence is nil, expired hosts are not fenced.
+	// returns the worker's tasks. It is called concurrently. If Fence is nil, expired
+	// hosts are not fenced.
 	Fence func(ctx context.Context, host *wire.HostSpec, minToken int64) ([]*wire.WorkerTask, error)
 	// Read returns the tasks of a host's worker, or none if the worker has another
 	// boot. It is called concurrently. If Read is nil, silent hosts are not read.
@@ -164,30 +164,28 @@
 	}
 }
 
-// FenceExpired fences the expired hosts that this entry owns, one after the
-// other. For each worker that confirms, it appends the results of the worker's
-// tasks and returns the unfinished ones to the queue.
+// FenceExpired fences the expired hosts that this entry owns, several at a time. For
+// each worker that confirms, it appends the results of the worker's tasks and returns
+// the unfinished ones to the queue.
 func (s *Scheduler) FenceExpired(ctx context.Context) {
 	var fences []Fence
 	s.withLock(func() { fences = s.Planner.HostsToFence(s.Clock.Now(), s.Follower.Age()) })
-	for _, f := range fences {
-		tasks, err := s.fenceHost(ctx, f)
-		if err != nil {
-			log.Info().Err(err).Str("host", f.Spec.GetHost()).Msg("fencing of expired host failed")
-			continue
-		}
-		var records []*wire.Record
-		s.withLock(func() { records = s.Planner.FencedRecords(f, tasks, s.Clock.Now()) })
-		if len(records) > 0 {
-			s.appendRecords(ctx, records)
-		}
-	}
+	callEach(fences, func(f Fence) { s.fenceHost(ctx, f) })
 }
 
-func (s *Scheduler) fenceHost(ctx context.Context, f Fence) ([]*wire.WorkerTask, error) {
-	ctx, cancel := context.WithTimeout(ctx, fenceTimeout)
+func (s *Scheduler) fenceHost(ctx context.Context, f Fence) {
+	fenceCtx, cancel := context.WithTimeout(ctx, f.Timeout)
 	defer cancel()
-	return s.Fence(ctx, f.Spec, f.MinToken)
+	tasks, err := s.Fence(fenceCtx, f.Spec, f.MinToken)
+	if err != nil {
+		log.Info().Err(err).Str("host", f.Spec.GetHost()).Msg("fencing of expired host failed")
+		return
+	}
+	var records []*wire.Record
+	s.withLock(func() { records = s.Planner.FencedRecords(f, tasks, s.Clock.Now()) })
+	if len(records) > 0 {
+		s.appendRecords(ctx, records)
+	}
 }
 
 // Reconfigure sets the objective and reads the configuration of teams and zones
