--- a/scheduler/fence_test.go
+++ b/scheduler/fence_test.go
@@ -27,7 +27,7 @@
 func TestExpiredHostIsFencedAgainBeforeItsRelease(t *testing.T) {
 	c := newClusterWithTaskHold(4 * time.Second)
 	c.stepFor(9 * time.Second)
-	c.sendHeartbeat("h")
+	c.sendHeartbeat()
 	c.stepFor(2 * time.Second)
 	c.expire("h")
 	assert.Equal(t, len(c.planners[0].HostsToFence(c.now, 0)), 1)
--- a/scheduler/read_test.go
+++ b/scheduler/read_test.go
@@ -29,7 +29,7 @@
 func TestWorkerOfSilentHostIsReadBeforeRelease(t *testing.T) {
 	c := newClusterWithTaskHold(4 * time.Second)
 	c.stepFor(9 * time.Second)
-	c.sendHeartbeat("h")
+	c.sendHeartbeat()
 	for _, id := range []string{"b", "lapsed", "running"} {
 		c.submit(spec(id, false, 1_000, 1))
 	}
--- a/scheduler/restart_test.go
+++ b/scheduler/restart_test.go
@@ -28,11 +28,12 @@
 	fresh.Reload(c.state, c.now)
 }
 
-func (c *cluster) sendHeartbeat(host string) {
-	state, _ := c.state.Host(host)
+// sendHeartbeat appends the heartbeat of host h.
+func (c *cluster) sendHeartbeat() {
+	state, _ := c.state.Host("h")
 	c.apply(&wire.Record{Body: &wire.Record_HostsAlive{HostsAlive: &wire.HostsAlive{
 		Hosts: []*wire.HostRef{{
-			Host:        host,
+			Host:        "h",
 			Incarnation: state.GetSpec().GetIncarnation(),
 		}},
 	}}})
@@ -92,7 +93,7 @@
 			SilentMs: host.GetSilentMs(),
 		}},
 	}}}
-	c.sendHeartbeat("h")
+	c.sendHeartbeat()
 	c.apply(late)
 	host, _ = c.state.Host("h")
 	assert.Equal(t, host.GetSilentMs(), int64(0))
@@ -108,7 +109,7 @@
 	c := newClusterWithTaskHold(time.Minute)
 	for range 20 {
 		c.stepFor(12 * time.Second)
-		c.sendHeartbeat("h")
+		c.sendHeartbeat()
 	}
 	assert.Equal(t, c.recordCounts["*wire.Record_HostsSilent"], 0)
 }
