--- a/scheduler/refresh.go
+++ b/scheduler/refresh.go
@@ -47,16 +47,11 @@
 func (p *Planner) refreshConfiguration(s *replayer.State, now time.Time) {
 	for _, h := range p.hostList {
 		zone := h.spec.GetZone()
-		out := !s.ZoneInService(zone)
-		if out == p.zonesOut[zone] {
-			continue
-		}
-		p.Index.SetZone(zone, !out, now)
-		delete(p.zonesOut, zone)
-		delete(p.drains, zone)
-		if out {
-			p.zonesOut[zone] = true
+		if s.ZoneInService(zone) == p.isOut(zone) {
+			p.Index.SetZone(zone, s.ZoneInService(zone), now)
+			delete(p.drains, zone)
 		}
+		p.refreshZone(s, zone, now)
 	}
 	if p.Teams != nil {
 		for name, t := range p.teams {
@@ -70,6 +65,29 @@
 	p.refreshOwnership(now)
 }
 
+// refreshZone updates since when a zone is out of service. A publication that leaves it
+// out may begin its drain, so the time counts from there.
+func (p *Planner) refreshZone(s *replayer.State, zone string, now time.Time) {
+	if s.ZoneInService(zone) {
+		delete(p.zonesOut, zone)
+		return
+	}
+	section := s.ZoneSection(zone)
+	published := damaskspread.Token(section.GetPosition())
+	if p.isOut(zone) && p.zonesOut[zone].published == published {
+		return
+	}
+	p.zonesOut[zone] = zoneOut{
+		published: published,
+		since:     now.Add(-s.ElapsedSince(section.GetPublishedElapsedMs())),
+	}
+}
+
+func (p *Planner) isOut(zone string) bool {
+	_, out := p.zonesOut[zone]
+	return out
+}
+
 func (p *Planner) refreshHost(s *replayer.State, id string, now time.Time) {
 	state, ok := s.Host(id)
 	if !ok {
@@ -111,9 +129,7 @@
 	p.hostsStableSince = now
 	p.Index.SetHost(state)
 	p.Index.SetZone(h.spec.GetZone(), s.ZoneInService(h.spec.GetZone()), now)
-	if !s.ZoneInService(h.spec.GetZone()) {
-		p.zonesOut[h.spec.GetZone()] = true
-	}
+	p.refreshZone(s, h.spec.GetZone(), now)
 	if p.Estimates != nil {
 		p.Estimates.SetHost(h.spec)
 	}
@@ -136,7 +152,7 @@
 	case wire.TaskPhase_TASK_PHASE_CLAIMED:
 		committed := p.confirmClaim(task)
 		p.removePending(id, now)
-		p.refreshRunning(task, committed, now)
+		p.refreshRunning(s, task, committed, now)
 	default:
 		p.removePending(id, now)
 		p.quarantine.forgetTask(id)
@@ -196,7 +212,7 @@
 	return true
 }
 
-func (p *Planner) refreshRunning(task *wire.TaskState, committed bool, now time.Time) {
+func (p *Planner) refreshRunning(s *replayer.State, task *wire.TaskState, committed bool, now time.Time) {
 	id := task.GetSpec().GetTask()
 	r := p.running[id]
 	if r == nil {
@@ -205,7 +221,7 @@
 			attempt:   task.GetAttempt(),
 			host:      task.GetHost(),
 			token:     damaskspread.Token(task.GetToken()),
-			claimedAt: now,
+			claimedAt: now.Add(-s.ElapsedSince(task.GetClaimedElapsedMs())),
 		}
 		p.running[id] = r
 		if !committed {
--- a/scheduler/restart_test.go
+++ b/scheduler/restart_test.go
@@ -28,11 +28,12 @@
 	fresh.Reload(c.state, c.now)
 }
 
-func (c *cluster) sendHeartbeat(host string) {
-	state, _ := c.state.Host(host)
+// sendHeartbeat appends the heartbeat of host h.
+func (c *cluster) sendHeartbeat() {
+	state, _ := c.state.Host("h")
 	c.apply(&wire.Record{Body: &wire.Record_HostsAlive{HostsAlive: &wire.HostsAlive{
 		Hosts: []*wire.HostRef{{
-			Host:        host,
+			Host:        "h",
 			Incarnation: state.GetSpec().GetIncarnation(),
 		}},
 	}}})
@@ -92,7 +93,7 @@
 			SilentMs: host.GetSilentMs(),
 		}},
 	}}}
-	c.sendHeartbeat("h")
+	c.sendHeartbeat()
 	c.apply(late)
 	host, _ = c.state.Host("h")
 	assert.Equal(t, host.GetSilentMs(), int64(0))
@@ -108,7 +109,7 @@
 	c := newClusterWithTaskHold(time.Minute)
 	for range 20 {
 		c.stepFor(12 * time.Second)
-		c.sendHeartbeat("h")
+		c.sendHeartbeat()
 	}
 	assert.Equal(t, c.recordCounts["*wire.Record_HostsSilent"], 0)
 }
@@ -126,8 +127,8 @@
 // returns how long that took. Its heartbeats come each 2 s, one of them twice and late.
 func (c *cluster) waitWithRestarts(condition func() bool) time.Duration {
 	began := c.now
-	for life := 0; c.now.Sub(began) < 5*time.Minute; life++ {
-		incarnation := fmt.Sprint("life", life)
+	for c.now.Sub(began) < 5*time.Minute {
+		incarnation := fmt.Sprint("from ", c.now)
 		for uptime := time.Duration(0); uptime <= 20*time.Second; uptime += tick {
 			if uptime%(2*time.Second) == 0 {
 				c.sendUptime("entry0", incarnation, uptime)
@@ -177,3 +178,36 @@
 	waited := c.waitWithRestarts(func() bool { return len(c.claims()) > 0 })
 	assert.Assert(t, waited >= 30*time.Second && waited <= 45*time.Second, "%s", waited)
 }
+
+// oldTask starts a task without checkpoints that is expected to end 110 s later, lets
+// the entry restart in series for 75 s, and then takes the zone out of service.
+func (c *cluster) oldTask() {
+	c.join("h", "z", 16_000, 60)
+	old := spec("old", false, 1_000, 1)
+	old.CanCheckpoint = false
+	old.ExpectedDurationMs = (110 * time.Second).Milliseconds()
+	c.submit(old)
+	c.step(tick)
+	began := c.now
+	c.waitWithRestarts(func() bool { return c.now.Sub(began) >= 75*time.Second })
+	c.setZone("z", false)
+}
+
+// Guards against a task that loses its work shortly before its end, because its age
+// counts from the start of the owning entry.
+func TestAgeOfTaskCountsOnWhileEntryRestartsInSeries(t *testing.T) {
+	c := newCluster(1, nil)
+	c.oldTask()
+	drained := c.now
+	c.waitWithRestarts(func() bool { return c.now.Sub(drained) >= 45*time.Second })
+	assert.Assert(t, !c.task("old").GetEvictionRequested())
+}
+
+// Guards against tasks without checkpoints that stay for ever in a zone that is out of
+// service, because the owning entry restarts more often than each minute.
+func TestZoneIsDrainedWhileEntryRestartsInSeries(t *testing.T) {
+	c := newCluster(1, nil)
+	c.oldTask()
+	waited := c.waitWithRestarts(func() bool { return c.task("old").GetEvictionRequested() })
+	assert.Assert(t, waited >= 60*time.Second && waited <= 80*time.Second, "%s", waited)
+}
