Runner: an order to stop a run ends the repetition of its start

Cause: an agent repeats a start that got no response for up to 1.5 s, whatever else the leader orders meanwhile, and a stop that got no response lets the repeated start through.

Change: a start is no longer repeated, and no pending one begun, once an order to stop the run has arrived. The stop makes the executor refuse later starts, and the lists show whether an earlier one has started the run, as before.

--- a/runner/exchange.go
+++ b/runner/exchange.go
@@ -269,6 +269,9 @@
 		} else if start != nil {
 			r.learnStep(start)
 		}
+		if stop := order.GetStop(); stop != nil {
+			r.stopOrders[runKey{stop.GetTask(), stop.GetRun()}] = true
+		}
 		decidedAt := sentAt + held - time.Duration(order.GetAgeMs())*time.Millisecond
 		info, session := r.info, r.session
 		r.activeOrders.Go(func() { r.executeOrder(ctx, info, session, order, decidedAt) })
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -36,7 +36,9 @@
 			mayHaveStarted: kind.Start.GetRepeated(),
 		})
 	case *wire.Order_Stop:
-		r.stop(ctx, info, kind.Stop)
+		if !r.stop(ctx, info, kind.Stop) {
+			r.dropStopOrder(info, runKey{kind.Stop.GetTask(), kind.Stop.GetRun()})
+		}
 	}
 }
 
--- a/runner/refusals.go
+++ b/runner/refusals.go
@@ -103,6 +103,7 @@
 	if r.listed[key] {
 		r.occupancy = nil
 	}
+	delete(r.stopOrders, key)
 	delete(r.steps, key)
 	delete(r.paces, key)
 	delete(r.ramps, key)
@@ -121,7 +122,7 @@
 func (r *Runner) RememberedRuns() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.steps) + len(r.refusedRuns) + len(r.drainStops)
+	return len(r.steps) + len(r.refusedRuns) + len(r.drainStops) + len(r.stopOrders)
 }
 
 // reportRefusal reports that a run does not start on an executor, unless that
@@ -150,6 +151,17 @@
 	signal(r.renewWake)
 }
 
+// dropStopOrder lets the order of a later session decide about a run that the leader has
+// ordered to stop and that could not be stopped.
+func (r *Runner) dropStopOrder(info *wire.ExecutorInfo, key runKey) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isPresent(info) {
+		delete(r.stopOrders, key)
+		r.disown(key)
+	}
+}
+
 // dropOwner lets the order of a later session decide about a run that could not be
 // stopped.
 func (r *Runner) dropOwner(info *wire.ExecutorInfo, key runKey) {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -139,6 +139,9 @@
 	checksDue map[runKey]time.Duration
 	// startOwners holds the one order of each run that may start it.
 	startOwners map[runKey]*wire.StartOrder
+	// stopOrders holds the runs that the leader has ordered to stop, until they have ended
+	// or are refused. They are started no more.
+	stopOrders map[runKey]bool
 	// refusedRuns holds the runs that were refused within refusalRetention.
 	refusedRuns map[runKey]refusedRun
 	steps       map[runKey]*wire.JobStep
@@ -253,6 +256,7 @@
 	r.setRunning(nil)
 	r.refusedRuns = map[runKey]refusedRun{}
 	r.startOwners = map[runKey]*wire.StartOrder{}
+	r.stopOrders = map[runKey]bool{}
 	r.steps = map[runKey]*wire.JobStep{}
 	r.paces = map[runKey]int{}
 	r.ramps = map[runKey]*pacer.Ramp{}
--- a/runner/starts.go
+++ b/runner/starts.go
@@ -72,11 +72,13 @@
 // the run are skipped. An order ends with its executor: the leader releases the runs of
 // an executor that was replaced or has left, and orders their next runs. It ends with its
 // session too, because the leader repeats at the opening what it still wants to start;
-// once the order has called the executor, it goes on until the outcome is known.
+// once the order has called the executor, it goes on until the outcome is known. An order
+// to stop the run ends it: the stop makes the executor refuse later starts, and its lists
+// show whether an earlier one has started the run.
 func (r *Runner) decideStart(a *startAttempt) startDecision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.isPresent(a.info) || a.session != "" && a.session != r.session {
+	if !r.isPresent(a.info) || a.session != "" && a.session != r.session || r.stopOrders[a.key] {
 		return startDecision{handled: true}
 	}
 	r.learnStep(a.order)
