Planner: a share of the hosts is kept clear of serving tasks

Cause: the layout keeps a host per serving image while the images fit on nine tenths of the hosts by the processors that they request. Anti-affinity and the sizes of tasks leave more hosts partly filled than it allows for, so that each of the 11 hosts served.

Best-effort tasks that are known to interfere with none of a host's serving tasks prefer that host, so that the clear ones have room for the others.

--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -204,6 +204,7 @@
 			LostWork:        s.Scheduling().LostWorkPreemption(),
 			BestEffortWait:  s.Scheduling().BestEffortWait(),
 			BestEffortSpeed: s.Scheduling().BestEffortSpeed(),
+			ClearHosts:      s.Scheduling().ClearHosts(),
 		},
 		InterferenceModel: interferenceModel,
 		Screen:            e.submitter,
--- a/planner/host.go
+++ b/planner/host.go
@@ -73,6 +73,9 @@
 	// oneServingImage is set if serving images are kept on hosts of their own; see
 	// setServingLayout.
 	oneServingImage bool
+	// keptClear is set if serving tasks go to other hosts while they fit there; see
+	// keepClear.
+	keptClear bool
 	// busy is set if the processors of the host's service are mostly reserved; see
 	// setBusy.
 	busy bool
@@ -215,6 +218,7 @@
 		servingByImage:       slices.Clone(h.servingByImage),
 		bestEffortByImage:    slices.Clone(h.bestEffortByImage),
 		oneServingImage:      h.oneServingImage,
+		keptClear:            h.keptClear,
 		busy:                 h.busy,
 		probes:               h.probes,
 		reserved:             h.reserved,
--- a/planner/layout.go
+++ b/planner/layout.go
@@ -76,6 +76,9 @@
 // servingImageScore says how well a task of a serving image goes with the serving
 // tasks on the host.
 func (h *Host) servingImageScore(image string) float64 {
+	if h.keptClear {
+		return scoreKeptClear
+	}
 	if h.servingMillicores == 0 {
 		return scoreNoImage
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -66,6 +66,10 @@
 	// With a low share many tasks start beside each other and all of them are slow,
 	// with a high one those that wait start later but end soon.
 	BestEffortSpeed float64
+	// ClearHosts is the share of a service's hosts that serving tasks leave clear while
+	// they fit on the others, for best-effort tasks that interfere with most of them; 0
+	// keeps none clear.
+	ClearHosts float64
 }
 
 // Plan assigns the tasks that can start now and adds them to their hosts. The
@@ -73,6 +77,7 @@
 func (p *Planner) Plan(groups []*tracker.Group, hosts []*Host) []Assignment {
 	var plan []Assignment
 	setServingLayout(groups, hosts)
+	p.keepClear(hosts)
 	p.setBusy(hosts)
 	early := groupsBeforeSuspected(groups)
 	doubtful := p.doubtfulGroups(groups, hosts)
@@ -243,7 +248,7 @@
 	score := 0.0
 	switch {
 	case step.GetFillsIdle():
-		score = host.idleShare() + weightSpeed*p.speed(host, step)
+		score = host.idleShare() + weightSpeed*p.speed(host, step) + p.harmlessScore(host, step)
 	case step.GetTargetLatencyMs() > 0:
 		score = host.requestedShare() + host.servingImageScore(step.GetImage()) - p.interference(host, step.GetImage())
 	default:
--- a/validator/job_settings.go
+++ b/validator/job_settings.go
@@ -45,6 +45,7 @@
 type JobScheduling struct {
 	bestEffortWait        time.Duration
 	bestEffortSpeed       float64
+	clearHosts            float64
 	learnedRunTimes       bool
 	speculativeCopies     bool
 	order, preemption     string
@@ -138,6 +139,10 @@
 // task must be predicted to get, otherwise it waits.
 func (s *JobScheduling) BestEffortSpeed() float64 { return s.bestEffortSpeed }
 
+// ClearHosts returns the share of a service's hosts that serving tasks leave clear while
+// they fit on the others.
+func (s *JobScheduling) ClearHosts() float64 { return s.clearHosts }
+
 // SpeculativeCopies reports whether stragglers are copied.
 func (s *JobScheduling) SpeculativeCopies() bool { return s.speculativeCopies }
 
@@ -227,6 +232,8 @@
 			duration(&s.bestEffortWait, 0, time.Hour)),
 		optional("best_effort_speed", "0.5", "share of its requested processors that a best-effort task must be predicted to get to start",
 			number(&s.bestEffortSpeed, 0.1, 1)),
+		optional("clear_hosts", "0", "share of a service's hosts that serving tasks leave clear while they fit on the others, for best-effort tasks that interfere with them",
+			number(&s.clearHosts, 0, 0.5)),
 		optional("learned_run_times", "no", "predictions use learned run times", boolean(&s.learnedRunTimes)),
 		optional("speculative_copies", "no", "stragglers of steps that allow it are copied to idle hosts", boolean(&s.speculativeCopies)),
 		optional("order", orderDeadline, "order in which waiting steps start", choice(&s.order, orderDeadline, orderCost)),
