Paced recovery: after an outage of the log, late jobs leave room for callers that return

Callers saw: a caller was refused while the log was away, returned at its Retry-After as it was told, was accepted, and got its result late, because jobs that could not be in time any more had taken all processors as soon as the log was back.

Cause: a leader starts all that waits in the first cycle after an outage. Much of it is late by then, and holds its processors for whole runs, while the refused callers need up to 2 s to return.

Change: [scheduling] paced_recovery (default no). The tailer tells the last outage (a second or more without a successful read in which reads failed). Log lines at the beginning and the end, "tasks held back" with the reason outage_recovery, which explain shows as held_back, and the metric damaskspread_paced_steps.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -81,6 +81,9 @@
 	LearnRunTimes bool
 	// SpeculativeCopies makes stragglers of steps that allow it be copied.
 	SpeculativeCopies bool
+	// RecoveryTime is how long after an outage of the log late jobs leave room for callers
+	// that were refused meanwhile and return; with 0 they start at once.
+	RecoveryTime time.Duration
 	// StatusRetention is how long the status of a finished job is kept in the log.
 	StatusRetention time.Duration
 	// RefusalRetention is how long the refusal of a job is kept in the log; 2 minutes
@@ -130,6 +133,8 @@
 	waiting waitReports
 	// held are the jobs and tasks that the plan leaves out, by name.
 	held waitReports
+	// recovery paces the starts of late jobs after an outage of the log.
+	recovery recovery
 	// tookOverAt is the beginning of this leader's term, oldSessionsRemoved is set once
 	// removeOldSessions is done in it.
 	tookOverAt         time.Duration
@@ -275,6 +280,7 @@
 		return
 	}
 	c.held = waitReports{}
+	c.recovery = recovery{}
 	c.inputsOld = false
 	c.tookOverAt = c.Elapsed.Elapsed()
 	c.oldSessionsRemoved = false
@@ -295,6 +301,7 @@
 	background.Wait()
 	c.gauges.openJobs.Store(0)
 	c.gauges.waitingSteps.Store(0)
+	c.gauges.pacedSteps.Store(0)
 }
 
 // beginTerm returns a context that ends with the term of an epoch.
--- a/coordinator/gauges.go
+++ b/coordinator/gauges.go
@@ -9,6 +9,8 @@
 type gauges struct {
 	// openJobs and waitingSteps are the numbers of jobs and of waits, as of the last cycle.
 	openJobs, waitingSteps atomic.Int64
+	// pacedSteps is the number of steps with late tasks that the last cycle held back.
+	pacedSteps atomic.Int64
 	// advisedSteps is the number of steps in the cache of advice, as of the last removal.
 	advisedSteps atomic.Int64
 	// cycleTime is how long the last cycle took without its append, in nanoseconds.
@@ -23,6 +25,10 @@
 // this process does not lead.
 func (c *Coordinator) WaitingSteps() int64 { return c.gauges.waitingSteps.Load() }
 
+// PacedSteps is the number of steps of which late tasks wait after an outage of the log,
+// so that callers that return find room; 0 while this process does not lead.
+func (c *Coordinator) PacedSteps() int64 { return c.gauges.pacedSteps.Load() }
+
 // AdvisedSteps is the number of steps whose tickets this process keeps, as of the latest
 // step that was done.
 func (c *Coordinator) AdvisedSteps() int64 { return c.gauges.advisedSteps.Load() }
--- a/coordinator/held.go
+++ b/coordinator/held.go
@@ -22,6 +22,7 @@
 	}
 	c.reportHeldJobs(cycle, report)
 	c.reportOlderRuns(report)
+	c.reportPaced(cycle, report)
 	c.held.end()
 }
 
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -24,7 +24,8 @@
 	c.Planner.Order(groups, c.Clock.Now().UnixMilli())
 	cycle.groups = groups
 	c.adviceCache.requestMissing(groups, cycle.hosts)
-	assignments := c.Planner.Plan(groups, cycle.hosts)
+	planned := c.paceLate(groups, cycle, epoch)
+	assignments := c.Planner.Plan(planned, cycle.hosts)
 	c.recordFirstCost(assignments)
 	for _, assignment := range assignments {
 		view := cycle.byKey[assignment.Host.Key]
@@ -33,7 +34,7 @@
 		c.addStartOrder(view, assignment.Task)
 		traceAssigned(view, assignment.Task, &inputs)
 	}
-	c.preempt(cycle, groups)
+	c.preempt(cycle, planned)
 	c.reportWaiting(groups, cycle, epoch)
 	c.reportHeld(cycle, epoch)
 }
--- a/coordinator/waiting.go
+++ b/coordinator/waiting.go
@@ -7,7 +7,7 @@
 )
 
 // reportWaiting writes to the trace why the tasks of a step have waited for longer
-// than waitReportDelay.
+// than waitReportDelay. Steps of which recovery holds tasks back are those of reportHeld.
 func (c *Coordinator) reportWaiting(groups []*tracker.Group, cycle *cycleState, epoch int64) {
 	c.waiting.begin(cycle.now)
 	for _, group := range groups {
@@ -16,7 +16,7 @@
 			continue
 		}
 		waited, due := c.waiting.due(group.Name())
-		if !due {
+		if !due || c.recovery.holds(group) {
 			continue
 		}
 		tracer.Write(&tracer.TasksWaiting{
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -112,6 +112,8 @@
 	costOrder bool
 	// bestEffortWait is that of the planners started later.
 	bestEffortWait time.Duration
+	// recoveryTime is that of the coordinators started later.
+	recoveryTime time.Duration
 	// announceInterval is the time between two heartbeats of an executor.
 	announceInterval time.Duration
 	// capacities checks that no start brings an executor over its capacity.
@@ -215,6 +217,7 @@
 
 		SpeculativeCopies: f.speculativeCopies,
 		RefusalRetention:  f.refusalRetention,
+		RecoveryTime:      f.recoveryTime,
 	}
 	c.Init()
 	e.coordinator = c
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -131,6 +131,14 @@
 			kind: explainer.FindingHeld, subject: job + ".0.0.1",
 			detail: "older_run for 1s at the leader of epoch 9; run 2 on i-1",
 		},
+		"held back after an outage": {
+			events: []tracer.Event{&tracer.TasksHeld{
+				Job: job, Reason: tracer.HoldRecovery, Waited: tracer.Milliseconds(time.Second), Epoch: 9, Left: tracer.Milliseconds(2 * time.Second),
+				Step: job + ".0.0", Tasks: 3, Outage: tracer.Milliseconds(7 * time.Second),
+			}},
+			kind: explainer.FindingHeld, subject: job + ".0.0",
+			detail: "outage_recovery for 1s at the leader of epoch 9; 3 late tasks leave room for callers that return after an outage of 7s; 2s left",
+		},
 		"held back by its progress": {
 			events: []tracer.Event{&tracer.TasksHeld{
 				Job: job, Reason: tracer.HoldUndecoded, Waited: tracer.Milliseconds(time.Second), Epoch: 9, Left: tracer.Milliseconds(2 * time.Second),
--- a/explainer/findings.go
+++ b/explainer/findings.go
@@ -140,7 +140,7 @@
 		c.add(FindingWaited, e.Step, "%d tasks for %s at the leader of epoch %d; hosts: %s%s",
 			e.Tasks, e.Waited, e.Epoch, formatObstacles(e.Obstacles), waitCostDetail(e))
 	case *tracer.TasksHeld:
-		c.add(FindingHeld, cmp.Or(e.Task, "job"), "%s for %s at the leader of epoch %d%s", e.Reason, e.Waited, e.Epoch, holdDetail(e))
+		c.add(FindingHeld, cmp.Or(e.Task, e.Step, "job"), "%s for %s at the leader of epoch %d%s", e.Reason, e.Waited, e.Epoch, holdDetail(e))
 	default:
 		c.addRunEvent(line, event)
 	}
@@ -271,6 +271,8 @@
 	switch {
 	case e.Executor != "":
 		return fmt.Sprintf("; run %d on %s", e.Run, e.Executor)
+	case e.Outage > 0:
+		return fmt.Sprintf("; %d late tasks leave room for callers that return after an outage of %s; %s left", e.Tasks, e.Outage, e.Left)
 	case e.Left > 0:
 		return fmt.Sprintf("; %s left", e.Left)
 	default:
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -221,6 +221,9 @@
 			HTTP:    connector.NewHTTPClient(),
 		}
 	}
+	if s.Scheduling().PacedRecovery() {
+		e.coordinator.RecoveryTime = submitter.ReturnTime
+	}
 	if s.Scheduling().Admission() {
 		e.assembleLoad()
 	}
--- a/launcher/health.go
+++ b/launcher/health.go
@@ -60,6 +60,7 @@
 	e.process.metricsSet.NewGauge("damaskspread_open_jobs", func() float64 { return float64(e.coordinator.OpenJobs()) })
 	e.process.metricsSet.NewGauge("damaskspread_cycle_seconds", func() float64 { return e.coordinator.CycleTime().Seconds() })
 	e.process.metricsSet.NewGauge("damaskspread_agent_sessions", func() float64 { return float64(e.coordinator.Sessions()) })
+	e.process.metricsSet.NewGauge("damaskspread_paced_steps", func() float64 { return float64(e.coordinator.PacedSteps()) })
 	e.process.metricsSet.NewGauge("damaskspread_waiting_steps", func() float64 { return float64(e.coordinator.WaitingSteps()) })
 	e.process.metricsSet.NewGauge("damaskspread_advised_steps", func() float64 { return float64(e.coordinator.AdvisedSteps()) })
 	e.process.metricsSet.NewGauge("damaskspread_log_calls_relayed_total", func() float64 { return float64(e.logRelayer.RelayedCalls()) })
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -36,6 +36,10 @@
 const (
 	// retryAfter is when callers are told to retry while the log is unavailable.
 	retryAfter = 2 * time.Second
+	// ReturnTime is how long after the log is available again the callers that were told
+	// retryAfter have returned: they still have to connect, and the leader has to read
+	// their jobs.
+	ReturnTime = retryAfter + time.Second
 )
 
 // Submitter implements damaskspread.JobService. Set its fields and call Init
--- a/tailer/read.go
+++ b/tailer/read.go
@@ -120,6 +120,14 @@
 	t.next = next
 	recovered := t.failing
 	t.failing = false
+	now := t.Elapsed.Elapsed()
+	if length := now - t.reachedAt; recovered && length >= minOutage {
+		t.lastOutage = Outage{
+			Length:  length,
+			EndedAt: now,
+		}
+	}
+	t.reachedAt = now
 	if t.advanced != nil {
 		close(t.advanced)
 		t.advanced = nil
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -27,8 +27,19 @@
 	retryMax = 400 * time.Millisecond
 )
 
-// Tailer follows a topic. Set the exported fields before Run. Age, Next and Refresh
-// may be called concurrently.
+// minOutage is the shortest outage of the log that LastOutage reports. Shorter ones end
+// before callers give up.
+const minOutage = time.Second
+
+// Outage is a time without a successful read in which reads failed.
+type Outage struct {
+	Length time.Duration
+	// EndedAt is when the first read succeeded again, by the Tailer's clock Elapsed.
+	EndedAt time.Duration
+}
+
+// Tailer follows a topic. Set the exported fields before Run. Age, LastOutage, Next
+// and Refresh may be called concurrently.
 type Tailer struct {
 	Log     damaskspread.KeyedLog
 	Topic   string
@@ -53,6 +64,10 @@
 	failing bool
 	// currentAsOf is when the last read that reached the end of the topic began.
 	currentAsOf time.Duration
+	// reachedAt is when the last read succeeded or, before that, when Run began.
+	reachedAt time.Duration
+	// lastOutage is the zero value before the first one.
+	lastOutage Outage
 	// wakeups ends a sleep of Run.
 	wakeups chan struct{}
 	// cancelRead cancels a read that waits for new records; nil if there is none
@@ -69,6 +84,7 @@
 func (t *Tailer) Run(tb *tomb.Tomb) error {
 	t.mu.Lock()
 	t.wakeups = make(chan struct{}, 1)
+	t.reachedAt = t.Elapsed.Elapsed()
 	t.mu.Unlock()
 	ctx := tb.Context(context.Background())
 	delay := retryMin
@@ -99,6 +115,15 @@
 	return t.Elapsed.Elapsed() - t.currentAsOf
 }
 
+// LastOutage returns the last outage of at least a second that has ended, and false
+// before the first one. A process that was stopped for that long takes it for an outage
+// if its read failed.
+func (t *Tailer) LastOutage() (Outage, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lastOutage, t.lastOutage.Length > 0
+}
+
 // Next is the offset after the last record passed to Apply.
 func (t *Tailer) Next() int64 {
 	t.mu.Lock()
--- a/tailer/tailer_test.go
+++ b/tailer/tailer_test.go
@@ -157,3 +157,36 @@
 	time.Sleep(400 * time.Millisecond)
 	assert.Assert(t, r.tail.Age() >= 300*time.Millisecond, "%s", r.tail.Age())
 }
+
+// Guards against an outage that goes unnoticed or is forgotten for a short failure, and
+// against one that counts although the log only had nothing new.
+func TestLastOutage(t *testing.T) {
+	r := startReader(t, 50*time.Millisecond)
+	r.refresh(t)
+	_, known := r.tail.LastOutage()
+	assert.Assert(t, !known)
+	r.client.SetDown(true)
+	time.Sleep(1100 * time.Millisecond)
+	_, known = r.tail.LastOutage()
+	assert.Assert(t, !known, "the outage has not ended")
+	r.client.SetDown(false)
+	r.refresh(t)
+	outage, known := r.tail.LastOutage()
+	assert.Assert(t, known)
+	assert.Assert(t, outage.Length >= time.Second, "%s", outage.Length)
+	assert.Assert(t, r.tail.Elapsed.Elapsed()-outage.EndedAt < time.Second)
+
+	r.client.SetDown(true)
+	time.Sleep(100 * time.Millisecond)
+	r.client.SetDown(false)
+	r.refresh(t)
+	latest, _ := r.tail.LastOutage()
+	assert.Equal(t, latest, outage, "a short failure replaces the outage")
+
+	quiet := startReader(t, 1200*time.Millisecond)
+	quiet.refresh(t)
+	time.Sleep(1300 * time.Millisecond)
+	quiet.refresh(t)
+	_, known = quiet.tail.LastOutage()
+	assert.Assert(t, !known, "a read that waits for records is no outage")
+}
--- a/tracker/group.go
+++ b/tracker/group.go
@@ -14,7 +14,9 @@
 	step       int
 	// excluded has the indexes of waiting tasks that Without has taken out.
 	excluded map[int]bool
-	waited   time.Duration
+	// limit is the largest number of waiting tasks; 0 means that there is none.
+	limit  int
+	waited time.Duration
 }
 
 func (j *Job) group(occurrence, step int) *Group {
@@ -41,7 +43,13 @@
 func (g *Group) Size() int { return g.job.stepSize(g.step) }
 
 // Pending returns the number of tasks that wait for a run now.
-func (g *Group) Pending() int { return g.job.pending(g.occurrence, g.step) - len(g.excluded) }
+func (g *Group) Pending() int {
+	pending := g.job.pending(g.occurrence, g.step) - len(g.excluded)
+	if g.limit > 0 {
+		return min(pending, g.limit)
+	}
+	return pending
+}
 
 // Done returns the number of tasks of a step that is not done yet that are done.
 func (g *Group) Done() int {
@@ -71,21 +79,34 @@
 // memory only once the iteration has reached them.
 func (g *Group) EachPending() iter.Seq[*Task] {
 	return func(yield func(*Task) bool) {
-		if g.Pending() == 0 {
+		left := g.Pending()
+		if left == 0 {
 			return
 		}
 		state := g.job.openStep(g.occurrence, g.step)
-		for i := range state.size() {
-			if !g.excluded[i] && state.isPending(i) && !yield(state.task(i)) {
+		for i := 0; i < state.size() && left > 0; i++ {
+			if g.excluded[i] || !state.isPending(i) {
+				continue
+			}
+			if !yield(state.task(i)) {
 				return
 			}
+			left--
 		}
 	}
 }
 
 // EachKnownPending iterates over the waiting tasks that had a run, and some that had none.
 func (g *Group) EachKnownPending() iter.Seq[*Task] {
-	return g.eachKnown(func(t *Task) bool { return t.Pending() && !g.excluded[t.index] })
+	return func(yield func(*Task) bool) {
+		left := g.Pending()
+		for t := range g.eachKnown(func(t *Task) bool { return t.Pending() && !g.excluded[t.index] }) {
+			if left == 0 || !yield(t) {
+				return
+			}
+			left--
+		}
+	}
 }
 
 // EachAssigned iterates over the tasks that are assigned.
@@ -134,6 +155,20 @@
 	return &rest
 }
 
+// AtMost returns the group with at most limit of its waiting tasks, or nil if none is
+// left. Of a gang, which starts as a whole, either all are left or none.
+func (g *Group) AtMost(limit int) *Group {
+	if limit >= g.Pending() {
+		return g
+	}
+	if limit <= 0 || g.Step().GetGang() {
+		return nil
+	}
+	fewer := *g
+	fewer.limit = limit
+	return &fewer
+}
+
 // NextRun returns the run number for the next start of a gang, which all its
 // tasks share.
 func (g *Group) NextRun() int32 {
--- a/tracker/work_test.go
+++ b/tracker/work_test.go
@@ -36,3 +36,27 @@
 	assert.Equal(t, total, 8.0)
 	assert.Equal(t, tasks[1].DoneShare(), 0.25)
 }
+
+// Guards against a limit that counts tasks in progress, and against a part of a gang.
+func TestAtMost(t *testing.T) {
+	job := tracker.New(jobWith(&wire.JobStep{Count: 5}))
+	group := job.Ready(0)[0]
+	waitingTasks(group)[1].Assign(tracker.ExecutorKey{ID: "i"}, "h", 1, time.Second)
+	fewer := group.AtMost(3)
+	assert.Equal(t, fewer.Pending(), 3)
+	var indexes []int
+	for _, task := range waitingTasks(fewer) {
+		indexes = append(indexes, task.ID().Index)
+	}
+	assert.DeepEqual(t, indexes, []int{0, 2, 3})
+	known := 0
+	for range fewer.EachKnownPending() {
+		known++
+	}
+	assert.Equal(t, known, 3)
+	assert.Equal(t, group.AtMost(4), group)
+	assert.Assert(t, group.AtMost(0) == nil)
+	gang := tracker.New(jobWith(&wire.JobStep{Count: 5, Gang: true})).Ready(0)[0]
+	assert.Assert(t, gang.AtMost(4) == nil)
+	assert.Equal(t, gang.AtMost(5), gang)
+}
--- a/validator/job_settings.go
+++ b/validator/job_settings.go
@@ -47,6 +47,7 @@
 	bestEffortSpeed       float64
 	learnedRunTimes       bool
 	speculativeCopies     bool
+	pacedRecovery         bool
 	order, preemption     string
 	admission             bool
 	admissionFromPriority int
@@ -141,6 +142,10 @@
 // SpeculativeCopies reports whether stragglers are copied.
 func (s *JobScheduling) SpeculativeCopies() bool { return s.speculativeCopies }
 
+// PacedRecovery reports whether late jobs leave room for returning callers after an
+// outage of the log.
+func (s *JobScheduling) PacedRecovery() bool { return s.pacedRecovery }
+
 // LearnedRunTimes reports whether predictions use learned run times.
 func (s *JobScheduling) LearnedRunTimes() bool { return s.learnedRunTimes }
 
@@ -229,6 +234,7 @@
 			number(&s.bestEffortSpeed, 0.1, 1)),
 		optional("learned_run_times", "no", "predictions use learned run times", boolean(&s.learnedRunTimes)),
 		optional("speculative_copies", "no", "stragglers of steps that allow it are copied to idle hosts", boolean(&s.speculativeCopies)),
+		optional("paced_recovery", "no", "after an outage of the log, late jobs leave room for callers that return", boolean(&s.pacedRecovery)),
 		optional("order", orderDeadline, "order in which waiting steps start", choice(&s.order, orderDeadline, orderCost)),
 		optional("preemption", preemptionPriority, "how the tasks to preempt are chosen",
 			choice(&s.preemption, preemptionPriority, preemptionLostWork)),
--- a/validator/job_settings_test.go
+++ b/validator/job_settings_test.go
@@ -51,6 +51,20 @@
 	assert.Assert(t, strings.Contains(diagnostics[0].Error(), `did you mean "speculative_copies"?`), "%v", diagnostics[0])
 }
 
+// Guards against pacing that is on by default, and against a misspelled key that leaves it
+// off without a word.
+func TestPacedRecoverySetting(t *testing.T) {
+	settings, diagnostics := validator.LoadJobSettings("x.ini", validJobSettings)
+	assert.Equal(t, len(diagnostics), 0, "%v", diagnostics)
+	assert.Assert(t, !settings.Scheduling().PacedRecovery())
+	settings, diagnostics = validator.LoadJobSettings("x.ini", validJobSettings+"[scheduling]\npaced_recovery = yes\n")
+	assert.Equal(t, len(diagnostics), 0, "%v", diagnostics)
+	assert.Assert(t, settings.Scheduling().PacedRecovery())
+	_, diagnostics = validator.LoadJobSettings("x.ini", validJobSettings+"[scheduling]\npace_recovery = yes\n")
+	assert.Equal(t, len(diagnostics), 1, "%v", diagnostics)
+	assert.Assert(t, strings.Contains(diagnostics[0].Error(), `did you mean "paced_recovery"?`), "%v", diagnostics[0])
+}
+
 // Guards against a process that starts with invalid settings.
 func TestInvalidJobSettings(t *testing.T) {
 	for _, change := range [][2]string{
