--- a/validator/job_settings.go
+++ b/validator/job_settings.go
@@ -48,6 +48,7 @@
 	clearHosts            float64
 	learnedRunTimes       bool
 	speculativeCopies     bool
+	pacedRecovery         bool
 	order, preemption     string
 	admission             bool
 	admissionFromPriority int
@@ -146,6 +147,10 @@
 // SpeculativeCopies reports whether stragglers are copied.
 func (s *JobScheduling) SpeculativeCopies() bool { return s.speculativeCopies }
 
+// PacedRecovery reports whether late jobs leave room for returning callers after an
+// outage of the log.
+func (s *JobScheduling) PacedRecovery() bool { return s.pacedRecovery }
+
 // LearnedRunTimes reports whether predictions use learned run times.
 func (s *JobScheduling) LearnedRunTimes() bool { return s.learnedRunTimes }
 
@@ -236,6 +241,7 @@
 			number(&s.clearHosts, 0, 0.5)),
 		optional("learned_run_times", "no", "predictions use learned run times", boolean(&s.learnedRunTimes)),
 		optional("speculative_copies", "no", "stragglers of steps that allow it are copied to idle hosts", boolean(&s.speculativeCopies)),
+		optional("paced_recovery", "no", "after an outage of the log, late jobs leave room for callers that return", boolean(&s.pacedRecovery)),
 		optional("order", orderDeadline, "order in which waiting steps start", choice(&s.order, orderDeadline, orderCost)),
 		optional("preemption", preemptionPriority, "how the tasks to preempt are chosen",
 			choice(&s.preemption, preemptionPriority, preemptionLostWork)),
