coordinator: replace a leader that no agent reaches

Callers see all long-running tasks and jobs stop, and nothing runs again, while a leader renews its leadership and no agent reaches its address (a partition between the leader and the agents, or a process that accepts no connections). All leases end.

Cause: only silence in the topic leader, or a wait for the log, ends a leadership. Agents find the leader in the log and go on calling it.

Change: a leader with open jobs that no agent has called for 1.3 s makes no progress; after the limit of a stalled leader (2 s, doubled in series up to 16 s) its renewals say so, and another process takes over as from a leader that can't store progress. A new leader expects calls if sessions are stored or if it took over from a stalled leader. A log line tells that no agent calls.

Ruled out: to count from the last call: agents that restart together are back after about 2 s, and a change of leader then delays them. A probe whether agents reach the candidate: it needs a record that agents write; the doubling bounds the handovers without one, also while there are no agents at all.

No second run: the successor waits for leases as after any change of leader; assignments, sessions and fences are unchanged.

--- a/coordinator/absence.go
+++ b/coordinator/absence.go
@@ -57,6 +57,7 @@
 	if !c.leading {
 		return nil, &wire.ExchangeResponse{Leader: c.Elector.Leader()}
 	}
+	c.agentCalls.record(c.Elapsed.Elapsed())
 	response := &wire.ExchangeResponse{Epoch: c.epoch}
 	a := &absence{
 		host:    report.GetHost(),
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -130,6 +130,10 @@
 	waiting waitReports
 	// held are the jobs and tasks that the plan leaves out, by name.
 	held waitReports
+	// agentCalls is when an agent has called last in this term; agentsSilent is set if all
+	// were silent in the last cycle.
+	agentCalls   agentCalls
+	agentsSilent bool
 	// tookOverAt is the beginning of this leader's term, oldSessionsRemoved is set once
 	// removeOldSessions is done in it.
 	tookOverAt         time.Duration
@@ -194,6 +198,7 @@
 	c.mu.Lock()
 	c.epoch = epoch
 	c.mu.Unlock()
+	c.agentCalls.reset()
 	c.statusWait.end()
 	c.progressWait.end()
 	c.progressWait.begin(c.Elapsed.Elapsed())
@@ -276,6 +281,7 @@
 	}
 	c.held = waitReports{}
 	c.inputsOld = false
+	c.agentsSilent = false
 	c.tookOverAt = c.Elapsed.Elapsed()
 	c.oldSessionsRemoved = false
 	var background sync.WaitGroup
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -70,6 +70,7 @@
 func (c *Coordinator) runCycle(ctx context.Context, epoch int64) error {
 	started := c.Elapsed.Elapsed()
 	cycle := c.takeInputs()
+	c.reportSilence(epoch, cycle.now)
 	c.applyJobs(cycle.changedJobs)
 	c.observeCrashes(cycle)
 	c.applyReports(cycle)
--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -55,6 +55,7 @@
 		}
 	}
 	now := c.Elapsed.Elapsed()
+	c.agentCalls.record(now)
 	s := c.sessions[report.GetHost()]
 	if s == nil || s.id != report.GetSession() || report.GetEpoch() != c.epoch {
 		// The agent may still consider a session open that has ended here. It
--- a/coordinator/log_wait.go
+++ b/coordinator/log_wait.go
@@ -37,9 +37,9 @@
 
 func (w *logWait) end() { w.since.Store(0) }
 
-// LogWaitSince returns since when this process, which leads, waits for the log, and false if
+// logWaitSince returns since when this process, which leads, waits for the log, and false if
 // it does not. Appends are counted from the last one that the log has accepted.
-func (c *Coordinator) LogWaitSince() (since time.Duration, waits bool) {
+func (c *Coordinator) logWaitSince() (since time.Duration, waits bool) {
 	progress, statuses := c.progressWait.since.Load(), c.statusWait.since.Load()
 	switch {
 	case progress == 0:
--- a/coordinator/stall.go
+++ b/coordinator/stall.go
@@ -10,6 +10,17 @@
 // leader that waits schedules nothing, but renews its leadership.
 const stallReportDelay = time.Second
 
+// WaitingSince returns since when this process, which leads, can't make progress, and false
+// if it can: it waits for the log, or there are open jobs and no agent calls it.
+func (c *Coordinator) WaitingSince() (since time.Duration, waits bool) {
+	since, waits = c.logWaitSince()
+	silentSince, silent := c.agentCalls.silentSince(c.Elapsed.Elapsed())
+	if silent && c.OpenJobs() > 0 && (!waits || silentSince < since) {
+		return silentSince, true
+	}
+	return since, waits
+}
+
 // reportStall calls wait, which waits for the log. A line tells that it takes longer than
 // stallReportDelay, and another one how long it took.
 func (c *Coordinator) reportStall(epoch int64, what string, wait func() error) error {
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -42,6 +42,9 @@
 		return err
 	}
 	c.restore(epoch, stored)
+	if c.expectsAgents() {
+		c.agentCalls.record(c.Elapsed.Elapsed())
+	}
 	if c.Appraiser != nil {
 		c.Appraiser.Begin(epoch, c.Elapsed.Elapsed())
 	}
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -218,7 +218,7 @@
 	}
 	c.Init()
 	e.coordinator = c
-	e.elector.WaitingSince, e.elector.Probe = c.LogWaitSince, c.ProbeLog
+	e.elector.WaitingSince, e.elector.Probe = c.WaitingSince, c.ProbeLog
 	e.elector.OnLeadershipWon, e.elector.OnLeadershipLost, index.OnChange = c.StartLeading, c.StopLeading, c.JobsChanged
 	mux := http.NewServeMux()
 	mux.Handle(wireconnect.NewCoordinatorServiceHandler(c, connect.WithInterceptors(f.watchOpenings())))
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -5,8 +5,8 @@
 // has not grown since the process last read it. It stays leader until another
 // process appends a claim, and renews its leadership with appends under the same
 // condition. The epoch of a claim is its offset plus 1; it fences the appends and
-// orders of earlier leaders. A leader that renews its leadership but waits for the log
-// with all else says so in its renewals, and any process that can append takes over.
+// orders of earlier leaders. A leader that renews its leadership and makes no progress
+// otherwise says so in its renewals, and any process that can append takes over.
 //
 // An Elector owns the newest known leader and the state of this process's
 // leadership. Run starts no goroutine; it waits for a ticker and for appends. A
@@ -74,8 +74,8 @@
 	// leader, OnLeadershipLost when another process does or this one resigns.
 	OnLeadershipWon  func(epoch int64)
 	OnLeadershipLost func()
-	// WaitingSince returns since when this process, which leads, waits for the log, and
-	// false if it doesn't. Probe appends to the topics that a leader needs; it fails if
+	// WaitingSince returns since when this process, which leads, makes no progress, and
+	// false if it does. Probe appends to the topics that a leader needs; it fails if
 	// this process can't. Without them no leader is replaced because it is stalled.
 	WaitingSince func() (since time.Duration, waits bool)
 	Probe        func(ctx context.Context) error
--- a/elector/stall.go
+++ b/elector/stall.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// firstStallLimit is how long a leader waits for the log, while its renewals succeed,
+	// firstStallLimit is how long a leader makes no progress, while its renewals succeed,
 	// until another process may take over. It doubles with each leader in series that
 	// took over from a stalled one, up to maxStallLimit: where no leader stores progress,
 	// more changes of leader would only end leases.
@@ -46,8 +46,8 @@
 	return limit
 }
 
-// review decides whether the leader is stalled. since is when it began to wait for the log,
-// if it waits.
+// review decides whether the leader is stalled. since is when it began to wait, if it waits
+// for the log or for its agents.
 func (t *term) review(now, since time.Duration, waits bool) {
 	t.stalled = waits && now-max(since, t.steadySince) >= t.stallLimit()
 	if !waits && now-t.wonAt >= steadyTerm {
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -227,7 +227,7 @@
 	e.coordinator.Init()
 	e.elector.OnLeadershipWon = e.coordinator.StartLeading
 	e.elector.OnLeadershipLost = e.coordinator.StopLeading
-	e.elector.WaitingSince = e.coordinator.LogWaitSince
+	e.elector.WaitingSince = e.coordinator.WaitingSince
 	e.elector.Probe = e.coordinator.ProbeLog
 	e.index.OnChange = e.coordinator.JobsChanged
 }
