coordinator: replace a leader that can't read the jobs

Callers see jobs stay queued, and tasks that last without a run, while a leader renews its leadership and stores progress, and only its reads of the jobs or the configuration fail.

Cause: a leader assigns nothing while its inputs are older than 1.5 s, which is right, but that was no wait in the sense of a stalled leader.

Change: the time in which a plan is left out for old inputs counts as a wait. A candidate's probe fails while its own inputs are too old, so the leader stays while no process can read; candidates read about once a second, so theirs are current otherwise. The limit of 2 s, the series and the fences are unchanged.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -176,8 +176,8 @@
 	adviceCache *adviceCache
 	statuses    *statusWriter
 	// progressWait is the wait for the first cycle of a term or for an append of a cycle,
-	// statusWait that of the status writer.
-	progressWait, statusWait logWait
+	// statusWait that of the status writer, readWait that for inputs that are new enough.
+	progressWait, statusWait, readWait logWait
 }
 
 // Init must be called before Run and before any other method.
@@ -200,6 +200,7 @@
 	c.mu.Unlock()
 	c.agentCalls.reset()
 	c.statusWait.end()
+	c.readWait.end()
 	c.progressWait.end()
 	c.progressWait.begin(c.Elapsed.Elapsed())
 	c.signal()
--- a/coordinator/log_wait.go
+++ b/coordinator/log_wait.go
@@ -37,24 +37,27 @@
 
 func (w *logWait) end() { w.since.Store(0) }
 
-// logWaitSince returns since when this process, which leads, waits for the log, and false if
-// it does not. Appends are counted from the last one that the log has accepted.
+// logWaitSince returns since when this process, which leads, waits for the log or for
+// current inputs, and false if it does not. Appends are counted from the last one that the
+// log has accepted.
 func (c *Coordinator) logWaitSince() (since time.Duration, waits bool) {
-	progress, statuses := c.progressWait.since.Load(), c.statusWait.since.Load()
-	switch {
-	case progress == 0:
-		since = time.Duration(statuses)
-	case statuses == 0:
-		since = time.Duration(progress)
-	default:
-		since = time.Duration(min(progress, statuses))
+	for _, wait := range []*logWait{&c.progressWait, &c.statusWait, &c.readWait} {
+		begun := time.Duration(wait.since.Load())
+		if begun != 0 && (since == 0 || begun < since) {
+			since = begun
+		}
 	}
 	return since, since != 0
 }
 
 // ProbeLog appends to the topics of a leader without an effect. It fails if this process
-// can't. Appends with a condition go to the log itself, and not through other entries.
+// can't, or if its inputs are too old. Appends with a condition go to the log itself, and not
+// through other entries.
 func (c *Coordinator) ProbeLog(ctx context.Context) error {
+	_, configAge := c.Operations.Config()
+	if err := checkInputs(c.JobsTail.Age(), configAge); err != nil {
+		return err
+	}
 	for _, topic := range []string{progressTopic, indexer.Topic} {
 		if err := c.probeTopic(ctx, topic); err != nil {
 			return err
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -13,10 +13,13 @@
 // known jobs or the configuration are older than maxInputAge.
 func (c *Coordinator) plan(cycle *cycleState, epoch int64) {
 	inputs := c.inputs(epoch)
-	c.reportOldInputs(epoch, inputs.jobsAge, inputs.configAge)
-	if inputs.configAge > maxInputAge || inputs.jobsAge > maxInputAge {
+	old := checkInputs(inputs.jobsAge, inputs.configAge) != nil
+	c.reportOldInputs(epoch, inputs.jobsAge, inputs.configAge, old)
+	if old {
+		c.readWait.begin(cycle.now)
 		return
 	}
+	c.readWait.end()
 	cycle.hosts = c.hosts(cycle)
 	c.repeatStarts(cycle)
 	groups := c.readyGroups(cycle)
--- a/coordinator/sessions_test.go
+++ b/coordinator/sessions_test.go
@@ -35,6 +35,8 @@
 	// silences counts these records.
 	silenceDelay, silences atomic.Int64
 	fault                  atomic.Pointer[appendFault]
+	// unreadable makes the reads of jobs fail.
+	unreadable atomic.Bool
 }
 
 // failure returns the error of a faulty append, nil without a fault.
@@ -71,6 +73,13 @@
 	return l.KeyedLogClient.Append(ctx, topic, records, condition)
 }
 
+func (l *filteredLog) Read(ctx context.Context, topic string, from int64, wait time.Duration) (*wire.KeyedPage, error) {
+	if l.filter.unreadable.Load() {
+		return nil, &damaskspread.LogUnavailableError{Cause: errDown}
+	}
+	return l.KeyedLogClient.Read(ctx, topic, from, wait)
+}
+
 func isSilence(record *wire.KeyedRecord) bool {
 	session := &wire.ExecutorSession{}
 	return strings.HasPrefix(record.GetKey(), sessionKeyPrefix) &&
--- a/coordinator/stall.go
+++ b/coordinator/stall.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/phuslu/log"
@@ -11,7 +12,7 @@
 const stallReportDelay = time.Second
 
 // WaitingSince returns since when this process, which leads, can't make progress, and false
-// if it can: it waits for the log, or there are open jobs and no agent calls it.
+// if it can: it waits for the log or for current inputs, or there are open jobs and no agent calls it.
 func (c *Coordinator) WaitingSince() (since time.Duration, waits bool) {
 	since, waits = c.logWaitSince()
 	silentSince, silent := c.agentCalls.silentSince(c.Elapsed.Elapsed())
@@ -21,6 +22,28 @@
 	return since, waits
 }
 
+// InputsOldError means that a process must not assign tasks, because what it has read of
+// the log is too old.
+type InputsOldError struct {
+	JobsAge, ConfigAge time.Duration
+}
+
+func (e *InputsOldError) Error() string {
+	return fmt.Sprintf("inputs too old: jobs %s, configuration %s", e.JobsAge, e.ConfigAge)
+}
+
+// checkInputs returns an *InputsOldError if the known jobs or the configuration are older
+// than maxInputAge.
+func checkInputs(jobsAge, configAge time.Duration) error {
+	if jobsAge <= maxInputAge && configAge <= maxInputAge {
+		return nil
+	}
+	return &InputsOldError{
+		JobsAge:   jobsAge,
+		ConfigAge: configAge,
+	}
+}
+
 // reportStall calls wait, which waits for the log. A line tells that it takes longer than
 // stallReportDelay, and another one how long it took.
 func (c *Coordinator) reportStall(epoch int64, what string, wait func() error) error {
@@ -40,8 +63,7 @@
 
 // reportOldInputs writes a line when the plan begins to leave out all starts because the
 // known jobs or the configuration are too old, and when it goes on.
-func (c *Coordinator) reportOldInputs(epoch int64, jobsAge, configAge time.Duration) {
-	old := jobsAge > maxInputAge || configAge > maxInputAge
+func (c *Coordinator) reportOldInputs(epoch int64, jobsAge, configAge time.Duration, old bool) {
 	if old == c.inputsOld {
 		return
 	}
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -18,6 +18,7 @@
 	"gopkg.in/tomb.v2"
 	"gotest.tools/v3/assert"
 
+	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/appraiser"
 	"damaskspread.example/damaskspread/coordinator"
 	"damaskspread.example/damaskspread/elector"
@@ -185,7 +186,7 @@
 	e.client = &emulator.KeyedLogClient{Log: f.log}
 	e.tomb = &tomb.Tomb{}
 	index := &indexer.Index{}
-	jobs := f.newTailer(e.client, indexer.Topic, index.Apply)
+	jobs := f.newTailer(&filteredLog{KeyedLogClient: e.client, filter: &e.writes}, indexer.Topic, index.Apply)
 	e.elector = &elector.Elector{
 		Log:     &filteredLog{KeyedLogClient: e.client, filter: &e.writes},
 		Clock:   f.clock,
@@ -246,7 +247,7 @@
 	}
 }
 
-func (f *testFleet) newTailer(client *emulator.KeyedLogClient, topic string, apply func([]*wire.KeyedRecord, bool)) *tailer.Tailer {
+func (f *testFleet) newTailer(client damaskspread.KeyedLog, topic string, apply func([]*wire.KeyedRecord, bool)) *tailer.Tailer {
 	return &tailer.Tailer{
 		Log:      client,
 		Topic:    topic,
