runner: settle runs whose start and stop an executor leaves unanswered

Callers see a task that lasts, or a job, without a run although other hosts have room: it is assigned to an executor that answers renewals and leaves orders without a response. The leader considers the session fine, the run is starting.

Cause: a start without a response may be carried out late, so the agent repeats a stop until the executor accepts it, with no other way out.

Change: when a stop gets no response either, and no list shows the run, the next renewal takes a newer token. An executor that has seen it refuses the start, so a list read with it that lacks the run settles it: the agent refuses it ("unanswered"). The leader releases the task, gives the host nothing for 0.5 s and counts the refusal as that of an unhealthy executor. A fence is due once per run and token, so that renewals go on extending the lease.

Ruled out: to release after a time: the start may still be carried out.

No second run: a start that is called after the fence was noted raises the token that the fence waits for, under the same lock; the test carries out the held starts once the tasks run elsewhere.

--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -123,7 +123,7 @@
 	switch refusal.GetReason() {
 	case string(damaskspread.RefusedUnknownStep):
 		c.forgetSentStep(view.session, t.GroupName())
-	case string(damaskspread.RefusedNoRoom):
+	case string(damaskspread.RefusedNoRoom), string(damaskspread.RefusedUnanswered):
 		c.backOffNoRoom(view)
 	}
 	c.adviceCache.dropRefusedTickets(t, refusal.GetReason())
@@ -140,7 +140,7 @@
 	})
 }
 
-// backOffNoRoom keeps tasks from the host for noRoomBackoff.
+// backOffNoRoom keeps tasks from the host for noRoomBackoff, in which others get them.
 func (c *Coordinator) backOffNoRoom(view *sessionView) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/coordinator/suspicion.go
+++ b/coordinator/suspicion.go
@@ -63,9 +63,10 @@
 	}
 }
 
-// recordRefusal adds a refused start to the evidence if the executor is unhealthy.
+// recordRefusal adds a refused start to the evidence if the executor is unhealthy or answers
+// no orders.
 func (c *Coordinator) recordRefusal(key tracker.ExecutorKey, reason string, now time.Duration) {
-	if reason == string(damaskspread.RefusedUnhealthy) {
+	if reason == string(damaskspread.RefusedUnhealthy) || reason == string(damaskspread.RefusedUnanswered) {
 		c.failures.AddRefusal(assessor.Executor(key), now)
 		s := c.suspicionOf(key)
 		s.refusals++
--- a/coordinator/world_hosts_test.go
+++ b/coordinator/world_hosts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"gopkg.in/tomb.v2"
@@ -23,6 +24,8 @@
 	client   *emulator.KeyedLogClient
 	tomb     *tomb.Tomb
 	boots    int
+	// dropsStops makes the stops of the executor have no response and no effect.
+	dropsStops atomic.Bool
 }
 
 func (f *testFleet) newHost(name string) *host {
@@ -80,7 +83,7 @@
 	h.tomb = &tomb.Tomb{}
 	peers := connector.NewHTTPClient()
 	r := &runner.Runner{
-		Executor: h.executor,
+		Executor: &unansweredStops{JobExecutor: h.executor, dropped: &h.dropsStops},
 		Leader: &locator.Locator{
 			Log:     h.client,
 			HTTP:    peers,
--- a/jobs.go
+++ b/jobs.go
@@ -210,6 +210,9 @@
 	RefusedUnknownStep StartRefusal = "unknown_step"
 	// RefusedOrderExpired means that the order reached the agent too late.
 	RefusedOrderExpired StartRefusal = "order_expired"
+	// RefusedUnanswered means that neither the start nor the stop got a response from an
+	// executor that answers renewals. The run can't start any more.
+	RefusedUnanswered StartRefusal = "unanswered"
 )
 
 // WrongIncarnationError means that another incarnation of an executor responds
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -107,6 +107,7 @@
 		r.learnRamp(key, order)
 		r.own(key, order)
 		r.tokens.used = true
+		r.fenceLater(key)
 	}
 	switch {
 	case decision.refusal == "" || decision.definite || owner != nil:
@@ -215,7 +216,8 @@
 }
 
 // stop repeats the order until the executor accepts it, has left or has been
-// replaced, or rejects the present token. It reports whether the executor accepted it.
+// replaced, or rejects the present token, or until the run is settled without a response. It
+// reports whether the executor accepted it or the run is settled.
 func (r *Runner) stop(ctx context.Context, info *wire.ExecutorInfo, order *wire.StopOrder) bool {
 	key := runKey{order.GetTask(), order.GetRun()}
 	for ctx.Err() == nil {
@@ -234,6 +236,7 @@
 		cancel()
 		var wrong *damaskspread.WrongIncarnationError
 		var fenced *damaskspread.FencedError
+		var unknown *damaskspread.WorkerUnknownError
 		switch {
 		case err == nil:
 			r.traceStop(info, key, token)
@@ -243,9 +246,14 @@
 			return false
 		case errors.As(err, &fenced) && r.isLatestToken(token):
 			return false
+		case errors.As(err, &unknown):
+			r.fenceStart(info, key)
 		}
 		log.Debug().Str("task", key.task).Int32("run", key.run).Err(err).Msg("stop call failed; retrying")
 		r.pause(ctx, orderRetry)
+		if r.isSettled(key) {
+			return true
+		}
 	}
 	return false
 }
--- a/runner/refusals.go
+++ b/runner/refusals.go
@@ -100,6 +100,7 @@
 // start.
 func (r *Runner) forgetRun(key runKey) {
 	r.disown(key)
+	delete(r.fencesDue, key)
 	if r.listed[key] {
 		r.occupancy = nil
 	}
--- a/runner/renew.go
+++ b/runner/renew.go
@@ -236,7 +236,8 @@
 	updated := r.addEnds(state.GetEnded())
 	r.traceLists(call.startedAt)
 	r.forgetEndedRuns()
-	return r.resolveChecks(call.startedAt) || updated
+	fenced := r.resolveFences(call.lease.Token)
+	return r.resolveChecks(call.startedAt) || fenced || updated
 }
 
 // handleRestart resets the state for an executor that restarted under the same
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -137,6 +137,9 @@
 	// checksDue holds the runs to look up in the executor's lists, and from when. It
 	// outlives the session: a run that is stopped has an owner until it is looked up.
 	checksDue map[runKey]time.Duration
+	// fencesDue holds the runs whose stop got no response, with the highest token with which
+	// their start may have been called.
+	fencesDue map[runKey]int64
 	// startOwners holds the one order of each run that may start it.
 	startOwners map[runKey]*wire.StartOrder
 	// refusedRuns holds the runs that were refused within refusalRetention.
@@ -258,6 +261,7 @@
 	r.ramps = map[runKey]*pacer.Ramp{}
 	r.drainStops = map[runKey]bool{}
 	r.checksDue = map[runKey]time.Duration{}
+	r.fencesDue = map[runKey]int64{}
 	r.crashes.reset()
 	r.trace.reset()
 	r.executorClock = clockReading{
