--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -135,6 +135,10 @@
 	held waitReports
 	// recovery paces the starts of late jobs after an outage of the log.
 	recovery recovery
+	// agentCalls is when an agent has called last in this term; agentsSilent is set if all
+	// were silent in the last cycle.
+	agentCalls   agentCalls
+	agentsSilent bool
 	// tookOverAt is the beginning of this leader's term, oldSessionsRemoved is set once
 	// removeOldSessions is done in it.
 	tookOverAt         time.Duration
@@ -177,8 +181,8 @@
 	adviceCache *adviceCache
 	statuses    *statusWriter
 	// progressWait is the wait for the first cycle of a term or for an append of a cycle,
-	// statusWait that of the status writer.
-	progressWait, statusWait logWait
+	// statusWait that of the status writer, readWait that for inputs that are new enough.
+	progressWait, statusWait, readWait logWait
 }
 
 // Init must be called before Run and before any other method.
@@ -199,7 +203,9 @@
 	c.mu.Lock()
 	c.epoch = epoch
 	c.mu.Unlock()
+	c.agentCalls.reset()
 	c.statusWait.end()
+	c.readWait.end()
 	c.progressWait.end()
 	c.progressWait.begin(c.Elapsed.Elapsed())
 	c.signal()
@@ -282,6 +288,7 @@
 	c.held = waitReports{}
 	c.recovery = recovery{}
 	c.inputsOld = false
+	c.agentsSilent = false
 	c.tookOverAt = c.Elapsed.Elapsed()
 	c.oldSessionsRemoved = false
 	var background sync.WaitGroup
--- a/runner/starts.go
+++ b/runner/starts.go
@@ -127,6 +127,7 @@
 		r.learnRamp(a.key, a.order)
 		r.own(a.key, a.order)
 		r.tokens.used = true
+		r.fenceLater(a.key)
 	}
 	return decision
 }
