--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -94,28 +94,9 @@
 		updated: make(chan struct{}),
 	}
 	if previous != nil {
-		previous.notify()
-		if previous.key != s.key {
-			c.arrivals.lostExecutors = append(c.arrivals.lostExecutors, lostExecutor{
-				key:        previous.key,
-				host:       previous.host,
-				session:    previous.id,
-				cause:      tracer.LossReplaced,
-				replacedBy: s.id,
-			})
-			if end, witnessed := witnessedEndOf(previous, s); witnessed {
-				c.arrivals.witnessedEnds = append(c.arrivals.witnessedEnds, end)
-			}
-		}
-	}
-	s.granting = c.mayGrant(s.host, s.key)
-	// An earlier session may have granted a lease until now.
-	s.lastGrantAt = c.Elapsed.Elapsed()
-	s.leaseEnd = s.lastGrantAt + c.leaseBound()
-	if len(report.GetRunning()) > 0 && c.storedSession(s.host, s.key) == nil {
-		// The runs may have a lease of a leader of an earlier version.
-		s.leaseEnd = s.lastGrantAt + c.earlierLeaseBound()
+		c.endSession(previous, s)
 	}
+	c.beginLease(s, report)
 	c.sessions[s.host] = s
 	if c.histories[s.host] == nil {
 		c.histories[s.host] = &hostHistory{}
@@ -126,6 +107,37 @@
 	return s
 }
 
+// endSession ends a session that another one of its host follows. The executor of the
+// previous one is lost if that of the next one is another incarnation.
+func (c *Coordinator) endSession(previous, next *session) {
+	previous.notify()
+	if previous.key == next.key {
+		return
+	}
+	c.arrivals.lostExecutors = append(c.arrivals.lostExecutors, lostExecutor{
+		key:        previous.key,
+		host:       previous.host,
+		session:    previous.id,
+		cause:      tracer.LossReplaced,
+		replacedBy: next.id,
+	})
+	if end, witnessed := witnessedEndOf(previous, next); witnessed {
+		c.arrivals.witnessedEnds = append(c.arrivals.witnessedEnds, end)
+	}
+}
+
+// beginLease sets how long the executor of a new session may hold a lease.
+func (c *Coordinator) beginLease(s *session, report *wire.ExchangeRequest) {
+	s.granting = c.mayGrant(s.host, s.key)
+	// An earlier session may have granted a lease until now.
+	s.lastGrantAt = c.Elapsed.Elapsed()
+	s.leaseEnd = s.lastGrantAt + c.leaseBound()
+	if len(report.GetRunning()) > 0 && c.storedSession(s.host, s.key) == nil {
+		// The runs may have a lease of a leader of an earlier version.
+		s.leaseEnd = s.lastGrantAt + c.earlierLeaseBound()
+	}
+}
+
 // reopen makes an agent open a new session, with fencing tokens of its own: once the
 // executor has seen one, calls that were sent for an earlier session, by an earlier
 // process of the agent or for an earlier incarnation under the same id have no effect.
