--- a/runner/orders.go
+++ b/runner/orders.go
@@ -69,29 +69,11 @@
 		if !present {
 			return false
 		}
-		if !hasSession {
-			r.pause(ctx, orderRetry)
-			continue
+		if hasSession {
+			if final, accepted := r.tryStop(ctx, info, order, token); final {
+				return accepted
+			}
 		}
-		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-		err := r.Executor.Stop(callCtx, info.GetId(), order, token)
-		cancel()
-		var wrong *damaskspread.WrongIncarnationError
-		var fenced *damaskspread.FencedError
-		var unknown *damaskspread.WorkerUnknownError
-		switch {
-		case err == nil:
-			r.traceStop(info, key, token)
-			r.scheduleCheck(info, key, r.StopWithin)
-			return true
-		case errors.As(err, &wrong):
-			return false
-		case errors.As(err, &fenced) && r.isLatestToken(token):
-			return false
-		case errors.As(err, &unknown):
-			r.fenceStart(info, key)
-		}
-		log.Debug().Str("task", key.task).Int32("run", key.run).Err(err).Msg("stop call failed; retrying")
 		r.pause(ctx, orderRetry)
 		if r.isSettled(key) {
 			return true
@@ -99,3 +81,29 @@
 	}
 	return false
 }
+
+// tryStop calls the executor once. It reports whether the order is finished, and whether the
+// executor accepted it.
+func (r *Runner) tryStop(ctx context.Context, info *wire.ExecutorInfo, order *wire.StopOrder, token int64) (final, accepted bool) {
+	key := runKey{order.GetTask(), order.GetRun()}
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err := r.Executor.Stop(callCtx, info.GetId(), order, token)
+	var wrong *damaskspread.WrongIncarnationError
+	var fenced *damaskspread.FencedError
+	var unknown *damaskspread.WorkerUnknownError
+	switch {
+	case err == nil:
+		r.traceStop(info, key, token)
+		r.scheduleCheck(info, key, r.StopWithin)
+		return true, true
+	case errors.As(err, &wrong):
+		return true, false
+	case errors.As(err, &fenced) && r.isLatestToken(token):
+		return true, false
+	case errors.As(err, &unknown):
+		r.fenceStart(info, key)
+	}
+	log.Debug().Str("task", key.task).Int32("run", key.run).Err(err).Msg("stop call failed; retrying")
+	return false, false
+}
