Paced recovery: a group of which tasks are held back preempts none

Cause: after the tasks that have room were placed, the rest of a limited group looked like tasks that fit on no host, and ChooseVictims chose tasks of less urgent queues for them.

Ruled out: leaving limited groups out of the preemption in package coordinator: the rule belongs to the choice of victims and is tested there.

Change: tracker.Group.Limited, and ChooseVictims returns none for such a group.

--- a/planner/lostwork.go
+++ b/planner/lostwork.go
@@ -34,8 +34,12 @@
 // ChooseVictims is Preempt or, with LostWork, chooses among all hosts the set of
 // victims that loses least. An overdue job, or one that is overdue once its victims
 // have stopped, preempts only overdue ones. With CostOrder it preempts none by
-// Preempt: the victims would start before it again, and be stopped again.
+// Preempt: the victims would start before it again, and be stopped again. A group of which
+// tasks are held back preempts none.
 func (p *Planner) ChooseVictims(group *tracker.Group, task *tracker.Task, hosts []*Host, now time.Duration, nowUnixMs int64) []*tracker.Task {
+	if group.Limited() {
+		return nil
+	}
 	waiting := WaitingOf(group, nowUnixMs)
 	waiting.Now = waiting.Now.Add(stopTime)
 	overdue := CostOf(waiting).Class.overdue()
--- a/planner/recovery_test.go
+++ b/planner/recovery_test.go
@@ -138,6 +138,24 @@
 	}
 }
 
+// Guards against a late job that stops others for its tasks that are held back.
+func TestPacedGroupPreemptsNone(t *testing.T) {
+	host := newHost("a", 8)
+	for _, task := range waitingTasks(readyGroups(newJob("batch", 2, ordinary(6, 1000)))[0]) {
+		task.Assign(host.Key, host.Name, 1, 0)
+		host.AddAssigned(task)
+	}
+	const now = 5000
+	hosts := []*planner.Host{host}
+	late := readyGroups(waitingJob("late", 0, ordinary(4, 2000)))[0]
+	planned, paced := planner.PaceLate([]*tracker.Group{late}, hosts, 0, now)
+	assert.Equal(t, len(paced), 1)
+	p := &planner.Planner{}
+	assert.Equal(t, len(p.Plan(planned, hosts)), 1)
+	assert.Equal(t, len(p.ChooseVictims(late, late.First(), hosts, time.Hour, now)), 2)
+	assert.Equal(t, len(p.ChooseVictims(planned[0], planned[0].First(), hosts, time.Hour, now)), 0)
+}
+
 // Guards against a starved job that outages in series hold back without a bound.
 func TestStarvedJobIsNotPaced(t *testing.T) {
 	job := waitingJob("old", 0, ordinary(4, 1000))
--- a/tracker/group.go
+++ b/tracker/group.go
@@ -169,6 +169,9 @@
 	return &fewer
 }
 
+// Limited reports whether AtMost has held tasks of the group back.
+func (g *Group) Limited() bool { return g.limit > 0 }
+
 // NextRun returns the run number for the next start of a gang, which all its
 // tasks share.
 func (g *Group) NextRun() int32 {
