--- a/runner/unanswered.go
+++ b/runner/unanswered.go
@@ -18,6 +18,10 @@
 	if !r.isPresent(info) || r.token == 0 || r.isRunning(key) || r.hasEnded(key) {
 		return
 	}
+	if r.renewFailures > 0 {
+		// No renewal settles anything for now. The stop is repeated.
+		return
+	}
 	if r.tokens.last == r.token {
 		// Leaders of earlier versions give a session one token, the next one may get the same.
 		return
