Elector: a leader with slow renewals can be stalled too

A leader that can't store progress and whose renewals take 0.6 to 0.9 s each, over a slow link of its own, is never replaced: nothing runs.

Cause: the time for which a leader waits began again whenever the last confirmed renewal had begun more than 0.6 s before, which was to tell an outage of the log. A renewal may take 0.9 s and succeed.

Change: the time begins again after a renewal that failed, or if none has been confirmed for 1.1 s, longer than one may take.

Before/after: TestLeaderWithSlowRenewalsIsStalled: not stalled after 6 s in 2 of 2 runs before; passes in 2 of 2 with -race after.

--- a/elector/leadership.go
+++ b/elector/leadership.go
@@ -63,6 +63,7 @@
 	if err != nil {
 		var conflict *damaskspread.ConditionFailedError
 		if !errors.As(err, &conflict) {
+			e.term.steadySince = e.Elapsed.Elapsed()
 			log.Debug().Int64("epoch", renewal.GetEpoch()).Err(err).Msg("leadership renewal failed")
 		}
 		return
--- a/elector/slow_log_test.go
+++ b/elector/slow_log_test.go
@@ -18,10 +18,16 @@
 	"damaskspread.example/damaskspread/wire"
 )
 
-// slowLog delays the response to each read.
+// slowLog delays the response to each read and to each append.
 type slowLog struct {
 	damaskspread.KeyedLog
-	delay time.Duration
+	delay, appendDelay time.Duration
+}
+
+func (l *slowLog) Append(ctx context.Context, topic string, records []*wire.KeyedRecord, condition *wire.AppendCondition) (*wire.AppendResult, error) {
+	result, err := l.KeyedLog.Append(ctx, topic, records, condition)
+	time.Sleep(l.appendDelay)
+	return result, err
 }
 
 func (l *slowLog) Read(ctx context.Context, topic string, from int64, wait time.Duration) (*wire.KeyedPage, error) {
@@ -38,7 +44,7 @@
 	won           chan int64
 }
 
-func startCandidate(t *testing.T, readDelay time.Duration) *candidate {
+func startCandidate(t *testing.T, delay, appendDelay time.Duration) *candidate {
 	log := &emulator.KeyedLog{Clock: clockwork.NewRealClock()}
 	c := &candidate{
 		t:      t,
@@ -46,16 +52,22 @@
 		client: &emulator.KeyedLogClient{Log: log},
 		won:    make(chan int64, 1),
 	}
+	link := &slowLog{
+		KeyedLog:    c.client,
+		delay:       delay,
+		appendDelay: appendDelay,
+	}
 	e := &elector.Elector{
-		Log:              c.client,
+		Log:              link,
 		Clock:            clockwork.NewRealClock(),
 		Elapsed:          timekeeper.BootClock{},
 		Process:          "candidate",
 		OnLeadershipWon:  func(epoch int64) { c.won <- epoch },
 		OnLeadershipLost: func() {},
+		WaitingSince:     func() (time.Duration, bool) { return 0, true },
 	}
 	e.Tail = &tailer.Tailer{
-		Log:      &slowLog{KeyedLog: c.client, delay: readDelay},
+		Log:      link,
 		Topic:    elector.Topic,
 		Clock:    clockwork.NewRealClock(),
 		Elapsed:  timekeeper.BootClock{},
@@ -90,7 +102,7 @@
 // Guards against a leader that is gone and that no process replaces while reads of the log
 // take long: the time since its last record began again with each read.
 func TestLeaderIsReplacedWhileReadsAreSlow(t *testing.T) {
-	c := startCandidate(t, 600*time.Millisecond)
+	c := startCandidate(t, 600*time.Millisecond, 0)
 	c.lead(3 * time.Second)
 	assert.Equal(t, len(c.won), 0, "the leadership was claimed while the leader renewed it")
 	select {
@@ -103,7 +115,7 @@
 // Guards against a change of leader after each outage of the log, in which the leader could
 // not renew.
 func TestLeaderIsKeptAfterAnOutage(t *testing.T) {
-	c := startCandidate(t, 0)
+	c := startCandidate(t, 0, 0)
 	c.lead(time.Second)
 	c.client.SetDown(true)
 	time.Sleep(2500 * time.Millisecond)
@@ -112,3 +124,24 @@
 	c.lead(time.Second)
 	assert.Equal(t, len(c.won), 0, "the leadership was claimed after an outage")
 }
+
+// stalled reports whether the latest record of the topic says that the leader is stalled.
+func (c *candidate) stalled() bool {
+	page, err := c.store.Newest(c.t.Context(), elector.Topic, "")
+	assert.NilError(c.t, err)
+	leadership, err := elector.Decode(page.GetRecords()[0])
+	assert.NilError(c.t, err)
+	return leadership.GetStalled()
+}
+
+// Guards against a leader that makes no progress and is not replaced while its renewals take
+// long: the time for which it waits began again with each of them.
+func TestLeaderWithSlowRenewalsIsStalled(t *testing.T) {
+	c := startCandidate(t, 0, 700*time.Millisecond)
+	<-c.won
+	for deadline := time.Now().Add(6 * time.Second); !c.stalled(); time.Sleep(100 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the leader is not stalled after 6s")
+		}
+	}
+}
--- a/elector/stall.go
+++ b/elector/stall.go
@@ -17,8 +17,9 @@
 	firstStallLimit = 2 * time.Second
 	maxStallLimit   = 16 * time.Second
 	// maxRenewalGap is the time without a confirmed renewal after which the wait is counted
-	// anew: in an outage of the log no other process could do better.
-	maxRenewalGap = 600 * time.Millisecond
+	// anew, as after a renewal that failed: in an outage of the log no other process could
+	// do better. It is longer than a renewal may take.
+	maxRenewalGap = appendTimeout + renewInterval
 	// steadyTerm is the term after which a leader that doesn't wait ends the series.
 	steadyTerm = 10 * time.Second
 	// probeInterval is the time between two probes of a candidate.
