--- a/coordinator/stall.go
+++ b/coordinator/stall.go
@@ -12,7 +12,8 @@
 const stallReportDelay = time.Second
 
 // WaitingSince returns since when this process, which leads, can't make progress, and false
-// if it can: it waits for the log or for current inputs, or there are open jobs and no agent calls it.
+// if it can. It can't while it waits for the log or for current inputs, or while there are
+// open jobs and no agent calls it.
 func (c *Coordinator) WaitingSince() (since time.Duration, waits bool) {
 	since, waits = c.logWaitSince()
 	silentSince, silent := c.agentCalls.silentSince(c.Elapsed.Elapsed())
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -10,8 +10,9 @@
 // A Scheduler runs a Planner with up to four goroutines: one waits for changes
 // of the state, one plans and appends on every tick, one fences expired hosts on
 // every tick if Fence is set, and one reads the workers of silent hosts if Read is
-// set. The last two wait for further goroutines, one for each call. A scheduling cycle waits for the result of
-// its append, so an outage of the log leaves no backlog of claims.
+// set. The last two wait for further goroutines, one for each call. A scheduling cycle
+// waits for the result of its append, so an outage of the log leaves no backlog of
+// claims.
 //
 // Known limitation: the replayer doesn't check quotas, so a team may briefly
 // exceed its quota while the ownership of its tasks moves between entries.
