--- a/scheduler/read.go
+++ b/scheduler/read.go
@@ -7,13 +7,10 @@
 	"time"
 
 	"github.com/phuslu/log"
-	"gopkg.in/tomb.v2"
 
 	"damaskspread.example/damaskspread/wire"
 )
 
-const readInterval = time.Second
-
 // SilentHost is a member without heartbeats in the log whose worker is to be read.
 type SilentHost struct {
 	Spec    *wire.HostSpec
@@ -60,19 +57,6 @@
 	return p.endRecords(h, ended, now)
 }
 
-func (s *Scheduler) readLoop(t *tomb.Tomb) error {
-	ticker := s.Clock.NewTicker(readInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-t.Dying():
-			return nil
-		case <-ticker.Chan():
-			s.ReadSilent(t.Context(nil)) //nolint:staticcheck // The tomb's own background context.
-		}
-	}
-}
-
 // ReadSilent reads the workers of the silent hosts that this entry owns and appends
 // the ends of their tasks.
 func (s *Scheduler) ReadSilent(ctx context.Context) {
@@ -103,9 +87,5 @@
 		log.Info().Err(err).Str("host", host.Spec.GetHost()).Msg("reading the worker of a silent host failed")
 		return
 	}
-	var records []*wire.Record
-	s.withLock(func() { records = s.Planner.ReadRecords(host.Spec, tasks, s.Clock.Now()) })
-	if len(records) > 0 {
-		s.appendRecords(ctx, records)
-	}
+	s.appendPlanned(ctx, func(now time.Time) []*wire.Record { return s.Planner.ReadRecords(host.Spec, tasks, now) })
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -36,7 +36,9 @@
 	// cycleInterval is short compared to the 4.8 s within which urgent tasks
 	// have to start, and limits an entry to ten appends per second.
 	cycleInterval = 100 * time.Millisecond
-	appendTimeout = 10 * time.Second
+	// workerCallInterval is the time between two checks which workers to fence or read.
+	workerCallInterval = time.Second
+	appendTimeout      = 10 * time.Second
 )
 
 // Follower gives access to the replayed state.
@@ -82,12 +84,12 @@
 	})
 	t.Go(func() error { return s.observeLoop(t) })
 	if s.Fence != nil {
-		t.Go(func() error { return s.fenceLoop(t) })
+		t.Go(func() error { return s.callPeriodically(t, workerCallInterval, s.FenceExpired) })
 	}
 	if s.Read != nil {
-		t.Go(func() error { return s.readLoop(t) })
+		t.Go(func() error { return s.callPeriodically(t, workerCallInterval, s.ReadSilent) })
 	}
-	return s.planLoop(t)
+	return s.callPeriodically(t, cycleInterval, s.RunCycle)
 }
 
 func (s *Scheduler) withLock(f func()) {
@@ -118,15 +120,17 @@
 	}
 }
 
-func (s *Scheduler) planLoop(t *tomb.Tomb) error {
-	ticker := s.Clock.NewTicker(cycleInterval)
+// callPeriodically calls a function at each tick until the tomb dies. Ticks during a call
+// are left out.
+func (s *Scheduler) callPeriodically(t *tomb.Tomb, interval time.Duration, call func(ctx context.Context)) error {
+	ticker := s.Clock.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-t.Dying():
 			return nil
 		case <-ticker.Chan():
-			s.RunCycle(t.Context(nil)) //nolint:staticcheck // The tomb's own background context.
+			call(t.Context(nil)) //nolint:staticcheck // The tomb's own background context.
 		}
 	}
 }
@@ -134,12 +138,17 @@
 // RunCycle runs one scheduling cycle: it plans once and appends the records. A
 // failed append is logged and reported to the planner.
 func (s *Scheduler) RunCycle(ctx context.Context) {
+	s.appendPlanned(ctx, func(now time.Time) []*wire.Record { return s.Planner.Plan(now, s.Follower.Age()) })
+}
+
+// appendPlanned appends the records that a function returns, if any. The function is
+// called with the lock held.
+func (s *Scheduler) appendPlanned(ctx context.Context, plan func(now time.Time) []*wire.Record) {
 	var records []*wire.Record
-	s.withLock(func() { records = s.Planner.Plan(s.Clock.Now(), s.Follower.Age()) })
-	if len(records) == 0 {
-		return
+	s.withLock(func() { records = plan(s.Clock.Now()) })
+	if len(records) > 0 {
+		s.appendRecords(ctx, records)
 	}
-	s.appendRecords(ctx, records)
 }
 
 func (s *Scheduler) appendRecords(ctx context.Context, records []*wire.Record) {
@@ -152,19 +161,6 @@
 	s.withLock(func() { s.Planner.HandleAppendResult(records, err, s.Clock.Now()) })
 }
 
-func (s *Scheduler) fenceLoop(t *tomb.Tomb) error {
-	ticker := s.Clock.NewTicker(time.Second)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-t.Dying():
-			return nil
-		case <-ticker.Chan():
-			s.FenceExpired(t.Context(nil)) //nolint:staticcheck // The tomb's own background context.
-		}
-	}
-}
-
 // FenceExpired fences the expired hosts that this entry owns, several at a time. For
 // each worker that confirms, it appends the results of the worker's tasks and returns
 // the unfinished ones to the queue.
@@ -182,11 +178,7 @@
 		log.Info().Err(err).Str("host", f.Spec.GetHost()).Msg("fencing of expired host failed")
 		return
 	}
-	var records []*wire.Record
-	s.withLock(func() { records = s.Planner.FencedRecords(f, tasks, s.Clock.Now()) })
-	if len(records) > 0 {
-		s.appendRecords(ctx, records)
-	}
+	s.appendPlanned(ctx, func(now time.Time) []*wire.Record { return s.Planner.FencedRecords(f, tasks, now) })
 }
 
 // Reconfigure sets the objective and reads the configuration of teams and zones
