Planner: the interference of a host is kept, and each pair of images looked up once a plan

Cause: a cycle of the leader tries each waiting best-effort step on each host, and each try looked up the weight of each best-effort image for each serving image there, behind the mutex of the model. With the backlog of renders the cycle became slow for all queues.

Change: the hosts of a plan share a table of weights; what the best-effort tasks of a host add to each serving image is kept until a task is placed there; hosts without the idle processors for the required speed are left out before the weights are looked at.

--- a/planner/host.go
+++ b/planner/host.go
@@ -70,6 +70,10 @@
 	// Requested millicores by image.
 	servingByImage    imageUses
 	bestEffortByImage imageUses
+	// weights are the interference weights that the hosts of a plan share. interference
+	// is the result of servingInterference, nil after a change of the tasks.
+	weights      *weightTable
+	interference []servingInterference
 	// oneServingImage is set if serving images are kept on hosts of their own; see
 	// setServingLayout.
 	oneServingImage bool
@@ -116,6 +120,7 @@
 }
 
 func (h *Host) addTask(group string, step *wire.JobStep) {
+	h.interference = nil
 	tracker.AddRequest(&h.requested, step)
 	if !step.GetLongRunning() {
 		tracker.AddRequest(&h.finiteRequested, step)
@@ -217,6 +222,7 @@
 		tasksByGroup:         maps.Clone(h.tasksByGroup),
 		servingByImage:       slices.Clone(h.servingByImage),
 		bestEffortByImage:    slices.Clone(h.bestEffortByImage),
+		weights:              h.weights,
 		oneServingImage:      h.oneServingImage,
 		keptClear:            h.keptClear,
 		busy:                 h.busy,
--- a/planner/interference.go
+++ b/planner/interference.go
@@ -18,17 +18,20 @@
 // tasks of an image are limited on a host with addedMillicores more of that image.
 // Pacing keeps the serving tasks of the host within their target latency.
 func (p *Planner) pace(host *Host, image string, addedMillicores int64) float64 {
-	if p.Weight == nil {
+	if p.Weight == nil || len(host.servingByImage) == 0 {
 		return 1
 	}
+	weights := p.weightsFor(host)
+	interference := host.servingInterference(weights)
+	row := weights.row(image)
+	added := float64(addedMillicores) / host.capacityMillicores()
 	pace := 1.0
-	for _, serving := range host.servingByImage {
-		imageWeight := p.Weight(image, serving.image)
-		if imageWeight < minWeight {
+	for _, serving := range interference {
+		weight := row[serving.index]
+		if weight < minWeight {
 			continue
 		}
-		logIncrease := p.addInterference(imageWeight*float64(addedMillicores)/host.capacityMillicores(), host, serving.image)
-		if logIncrease > typicalHeadroom {
+		if logIncrease := serving.logIncrease + weight*added; logIncrease > typicalHeadroom {
 			pace = min(pace, typicalHeadroom/logIncrease)
 		}
 	}
@@ -39,13 +42,23 @@
 // best-effort task of the step gets on the host, if the other best-effort tasks
 // run at full pace.
 func (p *Planner) speed(host *Host, step *wire.JobStep) float64 {
-	need := step.GetResources().GetMillicores()
-	demand := host.bestEffortMillicores + need
-	share := 1.0
-	if available := host.idleMillicores() + host.bestEffortMillicores; demand > available {
-		share = max(0, float64(available)/float64(max(demand, 1)))
+	return idleSpeed(host, step) * p.pace(host, step.GetImage(), step.GetResources().GetMillicores())
+}
+
+// reachesSpeed reports whether speed is at least the given one. On most hosts of a busy
+// fleet the idle processors alone don't suffice, and the pace isn't needed.
+func (p *Planner) reachesSpeed(host *Host, step *wire.JobStep, least float64) bool {
+	return idleSpeed(host, step) >= least && p.speed(host, step) >= least
+}
+
+// idleSpeed is the part of speed that depends on the idle processors of the host.
+func idleSpeed(host *Host, step *wire.JobStep) float64 {
+	demand := host.bestEffortMillicores + step.GetResources().GetMillicores()
+	available := host.idleMillicores() + host.bestEffortMillicores
+	if demand <= available {
+		return 1
 	}
-	return share * p.pace(host, step.GetImage(), need)
+	return max(0, float64(available)/float64(max(demand, 1)))
 }
 
 // interference predicts how much the best-effort tasks on the host add to the
@@ -54,15 +67,38 @@
 	if p.Weight == nil {
 		return 0
 	}
-	return p.addInterference(0, host, serving)
+	weights := p.weightsFor(host)
+	return host.logIncrease(weights, weights.servingIndex(serving))
+}
+
+// servingInterference is how much the best-effort tasks on a host add to the logarithm of
+// the latency of a serving image. index is that of the image in the host's weightTable.
+type servingInterference struct {
+	index       int
+	logIncrease float64
+}
+
+// servingInterference returns the interference with each serving image on the host.
+func (h *Host) servingInterference(weights *weightTable) []servingInterference {
+	if h.interference == nil {
+		for _, serving := range h.servingByImage {
+			index := weights.servingIndex(serving.image)
+			h.interference = append(h.interference, servingInterference{
+				index:       index,
+				logIncrease: h.logIncrease(weights, index),
+			})
+		}
+	}
+	return h.interference
 }
 
-// addInterference adds to sum what each best-effort image on the host adds to the
-// logarithm of the latency of a serving image.
-func (p *Planner) addInterference(sum float64, host *Host, serving string) float64 {
-	for _, interfering := range host.bestEffortByImage {
-		if weight := p.Weight(interfering.image, serving); weight >= minWeight {
-			sum += weight * float64(interfering.millicores) / host.capacityMillicores()
+// logIncrease sums what each best-effort image on the host adds to the logarithm of the
+// latency of the serving image with an index.
+func (h *Host) logIncrease(weights *weightTable, index int) float64 {
+	sum := 0.0
+	for _, interfering := range h.bestEffortByImage {
+		if weight := weights.row(interfering.image)[index]; weight >= minWeight {
+			sum += weight * float64(interfering.millicores) / h.capacityMillicores()
 		}
 	}
 	return sum
@@ -79,7 +115,7 @@
 		if host == current || host.Suspect || task.FailedOn(host.Key.ID) || !host.inAffinityRack(step) {
 			continue
 		}
-		if p.obstacle(host, group, task) == NoObstacle && p.speed(host, step) >= speed {
+		if p.reachesSpeed(host, step, speed) && p.obstacle(host, group, task) == NoObstacle {
 			return true
 		}
 	}
--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -62,7 +62,7 @@
 		return ObstacleReserved
 	case step.GetFillsIdle() && host.NearTarget:
 		return ObstacleNearTarget
-	case step.GetFillsIdle() && p.speed(host, step) < p.requiredSpeed(host, group):
+	case step.GetFillsIdle() && !p.reachesSpeed(host, step, p.requiredSpeed(host, group)):
 		return ObstacleNoIdleProcessors
 	default:
 		return NoObstacle
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -76,6 +76,7 @@
 // groups have to be sorted by Order.
 func (p *Planner) Plan(groups []*tracker.Group, hosts []*Host) []Assignment {
 	var plan []Assignment
+	p.shareWeights(hosts)
 	setServingLayout(groups, hosts)
 	p.keepClear(hosts)
 	p.setBusy(hosts)
