Tailer: the first read after a failed one does not wait for records

Callers saw: after an outage of the log a leader starts nothing for up to 0.7 s more.

Cause: the view of the configuration is current once a read has reached the end of the topic. The first read after the outage waits there for new records, for 0.7 s.

Change: a read that follows a failed one does not wait.

--- a/tailer/read.go
+++ b/tailer/read.go
@@ -41,12 +41,13 @@
 }
 
 // readFrom reads the records from an offset on. At the end of the topic it waits for
-// ReadWait unless a Refresh waits for the read. It reports whether Refresh has canceled
+// ReadWait, unless a Refresh waits for the read or the last read failed: the first
+// response after an outage makes the view current. It reports whether Refresh has canceled
 // the read.
 func (t *Tailer) readFrom(ctx context.Context, next int64) (page *wire.KeyedPage, canceled bool, err error) {
 	t.mu.Lock()
 	wait := t.ReadWait
-	if len(t.waiters) > 0 {
+	if len(t.waiters) > 0 || t.failing {
 		wait = 0
 	}
 	readCtx, cancel, progress := damaskspread.BeginRead(ctx, wait)
--- a/tailer/tailer_test.go
+++ b/tailer/tailer_test.go
@@ -190,3 +190,20 @@
 	_, known = quiet.tail.LastOutage()
 	assert.Assert(t, !known, "a read that waits for records is no outage")
 }
+
+// Guards against a view that stays old after an outage for as long as a read waits for new
+// records, in which a leader starts nothing.
+func TestViewIsCurrentOnceTheLogIsBack(t *testing.T) {
+	const wait = 2 * time.Second
+	r := startReader(t, wait)
+	r.refresh(t)
+	r.client.SetDown(true)
+	time.Sleep(wait + 200*time.Millisecond)
+	assert.Assert(t, r.tail.Age() > wait, "%s", r.tail.Age())
+	r.client.SetDown(false)
+	back := time.Now()
+	for r.tail.Age() > wait/2 {
+		assert.Assert(t, time.Since(back) < wait/2, "%s", r.tail.Age())
+		time.Sleep(10 * time.Millisecond)
+	}
+}
