Leader and relayed log calls: only responses from 1 KiB on are compressed

Cause: the handlers that agents and entries call compressed every response, also those of 30 to 100 bytes, as connect does by default; the entries of the other roles did not.

A leader of 240 agents answers over a thousand of them a second.

Change: connector.CompressLargeResponses is the option of all handlers of these processes; package server had the same one for itself.

--- a/connector/http.go
+++ b/connector/http.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"connectrpc.com/connect"
 	"golang.org/x/sys/unix"
 )
 
@@ -19,8 +20,17 @@
 	keepAliveProbes     = 2
 	idleConnTimeout     = 90 * time.Second
 	maxIdleConnsPerHost = 8
+	// compressMinBytes is the size from which a response is compressed. Most responses
+	// have fewer than 100 bytes, which compression makes larger.
+	compressMinBytes = 1 << 10
 )
 
+// CompressLargeResponses makes a handler compress only responses that become much smaller.
+// Without it, it compresses all.
+func CompressLargeResponses() connect.HandlerOption {
+	return connect.WithCompressMinBytes(compressMinBytes)
+}
+
 // KeepAliveConfig returns TCP keep-alive settings that close an idle connection
 // about 3 s after its peer stops responding.
 func KeepAliveConfig() net.KeepAliveConfig {
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -252,11 +252,11 @@
 		Observe:       e.observeRequest,
 	}
 	agentMux := http.NewServeMux()
-	agentMux.Handle(wireconnect.NewCoordinatorServiceHandler(e.coordinator))
+	agentMux.Handle(wireconnect.NewCoordinatorServiceHandler(e.coordinator, connector.CompressLargeResponses()))
 	agentMux.Handle(wireconnect.NewKeyedLogServiceHandler(&relayer.Server{
 		Log:            e.store,
 		LogUnreachable: e.logRelayer.LogUnreachable,
-	}))
+	}, connector.CompressLargeResponses()))
 	m := &monitor.Monitor{
 		Checks:  e.checks(),
 		Metrics: e.metrics(),
--- a/server/agent.go
+++ b/server/agent.go
@@ -90,7 +90,7 @@
 	s := a.Settings
 	peerMux := http.NewServeMux()
 	if a.admitter != nil {
-		peerMux.Handle(wireconnect.NewAgentServiceHandler(a.admitter, compressLargeResponses))
+		peerMux.Handle(wireconnect.NewAgentServiceHandler(a.admitter, connector.CompressLargeResponses()))
 	}
 	m := &monitor.Monitor{
 		Checks:  a.checks(),
--- a/server/entry.go
+++ b/server/entry.go
@@ -29,6 +29,7 @@
 
 	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/auditor"
+	"damaskspread.example/damaskspread/connector"
 	"damaskspread.example/damaskspread/dispatcher"
 	"damaskspread.example/damaskspread/estimator"
 	"damaskspread.example/damaskspread/feeder"
@@ -126,7 +127,7 @@
 	requestHandler := instrumentRequests(e.metricsSet, e.Clock, e.dispatcher)
 	routes.POST("/v1/services/:service/requests/*path", bunrouter.HTTPHandler(requestHandler))
 	peerMux := http.NewServeMux()
-	peerMux.Handle(wireconnect.NewEntryServiceHandler(e.feeder, compressLargeResponses))
+	peerMux.Handle(wireconnect.NewEntryServiceHandler(e.feeder, connector.CompressLargeResponses()))
 	m := &monitor.Monitor{
 		Checks:  e.checks(),
 		Metrics: e.metrics(),
--- a/server/listener.go
+++ b/server/listener.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"connectrpc.com/connect"
 	"gopkg.in/tomb.v2"
 
 	"damaskspread.example/damaskspread/connector"
@@ -22,15 +21,10 @@
 	peerIdleTimeout = 2 * time.Minute
 	// maxIdlePerPeer covers the slots and the queue of an endpoint.
 	maxIdlePerPeer = 64
-	// compressMinBytes is the size from which a response is compressed. A Sync
-	// response without changes has about 50 bytes; compression makes it larger.
-	compressMinBytes = 1 << 10
 	// dialTimeout leaves time for another try within currency_limit.
 	dialTimeout = time.Second
 )
 
-var compressLargeResponses = connect.WithCompressMinBytes(compressMinBytes)
-
 // listener is an HTTP server on one address. It serves HTTP/1.1 and, except for
 // profiling, unencrypted HTTP/2.
 type listener struct {
