--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -25,10 +25,6 @@
 	// lastSharedToken is the number up to which sessions get more than one token. It leaves
 	// the sessions of a leader that leads for long half of the numbers.
 	lastSharedToken = 1 << (sessionTokenBits - 1)
-	// recordedDelay is how long a poll that has nothing but records of run ends to return
-	// waits for orders. Most ends are followed by further ones or by starts on the host,
-	// and each response costs the leader another request.
-	recordedDelay = 250 * time.Millisecond
 )
 
 // Exchange implements wireconnect.CoordinatorServiceHandler. It is a long poll:
@@ -161,9 +157,9 @@
 	}
 }
 
-// waitForUpdate waits until there are orders, records of exposures, or a first lease that
-// the agent has not received, the session has ended, or the requested wait has passed.
-// Records of run ends that the agent has not received end the wait after recordedDelay.
+// waitForUpdate waits until there are orders, records of run ends or exposures, or a first
+// lease that the agent has not received, the session has ended, or the requested wait has
+// passed.
 func (c *Coordinator) waitForUpdate(ctx context.Context, s *session, report *wire.ExchangeRequest) {
 	wait := time.Duration(report.GetWaitMs()) * time.Millisecond
 	if wait <= 0 {
@@ -171,27 +167,18 @@
 	}
 	timer := c.Clock.NewTimer(wait)
 	defer timer.Stop()
-	var recorded <-chan time.Time
 	for {
 		c.mu.Lock()
 		current := c.sessions[s.host] == s
-		updated := s.leaseDue && s.reachable || s.lastOrder > report.GetOrdersReceived() ||
+		updated := s.leaseDue && s.reachable || s.lastOrder > report.GetOrdersReceived() || s.endsRecorded > report.GetEndsRecorded() ||
 			s.exposuresRecorded > report.GetExposuresRecorded()
-		hasRecorded := s.endsRecorded > report.GetEndsRecorded()
 		changed := s.updated
 		c.mu.Unlock()
 		if !current || updated {
 			return
 		}
-		if hasRecorded && recorded == nil {
-			delay := c.Clock.NewTimer(recordedDelay)
-			defer delay.Stop()
-			recorded = delay.Chan()
-		}
 		select {
 		case <-changed:
-		case <-recorded:
-			return
 		case <-timer.Chan():
 			return
 		case <-ctx.Done():
