Planner: the idle part of a speed is computed once; measurer takes the common compression limit

reachesSpeed computed idleSpeed and then speed, which computes it again, for each waiting best-effort step on each host. harmlessScore used the table that weightsFor had set on the host as a side effect. Package measurer had the limit of compressed responses as a literal.

--- a/measurer/parties.go
+++ b/measurer/parties.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
 
 	"damaskspread.example/damaskspread/connector"
@@ -175,7 +174,7 @@
 		},
 	}
 	mux := http.NewServeMux()
-	mux.Handle(wireconnect.NewEntryServiceHandler(e.feeder, connect.WithCompressMinBytes(1<<10)))
+	mux.Handle(wireconnect.NewEntryServiceHandler(e.feeder, connector.CompressLargeResponses()))
 	if err := e.serve(g, mux); err != nil {
 		return nil, err
 	}
--- a/planner/clear.go
+++ b/planner/clear.go
@@ -52,8 +52,9 @@
 	if p.ClearHosts <= 0 || p.Weight == nil || host.servingMillicores == 0 {
 		return 0
 	}
-	interference := host.servingInterference(p.weightsFor(host))
-	row := host.weights.row(step.GetImage())
+	weights := p.weightsFor(host)
+	interference := host.servingInterference(weights)
+	row := weights.row(step.GetImage())
 	for _, serving := range interference {
 		if row[serving.index] >= minWeight {
 			return 0
--- a/planner/interference.go
+++ b/planner/interference.go
@@ -15,16 +15,16 @@
 )
 
 // pace predicts the share, from 0 to 1, of their requested processors to which
-// tasks of an image are limited on a host with addedMillicores more of that image.
+// tasks of the step's image are limited on a host with one more task of the step.
 // Pacing keeps the serving tasks of the host within their target latency.
-func (p *Planner) pace(host *Host, image string, addedMillicores int64) float64 {
+func (p *Planner) pace(host *Host, step *wire.JobStep) float64 {
 	if p.Weight == nil || len(host.servingByImage) == 0 {
 		return 1
 	}
 	weights := p.weightsFor(host)
 	interference := host.servingInterference(weights)
-	row := weights.row(image)
-	added := float64(addedMillicores) / host.capacityMillicores()
+	row := weights.row(step.GetImage())
+	added := float64(step.GetResources().GetMillicores()) / host.capacityMillicores()
 	pace := 1.0
 	for _, serving := range interference {
 		weight := row[serving.index]
@@ -42,13 +42,14 @@
 // best-effort task of the step gets on the host, if the other best-effort tasks
 // run at full pace.
 func (p *Planner) speed(host *Host, step *wire.JobStep) float64 {
-	return idleSpeed(host, step) * p.pace(host, step.GetImage(), step.GetResources().GetMillicores())
+	return idleSpeed(host, step) * p.pace(host, step)
 }
 
 // reachesSpeed reports whether speed is at least the given one. On most hosts of a busy
 // fleet the idle processors alone don't suffice, and the pace isn't needed.
 func (p *Planner) reachesSpeed(host *Host, step *wire.JobStep, least float64) bool {
-	return idleSpeed(host, step) >= least && p.speed(host, step) >= least
+	idle := idleSpeed(host, step)
+	return idle >= least && idle*p.pace(host, step) >= least
 }
 
 // idleSpeed is the part of speed that depends on the idle processors of the host.
