review: show a job that stays queued after its queue got another service

Cause: the service of the queue is written into the record of an accepted job, and later configurations are not applied to it. Added: case 9, a script.

--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Plays the case new-service; see claim.txt. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/damaskspread ] && [ -x target/review-world-2 ] || exit 2
+exec target/review-world-2 -case new-service -record review/9/record.txt
