review: crash the executor of case 7 without the job as well

Cause: a job that fails after three crashes may look like their cause. The executor now crashes three times before the job comes, by turns.

--- a/review/_world2/crash_loop.go
+++ b/review/_world2/crash_loop.go
@@ -6,16 +6,17 @@
 )
 
 const (
-	// crashes is how often the executor crashes, each time crashAfter the task's start;
-	// it comes back downTime later.
-	crashes    = 5
-	crashAfter = 300 * time.Millisecond
-	downTime   = 1400 * time.Millisecond
+	// idleLives and busyLives are how often the executor crashes before the job is
+	// handed in, and how often after that. Each life lasts lifeTime; the next one
+	// begins downTime later.
+	idleLives, busyLives = 3, 5
+	lifeTime             = 450 * time.Millisecond
+	downTime             = 1400 * time.Millisecond
 )
 
-// playCrashLoop crashes the only executor of a kind a few times soon after a task has
-// started there, as an executor does that goes down and up by turns. The task is
-// harmless: it ends done wherever it is left alone.
+// playCrashLoop lets the only executor of a kind crash by turns, first while nothing
+// runs there. Then a job of one harmless task comes, which ends done wherever it is
+// left alone. After some more crashes the executor stays up.
 func playCrashLoop(w *World, trouble bool) []string {
 	w.Outcome = func(string, int) (time.Duration, string) { return 2 * time.Second, "done" }
 	w.Executors = newExecutors(11, 1)
@@ -25,24 +26,25 @@
 		Spec:  "one fold that needs the kind b",
 		Steps: []Step{{Count: 1, CPU: 1000, MemMb: 256, EstimateMs: 2000, Requirements: "b"}},
 	}
+	e := w.Executors[0]
+	if trouble {
+		e.crashByTurns(idleLives)
+	}
 	if !w.Submit(queuePrefix, id, job) {
 		fail("the job was not accepted")
 	}
 	if trouble {
-		w.crashAfterStarts(w.Executors[0], crashes)
+		e.crashByTurns(busyLives)
 	}
 	state := w.waitForEnd(queuePrefix, id, 25*time.Second)
 	return w.failedWithoutCause(id, state, 3)
 }
 
-// crashAfterStarts crashes an executor a number of times, each time shortly after it
-// has started a run. Then it stays up.
-func (w *World) crashAfterStarts(e *Executor, times int) {
-	for range times {
-		if !w.WaitFor(4*time.Second, func() bool { return len(e.runs) > 0 }) {
-			return
-		}
-		time.Sleep(crashAfter)
+// crashByTurns ends the life of an executor and a number of further ones, each after
+// lifeTime, and begins another life.
+func (e *Executor) crashByTurns(lives int) {
+	for range lives {
+		time.Sleep(lifeTime)
 		e.Crash()
 		time.Sleep(downTime)
 		if err := e.Boot(false); err != nil {
