review: show a second task of a service that is stopped while the first is lost

Cause: a task on an executor that does not respond counts as available until its lease is over, so another task of its step may be preempted. Added: case 10, a script. It takes the place of the case on gangs, whose stand-ins go.

--- a/review/_world2/executor.go
+++ b/review/_world2/executor.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"sort"
-	"strings"
 	"sync"
 	"time"
 )
@@ -42,8 +41,10 @@
 	// Address is where the executor serves calls, Control that of its agent.
 	Address, Control string
 
-	server   *http.Server
-	up       bool
+	server *http.Server
+	up     bool
+	// dark is set if the executor is lost without a sign: calls get no response.
+	dark     bool
 	id       string
 	lives    int
 	bornAt   time.Time
@@ -67,10 +68,9 @@
 type run struct {
 	runID
 	startedAt time.Time
-	endsAt    time.Time // zero if the run lasts, or waits for its gang
+	endsAt    time.Time // zero if the run lasts
 	how       string
 	stopsAt   time.Time // zero unless the run was stopped
-	gang      *gang
 }
 
 type endedRun struct {
@@ -81,13 +81,6 @@
 	event int // index of the end in World.Ends
 }
 
-// gang is one run of a gang; its members share the number of the run.
-type gang struct {
-	size    int
-	members map[*run]*Executor
-	working bool
-}
-
 // Boot begins a life of the executor. With a new id it is another executor on the
 // same machine.
 func (e *Executor) Boot(newID bool) error {
@@ -126,7 +119,6 @@
 	e.up = false
 	for _, r := range e.runs {
 		e.World.recordEnd(e, r, "crashed", 0)
-		e.leaveGang(r)
 	}
 	e.runs = map[runID]*run{}
 	server := e.server
@@ -135,6 +127,28 @@
 	_ = server.Close()
 }
 
+// GoDark ends the life of the executor without a sign: its runs are over, and calls
+// get no response from then on.
+func (e *Executor) GoDark() {
+	e.World.mu.Lock()
+	defer e.World.mu.Unlock()
+	e.up, e.dark = false, true
+	for _, r := range e.runs {
+		e.World.recordEnd(e, r, "lost", 0)
+	}
+	e.runs = map[runID]*run{}
+	e.World.notef("executor %s goes dark", e.id)
+}
+
+// waitInTheDark keeps a call without a response until its caller gives up. The caller
+// holds the mutex.
+func (e *Executor) waitInTheDark(r *http.Request) {
+	e.World.mu.Unlock()
+	<-r.Context().Done()
+	e.World.mu.Lock()
+	panic(http.ErrAbortHandler)
+}
+
 // sendHeartbeats announces the executor until its life ends.
 func (e *Executor) sendHeartbeats(server *http.Server) {
 	client := &http.Client{Timeout: time.Second}
@@ -185,6 +199,9 @@
 	mu := &e.World.mu
 	mu.Lock()
 	defer mu.Unlock()
+	if e.dark {
+		e.waitInTheDark(r)
+	}
 	if expected := r.Header.Get("X-Expected-Instance"); expected != "" && expected != e.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -249,51 +266,14 @@
 	started := &run{runID: id, startedAt: now}
 	e.runs[id] = started
 	e.World.recordStart(e, started)
-	step := e.World.stepOf(c.Task)
-	duration, how := e.World.outcome(c.Task, c.Run)
+	duration, how := e.World.Outcome(c.Task, c.Run)
 	started.how = how
-	switch {
-	case step.Gang:
-		e.joinGang(started, step.Count)
-	case duration > 0:
+	if duration > 0 {
 		started.endsAt = now.Add(duration)
 	}
 	writeJSON(w, http.StatusOK, map[string]int64{"clockMs": e.clockMs()})
 }
 
-// joinGang adds a run to its gang, which works from when it is complete.
-func (e *Executor) joinGang(r *run, size int) {
-	key := runID{r.task[:strings.LastIndexByte(r.task, '.')], r.run}
-	g := e.World.gangs[key]
-	if g == nil {
-		g = &gang{size: size, members: map[*run]*Executor{}}
-		e.World.gangs[key] = g
-	}
-	g.members[r] = e
-	r.gang = g
-	if len(g.members) < size {
-		return
-	}
-	g.working = true
-	for member := range g.members {
-		duration, _ := e.World.outcome(member.task, member.run)
-		member.endsAt = time.Now().Add(duration)
-	}
-}
-
-// leaveGang breaks the gang of a run that has ended, unless it is done.
-func (e *Executor) leaveGang(r *run) {
-	g := r.gang
-	if g == nil || g.members[r] == nil {
-		return
-	}
-	delete(g.members, r)
-	for member, executor := range g.members {
-		delete(g.members, member)
-		executor.end(member, "broken")
-	}
-}
-
 func (e *Executor) stop(c *call) {
 	if r := e.runs[runID{c.Task, c.Run}]; r != nil {
 		if r.stopsAt.IsZero() {
@@ -328,6 +308,9 @@
 			break
 		}
 	}
+	if e.dark {
+		e.waitInTheDark(r)
+	}
 	if e.server != life || !e.up {
 		panic(http.ErrAbortHandler)
 	}
@@ -381,26 +364,11 @@
 		case !r.stopsAt.IsZero() && now.After(r.stopsAt):
 			e.end(r, "stopped")
 		case !r.endsAt.IsZero() && now.After(r.endsAt):
-			e.endWork(r)
-		case r.gang != nil && !r.gang.working && now.Sub(r.startedAt) > e.World.GangWait:
-			e.end(r, "alone")
+			e.end(r, r.how)
 		}
 	}
 }
 
-// endWork ends a run whose work is over. The members of a gang end together.
-func (e *Executor) endWork(r *run) {
-	if r.gang == nil || r.how != "done" {
-		e.end(r, r.how)
-		return
-	}
-	members := r.gang.members
-	r.gang.members = map[*run]*Executor{}
-	for member, executor := range members {
-		executor.end(member, "done")
-	}
-}
-
 // end lists the end of a run.
 func (e *Executor) end(r *run, how string) {
 	if e.runs[r.runID] != r {
@@ -412,7 +380,6 @@
 	e.ended = append(e.ended, endedRun{number: e.lastEnd, runID: r.runID, how: how, at: time.Now(), event: e.World.recordEnd(e, r, how, e.lastEnd)})
 	close(e.changed)
 	e.changed = make(chan struct{})
-	e.leaveGang(r)
 }
 
 // watch advances the executors until the world ends.
--- a/review/_world2/main.go
+++ b/review/_world2/main.go
@@ -31,11 +31,11 @@
 type scenario func(w *World, trouble bool) []string
 
 var scenarios = map[string]scenario{
-	"kept-room":   playKeptRoom,
-	"many-ends":   playManyEnds,
-	"crash-loop":  playCrashLoop,
-	"full-gangs":  playFullGangs,
-	"new-service": playNewService,
+	"kept-room":    playKeptRoom,
+	"many-ends":    playManyEnds,
+	"crash-loop":   playCrashLoop,
+	"lost-replica": playLostReplica,
+	"new-service":  playNewService,
 }
 
 var children struct {
@@ -105,15 +105,13 @@
 		fail("stopped before the case ended")
 	}()
 	w := &World{
-		Root:     absolute,
-		Scratch:  scratch,
-		Binary:   filepath.Join(absolute, "target", "damaskspread"),
-		HoldMax:  10 * time.Second,
-		GangWait: 3 * time.Second,
-		began:    time.Now(),
-		record:   record,
-		jobs:     map[string]*Job{},
-		gangs:    map[runID]*gang{},
+		Root:    absolute,
+		Scratch: scratch,
+		Binary:  filepath.Join(absolute, "target", "damaskspread"),
+		HoldMax: 10 * time.Second,
+		began:   time.Now(),
+		record:  record,
+		jobs:    map[string]*Job{},
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	w.Notef("case %s, disruption: %t", *name, trouble)
--- a/review/_world2/many_ends.go
+++ b/review/_world2/many_ends.go
@@ -7,11 +7,17 @@
 )
 
 const (
-	queuePrefix = "/fold/"
+	queuePrefix  = "/fold/"
+	renderPrefix = "/render/"
 	// smallConfig has one queue of the site's kinds.
 	smallConfig = `{"version":3,"routes":[{"name":"fold","host":"fold.example","pathPrefix":"/fold/","sloMs":1000,"priority":0,` +
 		`"service":"plieur","maxAttempts":3,"stretch":2.0,"timeoutMs":3000}],"services":[{"name":"plieur","enforcesCapacity":false}],` +
 		`"limits":{"maxBodyBytes":262144,"maxHeaderBytes":16384}}`
+	// bothConfig adds a queue of less urgent jobs to smallConfig.
+	bothConfig = `{"version":5,"routes":[{"name":"fold","host":"fold.example","pathPrefix":"/fold/","sloMs":1000,"priority":0,` +
+		`"service":"plieur","maxAttempts":3,"stretch":2.0,"timeoutMs":3000},{"name":"render","host":"fold.example","pathPrefix":"/render/",` +
+		`"sloMs":1000,"priority":2,"service":"plieur","maxAttempts":3,"stretch":2.0,"timeoutMs":3000}],` +
+		`"services":[{"name":"plieur","enforcesCapacity":false}],"limits":{"maxBodyBytes":262144,"maxHeaderBytes":16384}}`
 	// room is that of the deployment's executors, 16 cores and 62.5 GB.
 	roomCPU, roomMemMb = 16000, 64000
 )
--- a/review/_world2/world.go
+++ b/review/_world2/world.go
@@ -33,7 +33,6 @@
 	Root, Scratch string
 	Binary        string
 	HoldMax       time.Duration
-	GangWait      time.Duration
 	// Outcome returns how long a run works, 0 if it lasts, and how it ends.
 	Outcome func(task string, run int) (time.Duration, string)
 
@@ -50,7 +49,6 @@
 	// quiet keeps single runs out of the record, which then only counts them.
 	quiet  bool
 	jobs   map[string]*Job
-	gangs  map[runID]*gang
 	Starts []RunStart
 	Ends   []RunEnd
 }
@@ -63,7 +61,7 @@
 	At   time.Time
 }
 
-// RunEnd is the end of a run. How is "crashed" for one that no executor lists.
+// RunEnd is the end of a run. How is "crashed" or "lost" for one that no executor lists.
 type RunEnd struct {
 	RunStart
 	How string
@@ -86,7 +84,7 @@
 	MemMb        int    `json:"memMb"`
 	EstimateMs   int    `json:"estimateMs"`
 	After        []int  `json:"after,omitempty"`
-	Gang         bool   `json:"gang,omitempty"`
+	MayMiss      int    `json:"mayMiss,omitempty"`
 	AntiAffinity int    `json:"antiAffinity,omitempty"`
 	LongRunning  bool   `json:"longRunning,omitempty"`
 	Requirements string `json:"requirements,omitempty"`
@@ -181,8 +179,6 @@
 	return Step{Count: 1}
 }
 
-func (w *World) outcome(task string, run int) (time.Duration, string) { return w.Outcome(task, run) }
-
 // Begin starts the store, then the processes and executors.
 func (w *World) Begin(entries int, config string) {
 	w.Store = NewStore()
