--- a/review/_world3/early_running.go
+++ b/review/_world3/early_running.go
@@ -18,20 +18,21 @@
 	_ = connection.Close()
 }
 
-// playEarlyRunning hands in six jobs that only one executor may run, while that executor resets
-// all requests that it gets, and asks how many jobs of the queue have not begun.
+// playEarlyRunning hands in three jobs, for each of which only one executor has the label, while
+// these executors reset all requests that they get, and asks how many jobs of the queue have not
+// begun.
 func playEarlyRunning(r *record, root string, trouble bool) (int, string, []string) {
 	const (
-		executors = 8
-		jobs      = 6
+		executors = 20
+		jobs      = 3
 		greyFor   = 6500 * time.Millisecond
 		// visible is the bound visible_ms, with the 2 s that the rule adds.
 		visible = 5 * time.Second
 	)
 	var grey atomic.Bool
 	s, err := newSystem(r, root, 3, executors, func(i int, e *executor) {
-		if i == 0 {
-			e.labels[0] = "b"
+		if i < jobs {
+			e.labels[0] = labelOf(i)
 			e.before = func(w http.ResponseWriter, _ *http.Request) (answered bool) {
 				if grey.Load() {
 					reset(w)
@@ -56,17 +57,16 @@
 	}
 	time.Sleep(2 * time.Second)
 	if trouble {
-		r.write("%s resets all requests for %s", s.executors[0].id, greyFor)
+		r.write("%d executors reset all requests for %s", jobs, greyFor)
 		grey.Store(true)
 		time.AfterFunc(greyFor, func() {
-			r.write("%s answers again", s.executors[0].id)
+			r.write("they answer again")
 			grey.Store(false)
 		})
 	}
-	job := map[string]any{"spec": "work 20s", "steps": []any{map[string]any{"count": 1, "cpu": 500, "memMb": 200, "estimateMs": 20000, "requirements": "b"}}}
 	accepted := make(chan bool, jobs)
 	for i := range jobs {
-		go func() { accepted <- s.submit(queuePath+jobID(i), job, 5*time.Second) }()
+		go func() { accepted <- s.submit(queuePath+jobID(i), labelledJob(labelOf(i)), 5*time.Second) }()
 	}
 	for range jobs {
 		if !<-accepted {
@@ -97,3 +97,11 @@
 	}
 	return held, fmt.Sprintf("MIXED held; lowest number of pending jobs %d of %d, %d starts", least, jobs, r.started()), nil
 }
+
+func labelOf(i int) string { return fmt.Sprintf("kind-%d", i) }
+
+func labelledJob(label string) map[string]any {
+	return map[string]any{"spec": "work 20s", "steps": []any{map[string]any{
+		"count": 1, "cpu": 500, "memMb": 200, "estimateMs": 20000, "requirements": label,
+	}}}
+}
