Review: runs of gangs end alone under ordinary load

Cause: the first end of a gang frees the capacity of all its members at the leader, before the other agents have read their ends.

--- a/review/_world3/executor.go
+++ b/review/_world3/executor.go
@@ -27,6 +27,7 @@
 	cpu, memMb int64
 	stopTime   time.Duration
 	holdMax    time.Duration
+	gangs      *gangs
 	// control is the address of the agent on its machine.
 	control string
 	// before, if set, is called before an order or a look is carried out. It may delay the call,
@@ -116,6 +117,7 @@
 	for key, r := range e.runs {
 		r.timer.Stop()
 		e.record.over(e.id, key, "lost")
+		go e.gangs.leave(key)
 	}
 	e.runs = map[runKey]*run{}
 	close(e.left)
@@ -268,6 +270,10 @@
 		}
 	})
 	e.runs[key] = r
+	if size := sizeOf(body.Spec); size > 0 {
+		r.timer.Stop()
+		go e.gangs.join(key, &member{executor: e, born: born}, size, work)
+	}
 	e.answer(w, http.StatusOK, nil)
 }
 
@@ -301,6 +307,7 @@
 	e.lastEnd++
 	e.ended = append(e.ended, end{number: e.lastEnd, key: key, how: how})
 	e.record.over(e.id, key, how)
+	go e.gangs.leave(key)
 	close(e.changed)
 	e.changed = make(chan struct{})
 }
--- a/review/_world3/main.go
+++ b/review/_world3/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(r *record, root string, trouble bool) (int, string, []string){
 	"many-ends":     playManyEnds,
 	"may-miss":      playMayMiss,
+	"gang-alone":    playGangAlone,
 	"early-running": playEarlyRunning,
 	"crash-loop":    playCrashLoop,
 	"late-post":     playLatePost,
--- a/review/_world3/record.go
+++ b/review/_world3/record.go
@@ -20,7 +20,9 @@
 	done    map[string][]*doneRun
 	starts  map[string]int
 	// failed counts the ends of a task with the cause failed.
-	failed   map[string]int
+	failed map[string]int
+	// ends are the ends by their cause.
+	ends     map[string][]string
 	suspects []*secondRun
 	overlaps []string
 	// since is when each task that has run has no run any more, and stops are the orders to
@@ -72,6 +74,7 @@
 		done:    map[string][]*doneRun{},
 		starts:  map[string]int{},
 		failed:  map[string]int{},
+		ends:    map[string][]string{},
 		since:   map[string]time.Duration{},
 	}, nil
 }
@@ -114,6 +117,7 @@
 	if len(r.running[key.task]) == 0 {
 		r.since[key.task] = time.Since(r.began)
 	}
+	r.ends[how] = append(r.ends[how], fmt.Sprintf("%s on %s has ended %s at %.3f s", key, executor, how, time.Since(r.began).Seconds()))
 	switch how {
 	case "done":
 		r.doneCount++
@@ -243,3 +247,10 @@
 	}
 	return sum
 }
+
+// endsOf returns the ends with a cause.
+func (r *record) endsOf(how string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.ends[how]...)
+}
--- a/review/_world3/system.go
+++ b/review/_world3/system.go
@@ -24,6 +24,7 @@
 	// root is the project's root, dir a temporary folder.
 	root, dir string
 	store     *store
+	gangs     *gangs
 	storeAddr string
 	entries   []*process
 	agents    []*process
@@ -163,7 +164,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &system{record: r, root: root, dir: dir, store: newStore(), client: &http.Client{Timeout: 3 * time.Second}}
+	s := &system{record: r, root: root, dir: dir, store: newStore(), gangs: newGangs(), client: &http.Client{Timeout: 3 * time.Second}}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -229,7 +230,7 @@
 	}
 	e := &executor{
 		record: s.record, service: service, zone: zoneOf(i), labels: []string{"a", fmt.Sprintf("r-%d", i/3)},
-		cpu: 16000, memMb: 62500, stopTime: 200 * time.Millisecond, holdMax: 10 * time.Second, control: control, address: app,
+		cpu: 16000, memMb: 62500, stopTime: 200 * time.Millisecond, holdMax: 10 * time.Second, gangs: s.gangs, control: control, address: app,
 	}
 	if shape != nil {
 		shape(i, e)
