runner: conclude nothing from a list that leaves out ends

Cause: an executor lists 500 ends at a time, and the next ones only once lastSeen covers these. The agent took the first page for all ends. Starts that the leader repeats are refused as old for a run that has ended there; the agent looked them up in the next lists and reported a run that is on neither list as never started, so the leader ordered its next run elsewhere. The settling of unanswered stops by a newer token and the check for an earlier run that is done concluded the same.

Ruled out: the leader's lists alone (the leader releases a task only on the refusal), ends that were dropped unread, a lapse of the lease.

The emulator's executor lists 500 ends at a time as well.

--- a/emulator/job_executor.go
+++ b/emulator/job_executor.go
@@ -8,6 +8,9 @@
 	"damaskspread.example/damaskspread/wire"
 )
 
+// defaultListedEnds is how many ends the platform's executors list at a time.
+const defaultListedEnds = 500
+
 // JobExecutor is an in-memory executor of one host: it runs tasks under a lease
 // by its own clock and lists the runs that ended until Renew acknowledges them. Like
 // the platform's executors, it starts a higher run of a task while a lower one is
@@ -21,6 +24,8 @@
 	// StopTime is how long a run takes to end after a stop order; until then it is
 	// listed as running.
 	StopTime time.Duration
+	// MaxListedEnds is how many ends Renew returns at a time; 500 if 0, as on the platform.
+	MaxListedEnds int
 	// Observe is called at each start and end of a run, with the executor's lock
 	// held; it may be nil.
 	Observe func(event RunEvent)
--- a/emulator/job_executor_calls.go
+++ b/emulator/job_executor_calls.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -63,10 +64,13 @@
 	if e.down || e.resetting || id != e.id {
 		return nil, lostResponse()
 	}
+	limit := cmp.Or(e.MaxListedEnds, defaultListedEnds)
+	listed := e.ended[:min(len(e.ended), limit)]
 	state := &wire.ExecutorState{
 		BornUnixMs: e.bornUnixMs,
 		ClockMs:    e.clockMs(),
-		Ended:      slices.Clone(e.ended),
+		Ended:      slices.Clone(listed),
+		MoreEnds:   len(listed) == limit,
 	}
 	for id, run := range e.runs {
 		state.Running = append(state.Running, &wire.TaskRun{
--- a/runner/departure.go
+++ b/runner/departure.go
@@ -71,11 +71,11 @@
 // markEnded lets the next requests report the departure until a leader has stored it:
 // one that dies before leaves no trace of the report. The caller holds the mutex.
 func (r *Runner) markEnded() {
-	log.Info().Str("executor", r.left.GetId()).Int("ends", len(r.unrecordedEnds)).Msg("executor ended")
+	log.Info().Str("executor", r.left.GetId()).Int("ends", r.unrecordedEnds.len()).Msg("executor ended")
 	r.leftEnded = true
 	r.departures = append(r.departures, &departure{
 		info: r.left,
-		ends: r.sortedEnds(),
+		ends: r.unrecordedEnds.sorted(),
 	})
 	if excess := len(r.departures) - maxDepartures; excess > 0 {
 		r.departures = slices.Delete(r.departures, 0, excess)
@@ -151,6 +151,6 @@
 		Executor:       r.info,
 		ExecutorSilent: true,
 		LeaseLeftMs:    max(0, r.leaseUntil-now).Milliseconds() + 1,
-		Ends:           r.sortedEnds(),
+		Ends:           r.unrecordedEnds.sorted(),
 	}
 }
--- a/runner/exchange.go
+++ b/runner/exchange.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"maps"
 	"slices"
 	"time"
 
@@ -70,7 +69,7 @@
 	if !r.sessionOpen {
 		return false
 	}
-	return len(r.unrecordedEnds) > 0 || len(r.pendingRefusals) > 0 || len(r.crashes.pending) > 0 ||
+	return r.unrecordedEnds.len() > 0 || len(r.pendingRefusals) > 0 || len(r.crashes.pending) > 0 ||
 		r.info.GetDraining() || r.capacityUnreported()
 }
 
@@ -109,8 +108,9 @@
 		KeepsSteps:        true,
 		Exposures:         slices.Clone(r.crashes.pending),
 		ExposuresRecorded: r.crashes.recorded,
+		Ends:              r.unrecordedEnds.sorted(),
+		MoreEnds:          r.unrecordedEnds.more,
 	}
-	request.Ends = r.sortedEnds()
 	if poll && r.token != 0 {
 		if r.sessionOpen {
 			request.WaitMs = pollWait.Milliseconds()
@@ -120,14 +120,6 @@
 	return request
 }
 
-// sortedEnds returns the ends that no leader is known to have stored, by their numbers.
-// The caller holds the mutex.
-func (r *Runner) sortedEnds() []*wire.RunEnd {
-	return slices.SortedFunc(maps.Values(r.unrecordedEnds), func(a, b *wire.RunEnd) int {
-		return cmp.Compare(a.GetNumber(), b.GetNumber())
-	})
-}
-
 // addRunning adds the list of runs to a request that opens the session, and later
 // when the list is new, at most once in reportInterval: ends and refusals are
 // reported on their own, and the list is large.
@@ -237,11 +229,7 @@
 	}
 	if response.GetEndsRecorded() > r.endsRecorded {
 		r.endsRecorded = response.GetEndsRecorded()
-		for number := range r.unrecordedEnds {
-			if number <= r.endsRecorded {
-				delete(r.unrecordedEnds, number)
-			}
-		}
+		r.unrecordedEnds.dropUpTo(r.endsRecorded)
 		signal(r.renewWake)
 	}
 	r.confirmCapacity(request)
--- a/runner/refusals.go
+++ b/runner/refusals.go
@@ -11,45 +11,26 @@
 
 // resolveChecks looks up the runs that were stopped or refused as old in lists
 // requested at startedAt. A run that is neither running nor ended never started
-// on this executor and is reported as refused. The result is whether there is
-// such a run.
+// on this executor and is reported as refused. Lists that leave out ends settle
+// only the runs that they show. The result is whether a run is refused.
 func (r *Runner) resolveChecks(startedAt time.Duration) bool {
 	updated := false
 	for key, dueAt := range r.checksDue {
 		if startedAt < dueAt || r.isRunning(key) {
 			continue
 		}
-		delete(r.checksDue, key)
-		if r.hasEnded(key) {
-			continue
+		switch {
+		case r.unrecordedEnds.has(key):
+			delete(r.checksDue, key)
+		case r.unrecordedEnds.rulesOut(key):
+			delete(r.checksDue, key)
+			r.addRefusal(key, damaskspread.RefusedOldRun)
+			updated = true
 		}
-		r.addRefusal(key, damaskspread.RefusedOldRun)
-		updated = true
 	}
 	return updated
 }
 
-func (r *Runner) hasEnded(key runKey) bool {
-	for _, end := range r.unrecordedEnds {
-		if end.GetTask() == key.task && end.GetRun() == key.run {
-			return true
-		}
-	}
-	return false
-}
-
-// earlierRunDone reports whether an earlier run of the same task is done by an end that
-// the leader is not known to have stored: it has decided the start without the end. The
-// caller holds the mutex.
-func (r *Runner) earlierRunDone(key runKey) bool {
-	for _, end := range r.unrecordedEnds {
-		if end.GetTask() == key.task && end.GetRun() < key.run && end.GetCause() == wire.EndCause_END_CAUSE_DONE {
-			return true
-		}
-	}
-	return false
-}
-
 // addRefusal queues the report that a run does not start here. The leader then
 // gives the task to another executor, so repeated orders for the run are refused
 // too.
@@ -82,8 +63,7 @@
 // forgetEndedRuns deletes what the runner holds of ended runs and of refusals
 // that no order can concern any more.
 func (r *Runner) forgetEndedRuns() {
-	for _, end := range r.unrecordedEnds {
-		key := runKey{end.GetTask(), end.GetRun()}
+	for key := range r.unrecordedEnds.byRun {
 		r.forgetRun(key)
 		delete(r.drainStops, key)
 	}
--- a/runner/renew.go
+++ b/runner/renew.go
@@ -113,7 +113,7 @@
 	} else {
 		r.tokens.used = true
 	}
-	if !r.listsRead || len(r.unrecordedEnds) > 0 || len(r.checksDue) > 0 {
+	if !r.listsRead || r.unrecordedEnds.len() > 0 || len(r.checksDue) > 0 {
 		call.wait = 0
 	}
 	return call
@@ -233,7 +233,8 @@
 	if r.hasCallToken(call.lease.Token) {
 		r.listsRead = true
 	}
-	updated := r.addEnds(state.GetEnded())
+	updated := r.unrecordedEnds.add(state.GetEnded(), r.endsRecorded)
+	r.unrecordedEnds.more = state.GetMoreEnds()
 	r.traceLists(call.startedAt)
 	r.forgetEndedRuns()
 	fenced := r.resolveFences(call.lease.Token)
@@ -260,24 +261,11 @@
 	r.resetExecutor(info)
 }
 
-// addEnds reports whether any of the ends is new.
-func (r *Runner) addEnds(ends []*wire.RunEnd) bool {
-	updated := false
-	for _, end := range ends {
-		if end.GetNumber() <= r.endsRecorded || r.unrecordedEnds[end.GetNumber()] != nil {
-			continue
-		}
-		r.unrecordedEnds[end.GetNumber()] = end
-		updated = true
-	}
-	return updated
-}
-
 // waitForRecording gives the leader time to store the reported ends before the
 // next renewal, which would otherwise return at once with the same list.
 func (r *Runner) waitForRecording(ctx context.Context) {
 	r.mu.Lock()
-	waiting := len(r.unrecordedEnds) > 0 || len(r.checksDue) > 0
+	waiting := r.unrecordedEnds.len() > 0 || len(r.checksDue) > 0
 	r.mu.Unlock()
 	if waiting {
 		r.waitForSignal(ctx, r.renewWake, recordingWait)
--- a/runner/run_trace.go
+++ b/runner/run_trace.go
@@ -116,17 +116,15 @@
 }
 
 // traceStopOutcome writes the outcome of an accepted stop of a run that is not listed
-// as running. Lists that were requested before the stop was accepted only count if
-// they have the end.
+// as running. Lists that were requested before the stop was accepted, or that leave out
+// ends, only count if they have the end.
 func (r *Runner) traceStopOutcome(key runKey, startedAt time.Duration) {
 	acceptedAt := r.trace.stoppedAt[key]
 	cause := ""
-	for _, end := range r.unrecordedEnds {
-		if end.GetTask() == key.task && end.GetRun() == key.run {
-			cause = end.GetCause().String()
-		}
-	}
-	if cause == "" && startedAt < acceptedAt {
+	switch {
+	case r.unrecordedEnds.has(key):
+		cause = r.unrecordedEnds.cause(key).String()
+	case startedAt < acceptedAt || !r.unrecordedEnds.rulesOut(key):
 		return
 	}
 	delete(r.trace.stoppedAt, key)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -124,7 +124,7 @@
 	renewedUntil   time.Duration
 	ordersReceived int64
 	endsRecorded   int64
-	unrecordedEnds map[int64]*wire.RunEnd
+	unrecordedEnds endList
 	running        []*wire.TaskRun
 	// listed has the runs of running. occupancy is nil until occupied is called.
 	listed    map[runKey]bool
@@ -255,7 +255,7 @@
 	r.endsRecorded = 0
 	r.renewFailures = 0
 	r.unanswered = false
-	r.unrecordedEnds = map[int64]*wire.RunEnd{}
+	r.unrecordedEnds = newEndList()
 	r.setRunning(nil)
 	r.refusedRuns = map[runKey]refusedRun{}
 	r.startOwners = map[runKey]*wire.StartOrder{}
--- a/runner/starts.go
+++ b/runner/starts.go
@@ -36,9 +36,10 @@
 	// handled means that the run is running, has ended or belongs to another
 	// order, or that the executor for which the order was given has ended.
 	handled bool
-	// wait means that another run of the task is in progress on the executor, that the
-	// session has no token yet, or that the executor may have restarted under its id, and
-	// would carry out the order of the incarnation before.
+	// wait means that another run of the task is in progress on the executor, that its end
+	// may be one that the lists leave out, that the session has no token yet, or that the
+	// executor may have restarted under its id, and would carry out the order of the
+	// incarnation before.
 	wait    bool
 	refusal damaskspread.StartRefusal
 	// definite means that the run was refused before and can't start any more.
@@ -104,7 +105,7 @@
 	case r.isRunning(a.key):
 		r.learnRamp(a.key, a.order)
 		decision.handled = true
-	case r.hasEnded(a.key):
+	case r.unrecordedEnds.has(a.key):
 		decision.handled = true
 	case r.refusedRuns[a.key].reason != "":
 		decision.refusal = r.refusedRuns[a.key].reason
@@ -117,9 +118,9 @@
 		decision.refusal = damaskspread.RefusedOrderExpired
 	case decision.lease.DeadlineMs == 0:
 		decision.refusal = damaskspread.RefusedLeaseOver
-	case r.earlierRunDone(a.key):
+	case r.unrecordedEnds.earlierDone(a.key):
 		decision.refusal = damaskspread.RefusedOldRun
-	case r.mayHaveRestarted() || r.token == 0 || r.otherRunInProgress(a.key):
+	case r.mayHaveRestarted() || r.token == 0 || r.otherRunInProgress(a.key) || a.key.run > 1 && r.unrecordedEnds.more:
 		decision.wait = true
 	case r.exceedsCapacity(a.key):
 		decision.refusal = damaskspread.RefusedNoRoom
--- a/runner/unanswered.go
+++ b/runner/unanswered.go
@@ -8,14 +8,14 @@
 // An executor may answer renewals and no orders. A start without a response may be carried
 // out seconds later, and a stop without one does not show whether the run can still start.
 // An executor that has seen a newer token refuses the start, so a list that was read with
-// one settles a run that it doesn't show.
+// one settles a run that it doesn't show, unless it leaves out ends.
 
 // fenceStart lets the next renewal settle a run whose stop got no response. A run that is
 // listed needs the stop.
 func (r *Runner) fenceStart(info *wire.ExecutorInfo, key runKey) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.isPresent(info) || r.token == 0 || r.isRunning(key) || r.hasEnded(key) {
+	if !r.isPresent(info) || r.token == 0 || r.isRunning(key) || r.unrecordedEnds.has(key) {
 		return
 	}
 	if r.renewFailures > 0 {
@@ -57,16 +57,16 @@
 func (r *Runner) resolveFences(token int64) bool {
 	updated := false
 	for key, startToken := range r.fencesDue {
-		if token <= startToken {
-			continue
+		switch {
+		case token <= startToken:
+		case r.isRunning(key) || r.unrecordedEnds.has(key):
+			delete(r.fencesDue, key)
+		case r.unrecordedEnds.rulesOut(key):
+			delete(r.fencesDue, key)
+			delete(r.checksDue, key)
+			r.addRefusal(key, damaskspread.RefusedUnanswered)
+			updated = true
 		}
-		delete(r.fencesDue, key)
-		if r.isRunning(key) || r.hasEnded(key) {
-			continue
-		}
-		delete(r.checksDue, key)
-		r.addRefusal(key, damaskspread.RefusedUnanswered)
-		updated = true
 	}
 	return updated
 }
@@ -75,5 +75,5 @@
 func (r *Runner) isSettled(key runKey) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.hasEnded(key) || r.refusedRuns[key].reason != ""
+	return r.unrecordedEnds.has(key) || r.refusedRuns[key].reason != ""
 }
