coordinator: keep older runs until all ends of their executor are known

A task whose older run is being stopped is held back until that run is over. If the agent restarts meanwhile, and more than 500 ends wait on the executor, the older run is neither running nor among the ends of the opening, although it has ended "done" and its end is on a later page. The leader took it for over and ordered the next run, and the end was taken note of afterwards (TWICE).

Cause: the list of an opening replaced what the leader knew of the executor, whether or not the agent knew all its ends.

Change: the session keeps the mark more_ends of the latest list. While it is set, older runs that the opening lacks stay, no start is repeated, and ends teach no run times. The first list without the mark settles them.

Evidence: TestNextRunWaitsForTheEndOfAnOlderRunOnALaterPage (3 of 3 cases), TestStartsAreRepeatedOnceAllEndsAreKnown and TestEndsOfLaterPagesTeachNoRunTimes fail with the mark ignored by the leader.

--- a/coordinator/absence.go
+++ b/coordinator/absence.go
@@ -99,6 +99,8 @@
 			host:    a.host,
 			key:     a.key,
 			opening: true,
+
+			endsPast: true,
 		}
 		for _, end := range a.ends {
 			c.applyEnd(cycle, view, end)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -158,6 +158,9 @@
 	// unassigned are the runs in progress whose tasks are not assigned to their
 	// executors.
 	unassigned []unassignedRun
+	// unlisted are those of unassigned that the list of an opening lacks, while the agent does
+	// not know all ends of the executor.
+	unlisted map[unassignedRun]bool
 	// copies are those of unassigned that were copied.
 	copies map[unassignedRun]*copiedRun
 	// copiesPlannedAt is when stragglers were last looked for.
--- a/coordinator/copies.go
+++ b/coordinator/copies.go
@@ -93,16 +93,16 @@
 	}
 }
 
-// keepCopied drops the unassigned runs of an executor whose session opens, except copied
-// ones that its list shows and that may go on. Their starts are ordered again: the agent
-// starts nothing but learns their step from the order.
+// keepCopied drops the unassigned runs of an executor that the list of its opening shows,
+// except copied ones that may go on. Their starts are ordered again: the agent starts
+// nothing but learns their step from the order.
 func (c *Coordinator) keepCopied(view *sessionView) {
 	c.forgetUnassigned(func(run unassignedRun) bool {
-		if run.executor != view.key {
+		if run.executor != view.key || c.unlisted[run] {
 			return false
 		}
 		t := c.task(run.task)
-		if t == nil || !t.AllowsOlderRun(run.run, run.executor) || !view.listsRun(newListedRun(run.task, run.run)) {
+		if t == nil || !t.AllowsOlderRun(run.run, run.executor) {
 			return true
 		}
 		c.addStartOrder(view, t)
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -51,6 +51,10 @@
 	opening     bool
 	running     []*wire.TaskRun
 	runsUpdated bool
+	endsMissing bool
+	// endsPast is set if the ends may be long past: they come with the opening of the
+	// session, or the agent has learned of them page by page.
+	endsPast bool
 	// listed has the runs of running, nil before lists is called.
 	listed map[listedRun]bool
 	// startsRepeated is set once the starts that were due are ordered again.
@@ -154,6 +158,8 @@
 		opening:      s.opening,
 		running:      s.running,
 		runsUpdated:  s.runsUpdated,
+		endsMissing:  s.endsMissing,
+		endsPast:     s.opening || s.endsMissing || s.endsWereMissing,
 		startsDue:    s.startsDue,
 		ends:         s.ends,
 		lastEnd:      s.lastEnd,
@@ -165,6 +171,7 @@
 	s.refusals = nil
 	s.exposures = nil
 	s.runsUpdated = false
+	s.endsWereMissing = s.endsMissing
 	cycle.views = append(cycle.views, view)
 	cycle.byKey[s.key] = view
 }
--- a/coordinator/many_ends_test.go
+++ b/coordinator/many_ends_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -73,3 +74,115 @@
 		})
 	}
 }
+
+// openWithoutAllEnds opens a session whose list lacks run 1. The agent does not know all
+// ends of its executor yet.
+func (o *olderRun) openWithoutAllEnds(session string) {
+	o.session = session
+	o.f.waitFor("session", func() bool {
+		opening := o.agent.opening(o.session, o.info)
+		opening.MoreEnds = true
+		return !o.agent.send(opening).GetReopen()
+	})
+}
+
+// Guards against a start after an end "done": an older run of a task that waits is not
+// listed when its agent opens the next session, because it has ended, and its end is one of
+// those that the executor has not listed yet.
+func TestNextRunWaitsForTheEndOfAnOlderRunOnALaterPage(t *testing.T) {
+	t.Parallel()
+	t.Run("done", func(t *testing.T) {
+		t.Parallel()
+		o := newOlderRun(t)
+		o.listInOpening()
+		o.assertHeldBack()
+		o.openWithoutAllEnds("s.3")
+		o.assertNoRun3()
+		o.agent.send(o.endReport(wire.EndCause_END_CAUSE_DONE))
+		o.assertNoRun3()
+		o.f.waitFor("success", func() bool { return o.f.jobState(o.f.leader(), jobID) == wire.JobState_JOB_STATE_SUCCEEDED })
+	})
+	t.Run("no end on any page", func(t *testing.T) {
+		t.Parallel()
+		o := newOlderRun(t)
+		o.listInOpening()
+		o.assertHeldBack()
+		o.openWithoutAllEnds("s.3")
+		o.openWithoutAllEnds("s.4")
+		o.assertNoRun3()
+		complete := o.agent.request(o.session, o.info)
+		complete.HasRunning = true
+		o.agent.send(complete)
+		o.waitRun3()
+	})
+	t.Run("in progress after all", func(t *testing.T) {
+		t.Parallel()
+		o := newOlderRun(t)
+		o.listInOpening()
+		o.assertHeldBack()
+		o.openWithoutAllEnds("s.3")
+		o.session = "s.4"
+		run := &wire.TaskRun{Task: olderRunTask, Run: 1}
+		o.agent.open(o.f, o.session, o.info, run)
+		o.assertHeldBack()
+	})
+}
+
+// Guards against starts that are ordered again for runs that have ended: a new session's
+// list shows none of them, because the agent does not know all ends yet. They follow once
+// it does.
+func TestStartsAreRepeatedOnceAllEndsAreKnown(t *testing.T) {
+	t.Parallel()
+	o := newOrderedBefore(t, oneTask())
+	o.f.waitFor("session", func() bool {
+		opening := o.agent.opening("n.1", o.info)
+		opening.MoreEnds = true
+		response := o.agent.send(opening)
+		return response.GetLeader() == nil && !response.GetReopen()
+	})
+	time.Sleep(heldBackFor)
+	started, stopped := runsIn(o.agent.send(o.agent.request("n.1", o.info)).GetOrders())
+	assert.Equal(t, len(started)+len(stopped), 0, "started %v, stopped %v", started, stopped)
+	complete := o.agent.request("n.1", o.info)
+	complete.HasRunning = true
+	o.agent.send(complete)
+	o.f.waitFor("repeated start", func() bool {
+		started, _ := runsIn(o.agent.pollOrders("n.1", o.info))
+		return slices.Contains(started, 1)
+	})
+}
+
+// Guards against run times that are learned too long: ends of a later page are as old as
+// those of the opening.
+func TestEndsOfLaterPagesTeachNoRunTimes(t *testing.T) {
+	t.Parallel()
+	f := learningFleet(t, 0, -1)
+	leader := f.leader()
+	agent := newManualAgent(t, leader, "host-0")
+	info := executorInfo("executor-1", 1)
+	agent.open(f, "s.1", info)
+	f.submit(leader, &wire.Job{Id: jobID, Steps: estimatedSteps(2, time.Second)})
+	f.waitFor("start orders", func() bool {
+		started, _ := runsIn(agent.pollOrders("s.1", info))
+		return len(started) == 2
+	})
+	end := func(request *wire.ExchangeRequest, number int64, task string) {
+		request.Ends = []*wire.RunEnd{{
+			Number: number,
+			Task:   task,
+			Run:    1,
+			Cause:  wire.EndCause_END_CAUSE_DONE,
+		}}
+		agent.send(request)
+		f.waitFor("record of the end", func() bool {
+			return agent.send(agent.request("s.2", info)).GetEndsRecorded() == number
+		})
+	}
+	opening, last := agent.opening("s.2", info), agent.request("s.2", info)
+	opening.MoreEnds = true
+	last.HasRunning = true
+	end(opening, 1, jobID+".0.0.0")
+	end(last, 2, jobID+".0.0.1")
+	f.waitSucceeded(leader, jobID)
+	assert.Equal(t, leader.coordinator.RunTimeStats().Observed, int64(0))
+}
--- a/coordinator/repeated_starts.go
+++ b/coordinator/repeated_starts.go
@@ -59,7 +59,7 @@
 			}
 			due = append(due, start)
 		}
-		view.startsRepeated = true
+		view.startsRepeated = !view.endsMissing
 	}
 	for _, start := range due {
 		if obstacle := gangsOut[start.task.GroupName()]; obstacle != planner.NoObstacle {
@@ -80,9 +80,10 @@
 }
 
 // dueStarts returns the starts that are due on an executor. None is due while it does not
-// respond.
+// respond, or while its agent does not know all ends: most of the runs that are not listed
+// have ended then.
 func (c *Coordinator) dueStarts(view *sessionView, now time.Duration) []*repeatedStart {
-	if !view.startsDue && !view.runsUpdated || !view.reachable {
+	if !view.startsDue && !view.runsUpdated || !view.reachable || view.endsMissing {
 		return nil
 	}
 	var due []*repeatedStart
--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -73,8 +73,7 @@
 	c.endCopy(t, end)
 	c.recordDoneWork(t)
 	c.recordEnd(view.key, t, end.GetCause(), firstFailure, cycle.now)
-	// An end that arrives with the opening of a session may be long past.
-	if isLatest && !resumed && !view.opening {
+	if isLatest && !resumed && !view.endsPast {
 		c.runTimes.observe(t, c.Elapsed.Elapsed())
 	}
 	tracer.Write(&tracer.RunEnded{
--- a/coordinator/session.go
+++ b/coordinator/session.go
@@ -46,7 +46,11 @@
 	running   []*wire.TaskRun
 	// runsUpdated is set when running is newer than the last cycle.
 	runsUpdated bool
-	ends        []*wire.RunEnd
+	// endsMissing is set while the agent does not know all ends of its executor: a run that
+	// running doesn't show may have ended. endsWereMissing is its value in the last cycle.
+	endsMissing, endsWereMissing bool
+
+	ends []*wire.RunEnd
 	// lastEnd is the highest number of a received run end.
 	lastEnd  int64
 	refusals []*wire.StartRefusal
@@ -128,6 +132,7 @@
 	if request.GetHasRunning() && lastKnownEnd(request) >= s.lastEnd {
 		s.running = request.GetRunning()
 		s.runsUpdated = true
+		s.endsMissing = request.GetMoreEnds()
 	}
 	ended := map[listedRun]bool{}
 	for _, end := range request.GetEnds() {
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -89,6 +89,7 @@
 	c.latencies = map[tracker.ExecutorKey]*hostLatency{}
 	c.suspended = map[string]bool{}
 	c.unassigned = nil
+	c.unlisted = map[unassignedRun]bool{}
 	c.copies = map[unassignedRun]*copiedRun{}
 	c.runProgress = map[listedRun]*runProgress{}
 	c.closing = nil
--- a/coordinator/unassigned.go
+++ b/coordinator/unassigned.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"maps"
 	"slices"
 
 	"damaskspread.example/damaskspread/tracker"
@@ -18,12 +19,18 @@
 
 // stopUnassigned stops the runs of a new list that are not assigned to the executor. The
 // list of an opening replaces what is known of the executor, and the stops are ordered
-// again, because the agent may have lost them with the last session. A later list may be
-// older than the one before it, so runs that it lacks stay until their ends are reported.
+// again, because the agent may have lost them with the last session. If the agent does not
+// know all ends by then, a run that the list lacks may have ended, and its end is yet to
+// come, so it stays until the agent does. A later list may be older than the one before it,
+// so further runs that it lacks stay until their ends are reported.
 func (c *Coordinator) stopUnassigned(view *sessionView) {
 	if view.opening {
+		c.keepUnlisted(view)
 		c.keepCopied(view)
 	}
+	if !view.endsMissing {
+		c.forgetUnlisted(view)
+	}
 	for _, run := range view.running {
 		listed := unassignedRun{
 			task:     run.GetTask(),
@@ -47,6 +54,32 @@
 	}
 }
 
+// keepUnlisted marks the unassigned runs of an executor that the list of its opening lacks.
+func (c *Coordinator) keepUnlisted(view *sessionView) {
+	for _, run := range c.unassigned {
+		switch {
+		case run.executor != view.key:
+		case view.listsRun(newListedRun(run.task, run.run)):
+			delete(c.unlisted, run)
+		default:
+			c.unlisted[run] = true
+		}
+	}
+}
+
+// forgetUnlisted drops the runs that keepUnlisted has marked, since the agent knows all ends
+// of the executor. The session began after their starts, so none of its lists is too old to
+// show them.
+func (c *Coordinator) forgetUnlisted(view *sessionView) {
+	if len(c.unlisted) == 0 {
+		return
+	}
+	c.forgetUnassigned(func(run unassignedRun) bool {
+		return run.executor == view.key && c.unlisted[run] && !view.listsRun(newListedRun(run.task, run.run))
+	})
+	maps.DeleteFunc(c.unlisted, func(run unassignedRun, _ bool) bool { return run.executor == view.key })
+}
+
 // forgetUnassignedOn drops the unassigned runs of an executor.
 func (c *Coordinator) forgetUnassignedOn(executor tracker.ExecutorKey) {
 	c.forgetUnassigned(func(run unassignedRun) bool { return run.executor == executor })
@@ -69,6 +102,7 @@
 			return false
 		}
 		delete(c.copies, run)
+		delete(c.unlisted, run)
 		if t := c.task(run.task); t != nil {
 			t.RemoveOlderRun(run.run, run.executor)
 		}
