submitter: record the cancellation of a job that is not known yet

The submission is held up on its way to an entry; the caller gives up, cancels the job at another entry, which answers 410, and the submission is accepted afterwards. The same if the log carries out an append late.

Cause: the cancellation of an id without a job was answered with 410 and not recorded.

Ruled out: the index and the leader. They know cancellations without a job, and cancel the job as soon as it is read.

Change: the cancellation is recorded before 410 is sent, once for an id. Without a job it is removed after two minutes, like a refusal and by the same scan. A late submission is answered with 200, and the job is shown as canceled.

A cancellation of an unknown job costs an append, and needs the log.

--- a/coordinator/refusals.go
+++ b/coordinator/refusals.go
@@ -13,22 +13,25 @@
 )
 
 const (
-	// defaultRefusalRetention is many times what an append takes that takes effect
-	// late. After it, such an append would no longer be voided by the refusal.
+	// defaultRefusalRetention is many times what a submission or an append takes that
+	// takes effect late. After it, such an append would no longer be voided by the refusal
+	// or the cancellation.
 	defaultRefusalRetention = 2 * time.Minute
 	refusalScanInterval     = time.Second
 	// maxRemovedRefusals bounds one removal, which must be one append.
 	maxRemovedRefusals = 200
 )
 
-// seenRefusal is a refusal that the leader has seen in the index.
+// seenRefusal is a refusal, or a cancellation without a job, that the leader has seen in
+// the index.
 type seenRefusal struct {
-	refusedAt int64
-	since     time.Duration
+	voidedAt int64
+	since    time.Duration
 }
 
-// removeRefusals removes the refusals without an accepted job after RefusalRetention,
-// until the context ends. Refusals of accepted jobs are removed with the job.
+// removeRefusals removes the refusals and cancellations without an accepted job after
+// RefusalRetention, until the context ends. Those of accepted jobs are removed with the
+// job.
 func (c *Coordinator) removeRefusals(ctx context.Context) {
 	seen := map[string]seenRefusal{}
 	timer := c.Clock.NewTicker(refusalScanInterval)
@@ -39,14 +42,15 @@
 			return
 		case <-timer.Chan():
 		}
-		if c.Index.HasRefusals() {
+		if c.Index.HasVoided() {
 			c.removeExpiredRefusals(ctx, seen)
 		}
 	}
 }
 
 // removeExpiredRefusals removes what has expired. The append takes effect only if the
-// index has read all of the topic: a newer refusal of the same id must stay.
+// index has read all of the topic: a newer refusal or cancellation of the same id must
+// stay.
 func (c *Coordinator) removeExpiredRefusals(ctx context.Context, seen map[string]seenRefusal) {
 	// The position is taken before the index is read, which may be ahead of it.
 	end := c.JobsTail.Next()
@@ -71,13 +75,13 @@
 	retention := cmp.Or(c.RefusalRetention, defaultRefusalRetention)
 	present := map[string]bool{}
 	var expired []string
-	c.Index.EachRefused(func(id string, refusedAt int64) {
+	c.Index.EachVoided(func(id string, voidedAt int64) {
 		present[id] = true
 		refusal, known := seen[id]
-		if !known || refusal.refusedAt != refusedAt {
+		if !known || refusal.voidedAt != voidedAt {
 			seen[id] = seenRefusal{
-				refusedAt: refusedAt,
-				since:     now,
+				voidedAt: voidedAt,
+				since:    now,
 			}
 			return
 		}
--- a/indexer/indexer.go
+++ b/indexer/indexer.go
@@ -64,7 +64,9 @@
 	// job is the job in effect; nil if there is none.
 	job      *wire.Job
 	canceled bool
-	state    wire.JobState
+	// canceledAt is the offset of the latest cancellation.
+	canceledAt int64
+	state      wire.JobState
 
 	refusals
 }
@@ -114,6 +116,8 @@
 	entries map[string]*JobEntry
 	// refused has the ids with a recorded refusal.
 	refused map[string]bool
+	// canceled has the ids with a recorded cancellation and no job in effect.
+	canceled map[string]bool
 }
 
 // Apply applies records, which must come in the order of the log. With reset, it
@@ -131,6 +135,7 @@
 	if reset || x.entries == nil {
 		x.entries = map[string]*JobEntry{}
 		x.refused = map[string]bool{}
+		x.canceled = map[string]bool{}
 	}
 	var ids []string
 	for _, record := range records {
@@ -151,6 +156,7 @@
 	if len(record.GetValue()) == 0 {
 		delete(x.entries, id)
 		delete(x.refused, id)
+		delete(x.canceled, id)
 		return id
 	}
 	entry := x.entries[id]
@@ -161,6 +167,7 @@
 	switch "." + kind {
 	case cancelSuffix:
 		entry.canceled = true
+		entry.canceledAt = max(entry.canceledAt, record.GetOffset())
 	case statusSuffix:
 		entry.applyStatus(id, record.GetValue())
 	case ".":
@@ -171,6 +178,11 @@
 		x.applyRefusalKey(entry, id, kind, record)
 	}
 	entry.updateJob()
+	if entry.canceled && entry.job == nil {
+		x.canceled[id] = true
+	} else {
+		delete(x.canceled, id)
+	}
 	return id
 }
 
@@ -217,6 +229,14 @@
 	return *entry, true
 }
 
+// Canceled reports whether a cancellation of the id is recorded, also without a job.
+func (x *Index) Canceled(id string) bool {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	entry := x.entries[id]
+	return entry != nil && entry.canceled
+}
+
 // Each calls visit for every accepted job, in no order. It holds a lock meanwhile:
 // visit must not call Apply.
 func (x *Index) Each(visit func(JobEntry)) {
--- a/indexer/refusals.go
+++ b/indexer/refusals.go
@@ -133,14 +133,26 @@
 	return len(x.refused) > 0
 }
 
-// EachRefused calls visit for each id that has a refusal and no job in effect, with
-// the offset of the refusal. It holds a lock meanwhile: visit must not call other
-// methods.
-func (x *Index) EachRefused(visit func(id string, refusedAt int64)) {
+// HasVoided reports whether any refusal, or any cancellation without a job in effect, is
+// recorded.
+func (x *Index) HasVoided() bool {
 	x.mu.RLock()
 	defer x.mu.RUnlock()
+	return len(x.refused) > 0 || len(x.canceled) > 0
+}
+
+// EachVoided calls visit for each id that has a refusal or a cancellation and no job in
+// effect, with the offset of the latest of them. It holds a lock meanwhile: visit must not
+// call other methods.
+func (x *Index) EachVoided(visit func(id string, voidedAt int64)) {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	for id := range x.canceled {
+		entry := x.entries[id]
+		visit(id, max(entry.canceledAt, entry.refusedAt))
+	}
 	for id := range x.refused {
-		if entry := x.entries[id]; entry.job == nil {
+		if entry := x.entries[id]; entry.job == nil && !x.canceled[id] {
 			visit(id, entry.refusedAt)
 		}
 	}
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -200,14 +200,16 @@
 }
 
 // Cancel returns nil once the cancellation is in the log, or if the job is already
-// canceled or finished.
+// canceled or finished. If there is no such job, it returns a RefusalError with
+// ReasonNotFound once the cancellation is in the log: a submission that its caller has
+// given up may still be on its way to an entry or to the log.
 func (s *Submitter) Cancel(ctx context.Context, _ *wire.Queue, id string) error {
-	entry, err := s.lookup(ctx, id)
-	if err != nil {
-		return err
+	entry, notFound := s.lookup(ctx, id)
+	if notFound != nil && !isNotFound(notFound) {
+		return notFound
 	}
-	if entry.Canceled() || indexer.Final(entry.RecordedState()) {
-		return nil
+	if s.Index.Canceled(id) || indexer.Final(entry.RecordedState()) {
+		return notFound
 	}
 	offset, err := s.append(ctx, indexer.CancelRecord(id))
 	if err != nil {
@@ -217,7 +219,12 @@
 		Job:    id,
 		Offset: offset,
 	})
-	return nil
+	return notFound
+}
+
+func isNotFound(err error) bool {
+	var refusal *damaskspread.RefusalError
+	return errors.As(err, &refusal) && refusal.Reason == damaskspread.ReasonNotFound
 }
 
 // QueuedCount returns the number of jobs of the queue of which no task has started,
