runner, coordinator: a start call that was broken off starts no job

The executors reset the calls that start them for 6.5 s.

Cause: the agent reports a start whose connection was broken off as an exposure, since it may have crashed the executor, and an exposure marked the job as started.

Ruled out: assignments (TestAssignedJobIsQueuedUntilItStarts), lists of runs, which show none.

Change: an exposure says whether the run has started, by an answered start call or a list; only then the job is marked. The evidence of crashes is as before.

Evidence: TestJobWithABrokenStartCallIsPending fails without the mark being heeded; TestExposureTellsWhetherTheRunHasStarted guards the report.

Conclusion: mended.

--- a/coordinator/crash.go
+++ b/coordinator/crash.go
@@ -89,6 +89,9 @@
 	if current {
 		c.crashesOf(view.info.GetService()).Add(assessor.Executor(t.Executor()), t.SuspectName(), t.Crashes() > 0, cycle.now)
 	}
+	if exposure.GetStarted() {
+		t.Job().MarkStarted()
+	}
 	c.weighCrash(t, t.Executor(), view.info.GetService(), cycle.now)
 	if t.Expose(exposure.GetRun()) {
 		recordCrash(t, exposure.GetRun(), view.host, true)
--- a/coordinator/repeated_start_test.go
+++ b/coordinator/repeated_start_test.go
@@ -173,3 +173,28 @@
 	f.startAgent(f.hosts[0])
 	f.waitFor("running", func() bool { return f.jobState(leader, jobID) == wire.JobState_JOB_STATE_RUNNING })
 }
+
+// Guards against jobs that are not counted as pending, although none of their tasks has
+// begun, because the calls that start them are broken off.
+func TestJobWithABrokenStartCallIsPending(t *testing.T) {
+	t.Parallel()
+	f := newTestFleet(t, 1, 0, fixedRunTime(-1))
+	leader := f.leader()
+	agent, info := newManualAgent(t, leader, "host-0"), executorInfo("executor-0", 1)
+	agent.open(f, "s.1", info)
+	f.submit(leader, oneTask())
+	f.waitFor("start order", func() bool { return len(agent.pollOrders("s.1", info)) > 0 })
+	expose := func(number int64, started bool) {
+		request := agent.request("s.1", info)
+		request.Exposures = []*wire.CrashExposure{{Number: number, Task: olderRunTask, Run: 1, Started: started}}
+		agent.send(request)
+	}
+	expose(1, false)
+	time.Sleep(heldBackFor)
+	assert.Equal(t, f.jobState(leader, jobID), wire.JobState_JOB_STATE_QUEUED)
+	count, err := leader.submitter.QueuedCount(t.Context(), &wire.Queue{Name: "previews"})
+	assert.NilError(t, err)
+	assert.Equal(t, count, 1)
+	expose(2, true)
+	f.waitFor("running", func() bool { return f.jobState(leader, jobID) == wire.JobState_JOB_STATE_RUNNING })
+}
--- a/runner/crash.go
+++ b/runner/crash.go
@@ -123,6 +123,7 @@
 		Task:      key.task,
 		Run:       key.run,
 		Withdrawn: withdrawn,
+		Started:   !w.unseen[key],
 	})
 	if excess := len(w.pending) - maxPendingExposures; excess > 0 {
 		w.pending = slices.Delete(w.pending, 0, excess)
@@ -149,10 +150,10 @@
 	now := r.Elapsed.Elapsed()
 	exposed := r.crashes.lastNumber
 	if started != (runKey{}) {
-		r.crashes.addStart(started, now)
 		if err != nil {
 			r.crashes.unseen[started] = true
 		}
+		r.crashes.addStart(started, now)
 	}
 	var lost *damaskspread.ConnectionLostError
 	if errors.As(err, &lost) {
--- a/runner/crash_test.go
+++ b/runner/crash_test.go
@@ -130,3 +130,38 @@
 		})
 	}
 }
+
+// startResettingExecutor breaks off the connections of starts, which have no effect.
+type startResettingExecutor struct{ *emulator.JobExecutor }
+
+func (startResettingExecutor) Start(context.Context, string, *wire.StartOrder, *damaskspread.Lease) error {
+	return &damaskspread.WorkerUnknownError{Cause: &damaskspread.ConnectionLostError{Cause: context.Canceled}}
+}
+
+// Guards against jobs that are shown as running although none of their tasks has begun: a
+// start whose connection was broken off is reported as one that has happened.
+func TestExposureTellsWhetherTheRunHasStarted(t *testing.T) {
+	t.Parallel()
+	exposedAs := func(l *fakeLeader, started bool) bool {
+		return l.received(func(r *wire.ExchangeRequest) bool {
+			return slices.ContainsFunc(r.GetExposures(), func(e *wire.CrashExposure) bool { return e.GetStarted() == started })
+		})
+	}
+	t.Run("broken off", func(t *testing.T) {
+		t.Parallel()
+		l := &fakeLeader{respond: orderOnce(&atomic.Int64{}, "a.0.0.0")}
+		executor := newExecutor()
+		startRunner(t, l, executor, startResettingExecutor{executor})
+		waitFor(t, "exposure", func() bool { return exposedAs(l, false) })
+		assert.Assert(t, !exposedAs(l, true))
+	})
+	t.Run("answered", func(t *testing.T) {
+		t.Parallel()
+		l := &fakeLeader{respond: orderOnce(&atomic.Int64{}, "a.0.0.0")}
+		executor := newExecutor()
+		executor.Crashes = func(string) bool { return true }
+		startRunner(t, l, executor, executor)
+		waitFor(t, "exposure", func() bool { return exposedAs(l, true) })
+		assert.Assert(t, !exposedAs(l, false))
+	})
+}
--- a/tracker/crash.go
+++ b/tracker/crash.go
@@ -38,11 +38,10 @@
 func (t *Task) CrashedOn(host string) bool { return t.crashedOn[host] }
 
 // Expose records an agent's report that an executor refused its connections
-// shortly after it had started the run. The run counts as a crash once it is lost
+// shortly after it had started the run, or may have started it. The run counts as a crash once it is lost
 // with that executor. Expose reports whether it was lost before and is counted
 // now. Repeated reports have no effect.
 func (t *Task) Expose(run int32) bool {
-	t.Job().MarkStarted()
 	switch {
 	case t.Done() || run <= t.crashedRun:
 		return false
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -117,8 +117,8 @@
 
 // MarkStarted records that a task of the job has started: an executor lists its run, a run
 // has ended, or an executor has crashed after it had started one. An assignment alone is
-// no start, since its executor may not respond. It is not stored, because the status that
-// callers see is.
+// no start, since its executor may not respond, nor is a start call without a response. It
+// is not stored, because the status that callers see is.
 func (j *Job) MarkStarted() { j.started = true }
 
 // Started reports whether MarkStarted was called.
