runner: a member of a gang waits for room instead of being refused at once

Cause: the leader learns of the end of a gang from its first member, and gives away the room of all of them. The agents of the other members count their run until their own executor lists its end, and refused a member of the next gang for lack of room. The leader released that member alone, and the others waited for it in vain.

Ruled out: lost orders and delayed calls: the script disrupts nothing.

--- a/runner/starts.go
+++ b/runner/starts.go
@@ -39,7 +39,9 @@
 	// wait means that another run of the task is in progress on the executor, that its end
 	// may be one that the lists leave out, that the session has no token yet, or that the
 	// executor may have restarted under its id, and would carry out the order of the
-	// incarnation before.
+	// incarnation before. A member of a gang also waits for room: the others would start in
+	// vain. The leader gives away the room of a whole gang with the first end of a member,
+	// before this executor has listed its own.
 	wait    bool
 	refusal damaskspread.StartRefusal
 	// definite means that the run was refused before and can't start any more.
@@ -122,6 +124,8 @@
 		decision.refusal = damaskspread.RefusedOldRun
 	case r.mayHaveRestarted() || r.token == 0 || r.otherRunInProgress(a.key) || a.key.run > 1 && r.unrecordedEnds.more:
 		decision.wait = true
+	case r.exceedsCapacity(a.key) && r.steps[a.key].GetGang():
+		decision.wait = true
 	case r.exceedsCapacity(a.key):
 		decision.refusal = damaskspread.RefusedNoRoom
 	default:
