A task whose executor doesn't respond counts as unavailable

Cause: MayBeStopped counted each assigned task as at work. A task stays assigned until the lease of its executor is over, seconds after the leader knows that the executor does not respond.

Ruled out: the order of the stops, and tasks that have just started, which count as unavailable already.

Change: in each cycle the index of assignments learns which executors respond, by an agent that was heard lately; tasks on others, orphans included, are unavailable.

--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -46,8 +46,10 @@
 	// candidate is the one of cycleState.hosts for the executor, nil without them.
 	candidate *planner.Host
 	// usable is set if new tasks may be assigned to the executor.
-	usable      bool
-	reachable   bool
+	usable    bool
+	reachable bool
+	// heard is set if the agent has reported lately.
+	heard       bool
 	opening     bool
 	running     []*wire.TaskRun
 	runsUpdated bool
@@ -75,6 +77,7 @@
 	started := c.Elapsed.Elapsed()
 	cycle := c.takeInputs()
 	c.reportSilence(epoch, cycle.now)
+	c.assignments.SetResponding(cycle.responding())
 	c.applyJobs(cycle.changedJobs)
 	c.applyDestinations(cycle.changedJobs, epoch)
 	c.observeCrashes(cycle)
@@ -148,15 +151,28 @@
 	return cycle
 }
 
+// responding returns the executors that respond to agents from which the leader hears.
+func (cycle *cycleState) responding() map[tracker.ExecutorKey]bool {
+	executors := make(map[tracker.ExecutorKey]bool, len(cycle.views))
+	for _, view := range cycle.views {
+		if view.reachable && view.heard {
+			executors[view.key] = true
+		}
+	}
+	return executors
+}
+
 // add copies a session into the cycle and clears what the cycle took from it.
 func (cycle *cycleState) add(s *session) {
+	heard := cycle.now-s.lastReportAt < maxReportAge
 	view := &sessionView{
 		session:      s,
 		host:         s.host,
 		key:          s.key,
 		info:         s.info,
-		usable:       s.reachable && !s.info.GetDraining() && cycle.now-s.lastReportAt < maxReportAge && cycle.now >= s.noRoomUntil,
+		usable:       s.reachable && !s.info.GetDraining() && heard && cycle.now >= s.noRoomUntil,
 		reachable:    s.reachable,
+		heard:        heard,
 		opening:      s.opening,
 		running:      s.running,
 		runsUpdated:  s.runsUpdated,
--- a/tracker/task.go
+++ b/tracker/task.go
@@ -174,7 +174,7 @@
 // MayBeStopped reports whether the step of a running task tolerates that it is
 // stopped at now. A step with max_unavailable does while fewer than that many of its
 // other tasks are not at work. A task that was assigned less than startup ago counts
-// as not at work yet.
+// as not at work yet, and one whose executor doesn't respond as not at work any more.
 func (t *Task) MayBeStopped(now, startup time.Duration) bool {
 	limit := int(t.Step().GetMaxUnavailable())
 	if limit <= 0 {
@@ -183,7 +183,8 @@
 	unavailable := t.step.size()
 	for other := range t.step.known() {
 		starting := other.assignedAt > 0 && now-other.assignedAt < startup
-		if other == t || other.Assigned() && !other.Stopping() && !starting {
+		away := !t.Job().assignments.responds(other.executor)
+		if other == t || other.Assigned() && !other.Stopping() && !starting && !away {
 			unavailable--
 		}
 	}
