planner: a reserved host starts tasks that end before the large one fits

Cause: a host that is reserved for a large task took no other finite task, until the finite tasks there had ended, however long these take.

Ruled out: labels and capacity: 28 of 32 cores where the job may run are free.

Change: the reservation has a predicted wait, from the run times of the tasks that have to end first. A task whose predicted run time is at most half of it starts there. A run that exceeds its prediction is expected to take a quarter of its time so far. Steps without an estimate, best-effort steps and reservations that wait for tasks of the same plan are excluded as before.

Weighed: a bound on the time of a reservation (the large task would begin anew), and room beside the large task (small tasks then hold the processors that it waits for).

--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -137,6 +137,7 @@
 			Labels:        view.info.GetLabels(),
 			Capacity:      view.info.GetCapacity(),
 			Usable:        view.usable && !zonesOut[view.info.GetZone()],
+			Now:           cycle.now,
 			ProbationFrom: cycle.now - planner.ProbationTime,
 		}
 		c.setLatency(host, view)
--- a/planner/host.go
+++ b/planner/host.go
@@ -47,8 +47,9 @@
 	// AdmitsLasting means that a long-running task that fits on no other host may
 	// start on the suspect host, also while the suspicion alone makes it unusable.
 	AdmitsLasting bool
-	// ProbationFrom is ProbationTime before the present monotonic time.
+	// ProbationFrom is ProbationTime before the present monotonic time, Now.
 	ProbationFrom time.Duration
+	Now           time.Duration
 
 	// requested sums the requests of all tasks on the host. The processors of
 	// best-effort tasks are left out.
@@ -89,9 +90,11 @@
 	// large task. reservedMemory means that the reservation includes memory, so
 	// that it excludes best-effort tasks as well.
 	reserved, reservedMemory bool
-	// reservedFor is the group of the large task.
-	reservedFor *tracker.Group
-	probation   probation
+	// reservedFor is the group of the large task, reservedWait the predicted time until it
+	// fits.
+	reservedFor  *tracker.Group
+	reservedWait time.Duration
+	probation    probation
 }
 
 // Rack returns the label that names the host's rack, or "" without labels.
@@ -230,6 +233,7 @@
 		reserved:             h.reserved,
 		reservedMemory:       h.reservedMemory,
 		reservedFor:          h.reservedFor,
+		reservedWait:         h.reservedWait,
 		probation:            h.probation,
 	}
 }
--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -58,7 +58,7 @@
 		return shortage
 	}
 	switch {
-	case host.reservationExcludes(step):
+	case host.reservationExcludes(group):
 		return ObstacleReserved
 	case step.GetFillsIdle() && host.NearTarget:
 		return ObstacleNearTarget
--- a/planner/reserve.go
+++ b/planner/reserve.go
@@ -18,7 +18,8 @@
 // task that fits on no host yet. Otherwise small tasks of the same priority would
 // take the capacity piece by piece as it comes free, and the large task would
 // never start. Long-running tasks ignore the reservation, because they may fit
-// nowhere else. Reservations last one cycle; successive cycles choose the same
+// nowhere else, and so do tasks that end before the large task fits; see mayBackfill.
+// Reservations last one cycle; successive cycles choose the same
 // host as long as it has the most free processors. It reports whether it reserved
 // one.
 func (p *Planner) reserveForLarge(group *tracker.Group, task *tracker.Task, hosts []*Host) bool {
@@ -46,14 +47,16 @@
 	best.reserved = true
 	best.reservedFor = group
 	best.reservedMemory = best.shortage(step, nil) == ObstacleMemory
+	best.reservedWait = best.waitFor(group)
 	return true
 }
 
 // reservationExcludes reports whether a reservation for a large task excludes a
-// task of the step from the host. Best-effort tasks request memory but no
+// task of the group from the host. Best-effort tasks request memory but no
 // processors, so only a reservation of memory excludes them.
-func (h *Host) reservationExcludes(step *wire.JobStep) bool {
-	if !h.reserved || step.GetLongRunning() {
+func (h *Host) reservationExcludes(group *tracker.Group) bool {
+	step := group.Step()
+	if !h.reserved || step.GetLongRunning() || h.mayBackfill(group) {
 		return false
 	}
 	return h.reservedMemory || !step.GetFillsIdle()
