coordinator: an executor in a crash loop gets no tasks before it is steady

It crashes three times without the job too.

Cause: a task that is started shortly before a crash is suspected, and its starts are limited after three crashes. The crashes of one executor are spread over all of its service, so they look improbable, and nothing kept tasks from an executor that has just crashed by itself.

Ruled out: a weaker limit of starts alone: a task that crashes its executors would be started without end.

Change: crashes under one id although no task had just started there are counted; after two within 10 s the executor gets tasks once its session has lasted for 1 s, longer than the time within which a crash counts against a task. The log tells.

Conclusion: mended for executors that crash within a second of their start. One that crashes later, each time shortly after it got the task, can still use up its starts.

--- a/assessor/crashes.go
+++ b/assessor/crashes.go
@@ -98,6 +98,18 @@
 	c.crashes = slices.DeleteFunc(c.crashes, func(known crash) bool { return known.executor == executor })
 }
 
+// CountIdle returns how often executors with the given id have crashed since a time although
+// no task had just started there.
+func (c *Crashes) CountIdle(id string, since time.Duration) int {
+	count := 0
+	for _, known := range c.crashes {
+		if known.executor.ID == id && known.at >= since && len(known.tasks) == 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // Chance returns the probability that an executor crashes by chance shortly after it
 // has started the task, as that executor has.
 func (c *Crashes) Chance(executor Executor, task string, now time.Duration) float64 {
--- a/coordinator/crash.go
+++ b/coordinator/crash.go
@@ -44,8 +44,13 @@
 // observeCrashes records the ends that agents have witnessed since the last cycle.
 func (c *Coordinator) observeCrashes(cycle *cycleState) {
 	for _, end := range cycle.witnessedEnds {
-		c.crashesOf(end.service).Add(assessor.Executor(end.key), "", false, cycle.now)
+		crashes := c.crashesOf(end.service)
+		crashes.Add(assessor.Executor(end.key), "", false, cycle.now)
 		cycle.witnessed[end.key] = true
+		if count := crashes.CountIdle(end.key.ID, cycle.now-loopWindow); count >= loopCrashes {
+			log.Warn().Str("executor", end.key.ID).Int("crashes", count).Dur("pause", steadyTime).
+				Msg("executor in a crash loop: it gets no tasks until its next session has lasted for a while")
+		}
 	}
 }
 
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -43,6 +43,8 @@
 	host    string
 	key     tracker.ExecutorKey
 	info    *wire.ExecutorInfo
+	// openedAt is when the session was opened.
+	openedAt time.Duration
 	// candidate is the one of cycleState.hosts for the executor, nil without them.
 	candidate *planner.Host
 	// usable is set if new tasks may be assigned to the executor.
@@ -170,6 +172,7 @@
 		host:         s.host,
 		key:          s.key,
 		info:         s.info,
+		openedAt:     s.openedAt,
 		usable:       s.reachable && !s.info.GetDraining() && heard && cycle.now >= s.noRoomUntil,
 		reachable:    s.reachable,
 		heard:        heard,
--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -88,6 +88,7 @@
 		token:   report.GetToken(),
 		opening: true,
 
+		openedAt:  c.Elapsed.Elapsed(),
 		startsDue: true,
 
 		sentSteps: map[string]bool{},
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -136,7 +136,7 @@
 			Zone:          view.info.GetZone(),
 			Labels:        view.info.GetLabels(),
 			Capacity:      view.info.GetCapacity(),
-			Usable:        view.usable && !zonesOut[view.info.GetZone()],
+			Usable:        view.usable && !zonesOut[view.info.GetZone()] && !c.inCrashLoop(view, cycle.now),
 			Now:           cycle.now,
 			ProbationFrom: cycle.now - planner.ProbationTime,
 		}
--- a/coordinator/session.go
+++ b/coordinator/session.go
@@ -27,6 +27,9 @@
 	// token is the fencing token of the session, 0 if the agent has an earlier version.
 	token int64
 
+	// openedAt is when the session was opened.
+	openedAt time.Duration
+
 	reachable bool
 	// granting is set while the executor gets leases. leaseDue is set while the next
 	// response is to bring one at once: the first one, or the first after an outage.
