--- a/coordinator/destinations.go
+++ b/coordinator/destinations.go
@@ -10,10 +10,11 @@
 
 // applyDestinations redirects the open jobs whose queue has another service or admission
 // advice by the configuration in force. Jobs of queues that it doesn't have keep their
-// destination. Without a new configuration only the changed jobs are looked at.
+// destination.
 func (c *Coordinator) applyDestinations(changedJobs map[string]bool, epoch int64) {
 	config, _ := c.Operations.Config()
-	if config == c.appliedConfig && len(changedJobs) == 0 {
+	jobs := c.unappliedJobs(config, changedJobs)
+	if len(jobs) == 0 {
 		return
 	}
 	queues := map[string]*wire.Queue{}
@@ -21,28 +22,37 @@
 		queues[queue.GetName()] = queue
 	}
 	redirected := map[string]int{}
-	redirect := func(job *tracker.Job) {
+	for _, job := range jobs {
 		queue := queues[job.Spec().GetQueue()]
-		if queue != nil && !job.Over() && redirectJob(job, tracker.DestinationOf(queue, config.GetVersion()), epoch) {
+		if queue != nil && redirectJob(job, tracker.DestinationOf(queue, config.GetVersion()), epoch) {
 			redirected[queue.GetName()]++
 		}
 	}
+	for name, count := range redirected {
+		log.Info().Str("queue", name).Str("service", queues[name].GetService()).Int64("version", config.GetVersion()).Int("jobs", count).
+			Msg("accepted jobs redirected by the configuration")
+	}
+}
+
+// unappliedJobs returns the open jobs to which the configuration has not been applied: all
+// of them if it is new, otherwise those that have changed.
+func (c *Coordinator) unappliedJobs(config *wire.FleetConfig, changedJobs map[string]bool) []*tracker.Job {
+	var jobs []*tracker.Job
 	if config != c.appliedConfig {
 		c.appliedConfig = config
-		for _, job := range c.jobs {
-			redirect(job)
-		}
-	} else {
-		for id := range changedJobs {
-			if job := c.jobs[id]; job != nil {
-				redirect(job)
+		for id, job := range c.jobs {
+			if c.isOpen(id) {
+				jobs = append(jobs, job)
 			}
 		}
+		return jobs
 	}
-	for name, jobs := range redirected {
-		log.Info().Str("queue", name).Str("service", queues[name].GetService()).Int64("version", config.GetVersion()).Int("jobs", jobs).
-			Msg("accepted jobs redirected by the configuration")
+	for id := range changedJobs {
+		if c.isOpen(id) {
+			jobs = append(jobs, c.jobs[id])
+		}
 	}
+	return jobs
 }
 
 // redirectJob reports whether the tasks of the job start elsewhere from now on.
--- a/runner/ends.go
+++ b/runner/ends.go
@@ -13,8 +13,8 @@
 type endList struct {
 	byNumber map[int64]*wire.RunEnd
 	byRun    map[runKey]*wire.RunEnd
-	// more is set if the latest list may have left out ends. It says nothing then about a
-	// run that it doesn't show.
+	// more is set if the latest list may have left out ends. Such a list says nothing about
+	// a run that it doesn't show.
 	more bool
 }
 
--- a/runner/starts.go
+++ b/runner/starts.go
@@ -36,12 +36,7 @@
 	// handled means that the run is running, has ended or belongs to another
 	// order, or that the executor for which the order was given has ended.
 	handled bool
-	// wait means that another run of the task is in progress on the executor, that its end
-	// may be one that the lists leave out, that the session has no token yet, or that the
-	// executor may have restarted under its id, and would carry out the order of the
-	// incarnation before. A member of a gang also waits for room: the others would start in
-	// vain. The leader gives away the room of a whole gang with the first end of a member,
-	// before this executor has listed its own.
+	// wait means that the order may be sent later; see mustWait.
 	wait    bool
 	refusal damaskspread.StartRefusal
 	// definite means that the run was refused before and can't start any more.
@@ -122,9 +117,7 @@
 		decision.refusal = damaskspread.RefusedLeaseOver
 	case r.unrecordedEnds.earlierDone(a.key):
 		decision.refusal = damaskspread.RefusedOldRun
-	case r.mayHaveRestarted() || r.token == 0 || r.otherRunInProgress(a.key) || a.key.run > 1 && r.unrecordedEnds.more:
-		decision.wait = true
-	case r.exceedsCapacity(a.key) && r.steps[a.key].GetGang():
+	case r.mustWait(a.key):
 		decision.wait = true
 	case r.exceedsCapacity(a.key):
 		decision.refusal = damaskspread.RefusedNoRoom
@@ -137,6 +130,25 @@
 	return decision
 }
 
+// mustWait reports whether the start of a run has to wait. The caller holds the mutex.
+func (r *Runner) mustWait(key runKey) bool {
+	switch {
+	case r.token == 0 || r.mayHaveRestarted():
+		// Another life of the executor would carry out the order.
+		return true
+	case r.otherRunInProgress(key):
+		return true
+	case key.run > 1 && r.unrecordedEnds.more:
+		// An earlier run of the task may be done by an end that the lists leave out.
+		return true
+	default:
+		// Without room for one member, the others of its gang start in vain. The leader
+		// gives away the room of a whole gang with the first end of a member, before each
+		// executor has listed its own.
+		return r.steps[key].GetGang() && r.exceedsCapacity(key)
+	}
+}
+
 // refuseStart reports a definite refusal to the leader. Otherwise it stops the run, and the
 // executor's lists show whether it has started.
 func (r *Runner) refuseStart(ctx context.Context, a *startAttempt, decision *startDecision) {
