--- a/planner/backfill.go
+++ b/planner/backfill.go
@@ -26,8 +26,8 @@
 }
 
 // waitFor predicts how long it takes until a task of the group fits, as the finite tasks of
-// earlier cycles end. It is 0 if it also waits for tasks of this one, of which the prediction
-// has not been checked yet.
+// earlier cycles end. It is 0, so that nothing is backfilled, if tasks that are placed in
+// this cycle have to end as well.
 func (h *Host) waitFor(group *tracker.Group) time.Duration {
 	type ending struct {
 		task *tracker.Task
