runner: stop the runs of a draining executor before the agent ends

Runs of a canceled job go on although no process is left that could stop them.

Cause: an agent that gets SIGTERM while its executor drains stays until the departure is stored, at most for the grace period less 1 s, and extends the lease meanwhile. An executor may drain for longer.

Evidence: TestRunsOfADrainingExecutorEndBeforeTheAgent. With drainAt in place of drainEnd, go test -run TestRunsOfADraining ./runner fails: "departure_test.go:158: assertion failed: 1 (int) != 0 (int)".

Ruled out: a shorter lease for draining executors; a granted lease would still outlive the agent.

Change: FinishDeparture moves from launcher to runner, and the end of the agent bounds the drain: what still runs is stopped 0.5 s and the time of a stop before, so that the ends and checkpoints are reported. The executor takes its runs along anyway.

Before/after: 1 run in progress when the agent ends, 0.

--- a/launcher/agent.go
+++ b/launcher/agent.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"time"
-
-	"github.com/phuslu/log"
 
 	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/connector"
@@ -16,9 +13,6 @@
 	"damaskspread.example/damaskspread/validator"
 )
 
-// departurePollInterval is the time between two looks whether a departure is stored.
-const departurePollInterval = 50 * time.Millisecond
-
 // Agent is the process beside an executor. It starts and stops runs on the
 // executor as the leader orders. The exported fields are set before Run.
 type Agent struct {
@@ -51,28 +45,14 @@
 	a.process.startAll(a.runner.Run)
 	select {
 	case <-ctx.Done():
-		a.finishDeparture()
+		// A host that is removed takes its agent along, and without its report a new leader
+		// waits for the end of a lease.
+		a.runner.FinishDeparture(a.process.tomb.Context(context.Background()), a.Settings.Bounds().Grace()-stopMargin)
 	case <-a.process.tomb.Dying():
 	}
 	return a.process.shutDown()
 }
 
-// finishDeparture waits until a leader has stored that the executor has left, at most for
-// the grace period without stopMargin. A host that is removed takes its agent along, and
-// without its report a new leader waits for the end of a lease.
-func (a *Agent) finishDeparture() {
-	limit := a.Settings.Bounds().Grace() - stopMargin
-	if !a.runner.Departing() || limit <= 0 {
-		return
-	}
-	log.Info().Dur("limit", limit).Msg("stop waits until a leader knows that the executor has left")
-	ctx, cancel := context.WithTimeout(a.process.tomb.Context(context.Background()), limit)
-	defer cancel()
-	for a.runner.Departing() && ctx.Err() == nil {
-		damaskspread.Pause(ctx, a.Clock, departurePollInterval)
-	}
-}
-
 func (a *Agent) assemble() {
 	s := a.Settings
 	httpClient := connector.NewHTTPClient()
--- a/runner/departure_test.go
+++ b/runner/departure_test.go
@@ -142,3 +142,19 @@
 	r.ExecutorAnnounced(draining)
 	r.ExecutorLeft("executor-1")
 }
+
+// Guards against runs that nobody can stop until their lease is over: the agent ends while its
+// executor is still draining.
+func TestRunsOfADrainingExecutorEndBeforeTheAgent(t *testing.T) {
+	t.Parallel()
+	l := &fakeLeader{respond: orderOneStart}
+	r, executor := startWithEmulator(t, l)
+	waitFor(t, "run", func() bool { return executor.Running() == 1 })
+	draining := executor.Info("planning", "zone", &wire.Resources{Millicores: 8000})
+	draining.Draining = true
+	draining.RemainingMs = time.Minute.Milliseconds()
+	r.ExecutorAnnounced(draining)
+	r.FinishDeparture(t.Context(), time.Second)
+	assert.Equal(t, executor.Running(), 0)
+	assert.Assert(t, l.received(func(request *wire.ExchangeRequest) bool { return len(request.GetEnds()) > 0 }))
+}
--- a/runner/drain.go
+++ b/runner/drain.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"damaskspread.example/damaskspread/tracer"
 	"damaskspread.example/damaskspread/wire"
 )
@@ -12,6 +14,8 @@
 	drainInterval = 100 * time.Millisecond
 	// drainMargin is the time for reading the last checkpoints.
 	drainMargin = 500 * time.Millisecond
+	// departurePollInterval is the time between two looks whether a departure is stored.
+	departurePollInterval = 50 * time.Millisecond
 )
 
 // drainOnce stops the remaining runs shortly before a draining executor ends,
@@ -35,7 +39,7 @@
 func (r *Runner) runsToDrain() (*wire.ExecutorInfo, []*wire.TaskRun) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.drainAt == 0 || r.info == nil || r.Elapsed.Elapsed() < r.drainAt-r.StopWithin-drainMargin {
+	if r.drainAt == 0 || r.info == nil || r.Elapsed.Elapsed() < r.drainEnd()-r.StopWithin-drainMargin {
 		return nil, nil
 	}
 	var due []*wire.TaskRun
@@ -49,3 +53,30 @@
 	}
 	return r.info, due
 }
+
+// drainEnd is when the draining executor or the agent ends, whichever is first. The caller
+// holds the mutex.
+func (r *Runner) drainEnd() time.Duration {
+	if r.departsBy > 0 {
+		return min(r.drainAt, r.departsBy)
+	}
+	return r.drainAt
+}
+
+// FinishDeparture waits until a leader has stored that the executor has left, at most for
+// limit, after which the agent ends. The runs of an executor that is still draining by then
+// are stopped before: without the agent nobody could, until their lease is over.
+func (r *Runner) FinishDeparture(ctx context.Context, limit time.Duration) {
+	if !r.Departing() || limit <= 0 {
+		return
+	}
+	log.Info().Dur("limit", limit).Msg("stop waits until a leader knows that the executor has left")
+	r.mu.Lock()
+	r.departsBy = r.Elapsed.Elapsed() + limit
+	r.mu.Unlock()
+	waitCtx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for r.Departing() && waitCtx.Err() == nil {
+		r.pause(waitCtx, departurePollInterval)
+	}
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -75,6 +75,8 @@
 	info *wire.ExecutorInfo
 	// drainAt is when the draining executor ends; 0 if it is not draining.
 	drainAt time.Duration
+	// departsBy is when the agent ends at the latest; 0 before FinishDeparture.
+	departsBy time.Duration
 	// left is the executor that left last, nil once another one was announced.
 	left   *wire.ExecutorInfo
 	leftAt time.Duration
