tracker: give all members of a gang the same checkpoint after a takeover

After a change of leader, members of one gang are started from different checkpoints, some from none.

Cause: the end of one member changes the checkpoint of all, but only the part of the progress with that member was stored. A part has 256 tasks, counted through the occurrences and steps of a job, so a gang may be in two.

Ruled out: members in one part; that part is stored as a whole with each end.

Change: the checkpoint of a gang belongs to its step, and its change stores the parts of all members. Of parts that were stored at different times (an append above its limit is split), the last with a checkpoint counts for all members: any member's checkpoint is valid for the gang.

--- a/tracker/clearance.go
+++ b/tracker/clearance.go
@@ -19,7 +19,7 @@
 		t.listedRun = run
 		t.listedAt = now
 	}
-	advanced := checkpoint != "" && checkpoint != t.checkpoint
+	advanced := checkpoint != "" && checkpoint != t.Checkpoint()
 	if !advanced && now-t.listedAt < clearAfter {
 		return false
 	}
--- a/tracker/ends.go
+++ b/tracker/ends.go
@@ -37,15 +37,16 @@
 	return true
 }
 
-// setCheckpoint records the checkpoint of the next run. All tasks of a gang share
-// it.
+// setCheckpoint records the checkpoint of the next run. All tasks of a gang share it, also
+// those of other parts of the progress.
 func (t *Task) setCheckpoint(checkpoint string) {
-	t.checkpoint = checkpoint
 	if !t.Step().GetGang() {
+		t.checkpoint = checkpoint
 		return
 	}
+	t.step.checkpoint = checkpoint
 	for member := range t.step.known() {
-		member.checkpoint = checkpoint
+		member.markChanged()
 	}
 }
 
--- a/tracker/occurrence.go
+++ b/tracker/occurrence.go
@@ -27,7 +27,9 @@
 	assigned, done int
 	// begun is set once a task of the step has had a run.
 	begun bool
-	wait  stepWait
+	// checkpoint is that of a gang, whose members all resume from the same one.
+	checkpoint string
+	wait       stepWait
 }
 
 // doneOccurrence and doneStep stand for those that are done, which need no state.
--- a/tracker/progress.go
+++ b/tracker/progress.go
@@ -107,7 +107,7 @@
 	t.crashedRun = progress.GetLastCrashedRun()
 	t.exposedRun = progress.GetExposedRun()
 	t.lostRun = progress.GetLastLostRun()
-	t.checkpoint = progress.GetCheckpoint()
+	t.restoreCheckpoint(progress.GetCheckpoint())
 	t.copyRun = progress.GetCopyRun()
 	t.restoreOlderRuns(progress.GetOlderRuns(), executors)
 	t.step.begun = true
@@ -121,6 +121,17 @@
 	}
 }
 
+// restoreCheckpoint restores a stored checkpoint. The parts with the members of a gang may be
+// stored at different times, and the checkpoint of any member is valid for all.
+func (t *Task) restoreCheckpoint(checkpoint string) {
+	switch {
+	case !t.Step().GetGang():
+		t.checkpoint = checkpoint
+	case checkpoint != "":
+		t.step.checkpoint = checkpoint
+	}
+}
+
 // Progress returns the state of one part of the job to store, for RestorePart. It leaves
 // out what that does not need: occurrences and steps of which no task has started and no
 // wait is counted, the tasks of steps that are done, and where tasks ran that have ended.
@@ -219,7 +230,7 @@
 	progress.LastCrashedRun = t.crashedRun
 	progress.ExposedRun = t.exposedRun
 	progress.LastLostRun = t.lostRun
-	progress.Checkpoint = t.checkpoint
+	progress.Checkpoint = t.Checkpoint()
 	progress.CopyRun = t.copyRun
 	if t.Assigned() {
 		progress.ExecutorIndex = w.executorIndex(t.executor, t.host)
--- a/tracker/task.go
+++ b/tracker/task.go
@@ -39,6 +39,7 @@
 	listedRun, outlivedRun int32
 	listedAt               time.Duration
 
+	// checkpoint is empty for members of a gang; see stepState.
 	checkpoint string
 	// failedOn has the ids of the executors on which runs failed.
 	failedOn map[string]bool
@@ -88,7 +89,12 @@
 
 // Checkpoint returns the checkpoint from which the next run resumes. Empty means
 // that the run starts from the beginning.
-func (t *Task) Checkpoint() string { return t.checkpoint }
+func (t *Task) Checkpoint() string {
+	if t.Step().GetGang() {
+		return t.step.checkpoint
+	}
+	return t.checkpoint
+}
 
 // Failures returns the number of runs that failed.
 func (t *Task) Failures() int32 { return t.failures }
