coordinator: count the age of the inputs as age of start orders

A task of a canceled job may start up to 3.7 s after the cancellation was acknowledged, where 3 s are promised.

Cause: three bounds that were each judged alone. The leader decides on a view of the jobs that is up to 1.5 s old, the agent takes an order up to 1.5 s after the decision, and its call takes up to 0.7 s. An agent can be undisturbed while its leader is cut off from the log. Starts of listed runs that an opening repeats were not bounded by the age of the inputs at all: the agent starts one whose run its lists lack by then.

Evidence: TestOldInputsCountAsAgeOfTheOrder. With excessAge 0, go test -run TestOldInputs ./coordinator fails: "repeated_start_test.go:220: assertion failed: age is less than inputAge + runner.MaxStartDelay - cancelWithin: age 0s".

Ruled out: a lower maxInputAge; the view of an idle topic is up to 0.8 s old.

Change: an order counts as older by what the age of its inputs exceeds cancel_within less the delays of an order (2.2 s). With 3 s that is 0.8 s; with 4 s it is 1.8 s, above maxInputAge, so nothing changes there. The ages are read before the cycle takes its arrivals, so that no view that became current meanwhile passes for what the cycle knows; this part has no test of its own.

Before/after: sum of the bounds 3.7 s, 3.0 s.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -84,6 +84,9 @@
 	// RecoveryTime is how long after an outage of the log late jobs leave room for callers
 	// that were refused meanwhile and return; with 0 they start at once.
 	RecoveryTime time.Duration
+	// CancelWithin is the time after the acknowledgement of a cancellation within which an
+	// agent in contact starts no task of the job any more; 3 s if 0.
+	CancelWithin time.Duration
 	// StatusRetention is how long the status of a finished job is kept in the log.
 	StatusRetention time.Duration
 	// RefusalRetention is how long the refusal of a job is kept in the log; 2 minutes
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -23,6 +23,9 @@
 	arrivals
 
 	now time.Duration
+	// inputs were read before the arrivals were taken: what the cycle knows is at least as
+	// recent.
+	inputs planInputs
 	// sessionRecords are the changes of storedSessions, by host. An empty one removes
 	// what is stored.
 	sessionRecords map[string]*wire.ExecutorSession
@@ -75,7 +78,9 @@
 // publishes orders. It fails if the progress can't be stored.
 func (c *Coordinator) runCycle(ctx context.Context, epoch int64) error {
 	started := c.Elapsed.Elapsed()
+	inputs := c.inputs(epoch)
 	cycle := c.takeInputs()
+	cycle.inputs = inputs
 	c.reportSilence(epoch, cycle.now)
 	c.assignments.Responds = cycle.responds
 	c.applyJobs(cycle.changedJobs)
@@ -279,6 +284,7 @@
 		close(a.stored)
 	}
 	c.publishGrants(cycle)
+	startsDecidedAt := cycle.now - c.excessAge(&cycle.inputs)
 	for _, view := range cycle.views {
 		s := view.session
 		if c.sessions[view.host] != s {
@@ -294,7 +300,7 @@
 			s.addStop(order, cycle.now)
 		}
 		for _, order := range view.starts {
-			s.addStart(order, cycle.now)
+			s.addStart(order, startsDecidedAt)
 		}
 		updated := len(view.stops)+len(view.starts) > 0 || view.lastEnd > s.endsRecorded || view.lastExposure > s.exposuresRecorded
 		s.endsRecorded = view.lastEnd
--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -1,18 +1,26 @@
 package coordinator
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"damaskspread.example/damaskspread/planner"
+	"damaskspread.example/damaskspread/runner"
 	"damaskspread.example/damaskspread/tracer"
 	"damaskspread.example/damaskspread/tracker"
 )
 
+const (
+	defaultCancelWithin = 3 * time.Second
+	// maxExcessAge makes agents refuse an order whatever the age of its inputs.
+	maxExcessAge = time.Minute
+)
+
 // plan orders again the starts that are due and assigns pending tasks to hosts, unless the
 // known jobs or the configuration are older than maxInputAge.
 func (c *Coordinator) plan(cycle *cycleState, epoch int64) {
-	inputs := c.inputs(epoch)
+	inputs := &cycle.inputs
 	old := checkInputs(inputs.jobsAge, inputs.configAge) != nil
 	c.reportOldInputs(epoch, inputs.jobsAge, inputs.configAge, old)
 	if old {
@@ -35,7 +43,7 @@
 		assignment.Task.Assign(view.key, view.host, assignment.Run, cycle.now)
 		c.recordLimitedStart(&assignment, view, cycle.now)
 		c.addStartOrder(view, assignment.Task)
-		traceAssigned(view, assignment.Task, &inputs)
+		traceAssigned(view, assignment.Task, inputs)
 	}
 	c.preempt(cycle, planned)
 	c.reportWaiting(groups, cycle, epoch)
@@ -58,6 +66,14 @@
 	}
 }
 
+// excessAge returns by how much the decision to start a run counts as older than it is,
+// because its inputs are so old that a cancellation would otherwise not be in force within
+// CancelWithin: the age of the inputs and the delays of an order add up.
+func (c *Coordinator) excessAge(inputs *planInputs) time.Duration {
+	allowed := max(0, cmp.Or(c.CancelWithin, defaultCancelWithin)-runner.MaxStartDelay)
+	return min(max(0, inputs.jobsAge-allowed, inputs.configAge-allowed), maxExcessAge)
+}
+
 // traceAssigned writes to the trace that the task's latest run was assigned.
 func traceAssigned(view *sessionView, t *tracker.Task, inputs *planInputs) {
 	tracer.Write(&tracer.TaskAssigned{
--- a/coordinator/repeated_start_test.go
+++ b/coordinator/repeated_start_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"damaskspread.example/damaskspread/runner"
 	"damaskspread.example/damaskspread/wire"
 )
 
@@ -198,3 +199,23 @@
 	expose(2, true)
 	f.waitFor("running", func() bool { return f.jobState(leader, jobID) == wire.JobState_JOB_STATE_RUNNING })
 }
+
+// Guards against a start later than a cancellation allows: the inputs are almost too old when it
+// is decided, and the order is as late as one with new inputs may be.
+func TestOldInputsCountAsAgeOfTheOrder(t *testing.T) {
+	t.Parallel()
+	f := newTestFleet(t, 1, 0, fixedRunTime(-1))
+	const inputAge = 1400 * time.Millisecond
+	f.operations.configAge.Store(int64(inputAge))
+	agent, info := newManualAgent(t, f.leader(), "host-0"), executorInfo("executor-0", 1)
+	agent.open(f, "s.1", info)
+	f.submit(f.leader(), oneTask())
+	var orders []*wire.Order
+	f.waitFor("start order", func() bool {
+		orders = agent.pollOrders("s.1", info)
+		return len(orders) > 0
+	})
+	const cancelWithin = 3 * time.Second
+	age := time.Duration(orders[0].GetAgeMs()) * time.Millisecond
+	assert.Assert(t, age >= inputAge+runner.MaxStartDelay-cancelWithin, "age %s", age)
+}
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -225,6 +225,7 @@
 		Elapsed:           e.process.elapsed,
 		LeaseDuration:     leaseDuration(s.Bounds().LeaseMax()),
 		LongestLease:      s.Bounds().LeaseMax(),
+		CancelWithin:      s.Bounds().CancelWithin(),
 		StatusRetention:   s.Bounds().StatusFor(),
 		LearnRunTimes:     s.Scheduling().LearnedRunTimes(),
 		SpeculativeCopies: s.Scheduling().SpeculativeCopies(),
--- a/runner/starts.go
+++ b/runner/starts.go
@@ -17,6 +17,10 @@
 // refused.
 const maxStartAge = 1500 * time.Millisecond
 
+// MaxStartDelay is the longest time between the decision to start a run and the arrival of the
+// call at an executor that responds.
+const MaxStartDelay = maxStartAge + orderTimeout
+
 // startAttempt is a start order on its way to the executor for which it was given.
 type startAttempt struct {
 	info *wire.ExecutorInfo
--- a/validator/job_settings.go
+++ b/validator/job_settings.go
@@ -37,7 +37,7 @@
 // JobBounds is the [bounds] section: time limits that the operators guarantee to
 // the process or require from it.
 type JobBounds struct {
-	leaseMax, stopWithin, drainFor, configWithin, visibleWithin, statusFor, grace time.Duration
+	leaseMax, stopWithin, drainFor, configWithin, visibleWithin, cancelWithin, statusFor, grace time.Duration
 }
 
 // JobScheduling is the [scheduling] section: how the leader and the entries decide
@@ -126,6 +126,10 @@
 // VisibleWithin returns the time within which every entry process knows a job.
 func (b *JobBounds) VisibleWithin() time.Duration { return b.visibleWithin }
 
+// CancelWithin returns the time after a cancellation within which tasks of the job cease to
+// start.
+func (b *JobBounds) CancelWithin() time.Duration { return b.cancelWithin }
+
 // StatusFor returns how long the status of a finished job is kept.
 func (b *JobBounds) StatusFor() time.Duration { return b.statusFor }
 
@@ -218,6 +222,7 @@
 		bound("drain_for", "2s", "how long an executor keeps running after its notice", &b.drainFor),
 		bound("config_within", "2s", "time within which a configuration is in force", &b.configWithin),
 		bound("visible_within", "3s", "time within which every entry process knows a job", &b.visibleWithin),
+		bound("cancel_within", "3s", "time within which a cancellation keeps tasks of the job from starting", &b.cancelWithin),
 		bound("status_for", "2m", "how long a finished job stays known", &b.statusFor),
 		bound("grace", "6s", "time between a termination signal and the kill", &b.grace),
 	}
