coordinator: do not repeat the start of a gang whose member has ended

A member of a gang is started after another member's run has ended: it waits alone, and it carries the checkpoint of that end, while the others of its run carried the one before.

Cause: a start that no list shows is repeated when a session opens, or after 3 s, whatever has become of the other members.

Evidence: TestGangIsNotRepeatedAfterAnEnd, go test -run TestGangIsNotRepeatedAfterAnEnd ./coordinator fails without the change: "assertion failed: 1 (int) != 0 (int): started [1]".

Ruled out: members that are in progress; lists show them, and their agents start nothing for a repeated order.

Change: a member that is not assigned the same run any more is an obstacle to repeating the start (gang_ended). The run is stopped, its task released, and the gang starts anew as a whole.

Before/after: 1 start order for the left member, none.

--- a/coordinator/repeated_start_test.go
+++ b/coordinator/repeated_start_test.go
@@ -157,6 +157,30 @@
 	}
 }
 
+// Guards against a member of a gang that starts alone, from a checkpoint of its own, after the run
+// of another member has ended.
+func TestGangIsNotRepeatedAfterAnEnd(t *testing.T) {
+	t.Parallel()
+	resources := &wire.Resources{Millicores: 100}
+	o := newOrderedBefore(t, &wire.Job{Id: jobID, Steps: []*wire.JobStep{{Count: 2, Gang: true, Resources: resources}}})
+	opening := o.agent.opening("n.1", o.info)
+	opening.Ends = []*wire.RunEnd{{
+		Number:     1,
+		Task:       olderRunTask,
+		Run:        1,
+		Cause:      wire.EndCause_END_CAUSE_GANG_INCOMPLETE,
+		Checkpoint: "checkpoint",
+	}}
+	o.f.waitFor("takeover", func() bool {
+		response := o.agent.send(opening)
+		return response.GetLeader() == nil && !response.GetReopen()
+	})
+	time.Sleep(heldBackFor)
+	started, stopped := runsIn(o.agent.send(o.agent.request("n.1", o.info)).GetOrders())
+	assert.Equal(t, len(started), 0, "started %v", started)
+	assert.DeepEqual(t, stopped, []int32{1})
+}
+
 // Guards against jobs that are not counted as pending, although none of their tasks has
 // started anywhere, because they are assigned to an executor whose agent is silent.
 func TestJobOfASilentHostIsPending(t *testing.T) {
--- a/coordinator/repeated_starts.go
+++ b/coordinator/repeated_starts.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"damaskspread.example/damaskspread/planner"
@@ -104,12 +105,23 @@
 // obstacles that will pass.
 func (c *Coordinator) startObstacle(start *repeatedStart, zonesOut map[string]bool) planner.Obstacle {
 	host := start.view.candidate
+	if gangEnded(start.task) {
+		return planner.ObstacleGangEnded
+	}
 	if zonesOut[host.Zone] || start.view.info.GetDraining() {
 		return planner.ObstacleUnusable
 	}
 	return c.Planner.PermissionObstacle(host, start.task.Group())
 }
 
+// gangEnded reports whether a member of the task's gang is not in the same run any more: the
+// gang starts anew as a whole.
+func gangEnded(t *tracker.Task) bool {
+	return slices.ContainsFunc(t.Members(), func(member *tracker.Task) bool {
+		return !member.Assigned() || member.Run() != t.Run()
+	})
+}
+
 // repeatStart orders the start again, or the stop of the run if there is an obstacle.
 func (c *Coordinator) repeatStart(start *repeatedStart) {
 	t, view := start.task, start.view
--- a/planner/obstacle.go
+++ b/planner/obstacle.go
@@ -26,6 +26,8 @@
 	ObstacleReserved         Obstacle = "kept_for_large_task"
 	ObstacleNearTarget       Obstacle = "serving_task_near_target"
 	ObstacleNoIdleProcessors Obstacle = "no_idle_processors"
+	// ObstacleGangEnded keeps a start from being repeated: a member of its gang has ended.
+	ObstacleGangEnded Obstacle = "gang_ended"
 )
 
 // Obstacles counts the hosts by their first obstacle to a waiting task.
