coordinator: start nothing of a job whose final state is recorded

Tasks of a job start after callers were told that it is over (succeeded, failed or canceled).

Cause: a new leader decided by the stored progress alone whether a job is over. If the log has rejected the latest progress of the job, the status is newer than the progress, and a job with an assigned task is not closed before its next cycles.

Evidence: TestFinishedJobWithOldProgressStartsNothing; without SetFinal in restoreJob, go test -run TestFinishedJobWithOld ./coordinator fails for all three states: "assertion failed: 1 (int) != 0 (int): tasks of the finished job started".

Ruled out: a canceled job whose cancellation is still in the log; it was over before. A job without assigned tasks; it is closed in the first cycle, before any agent has a session.

Change: a recorded final state makes the job over.

Before/after: 1 start in each of the three cases, none.

--- a/coordinator/rejected_record_test.go
+++ b/coordinator/rejected_record_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"damaskspread.example/damaskspread/emulator"
+	"damaskspread.example/damaskspread/indexer"
 	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
 )
@@ -69,6 +70,41 @@
 	})
 }
 
+// Guards against tasks that start after callers were told that their job is over: the log has
+// rejected its latest progress, so a new leader finds an older one.
+func TestFinishedJobWithOldProgressStartsNothing(t *testing.T) {
+	t.Parallel()
+	for _, state := range []wire.JobState{wire.JobState_JOB_STATE_SUCCEEDED, wire.JobState_JOB_STATE_FAILED, wire.JobState_JOB_STATE_CANCELED} {
+		t.Run(state.String(), func(t *testing.T) {
+			t.Parallel()
+			f := newTestFleet(t, 1, 1, fixedRunTime(20*time.Millisecond))
+			leader := f.leader()
+			f.killEntry(leader)
+			job := &wire.Job{Id: jobID, Queue: "previews", Service: service, Steps: steps(2)}
+			f.submitted[jobID] = job
+			status, err := indexer.StatusRecord(jobID, state)
+			assert.NilError(t, err)
+			progress := &wire.JobProgress{PartTasks: tracker.PartTasks, Occurrences: []*wire.OccurrenceProgress{{Steps: []*wire.StepProgress{{
+				Tasks: []*wire.TaskProgress{{State: wire.JobTaskState_JOB_TASK_STATE_ASSIGNED, Run: 1, Executor: "lost", Host: "lost"}},
+			}}}}}
+			writer := &emulator.KeyedLogClient{Log: f.log}
+			for topic, records := range map[string][]*wire.KeyedRecord{
+				indexer.Topic: {{Key: jobID, Value: encoded(t, job)}, status},
+				"progress":    {{Key: jobID, Value: encoded(t, progress)}},
+			} {
+				_, err := writer.Append(t.Context(), topic, records, nil)
+				assert.NilError(t, err)
+			}
+			f.startEntry(leader)
+			const other = "00000000000000b2"
+			f.submit(f.leader(), &wire.Job{Id: other, Steps: steps(2)})
+			f.waitSucceeded(f.leader(), other)
+			assert.Equal(t, f.countEvents(wire.EndCause_END_CAUSE_UNSPECIFIED), 0, "tasks of the finished job started")
+			assert.Equal(t, f.jobState(f.leader(), jobID), state)
+		})
+	}
+}
+
 // Guards against undecodable or odd records of the progress topic that keep a new leader
 // from taking over.
 func TestOddProgressRecords(t *testing.T) {
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -133,6 +133,7 @@
 	c.holdUndecoded(epoch, id, complete)
 	if indexer.Final(entry.RecordedState()) {
 		c.closing = append(c.closing, id)
+		job.SetFinal(entry.RecordedState())
 	}
 	if entry.Canceled() {
 		job.Cancel()
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -55,7 +55,9 @@
 	canceled bool
 	failed   bool
 	started  bool
-	parts    partSet
+	// finalState is the recorded final state; UNSPECIFIED before SetFinal.
+	finalState wire.JobState
+	parts      partSet
 	// undecoded are the stored parts that could not be decoded.
 	undecoded []int
 	// doneGroups are the names of the groups that were done since the last
@@ -107,9 +109,15 @@
 	j.markChanged()
 }
 
+// SetFinal records the final state that callers were told. No further task starts, also if the
+// progress says less.
+func (j *Job) SetFinal(state wire.JobState) { j.finalState = state }
+
 // Over reports whether the job succeeded, failed or was canceled, so that no
 // further task may start. Runs may still be in progress.
-func (j *Job) Over() bool { return j.canceled || j.failed || j.succeeded() }
+func (j *Job) Over() bool {
+	return j.finalState != wire.JobState_JOB_STATE_UNSPECIFIED || j.canceled || j.failed || j.succeeded()
+}
 
 func (j *Job) succeeded() bool {
 	return j.doneOccurrences == len(j.occurrences) || j.tasks == 0
@@ -127,6 +135,8 @@
 // State returns the state of the job as callers see it.
 func (j *Job) State() wire.JobState {
 	switch {
+	case j.finalState != wire.JobState_JOB_STATE_UNSPECIFIED:
+		return j.finalState
 	case j.canceled:
 		return wire.JobState_JOB_STATE_CANCELED
 	case j.failed:
