coordinator: release the tasks of starts whose progress was rejected

Tasks of a suspended job start 3 s after its suspension, and a later leader does not know of their runs.

Cause: a job whose progress the log rejects starts no further run, so the starts of the cycle were dropped. Their tasks stayed assigned, and a start that no list shows is ordered again after 3 s.

Evidence: TestRejectedRecordStopsNoOtherJob, which ended before 3 s had passed and now waits for 4 s; without the change, go test -run TestRejectedRecordStops ./coordinator fails: "assertion failed: 200 (int) != 0 (int): tasks started that a new leader would not know".

Ruled out: starts that were ordered before and are repeated; their progress is stored.

Change: the tasks of the dropped starts are released, and wait as the others of the job do.

Before/after: 200 starts of the suspended job within 4 s, none.

--- a/coordinator/progress.go
+++ b/coordinator/progress.go
@@ -152,7 +152,8 @@
 }
 
 // suspendJob starts no further run of a job whose progress the log rejects: a new leader
-// would not know of the run. The starts of the cycle are not ordered.
+// would not know of the run. The starts of the cycle are not ordered, and the tasks of those
+// that were not ordered before are released.
 func (c *Coordinator) suspendJob(cycle *cycleState, key string) {
 	id, _, _ := tracker.ParsePartKey(key)
 	if c.jobs[id] == nil {
@@ -162,7 +163,13 @@
 	log.Error().Str("job", id).Str("key", key).Msg("job suspended: its progress cannot be stored")
 	for _, view := range cycle.views {
 		view.starts = slices.DeleteFunc(view.starts, func(order *wire.StartOrder) bool {
-			return tracker.JobOf(order.GetTask()) == id
+			if tracker.JobOf(order.GetTask()) != id {
+				return false
+			}
+			if !order.GetRepeated() {
+				c.task(order.GetTask()).Release()
+			}
+			return true
 		})
 	}
 }
--- a/coordinator/rejected_record_test.go
+++ b/coordinator/rejected_record_test.go
@@ -15,6 +15,9 @@
 	"damaskspread.example/damaskspread/wire"
 )
 
+// startRepetition is longer than the time after which a leader repeats a start.
+const startRepetition = 4 * time.Second
+
 // Guards against a record that the log rejects for its size and the leader appends again
 // and again: no other job would start any more.
 func TestRejectedRecordStopsNoOtherJob(t *testing.T) {
@@ -25,6 +28,7 @@
 	f.submit(f.leader(), &wire.Job{Id: large, Steps: []*wire.JobStep{{Count: 200, Resources: &wire.Resources{Millicores: 1}}}})
 	f.submit(f.leader(), &wire.Job{Id: other, Steps: steps(2)})
 	f.waitSucceeded(f.leader(), other)
+	f.pass(startRepetition)
 	assert.Equal(t, f.countEvents(wire.EndCause_END_CAUSE_UNSPECIFIED), 0, "tasks started that a new leader would not know")
 }
 
