--- a/coordinator/repeated_start_test.go
+++ b/coordinator/repeated_start_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"damaskspread.example/damaskspread/runner"
 	"damaskspread.example/damaskspread/wire"
 )
 
@@ -156,6 +157,30 @@
 	}
 }
 
+// Guards against a member of a gang that starts alone, from a checkpoint of its own, after the run
+// of another member has ended.
+func TestGangIsNotRepeatedAfterAnEnd(t *testing.T) {
+	t.Parallel()
+	resources := &wire.Resources{Millicores: 100}
+	o := newOrderedBefore(t, &wire.Job{Id: jobID, Steps: []*wire.JobStep{{Count: 2, Gang: true, Resources: resources}}})
+	opening := o.agent.opening("n.1", o.info)
+	opening.Ends = []*wire.RunEnd{{
+		Number:     1,
+		Task:       olderRunTask,
+		Run:        1,
+		Cause:      wire.EndCause_END_CAUSE_GANG_INCOMPLETE,
+		Checkpoint: "checkpoint",
+	}}
+	o.f.waitFor("takeover", func() bool {
+		response := o.agent.send(opening)
+		return response.GetLeader() == nil && !response.GetReopen()
+	})
+	time.Sleep(heldBackFor)
+	started, stopped := runsIn(o.agent.send(o.agent.request("n.1", o.info)).GetOrders())
+	assert.Equal(t, len(started), 0, "started %v", started)
+	assert.DeepEqual(t, stopped, []int32{1})
+}
+
 // Guards against jobs that are not counted as pending, although none of their tasks has
 // started anywhere, because they are assigned to an executor whose agent is silent.
 func TestJobOfASilentHostIsPending(t *testing.T) {
@@ -198,3 +223,23 @@
 	expose(2, true)
 	f.waitFor("running", func() bool { return f.jobState(leader, jobID) == wire.JobState_JOB_STATE_RUNNING })
 }
+
+// Guards against a start later than a cancellation allows: the inputs are almost too old when it
+// is decided, and the order is as late as one with new inputs may be.
+func TestOldInputsCountAsAgeOfTheOrder(t *testing.T) {
+	t.Parallel()
+	f := newTestFleet(t, 1, 0, fixedRunTime(-1))
+	const inputAge = 1400 * time.Millisecond
+	f.operations.configAge.Store(int64(inputAge))
+	agent, info := newManualAgent(t, f.leader(), "host-0"), executorInfo("executor-0", 1)
+	agent.open(f, "s.1", info)
+	f.submit(f.leader(), oneTask())
+	var orders []*wire.Order
+	f.waitFor("start order", func() bool {
+		orders = agent.pollOrders("s.1", info)
+		return len(orders) > 0
+	})
+	const cancelWithin = 3 * time.Second
+	age := time.Duration(orders[0].GetAgeMs()) * time.Millisecond
+	assert.Assert(t, age >= inputAge+runner.MaxStartDelay-cancelWithin, "age %s", age)
+}
