Dispatcher: requests use the endpoints of the state that operators see

What callers saw: requests to a service whose endpoints had just joined were answered 503 not_run no_endpoint, although services at the same entry showed them.

Cause: the router got the endpoints only every 200 ms. For as long, an entry also sent requests to endpoints that it knew to leave or to be in a zone out of service; their agents refuse these. And an entry that had replayed the log was not ready before the next tick.

Ruled out: a shorter interval, which leaves the window; a list for each change of the routes without a request, which costs 3 ms for 7,400 hosts for each batch while many hosts join.

Change: each try compares the version of the routes and refreshes the router before it picks an endpoint if they differ. One caller lists the hosts for a version; others wait for it and list nothing. The lock is no longer the one that counts requests. An entry has its endpoints as soon as the log is replayed. Keyed requests went by the replayed state before; they refresh too, so that the router counts them at an endpoint that has just joined.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -3,9 +3,9 @@
 // and writes the complete response. Package router picks the endpoints; package
 // admitter is the receiving side at the agent.
 //
-// It owns the requests in flight at the entry. Run updates the router's endpoints
-// from the replayed state every 200 ms and blocks until its tomb dies. A hedged
-// request uses up to two goroutines, which wait for agents. The handler works
+// It owns the requests in flight at the entry. Each try updates the router's
+// endpoints if the replayed ones have changed; Run does so every 200 ms and blocks
+// until its tomb dies. A hedged request uses up to two goroutines, which wait for agents. The handler works
 // with HTTP/1.1 and HTTP/2 servers.
 //
 // The outcome not_run of a request with an idempotency key covers all attempts
@@ -93,14 +93,12 @@
 	clients  sync.Map    // address to wireconnect.AgentServiceClient
 	notReady atomic.Bool // Drain was called; requests are still accepted
 	draining atomic.Bool // new requests are refused
-	routed   atomic.Bool // see EndpointsLoaded
 	mu       sync.Mutex
 	inFlight int
 	idle     chan struct{} // closed when no request is in progress; nil without a waiting Drain
-	// The endpoints that the router has, by service, and their version.
-	endpoints     map[string][]damaskspread.Endpoint
-	routesVersion int64
-	refreshed     bool // Refresh has set the two fields above
+
+	refreshMu sync.Mutex             // serializes writers of routes and calls of SetEndpoints
+	routes    atomic.Pointer[routes] // nil before the first Refresh
 }
 
 // Ready reports whether the load balancer should send requests to this entry.
@@ -108,10 +106,9 @@
 	return !d.notReady.Load() && d.EndpointsLoaded() && d.Follower.Age() <= d.CurrencyLimit
 }
 
-// EndpointsLoaded reports whether the entry has replayed the log completely and passed the
-// endpoints to the router. Before that, requests are refused because no
-// endpoint is known.
-func (d *Dispatcher) EndpointsLoaded() bool { return d.routed.Load() }
+// EndpointsLoaded reports whether the entry has replayed the log completely. Before
+// that, requests are refused because no endpoint is known.
+func (d *Dispatcher) EndpointsLoaded() bool { return d.Follower.Age() < damaskspread.MaxAge }
 
 // InFlight returns the number of requests in progress.
 func (d *Dispatcher) InFlight() int {
--- a/dispatcher/tries.go
+++ b/dispatcher/tries.go
@@ -96,6 +96,7 @@
 	var last *damaskspread.RefusalError
 	mayHaveRun := false
 	for try := 1; ; try++ {
+		d.Refresh()
 		pick, ok := d.Router.Pick(in.service, avoid)
 		if !ok {
 			last = damaskspread.NotRun(damaskspread.ReasonNoEndpoint, "service %q has no endpoint", in.service)
@@ -269,6 +270,7 @@
 		message.ShardEpoch = agents.epoch
 		// The try may take all of the remaining time. A lost primary is detected
 		// because no connection to it can be opened.
+		d.Refresh()
 		pick, _ := d.Router.Assign(host)
 		start := d.Clock.Now()
 		response, refusal, fromAgent := d.execute(ctx, address, message)
--- a/server/agent.go
+++ b/server/agent.go
@@ -32,9 +32,8 @@
 	// the worker once the worker responds.
 	workerStatusTimeout = 2 * time.Second
 	// routeUpdateDelay is the wait between the host's leave and the closing of
-	// its connections. Entry processes read the leave from the log and refresh
-	// their routes every 200 ms. Closing earlier would break off requests that
-	// they are sending.
+	// its connections. Entry processes read the leave from the log meanwhile.
+	// Closing earlier would break off requests that they are sending.
 	routeUpdateDelay = time.Second
 )
 
