Scheduler: the doublings of a quarantine outlive the process that waits

What operators saw: after a restart of the owning entry a worker that fails each task was probed 30 s after its latest failure, also if its quarantine had doubled to many minutes; with entries that restart in series a task failed there each half minute.

Cause: a process that starts knows the number of failures in a row and the time of the latest, and began with the minimum.

Evidence: TestQuarantineDoublesWhileEntryRestartsInSeries.

Ruled out: doubling for each recorded failure alone. Tasks at fault count too, so after a restart one bad batch would exclude all workers for an hour. A record for each quarantine, which needs an owner that appends it.

Change: the state keeps when the first of the failures in a row was, by the elapsed time. A restored quarantine doubles for each failure after the third, but is no longer than the worker has failed plus 30 s. Probes that follow each quarantine at once (30, 60, 120 s) reach both limits, so that the duration is what it was.

--- a/replayer/hosts.go
+++ b/replayer/hosts.go
@@ -71,6 +71,7 @@
 	} else {
 		state.ConsecutiveFailures = h.state.GetConsecutiveFailures()
 		state.FailedElapsedMs = h.state.GetFailedElapsedMs()
+		state.FailingSinceElapsedMs = h.state.GetFailingSinceElapsedMs()
 	}
 	if old.GetEndpoint().GetService() == state.GetSpec().GetEndpoint().GetService() {
 		h.state = state
--- a/replayer/tasks.go
+++ b/replayer/tasks.go
@@ -258,6 +258,9 @@
 	case wire.TaskResult_TASK_RESULT_SUCCEEDED:
 		h.state.ConsecutiveFailures = 0
 	case wire.TaskResult_TASK_RESULT_FAILED:
+		if h.state.GetConsecutiveFailures() == 0 {
+			h.state.FailingSinceElapsedMs = s.elapsedMs
+		}
 		h.state.ConsecutiveFailures++
 		h.state.FailedElapsedMs = s.elapsedMs
 	}
--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -69,12 +69,20 @@
 }
 
 // restore quarantines a worker whose failures before this entry started are
-// recorded in the state, the latest at failedAt. The failed tasks are not known, so
-// the quarantine starts with its minimum duration.
-func (q *quarantine) restore(host string, failures int32, failedAt time.Time) {
-	if failures >= quarantineAfterFailures {
-		q.quarantineHost(host, failedAt)
+// recorded in the state, the first at failingSince and the latest at failedAt. The
+// duration is doubled for each failure after those that began the quarantine. The
+// failed tasks are not known, and some of these failures may be the fault of their
+// tasks or have come at once, so the worker is not excluded for longer than it has
+// failed. Probes at the end of each quarantine reach both limits.
+func (q *quarantine) restore(host string, failures int32, failingSince, failedAt time.Time) {
+	if failures < quarantineAfterFailures {
+		return
+	}
+	duration := minQuarantine
+	for n := failures - quarantineAfterFailures; n > 0 && duration < maxQuarantine; n-- {
+		duration *= 2
 	}
+	q.quarantineHost(host, failedAt, min(duration, failedAt.Sub(failingSince)+minQuarantine))
 }
 
 // forgetHost drops the history of a host, because its worker restarted.
@@ -109,16 +117,16 @@
 	health := q.healthOf(host)
 	health.failedTasks[task] = true
 	if health.quarantined || len(health.failedTasks) >= quarantineAfterFailures {
-		q.quarantineHost(host, now)
+		q.quarantineHost(host, now, 2*health.duration)
 	}
 }
 
-func (q *quarantine) quarantineHost(host string, now time.Time) {
+func (q *quarantine) quarantineHost(host string, from time.Time, duration time.Duration) {
 	health := q.healthOf(host)
 	q.watched[host] = true
 	health.quarantined = true
-	health.duration = min(max(2*health.duration, minQuarantine), maxQuarantine)
-	health.until = now.Add(health.duration)
+	health.duration = min(max(duration, minQuarantine), maxQuarantine)
+	health.until = from.Add(health.duration)
 }
 
 // taskAtFault reports whether the task itself causes its failures.
--- a/scheduler/refresh.go
+++ b/scheduler/refresh.go
@@ -101,7 +101,8 @@
 		p.hosts[id] = h
 		p.hostList = append(p.hostList, h)
 		failedAt := now.Add(-s.ElapsedSince(state.GetFailedElapsedMs()))
-		p.quarantine.restore(id, state.GetConsecutiveFailures(), failedAt)
+		failingSince := now.Add(-s.ElapsedSince(state.GetFailingSinceElapsedMs()))
+		p.quarantine.restore(id, state.GetConsecutiveFailures(), failingSince, failedAt)
 	}
 	if h.spec != nil && h.spec.GetWorkerBoot() != state.GetSpec().GetWorkerBoot() {
 		p.quarantine.forgetHost(id)
--- a/scheduler/restart_test.go
+++ b/scheduler/restart_test.go
@@ -179,6 +179,42 @@
 	assert.Assert(t, waited >= 30*time.Second && waited <= 45*time.Second, "%s", waited)
 }
 
+// Guards against a quarantine that begins again with its minimum after each start of the
+// owning entry, so that a broken worker gets a task more often than each minute.
+func TestQuarantineDoublesWhileEntryRestartsInSeries(t *testing.T) {
+	c := newCluster(1, nil)
+	c.join("h", "z", 16_000, 60)
+	for i := range 3 {
+		c.submit(spec(fmt.Sprint("t", i), false, 1_000, 1))
+	}
+	c.step(tick)
+	for _, quarantine := range []time.Duration{30 * time.Second, 60 * time.Second, 120 * time.Second} {
+		for _, task := range c.claims() {
+			c.finish(task.GetSpec().GetTask(), wire.TaskResult_TASK_RESULT_FAILED)
+		}
+		c.submit(spec(fmt.Sprint("probe after ", quarantine), false, 1_000, 1))
+		waited := c.waitWithRestarts(func() bool { return len(c.claims()) > 0 })
+		assert.Assert(t, waited >= quarantine*9/10 && waited <= quarantine*3/2, "%s instead of %s", waited, quarantine)
+	}
+}
+
+// Guards against a worker that is excluded for an hour after a restart of the owning
+// entry, because many tasks failed there at once that may be at fault themselves.
+func TestQuarantineAfterBurstOfFailuresIsShortOnceEntryRestarts(t *testing.T) {
+	c := newCluster(1, nil)
+	c.join("h", "z", 16_000, 60)
+	for i := range 10 {
+		c.submit(spec(fmt.Sprint("t", i), false, 1_000, 1))
+	}
+	c.step(tick)
+	for _, task := range c.claims() {
+		c.finish(task.GetSpec().GetTask(), wire.TaskResult_TASK_RESULT_FAILED)
+	}
+	c.submit(spec("probe", false, 1_000, 1))
+	waited := c.waitWithRestarts(func() bool { return len(c.claims()) > 0 })
+	assert.Assert(t, waited <= 45*time.Second, "%s", waited)
+}
+
 // oldTask starts a task without checkpoints that is expected to end 110 s later, lets
 // the entry restart in series for 75 s, and then takes the zone out of service.
 func (c *cluster) oldTask() {
