submitter: record a cancellation also when its caller has given up

What callers saw: a DELETE got 503 or 504 (or its connection broke) while the log did not respond to its entry, and the job ran on for good once the log was back, unless somebody canceled it again. With 503 the entry had not even tried to append if the look-up failed.

Cause: Submitter.append removes a record when its caller's context ends, and Cancel returned when the look-up did, before it had queued a record. For a submission that is right, since its caller is told that the job does not run; a caller who cancels wants the record whenever it can be had.

Evidence: TestCancellationIsKeptForACallerThatGaveUp.

Ruled out: a cancellation that loses against an acceptance at another entry; the index keeps it whatever the offsets (TestSubmissionAfterItsCancellation and the lines of applyRecord and updateJob).

Change: package submitter has a canceler, which keeps one pending record an id until the log has it. Callers of the same id wait for the same record; one that gives up gets the outcome unknown. There is no limit of age, because an id names one job and its cancellation is final; at most 4,096 are pending, about 2 MB. The log tells such a cancellation by "cancellation pending", and "job canceled" has the time until it was recorded and gave_up; damaskspread_pending_cancellations counts them.

--- a/launcher/health.go
+++ b/launcher/health.go
@@ -65,6 +65,7 @@
 	e.process.metricsSet.NewGauge("damaskspread_advised_steps", func() float64 { return float64(e.coordinator.AdvisedSteps()) })
 	e.process.metricsSet.NewGauge("damaskspread_log_calls_relayed_total", func() float64 { return float64(e.logRelayer.RelayedCalls()) })
 	e.process.metricsSet.NewGauge("damaskspread_requests_in_flight", func() float64 { return float64(e.inFlight.Load()) })
+	e.process.metricsSet.NewGauge("damaskspread_pending_cancellations", func() float64 { return float64(e.submitter.PendingCancellations()) })
 	if e.Settings.Scheduling().LearnedRunTimes() {
 		e.addRunTimeMetrics()
 	}
--- a/submitter/cancel_test.go
+++ b/submitter/cancel_test.go
@@ -1,13 +1,19 @@
 package submitter_test
 
 import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
 	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/emulator"
+	"damaskspread.example/damaskspread/indexer"
 	"damaskspread.example/damaskspread/wire"
 )
 
@@ -36,3 +42,51 @@
 	assert.Equal(t, count, 0)
 	assert.NilError(t, other.submitter.Cancel(t.Context(), nil, id), "a job that is known by now")
 }
+
+// Guards against a job that runs for good because the log did not respond until the caller
+// of its cancellation gave up, and against a refusal that is untrue by then.
+func TestCancellationIsKeptForACallerThatGaveUp(t *testing.T) {
+	t.Parallel()
+	for _, submitted := range []bool{true, false} {
+		for _, set := range []func(*emulator.KeyedLogClient, bool){(*emulator.KeyedLogClient).SetDown, (*emulator.KeyedLogClient).SetUnresponsive} {
+			keyed := &emulator.KeyedLog{Clock: clockwork.NewRealClock()}
+			e := newEntry(t, keyed, false, 0)
+			if submitted {
+				assert.NilError(t, e.submit(t.Context(), id))
+				assert.NilError(t, e.tail.Refresh(t.Context()))
+			}
+			set(e.client, true)
+			for range 3 {
+				ctx, cancel := context.WithTimeout(t.Context(), 150*time.Millisecond)
+				var refusal *damaskspread.RefusalError
+				assert.Assert(t, errors.As(e.submitter.Cancel(ctx, nil, id), &refusal))
+				assert.Equal(t, refusal.Outcome, wire.Outcome_OUTCOME_UNKNOWN)
+				cancel()
+			}
+			assert.Equal(t, e.submitter.PendingCancellations(), 1)
+			set(e.client, false)
+			for started := time.Now(); !e.index.Canceled(id) || e.submitter.PendingCancellations() > 0; time.Sleep(10 * time.Millisecond) {
+				assert.Assert(t, time.Since(started) < 5*time.Second, "submitted %v: not canceled", submitted)
+			}
+			page, err := e.client.Read(t.Context(), indexer.Topic, 0, 0)
+			assert.NilError(t, err)
+			records := slices.DeleteFunc(page.GetRecords(), func(r *wire.KeyedRecord) bool { return r.GetKey() == id })
+			assert.Equal(t, len(records), 1, "a pending cancellation is stored twice")
+		}
+	}
+}
+
+// Guards against memory that grows with each cancellation during an outage of the log.
+func TestPendingCancellationsAreLimited(t *testing.T) {
+	t.Parallel()
+	e := newEntry(t, &emulator.KeyedLog{Clock: clockwork.NewRealClock()}, false, 0)
+	e.client.SetDown(true)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	var last error
+	for i := range 5000 {
+		last = e.submitter.Cancel(ctx, nil, fmt.Sprintf("%016x", i+1))
+	}
+	assert.Equal(t, e.submitter.PendingCancellations(), 4096)
+	assert.Equal(t, reasonOf(last), damaskspread.ReasonLogUnavailable)
+}
--- a/submitter/committer.go
+++ b/submitter/committer.go
@@ -45,6 +45,8 @@
 	err error
 	// rejected is set once the log has rejected the record, before done is closed.
 	rejected bool
+	// onDone is called after done is closed; nil if nothing is to be called.
+	onDone func()
 }
 
 // result returns the offset of a record, or the refusal of one that the log rejects. It
@@ -98,6 +100,11 @@
 		record: record,
 		done:   make(chan struct{}),
 	}
+	c.addQueued(queued)
+	return queued
+}
+
+func (c *batchAppender) addQueued(queued *queuedRecord) {
 	c.mu.Lock()
 	c.pending = append(c.pending, queued)
 	c.mu.Unlock()
@@ -105,7 +112,6 @@
 	case c.wake <- struct{}{}:
 	default:
 	}
-	return queued
 }
 
 // abandon removes a record whose caller no longer waits. It reports whether the
@@ -189,6 +195,15 @@
 // keep back the others. After another failed append the records stay pending and are
 // appended again.
 func (c *batchAppender) complete(batch []*queuedRecord, result *wire.AppendResult, outcomeCertain bool, err error) {
+	for queued := range c.settle(batch, result, outcomeCertain, err) {
+		if queued.onDone != nil {
+			queued.onDone()
+		}
+	}
+}
+
+// settle returns the records that are no longer pending.
+func (c *batchAppender) settle(batch []*queuedRecord, result *wire.AppendResult, outcomeCertain bool, err error) map[*queuedRecord]bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	settled := map[*queuedRecord]bool{}
@@ -214,7 +229,7 @@
 		}
 	}
 	if len(settled) == 0 {
-		return
+		return nil
 	}
 	var remaining []*queuedRecord
 	for _, queued := range c.pending {
@@ -223,6 +238,7 @@
 		}
 	}
 	c.pending = remaining
+	return settled
 }
 
 type appendResponse struct {
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -9,7 +9,8 @@
 // before the caller is told, and a job is accepted only once the index shows that no
 // other entry has refused it. docs/design/scarce_capacity.md has the records.
 //
-// A Submitter owns the records that are not yet in the log. Run is one goroutine;
+// A Submitter owns the records that are not yet in the log: those of calls, and
+// cancellations also after their callers have given up. Run is one goroutine;
 // it waits for records and for the log. While refusals are recorded there is one
 // goroutine more; it ends by itself. Calls wait in the goroutines of their
 // callers.
@@ -60,6 +61,7 @@
 	Random   func() float64
 
 	appender        batchAppender
+	canceler        canceler
 	refuser         refusalAppender
 	estimateMissing atomic.Bool
 }
@@ -69,6 +71,9 @@
 	s.appender.log = s.Log
 	s.appender.clock = s.Clock
 	s.appender.wake = make(chan struct{}, 1)
+	s.canceler.appender = &s.appender
+	s.canceler.clock = s.Clock
+	s.canceler.pending = map[string]*cancellation{}
 	s.refuser.log = s.Log
 	s.refuser.index = s.Index
 	s.refuser.tail = s.Tail
@@ -202,26 +207,27 @@
 // Cancel returns nil once the cancellation is in the log, or if the job is already
 // canceled or finished. If there is no such job, it returns a RefusalError with
 // ReasonNotFound once the cancellation is in the log: a submission that its caller has
-// given up may still be on its way to an entry or to the log.
+// given up may still be on its way to an entry or to the log. If ctx ends first, the
+// outcome is unknown, and the cancellation is recorded once the log responds.
 func (s *Submitter) Cancel(ctx context.Context, _ *wire.Queue, id string) error {
-	entry, notFound := s.lookup(ctx, id)
-	if notFound != nil && !isNotFound(notFound) {
-		return notFound
+	entry, err := s.lookup(ctx, id)
+	var notFound error
+	if isNotFound(err) {
+		notFound = err
 	}
 	if s.Index.Canceled(id) || indexer.Final(entry.RecordedState()) {
 		return notFound
 	}
-	offset, err := s.append(ctx, indexer.CancelRecord(id))
-	if err != nil {
+	if err := s.canceler.cancel(ctx, id); err != nil {
 		return err
 	}
-	tracer.Write(&tracer.JobCanceled{
-		Job:    id,
-		Offset: offset,
-	})
 	return notFound
 }
 
+// PendingCancellations returns the number of cancellations that are not yet in the log,
+// those included whose callers have given up.
+func (s *Submitter) PendingCancellations() int { return s.canceler.count() }
+
 func isNotFound(err error) bool {
 	var refusal *damaskspread.RefusalError
 	return errors.As(err, &refusal) && refusal.Reason == damaskspread.ReasonNotFound
--- a/tracer/events.go
+++ b/tracer/events.go
@@ -52,6 +52,7 @@
 	KindJobRefused      Kind = "job refused: it would end too late"
 	KindJobRepeated     Kind = "job was accepted before"
 	KindJobCanceled     Kind = "job canceled"
+	KindCancelPending   Kind = "cancellation pending"
 	KindJobState        Kind = "job state changed"
 	KindJobRedirected   Kind = "job redirected by the configuration"
 	KindRequestRefused  Kind = "request refused"
@@ -87,6 +88,7 @@
 	KindJobRefused:      func() Event { return &JobRefused{} },
 	KindJobRepeated:     func() Event { return &JobRepeated{} },
 	KindJobCanceled:     func() Event { return &JobCanceled{} },
+	KindCancelPending:   func() Event { return &CancelPending{} },
 	KindJobState:        func() Event { return &JobState{} },
 	KindJobRedirected:   func() Event { return &JobRedirected{} },
 	KindRequestRefused:  func() Event { return &RequestRefused{} },
--- a/tracer/job_events.go
+++ b/tracer/job_events.go
@@ -45,6 +45,16 @@
 type JobCanceled struct {
 	Job    string `json:"job"`
 	Offset int64  `json:"offset"`
+	// Append is the time from the request until the record was in the log.
+	Append Milliseconds `json:"append_ms"`
+	// GaveUp is set if a caller got no confirmation.
+	GaveUp bool `json:"gave_up,omitempty"`
+}
+
+// CancelPending means that a caller of a cancellation has given up before its record
+// is in the log. JobCanceled follows once it is.
+type CancelPending struct {
+	Job string `json:"job"`
 }
 
 // JobState means that the job state that callers see has changed.
@@ -70,6 +80,7 @@
 func (*JobRefused) kind() Kind     { return KindJobRefused }
 func (*JobRepeated) kind() Kind    { return KindJobRepeated }
 func (*JobCanceled) kind() Kind    { return KindJobCanceled }
+func (*CancelPending) kind() Kind  { return KindCancelPending }
 func (*JobState) kind() Kind       { return KindJobState }
 func (*RequestRefused) kind() Kind { return KindRequestRefused }
 
@@ -77,5 +88,6 @@
 func (e *JobRefused) job() string     { return e.Job }
 func (e *JobRepeated) job() string    { return e.Job }
 func (e *JobCanceled) job() string    { return e.Job }
+func (e *CancelPending) job() string  { return e.Job }
 func (e *JobState) job() string       { return e.Job }
 func (e *RequestRefused) job() string { return e.Job }
