submitter: cancel a job also while reads of the log get no response

What callers saw: a DELETE of a job that its entry didn't know waited until the caller's deadline for a read and got 503, although the log took appends, and was not recorded.

Cause: Cancel looked the job up for as long as the caller waits, only to choose between 200 and 410 and to save an append if the job was over.

Evidence: TestCancellationWhileReadsGetNoResponse.

Ruled out: a look-up beside the append. It costs an append for each cancellation of a job that is over or was canceled at another entry; TestSubmissionAfterItsCancellation allows none.

Change: the look-up of a cancellation takes at most 0.5 s; the read that it begins takes one response of the log otherwise. Then the cancellation is appended all the same. The response is 200, which promises that no such job runs on; 410 would need a current view.

Before/after: 503 after the deadline of 2 s and nothing recorded; now 200 and recorded. The cancellation tests of the package pass with -race.

--- a/submitter/cancel_test.go
+++ b/submitter/cancel_test.go
@@ -76,6 +76,22 @@
 	}
 }
 
+// Guards against a cancellation that waits for a read although the log takes appends.
+func TestCancellationWhileReadsGetNoResponse(t *testing.T) {
+	t.Parallel()
+	keyed := &emulator.KeyedLog{Clock: clockwork.NewRealClock()}
+	e, other := newEntry(t, keyed, false, 0), newEntry(t, keyed, false, 0)
+	e.counted.KeyedLog = other.client
+	e.client.SetUnresponsive(true)
+	// Ends the read in progress, which may respond.
+	time.Sleep(400 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	assert.NilError(t, e.submitter.Cancel(ctx, nil, "00000000000000cc"))
+	assert.NilError(t, other.tail.Refresh(t.Context()))
+	assert.Assert(t, other.index.Canceled("00000000000000cc"))
+}
+
 // Guards against memory that grows with each cancellation during an outage of the log.
 func TestPendingCancellationsAreLimited(t *testing.T) {
 	t.Parallel()
--- a/submitter/canceler.go
+++ b/submitter/canceler.go
@@ -13,8 +13,13 @@
 	"damaskspread.example/damaskspread/tracer"
 )
 
-// maxPendingCancellations bounds the memory of an outage, to about 2 MB.
-const maxPendingCancellations = 4096
+const (
+	// maxPendingCancellations bounds the memory of an outage, to about 2 MB.
+	maxPendingCancellations = 4096
+	// cancelLookupTimeout bounds the read before a cancellation is appended, so that one
+	// is recorded also while only reads get no response.
+	cancelLookupTimeout = 500 * time.Millisecond
+)
 
 var errManyCancellations = errors.New("too many cancellations wait for the log")
 
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -210,7 +210,9 @@
 // given up may still be on its way to an entry or to the log. If ctx ends first, the
 // outcome is unknown, and the cancellation is recorded once the log responds.
 func (s *Submitter) Cancel(ctx context.Context, _ *wire.Queue, id string) error {
-	entry, err := s.lookup(ctx, id)
+	lookupCtx, cancel := context.WithTimeout(ctx, cancelLookupTimeout)
+	entry, err := s.lookup(lookupCtx, id)
+	cancel()
 	var notFound error
 	if isNotFound(err) {
 		notFound = err
