launcher: a stopping entry waits for its pending cancellations

What callers saw: a cancellation that an entry still had to record when it was stopped was lost, and the job ran on.

Cause: stop ends once no request is in progress and the load balancer sends no new ones. A cancellation whose caller has given up is no request in progress.

Ruled out: one last append after the goroutines have ended. It gets one attempt, at a moment at which the log is likely still out, and needs a second path for appends.

--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -323,9 +323,9 @@
 }
 
 // stop turns readiness off, resigns the leadership and keeps serving until the
-// load balancer sends no more new connections and no request is in progress, at
-// most for the grace period without stopMargin. Then it closes the listener for
-// callers.
+// load balancer sends no more new connections, no request is in progress and the log
+// has all cancellations, at most for the grace period without stopMargin. Then it closes
+// the listener for callers.
 func (e *Entry) stop() {
 	log.Info().Int64("in_flight", e.inFlight.Load()).Msg("process stopping")
 	e.process.stopping.Store(true)
@@ -336,7 +336,8 @@
 	limit := e.Settings.Bounds().Grace() - stopMargin
 	for {
 		waited := e.process.elapsed.Elapsed() - start
-		if waited > limit || (waited > unreadyDelay && e.inFlight.Load() == 0) {
+		finished := e.inFlight.Load() == 0 && e.submitter.PendingCancellations() == 0
+		if waited > limit || (waited > unreadyDelay && finished) {
 			break
 		}
 		e.Clock.Sleep(20 * time.Millisecond)
@@ -347,4 +348,7 @@
 	if err := e.process.servers[0].Shutdown(shutdownCtx); err != nil {
 		log.Warn().Err(err).Msg("requests still running at the end of the grace period")
 	}
+	if pending := e.submitter.PendingCancellations(); pending > 0 {
+		log.Warn().Int("cancellations", pending).Msg("cancellations not recorded at the end of the grace period")
+	}
 }
