--- a/jobs.go
+++ b/jobs.go
@@ -98,6 +98,9 @@
 	Status(ctx context.Context, queue *wire.Queue, id string) (wire.JobState, error)
 	// Cancel has no effect on a job that has ended.
 	Cancel(ctx context.Context, queue *wire.Queue, id string) error
+	// CancelLater returns at once, without an outcome: the cancellation takes effect if
+	// it can be stored before the process ends. The error means that it never does.
+	CancelLater(id string) error
 	// QueuedCount returns the number of the queue's jobs in JOB_STATE_QUEUED.
 	QueuedCount(ctx context.Context, queue *wire.Queue) (int, error)
 }
--- a/submitter/cancel_test.go
+++ b/submitter/cancel_test.go
@@ -63,6 +63,7 @@
 				assert.Equal(t, refusal.Outcome, wire.Outcome_OUTCOME_UNKNOWN)
 				cancel()
 			}
+			assert.NilError(t, e.submitter.CancelLater(id))
 			assert.Equal(t, e.submitter.PendingCancellations(), 1)
 			set(e.client, false)
 			for started := time.Now(); !e.index.Canceled(id) || e.submitter.PendingCancellations() > 0; time.Sleep(10 * time.Millisecond) {
@@ -76,6 +77,16 @@
 	}
 }
 
+// Guards against a cancellation that is lost because nobody waits for it.
+func TestCancellationWithoutAWaitingCaller(t *testing.T) {
+	t.Parallel()
+	e := newEntry(t, &emulator.KeyedLog{Clock: clockwork.NewRealClock()}, false, 0)
+	assert.NilError(t, e.submitter.CancelLater(id))
+	for started := time.Now(); !e.index.Canceled(id); time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Since(started) < 5*time.Second)
+	}
+}
+
 // Guards against a cancellation that waits for a read although the log takes appends.
 func TestCancellationWhileReadsGetNoResponse(t *testing.T) {
 	t.Parallel()
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -226,6 +226,16 @@
 	return notFound
 }
 
+// CancelLater implements damaskspread.JobService.
+func (s *Submitter) CancelLater(id string) error {
+	pending := s.canceler.add(id)
+	if pending == nil {
+		return logUnavailable(errManyCancellations)
+	}
+	s.canceler.keep(id, pending)
+	return nil
+}
+
 // PendingCancellations returns the number of cancellations that are not yet in the log,
 // those included whose callers have given up.
 func (s *Submitter) PendingCancellations() int { return s.canceler.count() }
