tailer: pass on newest records only with what was appended meanwhile

What callers could see: a job that was canceled, or that had ended, starts once more at a new leader. Not observed; found by reading.

If the records of a job are removed after the page with the job and before the page with its cancellation or state, the index has the job alone until the next read. readNewest passed that on and declared the view current, so a Refresh ended, and a new leader takes its jobs from such a view (takeover and applyJobs start any job that has no final state and isn't canceled). It needs more than one page of keys in the topic jobs.

Evidence: TestPagesAreNoViewUntilLaterRecordsAreRead. Without the fix: go test -count=1 -run PagesAreNoView ./tailer tailer_test.go:191: r.value("j48") == "" || r.value("j48.cancel") != "": without its cancellation after 1

Ruled out: a later state of the index; the next read applied the removal, so the fault lasted for one read.

Change: readNewest reads on from the end of the first page to that of the last one before anything is passed on. With one page, or without appends between, there is no further call.

--- a/tailer/read.go
+++ b/tailer/read.go
@@ -88,36 +88,65 @@
 	t.advance(next, next >= page.GetEnd(), started)
 }
 
-// readNewest reads the newest record of each key. The pages are not one snapshot:
-// records appended after the first page may be missing. The next read therefore
-// starts at the end offset of the first page. It delivers some records again, in
+// readNewest reads the newest record of each key. The pages are not one snapshot: of the
+// records appended after the first page some may be missing, so that a later page may lack
+// a key which belongs to one of an earlier page. What was appended from the first page to
+// the last is therefore read before anything is passed on. That repeats some records, in
 // order, so the newest record of a key is applied last.
 func (t *Tailer) readNewest(ctx context.Context, started time.Duration) error {
 	var records []*wire.KeyedRecord
-	end := int64(-1)
+	next, end := int64(-1), int64(0)
 	after := ""
 	for {
 		page, err := t.page(ctx, after)
 		if err != nil {
 			return err
 		}
-		if end < 0 {
-			end = page.GetEnd()
+		if next < 0 {
+			next = page.GetEnd()
 		}
+		end = page.GetEnd()
 		records = append(records, page.GetRecords()...)
 		if !page.GetMore() || len(page.GetRecords()) == 0 {
 			break
 		}
 		after = records[len(records)-1].GetKey()
 	}
-	t.Apply(records, true)
+	later, err := t.readUpTo(ctx, next, end)
+	if err != nil {
+		return err
+	}
+	if len(later) > 0 {
+		next = later[len(later)-1].GetOffset() + 1
+	}
+	t.Apply(append(records, later...), true)
 	t.mu.Lock()
 	t.ready = true
 	t.mu.Unlock()
-	t.advance(end, true, started)
+	t.advance(next, true, started)
 	return nil
 }
 
+// readUpTo reads the records from an offset on, at least up to an end that the topic has
+// reached.
+func (t *Tailer) readUpTo(ctx context.Context, next, end int64) ([]*wire.KeyedRecord, error) {
+	var records []*wire.KeyedRecord
+	for next < end {
+		readCtx, cancel, _ := damaskspread.BeginRead(ctx, 0)
+		page, err := t.Log.Read(readCtx, t.Topic, next, 0)
+		cancel()
+		if err != nil {
+			return nil, err
+		}
+		if len(page.GetRecords()) == 0 {
+			break
+		}
+		records = append(records, page.GetRecords()...)
+		next = records[len(records)-1].GetOffset() + 1
+	}
+	return records, nil
+}
+
 // page reads one page of newest records, starting after a key.
 func (t *Tailer) page(ctx context.Context, after string) (*wire.KeyedPage, error) {
 	readCtx, cancel, _ := damaskspread.BeginRead(ctx, 0)
--- a/tailer/tailer_test.go
+++ b/tailer/tailer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -159,6 +160,42 @@
 	assert.Equal(t, r.value("before"), "")
 }
 
+// changingLog appends records after the first page of newest records.
+type changingLog struct {
+	damaskspread.KeyedLog
+	records []*wire.KeyedRecord
+}
+
+func (l *changingLog) Newest(ctx context.Context, topic, after string) (*wire.KeyedPage, error) {
+	page, err := l.KeyedLog.Newest(ctx, topic, after)
+	if after == "" && l.records != nil {
+		_, err = l.Append(ctx, topic, l.records, nil)
+		l.records = nil
+	}
+	return page, err
+}
+
+// Guards against a job that seems open and not canceled, because its records were removed
+// while the pages of the newest records were read.
+func TestPagesAreNoViewUntilLaterRecordsAreRead(t *testing.T) {
+	r := newReader(t, 50*time.Millisecond)
+	for i := range 49 {
+		r.put(t, fmt.Sprintf("j%02d", i), "job")
+	}
+	r.put(t, "j48.cancel", "1")
+	r.tail.Log = &changingLog{KeyedLog: r.client, records: []*wire.KeyedRecord{{Key: "j48"}, {Key: "j48.cancel"}}}
+	applies := 0
+	r.tail.Apply = func(records []*wire.KeyedRecord, reset bool) {
+		r.apply(records, reset)
+		applies++
+		assert.Check(t, r.value("j48") == "" || r.value("j48.cancel") != "", "without its cancellation after %d", applies)
+	}
+	r.start(t)
+	r.refresh(t)
+	assert.Equal(t, r.value("j47"), "job")
+	assert.Equal(t, r.value("j48"), "")
+}
+
 // Guards against an age that stays low while the log doesn't respond.
 func TestAge(t *testing.T) {
 	r := startReader(t, 50*time.Millisecond)
