submitter: append cancellations before other records and apart from them

What callers saw: on a slow link, a DELETE got 504 and was not recorded while the entry had large jobs to record, although its own record has 20 bytes.

Cause: an append takes all pending records, up to 200 or 1 MiB, and may last 2 s. Where the link takes longer, it times out and is repeated with the same records, so a cancellation in the batch is recorded only when enough callers have given up, and not while others follow.

TestCancellationBesideLargeJobsOnASlowLink without the fix: go test -count=1 -run BesideLargeJobs ./submitter cancel_test.go:106: append_unknown != not_found

Change: records of cancellations are urgent: the next append has these alone. That is one append more where both are pending at the same moment.

--- a/submitter/cancel_test.go
+++ b/submitter/cancel_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -87,6 +88,24 @@
 	}
 }
 
+// Guards against a cancellation that is not recorded because the jobs of its batch take the
+// link longer than an append may last.
+func TestCancellationBesideLargeJobsOnASlowLink(t *testing.T) {
+	t.Parallel()
+	e := newEntry(t, &emulator.KeyedLog{Clock: clockwork.NewRealClock()}, false, 0)
+	e.client.SetUploadRate(100 << 10)
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	ctx, stop := context.WithTimeout(t.Context(), 4*time.Second)
+	defer stop()
+	for i := range 12 {
+		callers.Go(func() { _ = submitLarge(ctx, t, e, fmt.Sprintf("%016x", i+1), 30<<10) })
+	}
+	// The first append of several jobs is in progress.
+	time.Sleep(600 * time.Millisecond)
+	assert.Equal(t, reasonOf(e.submitter.Cancel(ctx, nil, id)), damaskspread.ReasonNotFound)
+}
+
 // Guards against a cancellation that waits for a read although the log takes appends.
 func TestCancellationWhileReadsGetNoResponse(t *testing.T) {
 	t.Parallel()
--- a/submitter/canceler.go
+++ b/submitter/canceler.go
@@ -77,6 +77,7 @@
 		record: &queuedRecord{
 			record: indexer.CancelRecord(id),
 			done:   make(chan struct{}),
+			urgent: true,
 		},
 		since: c.clock.Now(),
 	}
--- a/submitter/committer.go
+++ b/submitter/committer.go
@@ -45,6 +45,8 @@
 	err error
 	// rejected is set once the log has rejected the record, before done is closed.
 	rejected bool
+	// urgent records are appended before others and apart from them.
+	urgent bool
 	// onDone is called after done is closed; nil if nothing is to be called.
 	onDone func()
 }
@@ -128,14 +130,18 @@
 	return queued.maybeAppended, queued.err
 }
 
-// nextBatch returns the oldest pending records. They stay pending until the
-// append succeeds.
+// nextBatch returns the oldest pending records, urgent ones alone. They stay pending until
+// the append succeeds.
 func (c *batchAppender) nextBatch() []*queuedRecord {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	count := damaskspread.CountWithin(min(len(c.pending), cmp.Or(c.batchLimit, maxBatchRecords)), damaskspread.MaxAppendBytes,
-		func(i int) int { return damaskspread.RecordBytes(c.pending[i].record) })
-	batch := c.pending[:count]
+	candidates := c.urgentPending()
+	if len(candidates) == 0 {
+		candidates = c.pending
+	}
+	count := damaskspread.CountWithin(min(len(candidates), cmp.Or(c.batchLimit, maxBatchRecords)), damaskspread.MaxAppendBytes,
+		func(i int) int { return damaskspread.RecordBytes(candidates[i].record) })
+	batch := candidates[:count]
 	for _, queued := range batch {
 		// The record may reach the log from now on.
 		queued.maybeAppended = true
@@ -143,6 +149,18 @@
 	return append([]*queuedRecord(nil), batch...)
 }
 
+// urgentPending returns the oldest urgent records. A batch of large jobs may not get through a
+// slow link before its append times out, again and again. The lock is held.
+func (c *batchAppender) urgentPending() []*queuedRecord {
+	var urgent []*queuedRecord
+	for _, queued := range c.pending {
+		if queued.urgent && len(urgent) < maxBatchRecords {
+			urgent = append(urgent, queued)
+		}
+	}
+	return urgent
+}
+
 // run appends pending records until the tomb dies.
 func (c *batchAppender) run(tb *tomb.Tomb) error {
 	ctx := tb.Context(context.Background())
