submitter: append in smaller parts after an append without a response

What callers saw: on a slow link nearly every large job got 504 while others were submitted at the same entry.

An append of up to 200 records or 1 MiB that can't get through within its 2 s is repeated with the same records. Only a rejection divided it.

Evidence: TestLargeJobsOnASlowLinkAreAccepted, 16 callers with 20 kB jobs at 100 kB/s. Without the fix: go test -count=1 -run SlowLinkAreAccepted ./submitter rejected_test.go:70: append may have taken effect: context deadline exceeded (15 s)

Ruled out: a longer append. It would also be the time after which a lost response is noticed.

Change: after an append with an unknown outcome the next one has half of its records, as after a rejection; a success ends that. An append that was certainly refused is repeated as it was.

Before/after: none of the later 15 jobs within 15 s; now all 16 in 5.3 s (the link takes 3.1 s). go test -race of the package passes.

--- a/submitter/committer.go
+++ b/submitter/committer.go
@@ -76,7 +76,8 @@
 	pending []*queuedRecord
 	wake    chan struct{}
 	// batchLimit is the largest number of records in the next append. It is lower than
-	// maxBatchRecords while a record that the log rejects is searched for.
+	// maxBatchRecords while a record that the log rejects is searched for, and after an append
+	// without a response.
 	batchLimit int
 	// failingSince is when the first append after the last success began; zero if it
 	// has not failed.
@@ -211,7 +212,8 @@
 // complete ends the calls of an appended batch, and that of a record which the log
 // rejects alone. A larger batch that is rejected is divided, so that one bad record doesn't
 // keep back the others. After another failed append the records stay pending and are
-// appended again.
+// appended again, after one without a response in parts: all of them may take the link longer
+// than an append may last.
 func (c *batchAppender) complete(batch []*queuedRecord, result *wire.AppendResult, outcomeCertain bool, err error) {
 	for queued := range c.settle(batch, result, outcomeCertain, err) {
 		if queued.onDone != nil {
@@ -227,7 +229,7 @@
 	settled := map[*queuedRecord]bool{}
 	c.batchLimit = 0
 	rejected := isRejection(err)
-	if rejected {
+	if rejected || !outcomeCertain {
 		c.batchLimit = max(1, len(batch)/2)
 	}
 	for i, queued := range batch {
--- a/submitter/rejected_test.go
+++ b/submitter/rejected_test.go
@@ -57,6 +57,21 @@
 	}
 }
 
+// Guards against jobs that are never accepted because their append times out on a slow link and
+// is repeated with as many.
+func TestLargeJobsOnASlowLinkAreAccepted(t *testing.T) {
+	t.Parallel()
+	e := newEntry(t, &emulator.KeyedLog{Clock: clockwork.NewRealClock()}, false, 0)
+	e.client.SetUploadRate(100 << 10)
+	ctx, cancel := context.WithTimeout(t.Context(), 15*time.Second)
+	defer cancel()
+	var calls sync.WaitGroup
+	for i := range 16 {
+		calls.Go(func() { assert.Check(t, submitLarge(ctx, t, e, fmt.Sprintf("%016x", i+1), 20<<10)) })
+	}
+	calls.Wait()
+}
+
 // scriptedLog answers its first appends with the errors, and the later ones after the pause.
 type scriptedLog struct {
 	damaskspread.KeyedLog
