--- a/submitter/committer.go
+++ b/submitter/committer.go
@@ -45,6 +45,10 @@
 	err error
 	// rejected is set once the log has rejected the record, before done is closed.
 	rejected bool
+	// urgent records are appended before others and apart from them.
+	urgent bool
+	// onDone is called after done is closed; nil if nothing is to be called.
+	onDone func()
 }
 
 // result returns the offset of a record, or the refusal of one that the log rejects. It
@@ -72,7 +76,8 @@
 	pending []*queuedRecord
 	wake    chan struct{}
 	// batchLimit is the largest number of records in the next append. It is lower than
-	// maxBatchRecords while a record that the log rejects is searched for.
+	// maxBatchRecords while a record that the log rejects is searched for, and after an append
+	// without a response.
 	batchLimit int
 	// failingSince is when the first append after the last success began; zero if it
 	// has not failed.
@@ -98,6 +103,11 @@
 		record: record,
 		done:   make(chan struct{}),
 	}
+	c.addQueued(queued)
+	return queued
+}
+
+func (c *batchAppender) addQueued(queued *queuedRecord) {
 	c.mu.Lock()
 	c.pending = append(c.pending, queued)
 	c.mu.Unlock()
@@ -105,7 +115,6 @@
 	case c.wake <- struct{}{}:
 	default:
 	}
-	return queued
 }
 
 // abandon removes a record whose caller no longer waits. It reports whether the
@@ -122,14 +131,18 @@
 	return queued.maybeAppended, queued.err
 }
 
-// nextBatch returns the oldest pending records. They stay pending until the
-// append succeeds.
+// nextBatch returns the oldest pending records, urgent ones alone. They stay pending until
+// the append succeeds.
 func (c *batchAppender) nextBatch() []*queuedRecord {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	count := damaskspread.CountWithin(min(len(c.pending), cmp.Or(c.batchLimit, maxBatchRecords)), damaskspread.MaxAppendBytes,
-		func(i int) int { return damaskspread.RecordBytes(c.pending[i].record) })
-	batch := c.pending[:count]
+	candidates := c.urgentPending()
+	if len(candidates) == 0 {
+		candidates = c.pending
+	}
+	count := damaskspread.CountWithin(min(len(candidates), cmp.Or(c.batchLimit, maxBatchRecords)), damaskspread.MaxAppendBytes,
+		func(i int) int { return damaskspread.RecordBytes(candidates[i].record) })
+	batch := candidates[:count]
 	for _, queued := range batch {
 		// The record may reach the log from now on.
 		queued.maybeAppended = true
@@ -137,6 +150,18 @@
 	return append([]*queuedRecord(nil), batch...)
 }
 
+// urgentPending returns the oldest urgent records. A batch of large jobs may not get through a
+// slow link before its append times out, again and again. The lock is held.
+func (c *batchAppender) urgentPending() []*queuedRecord {
+	var urgent []*queuedRecord
+	for _, queued := range c.pending {
+		if queued.urgent && len(urgent) < maxBatchRecords {
+			urgent = append(urgent, queued)
+		}
+	}
+	return urgent
+}
+
 // run appends pending records until the tomb dies.
 func (c *batchAppender) run(tb *tomb.Tomb) error {
 	ctx := tb.Context(context.Background())
@@ -187,14 +212,24 @@
 // complete ends the calls of an appended batch, and that of a record which the log
 // rejects alone. A larger batch that is rejected is divided, so that one bad record doesn't
 // keep back the others. After another failed append the records stay pending and are
-// appended again.
+// appended again, after one without a response in parts: all of them may take the link longer
+// than an append may last.
 func (c *batchAppender) complete(batch []*queuedRecord, result *wire.AppendResult, outcomeCertain bool, err error) {
+	for queued := range c.settle(batch, result, outcomeCertain, err) {
+		if queued.onDone != nil {
+			queued.onDone()
+		}
+	}
+}
+
+// settle returns the records that are no longer pending.
+func (c *batchAppender) settle(batch []*queuedRecord, result *wire.AppendResult, outcomeCertain bool, err error) map[*queuedRecord]bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	settled := map[*queuedRecord]bool{}
 	c.batchLimit = 0
 	rejected := isRejection(err)
-	if rejected {
+	if rejected || !outcomeCertain {
 		c.batchLimit = max(1, len(batch)/2)
 	}
 	for i, queued := range batch {
@@ -214,7 +249,7 @@
 		}
 	}
 	if len(settled) == 0 {
-		return
+		return nil
 	}
 	var remaining []*queuedRecord
 	for _, queued := range c.pending {
@@ -223,6 +258,7 @@
 		}
 	}
 	c.pending = remaining
+	return settled
 }
 
 type appendResponse struct {
