runner: call a silent executor sooner after a start without response

A new life of an executor carried out a start that had been sent to the life before, and the next run began elsewhere 1.7 s later.

Cause: nothing can refuse such a start before the first call of the new life. That call waited for the renewal that the life before held without response: 0.9 s for an end and 0.9 s of margin, then 0.15 s until the next one. Meanwhile the lease of the life before was over and a new leader ordered the next run.

Ruled out: announcements of a new life.

Change: for 5 s after a start without response, and after the start of an agent, whose predecessor may have sent one, renewals wait 0.2 s and have a margin of 0.3 s, each third failure in a row the full one. An executor that responds more slowly keeps the longer times, an announced candidate replaces the present executor only after the full margin, and silence is reported to a new leader only after three failures, so that leaders don't shorten their wait for the lease because of the shorter margin.

--- a/runner/departure.go
+++ b/runner/departure.go
@@ -137,8 +137,7 @@
 // before this one, so it can tell once it got one itself. The caller holds the mutex.
 func (r *Runner) silenceRequest() *wire.ExchangeRequest {
 	now := r.Elapsed.Elapsed()
-	silent := r.renewFailures > 0 || r.crashes.down()
-	if !silent || r.leaseUntil == 0 || r.silenceReportedAt > 0 && now-r.silenceReportedAt < silenceInterval {
+	if !r.isSilent() || r.leaseUntil == 0 || r.silenceReportedAt > 0 && now-r.silenceReportedAt < silenceInterval {
 		return nil
 	}
 	r.silenceReportedAt = now
--- a/runner/departure_test.go
+++ b/runner/departure_test.go
@@ -134,6 +134,29 @@
 	})
 }
 
+// Guards against a leader that shortens the wait for a lease because an executor, in which a
+// start may be carried out late, has been silent for a moment.
+func TestSilenceIsReportedAfterTheFullMargin(t *testing.T) {
+	t.Parallel()
+	var reopens atomic.Bool
+	l := &fakeLeader{}
+	l.respond = func(_ context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
+		time.Sleep(5 * time.Millisecond)
+		return &wire.ExchangeResponse{Reopen: !request.GetExecutorSilent() && reopens.Swap(false)}
+	}
+	_, executor := startWithEmulator(t, l)
+	waitFor(t, "session", func() bool {
+		return l.received(func(request *wire.ExchangeRequest) bool { return request.GetWaitMs() > 0 })
+	})
+	executor.SetUnresponsive(true)
+	reopens.Store(true)
+	began := time.Now()
+	waitFor(t, "report", func() bool {
+		return l.received(func(request *wire.ExchangeRequest) bool { return request.GetExecutorSilent() })
+	})
+	assert.Assert(t, time.Since(began) > 900*time.Millisecond, "reported after %s", time.Since(began))
+}
+
 // leave announces that the executor drains, and deregisters it.
 func leave(r *runner.Runner, executor *emulator.JobExecutor) {
 	draining := executor.Info("planning", "zone", &wire.Resources{})
--- /dev/null
+++ b/runner/late_start_restart_test.go
@@ -0,0 +1,78 @@
+package runner_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/wire"
+)
+
+// maxUncalled is the longest time for which a new life of an executor that may carry out
+// a start late is not called.
+const maxUncalled = time.Second
+
+// silentRestartExecutor does not respond to the first start, and restarts while it holds a
+// renewal after that. The new life is not announced.
+type silentRestartExecutor struct {
+	restartingExecutor
+	startOnce, restartOnce sync.Once
+	unanswered             chan struct{}
+	restartedAt            chan time.Time
+}
+
+func (e *silentRestartExecutor) Start(context.Context, string, *wire.StartOrder, *damaskspread.Lease) error {
+	err := error(nil)
+	e.startOnce.Do(func() {
+		err = &damaskspread.WorkerUnknownError{Cause: context.DeadlineExceeded}
+		close(e.unanswered)
+	})
+	return err
+}
+
+func (e *silentRestartExecutor) Renew(ctx context.Context, id string, lease *damaskspread.Lease, seen int64, wait time.Duration) (*wire.ExecutorState, error) {
+	select {
+	case <-e.unanswered:
+		if wait > 0 {
+			e.restartOnce.Do(func() {
+				time.AfterFunc(20*time.Millisecond, func() {
+					e.restart(2)
+					e.restartedAt <- time.Now()
+				})
+			})
+		}
+	default:
+	}
+	return e.restartingExecutor.Renew(ctx, id, lease, seen, wait)
+}
+
+// Guards against two runs of one task: a new life carries out a start that the life before
+// has not responded to, and is not called before the next run starts elsewhere, because the
+// agent waits for the response to a renewal that the life before holds.
+func TestNewLifeIsCalledSoonAfterAnUnansweredStart(t *testing.T) {
+	t.Parallel()
+	executor := &silentRestartExecutor{
+		restartingExecutor: restartingExecutor{born: 1},
+		unanswered:         make(chan struct{}),
+		restartedAt:        make(chan time.Time, 1),
+	}
+	announced := newExecutor()
+	l := &fakeLeader{respond: func(ctx context.Context, request *wire.ExchangeRequest) *wire.ExchangeResponse {
+		response := orderOneStart(ctx, request)
+		response.EndsRecorded = 5
+		return response
+	}}
+	r := startRunner(t, l, announced, executor)
+	info := announced.Info("planning", "zone", &wire.Resources{Millicores: 8000})
+	info.BornUnixMs = 1
+	r.ExecutorAnnounced(info)
+	executor.awaitCall(t)
+	restartedAt := <-executor.restartedAt
+	uncalled := time.Since(restartedAt)
+	t.Logf("the new life was called after %s", uncalled)
+	assert.Assert(t, uncalled < maxUncalled)
+}
--- a/runner/renew.go
+++ b/runner/renew.go
@@ -20,9 +20,11 @@
 	shortRenewWait     = 200 * time.Millisecond
 	shortLease         = 2500 * time.Millisecond
 	renewTimeoutMargin = 900 * time.Millisecond
-	renewRetry         = 150 * time.Millisecond
-	idleWait           = 300 * time.Millisecond
-	recordingWait      = 60 * time.Millisecond
+	// shortRenewMargin is used instead while a start may be carried out late.
+	shortRenewMargin = 300 * time.Millisecond
+	renewRetry       = 150 * time.Millisecond
+	idleWait         = 300 * time.Millisecond
+	recordingWait    = 60 * time.Millisecond
 	// minClockRate is the lowest rate of the executor's clock relative to the
 	// clock of this process.
 	minClockRate = 0.98
@@ -46,7 +48,7 @@
 		r.waitForSignal(ctx, r.renewWake, idleWait)
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, call.wait+renewTimeoutMargin)
+	callCtx, cancel := context.WithTimeout(ctx, call.wait+call.margin)
 	defer cancel()
 	if !r.beginRenewal(call, cancel) {
 		return
@@ -78,6 +80,8 @@
 	// dropUpTo is the number of the last end that the executor may drop.
 	dropUpTo int64
 	wait     time.Duration
+	// margin is the time beyond wait after which the executor counts as silent.
+	margin time.Duration
 }
 
 func (r *Runner) nextRenewal() *renewal {
@@ -97,10 +101,12 @@
 		lease:     r.executorLease(),
 		dropUpTo:  r.endsRecorded,
 		wait:      renewWait,
+		margin:    r.renewMargin(),
 
 		leaseUntil: r.leaseUntil,
 	}
-	if len(r.running) > 0 && r.renewedUntil-call.startedAt < shortLease {
+	leaseIsShort := len(r.running) > 0 && r.renewedUntil-call.startedAt < shortLease
+	if leaseIsShort || r.expectsLateStart() {
 		call.wait = shortRenewWait
 	}
 	if mayHaveRestarted {
@@ -132,6 +138,7 @@
 func (r *Runner) checkAfterStart(info *wire.ExecutorInfo) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.watchLateStart()
 	if !r.isPresent(info) || r.mayHaveRestarted() {
 		return
 	}
@@ -219,6 +226,7 @@
 	r.renewFailures = 0
 	r.unanswered = false
 	r.lastContact = now
+	r.respondsSlowly = now-call.startedAt > call.wait+shortRenewMargin
 	r.renewedUntil = max(r.renewedUntil, call.leaseUntil)
 	r.crashes.addContact()
 	r.executorClock = clockReading{
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -100,6 +100,10 @@
 	// unanswered is set if a start got no response, or the latest renewal was canceled
 	// before its response, until a later renewal gets one.
 	unanswered bool
+	// lateStartUntil is the time up to which a start without response may be carried out.
+	lateStartUntil time.Duration
+	// respondsSlowly is set if the latest response took longer than shortRenewMargin.
+	respondsSlowly bool
 	// reportedCapacity is the latest capacity that the leader is known to have
 	// received in this session.
 	reportedCapacity *wire.Resources
@@ -191,6 +195,8 @@
 	r.renewWake = make(chan struct{}, 1)
 	r.reportWake = make(chan struct{}, 1)
 	r.orderSlots = make(chan struct{}, maxConcurrentOrders)
+	// An earlier process may have called starts.
+	r.watchLateStart()
 	r.resetSession()
 }
 
@@ -255,6 +261,7 @@
 	r.endsRecorded = 0
 	r.renewFailures = 0
 	r.unanswered = false
+	r.respondsSlowly = false
 	r.unrecordedEnds = newEndList()
 	r.setRunning(nil)
 	r.refusedRuns = map[runKey]refusedRun{}
