coordinator: test a late start of a canceled job in a new life

The rule of a task that an executor started late was covered for the job that goes on, not for one that is canceled before the agent calls the new life.

--- a/coordinator/late_start_test.go
+++ b/coordinator/late_start_test.go
@@ -107,3 +107,26 @@
 	f.waitFor("run", func() bool { return h.executor.Running() > 0 })
 	f.assertNoDuplicateRuns()
 }
+
+// Guards against a task of a canceled job that runs on: its start takes effect late, in a
+// new life of the executor that no agent has called yet.
+func TestLateStartOfACanceledJobInANewLife(t *testing.T) {
+	t.Parallel()
+	f := newTestFleet(t, 1, 1, fixedRunTime(-1))
+	h := f.hosts[0]
+	h.executor.SetHeldStarts(isRun1)
+	f.submit(f.leader(), &wire.Job{Id: jobID, Steps: steps(1)})
+	f.waitFor("start call", func() bool { return h.executor.HeldStarts() > 0 })
+	f.killAgent(h)
+	f.restart(h)
+	h.executor.ReleaseStarts()
+	assert.Equal(t, h.executor.Running(), 1)
+	f.waitFor("acknowledged cancellation", func() bool {
+		return f.leader().submitter.Cancel(t.Context(), nil, jobID) == nil
+	})
+	f.startAgent(h)
+	started := time.Now()
+	f.waitWithin(3*time.Second, "end of the run", func() bool { return h.executor.Running() == 0 })
+	t.Logf("the run ended %s after the start of the agent", time.Since(started))
+	assert.Equal(t, f.countEvents(wire.EndCause_END_CAUSE_STOPPED), 1)
+}
