--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -151,6 +151,8 @@
 	oldSessionsRemoved bool
 	// inputsOld is set while no tasks are assigned because the inputs are too old.
 	inputsOld bool
+	// unstoppable is the number of runs in the latest line of reportUnstoppable.
+	unstoppable int
 	// firstCosts has the latest step that was started, by service, if steps are
 	// ordered by cost.
 	firstCosts map[string]*tracer.WaitCost
@@ -297,6 +299,7 @@
 	c.held = waitReports{}
 	c.recovery = recovery{}
 	c.inputsOld = false
+	c.unstoppable = 0
 	c.agentsSilent = false
 	c.tookOverAt = c.Elapsed.Elapsed()
 	c.oldSessionsRemoved = false
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -253,25 +253,6 @@
 	order.Percent = c.repeatedPercent(t)
 }
 
-// stopFinishedJobs orders the stop of runs that belong to finished jobs.
-func (c *Coordinator) stopFinishedJobs(cycle *cycleState) {
-	for _, job := range c.jobs {
-		if job.AssignedTasks() == 0 || !job.Over() {
-			continue
-		}
-		job.EachTask(func(t *tracker.Task) {
-			view := cycle.byKey[t.Executor()]
-			if !t.Assigned() || t.Stopping() || view == nil {
-				return
-			}
-			t.MarkStopping()
-			view.addStopOrder(t.ID().String(), t.Run(), tracer.StopOrdered{
-				Reason: tracer.StopJobOver,
-			})
-		})
-	}
-}
-
 // publish adds the cycle's orders to the sessions and acknowledges the run ends,
 // exposures and absences whose effects are stored.
 func (c *Coordinator) publish(cycle *cycleState, epoch int64) {
--- a/runner/run_trace.go
+++ b/runner/run_trace.go
@@ -39,6 +39,19 @@
 	return r.trace.overlaps
 }
 
+// traceShutdown writes what the agent leaves behind: nobody can stop these runs before the next
+// process has opened a session, or their lease is over.
+func (r *Runner) traceShutdown() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.info == nil {
+		return
+	}
+	log.Info().Str("executor", r.info.GetId()).Int64("born", r.info.GetBornUnixMs()).Bool("draining", r.info.GetDraining()).
+		Int("running", len(r.running)).Dur("lease_left", max(0, r.renewedUntil-r.Elapsed.Elapsed())).
+		Msg("agent ends; runs in progress go on under their lease")
+}
+
 // traceOpening writes the opening of the session and the runs that the leader got
 // with it. The caller holds the mutex.
 func (r *Runner) traceOpening(request *wire.ExchangeRequest) {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -210,6 +210,7 @@
 	}
 	running.Wait()
 	r.activeOrders.Wait()
+	r.traceShutdown()
 	return nil
 }
 
