runner: renew the lease after an unanswered pace call

What callers saw: nothing yet; found by reading, while looking for what keeps an agent from calling a new life of its executor.

Cause: paces are set one after the other between two renewals, each call with a timeout of 0.7 s. With a silent executor, or one that answers renewals and no orders, each best-effort task whose pace is to change holds up the next renewal, so that leases lapse.

Change: after a pace call without response the next renewal comes first, and waits 0.2 s for an end. The changes that are left are decided again after it.

--- a/runner/pace.go
+++ b/runner/pace.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/phuslu/log"
 
+	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/pacer"
 	"damaskspread.example/damaskspread/tracer"
 	"damaskspread.example/damaskspread/tracker"
@@ -12,39 +14,50 @@
 )
 
 // updatePaces limits the best-effort tasks as far as the serving tasks on the
-// host need it to meet their target latency.
+// host need it to meet their target latency. After a call without response the next
+// renewal comes first: the changes that are left are decided again after it.
 func (r *Runner) updatePaces(ctx context.Context) {
 	executorID, token, changes := r.decidePaces()
 	for _, change := range changes {
-		r.setPace(ctx, executorID, token, &tracer.TaskPaced{
+		answered := r.setPace(ctx, executorID, token, &tracer.TaskPaced{
 			Job:     tracker.JobOf(change.Task),
 			Task:    change.Task,
 			Run:     change.Run,
 			Percent: change.Percent,
 			Load:    change.Load,
 		})
+		if !answered {
+			r.mu.Lock()
+			r.pacesDue = true
+			r.mu.Unlock()
+			return
+		}
 	}
 }
 
-// setPace sets the pace of a run on the executor and writes paced to the trace.
-func (r *Runner) setPace(ctx context.Context, executorID string, token int64, paced *tracer.TaskPaced) {
+// setPace sets the pace of a run on the executor and writes paced to the trace. It reports
+// whether the executor has responded.
+func (r *Runner) setPace(ctx context.Context, executorID string, token int64, paced *tracer.TaskPaced) bool {
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	err := r.Executor.Pace(callCtx, executorID, paced.Task, paced.Run, paced.Percent, token)
 	cancel()
 	if err != nil {
 		log.Debug().Str("task", paced.Task).Int("percent", paced.Percent).Err(err).Msg("pace call failed")
-		return
+		var unknown *damaskspread.WorkerUnknownError
+		return !errors.As(err, &unknown)
 	}
 	tracer.Write(paced)
 	r.mu.Lock()
 	r.paces[runKey{paced.Task, paced.Run}] = paced.Percent
 	r.mu.Unlock()
+	return true
 }
 
 // decidePaces returns the executor's id, the token and the paces to change.
 func (r *Runner) decidePaces() (string, int64, []pacer.Change) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.pacesDue = false
 	if r.info == nil || r.Pacer == nil {
 		return "", 0, nil
 	}
--- a/runner/ramp.go
+++ b/runner/ramp.go
@@ -34,7 +34,7 @@
 	}
 	percent := ramp.Percent()
 	r.mu.Unlock()
-	r.setPace(ctx, info.GetId(), token, &tracer.TaskPaced{
+	_ = r.setPace(ctx, info.GetId(), token, &tracer.TaskPaced{
 		Job:     tracker.JobOf(key.task),
 		Task:    key.task,
 		Run:     key.run,
--- a/runner/renew.go
+++ b/runner/renew.go
@@ -106,7 +106,7 @@
 		leaseUntil: r.leaseUntil,
 	}
 	leaseIsShort := len(r.running) > 0 && r.renewedUntil-call.startedAt < shortLease
-	if leaseIsShort || r.expectsLateStart() {
+	if leaseIsShort || r.pacesDue || r.expectsLateStart() {
 		call.wait = shortRenewWait
 	}
 	if mayHaveRestarted {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -155,6 +155,8 @@
 	// keptSteps holds the steps received in this session, by Group.Name.
 	keptSteps map[string]*keptStep
 	paces     map[runKey]int
+	// pacesDue is set after a pace call without response: the next renewal waits less.
+	pacesDue bool
 	// ramps holds the limits of the runs that began at a limited pace.
 	ramps map[runKey]*pacer.Ramp
 	// drainStops holds the runs that drainOnce has ordered to stop.
