runner: test that a slow executor is not taken for a silent one

The shorter margin of renewals while a start may be carried out late must not cut off an executor that responds after 0.5 s: its runs would lapse, and starts would wait.

--- a/runner/late_start_restart_test.go
+++ b/runner/late_start_restart_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"damaskspread.example/damaskspread"
+	"damaskspread.example/damaskspread/emulator"
 	"damaskspread.example/damaskspread/wire"
 )
 
@@ -76,3 +78,33 @@
 	t.Logf("the new life was called after %s", uncalled)
 	assert.Assert(t, uncalled < maxUncalled)
 }
+
+// slowExecutor carries out renewals at once and responds to them half a second later.
+type slowExecutor struct {
+	*emulator.JobExecutor
+	failures, responses atomic.Int32
+}
+
+func (e *slowExecutor) Renew(ctx context.Context, id string, lease *damaskspread.Lease, seen int64, wait time.Duration) (*wire.ExecutorState, error) {
+	state, err := e.JobExecutor.Renew(ctx, id, lease, seen, wait)
+	select {
+	case <-time.After(500 * time.Millisecond):
+		e.responses.Add(1)
+		return state, err
+	case <-ctx.Done():
+		e.failures.Add(1)
+		return nil, &damaskspread.WorkerUnknownError{Cause: ctx.Err()}
+	}
+}
+
+// Guards against a slow executor that counts as silent, and gets no orders, while a start may
+// be carried out late.
+func TestSlowExecutorIsNotSilent(t *testing.T) {
+	t.Parallel()
+	executor := &slowExecutor{JobExecutor: newExecutor()}
+	startRunner(t, &fakeLeader{respond: orderOneStart}, executor.JobExecutor, executor)
+	waitFor(t, "run", func() bool { return executor.Running() == 1 })
+	waitFor(t, "responses", func() bool { return executor.responses.Load() >= 4 })
+	assert.Equal(t, executor.Running(), 1)
+	assert.Assert(t, executor.failures.Load() <= 2, "%d renewals without response", executor.failures.Load())
+}
