explainer: tell how long a cancellation waited, or that it was not recorded

Cause: explain named the offset of a cancellation only. Whether a job ran on because its cancellation was never recorded, or was recorded late, had to be found in the lines.

Change: the finding canceled has the time until the record was in the log if a caller had given up, and says so if it never got there.

Result: go test -race ./explainer passes.

--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -227,6 +227,14 @@
 			events: []tracer.Event{&tracer.TaskPaced{Job: job, Task: task, Run: 1, Percent: 40, Load: 1.5}},
 			kind:   explainer.FindingPaced, subject: "p", detail: task + " run 1 to 40%; a serving task was at 150% of its target",
 		},
+		"cancellation not recorded": {
+			events: []tracer.Event{&tracer.CancelPending{Job: job}},
+			kind:   explainer.FindingCanceled, subject: "job", detail: "by a caller, not recorded when it gave up",
+		},
+		"cancellation recorded later": {
+			events: []tracer.Event{&tracer.CancelPending{Job: job}, &tracer.JobCanceled{Job: job, Offset: 9, Append: tracer.Milliseconds(5 * time.Second), GaveUp: true}},
+			kind:   explainer.FindingCanceled, subject: "job", detail: "by a caller, offset 9, recorded after 5s, when a caller had given up",
+		},
 		"unfinished": {
 			events: []tracer.Event{&tracer.JobAccepted{Job: job}},
 			kind:   explainer.FindingUnfinished, subject: "job", detail: "the logs end before the job does",
--- a/explainer/findings.go
+++ b/explainer/findings.go
@@ -131,7 +131,9 @@
 		c.add(FindingTooLate, line.Process(), "queue %s: predicted wait %s and run time %s, admitted up to %s together; retry after %s; estimate of epoch %d was up to %s old%s",
 			e.Queue, e.Wait, e.Path, e.Limit, e.RetryAfter, e.Epoch, e.EstimateAge, refusalDetail(e))
 	case *tracer.JobCanceled:
-		c.add(FindingCanceled, "job", "by a caller, offset %d", e.Offset)
+		c.add(FindingCanceled, "job", "by a caller, offset %d%s", e.Offset, cancelDetail(e))
+	case *tracer.CancelPending:
+		c.add(FindingCanceled, "job", "by a caller, not recorded when it gave up")
 	case *tracer.JobState:
 		c.jobOver = c.jobOver || indexer.Final(wire.JobState(wire.JobState_value[e.State]))
 	case *tracer.JobRedirected:
@@ -229,6 +231,13 @@
 	return ""
 }
 
+func cancelDetail(e *tracer.JobCanceled) string {
+	if e.GaveUp {
+		return fmt.Sprintf(", recorded after %s, when a caller had given up", e.Append)
+	}
+	return ""
+}
+
 // lossDetail is empty for lines of versions that wrote no cause.
 func lossDetail(e *tracer.RunLost) string {
 	switch {
