submitter: keep the size of appends after a cancellation between them

On a slow link, large jobs get 504 for as long as jobs are canceled at the same entry.

Cause: after an append without a response the next one has half of its records, and a success ends that. Cancellations have appends of their own, which succeed on the same link, so each one between two appends of jobs reset the limit, and the next append was as large as the first. The search for a rejected record began anew in the same way.

Evidence: the part "beside cancellations" of TestLargeJobsOnASlowLinkAreAccepted, one cancellation each 0.5 s. Without the change: go test -count=1 -run SlowLinkAreAccepted ./submitter rejected_test.go:81: error is not nil: unknown: append may have taken effect: context deadline exceeded (append_unknown) (at least 12 of the 16 jobs, after 15 s)

Ruled out: the part "alone", which passes with and without the change.

Change: appends of urgent records have a limit of their own.

Before/after: fails after 15 s, passes in 5.3 s.

--- a/submitter/committer.go
+++ b/submitter/committer.go
@@ -75,10 +75,10 @@
 	// oldest first, including those of an append in flight.
 	pending []*queuedRecord
 	wake    chan struct{}
-	// batchLimit is the largest number of records in the next append. It is lower than
-	// maxBatchRecords while a record that the log rejects is searched for, and after an append
-	// without a response.
-	batchLimit int
+	// batchLimit is the largest number of records in the next append, urgentLimit in one of
+	// urgent records. They are lower than maxBatchRecords while a record that the log rejects
+	// is searched for, and after an append without a response.
+	batchLimit, urgentLimit int
 	// failingSince is when the first append after the last success began; zero if it
 	// has not failed.
 	failingSince time.Time
@@ -136,11 +136,11 @@
 func (c *batchAppender) nextBatch() []*queuedRecord {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	candidates := c.urgentPending()
+	candidates, limit := c.urgentPending(), c.urgentLimit
 	if len(candidates) == 0 {
-		candidates = c.pending
+		candidates, limit = c.pending, c.batchLimit
 	}
-	count := damaskspread.CountWithin(min(len(candidates), cmp.Or(c.batchLimit, maxBatchRecords)), damaskspread.MaxAppendBytes,
+	count := damaskspread.CountWithin(min(len(candidates), cmp.Or(limit, maxBatchRecords)), damaskspread.MaxAppendBytes,
 		func(i int) int { return damaskspread.RecordBytes(candidates[i].record) })
 	batch := candidates[:count]
 	for _, queued := range batch {
@@ -227,10 +227,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	settled := map[*queuedRecord]bool{}
-	c.batchLimit = 0
+	limit := &c.batchLimit
+	if batch[0].urgent {
+		limit = &c.urgentLimit
+	}
+	*limit = 0
 	rejected := isRejection(err)
 	if rejected || !outcomeCertain {
-		c.batchLimit = max(1, len(batch)/2)
+		*limit = max(1, len(batch)/2)
 	}
 	for i, queued := range batch {
 		queued.err = err
--- a/submitter/rejected_test.go
+++ b/submitter/rejected_test.go
@@ -58,13 +58,24 @@
 }
 
 // Guards against jobs that are never accepted because their append times out on a slow link and
-// is repeated with as many.
+// is repeated with as many, also beside cancellations.
 func TestLargeJobsOnASlowLinkAreAccepted(t *testing.T) {
+	t.Parallel()
+	t.Run("alone", func(t *testing.T) { acceptLargeJobs(t, 0) })
+	t.Run("beside cancellations", func(t *testing.T) { acceptLargeJobs(t, 500*time.Millisecond) })
+}
+
+// acceptLargeJobs submits large jobs over a slow link, while one cancellation after the other
+// is stored.
+func acceptLargeJobs(t *testing.T, cancelInterval time.Duration) {
 	t.Parallel()
 	e := newEntry(t, &emulator.KeyedLog{Clock: clockwork.NewRealClock()}, false, 0)
 	e.client.SetUploadRate(100 << 10)
 	ctx, cancel := context.WithTimeout(t.Context(), 15*time.Second)
 	defer cancel()
+	if cancelInterval > 0 {
+		go cancelRepeatedly(ctx, e, cancelInterval)
+	}
 	var calls sync.WaitGroup
 	for i := range 16 {
 		calls.Go(func() { assert.Check(t, submitLarge(ctx, t, e, fmt.Sprintf("%016x", i+1), 20<<10)) })
@@ -72,6 +83,14 @@
 	calls.Wait()
 }
 
+// cancelRepeatedly cancels another job in each interval, until the context ends.
+func cancelRepeatedly(ctx context.Context, e *testEntry, interval time.Duration) {
+	for i := 0; ctx.Err() == nil; i++ {
+		time.Sleep(interval)
+		_ = e.submitter.CancelLater(fmt.Sprintf("ff%014x", i))
+	}
+}
+
 // scriptedLog answers its first appends with the errors, and the later ones after the pause.
 type scriptedLog struct {
 	damaskspread.KeyedLog
