submitter: give jobs a turn after an append of cancellations

An entry accepts no job while jobs are canceled there more often than an append takes.

Cause: cancellations are appended before other records. If the next one is pending when an append ends, no other record has its turn, for as long as that goes on. An append of 100 ms is enough with 10 cancellations a second.

Evidence: TestJobsAreAcceptedBesideFrequentCancellations, appends of 100 ms and a cancellation each 20 ms.

Ruled out: other records in the same append. Large jobs would hold up the cancellations again, see TestCancellationBesideLargeJobsOnASlowLink.

Change: after an append that settled urgent records the next one has others, if there are any. An urgent append that failed is repeated first.

--- a/submitter/cancel_test.go
+++ b/submitter/cancel_test.go
@@ -106,6 +106,19 @@
 	assert.Equal(t, reasonOf(e.submitter.Cancel(ctx, nil, id)), damaskspread.ReasonNotFound)
 }
 
+// Guards against jobs that are never accepted because a cancellation is pending after each
+// append.
+func TestJobsAreAcceptedBesideFrequentCancellations(t *testing.T) {
+	t.Parallel()
+	e := newEntry(t, &emulator.KeyedLog{Clock: clockwork.NewRealClock()}, false, 0)
+	e.counted.KeyedLog = &scriptedLog{KeyedLog: e.client, pause: 100 * time.Millisecond}
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	go cancelRepeatedly(ctx, e, 20*time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
+	assert.NilError(t, e.submit(ctx, id))
+}
+
 // Guards against a cancellation that waits for a read although the log takes appends.
 func TestCancellationWhileReadsGetNoResponse(t *testing.T) {
 	t.Parallel()
--- a/submitter/committer.go
+++ b/submitter/committer.go
@@ -79,6 +79,8 @@
 	// urgent records. They are lower than maxBatchRecords while a record that the log rejects
 	// is searched for, and after an append without a response.
 	batchLimit, urgentLimit int
+	// urgentSettled is set if the latest append settled urgent records.
+	urgentSettled bool
 	// failingSince is when the first append after the last success began; zero if it
 	// has not failed.
 	failingSince time.Time
@@ -132,13 +134,14 @@
 }
 
 // nextBatch returns the oldest pending records, urgent ones alone. They stay pending until
-// the append succeeds.
+// the append succeeds. After a batch of urgent records the others have a turn, so that
+// frequent cancellations don't keep them back.
 func (c *batchAppender) nextBatch() []*queuedRecord {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	candidates, limit := c.urgentPending(), c.urgentLimit
-	if len(candidates) == 0 {
-		candidates, limit = c.pending, c.batchLimit
+	candidates, limit := c.pendingOf(true), c.urgentLimit
+	if others := c.pendingOf(false); len(candidates) == 0 || c.urgentSettled && len(others) > 0 {
+		candidates, limit = others, c.batchLimit
 	}
 	count := damaskspread.CountWithin(min(len(candidates), cmp.Or(limit, maxBatchRecords)), damaskspread.MaxAppendBytes,
 		func(i int) int { return damaskspread.RecordBytes(candidates[i].record) })
@@ -150,16 +153,17 @@
 	return append([]*queuedRecord(nil), batch...)
 }
 
-// urgentPending returns the oldest urgent records. A batch of large jobs may not get through a
-// slow link before its append times out, again and again. The lock is held.
-func (c *batchAppender) urgentPending() []*queuedRecord {
-	var urgent []*queuedRecord
+// pendingOf returns the oldest records that are urgent, or the oldest that are not. A batch of
+// large jobs may not get through a slow link before its append times out, again and again. The
+// lock is held.
+func (c *batchAppender) pendingOf(urgent bool) []*queuedRecord {
+	var oldest []*queuedRecord
 	for _, queued := range c.pending {
-		if queued.urgent && len(urgent) < maxBatchRecords {
-			urgent = append(urgent, queued)
+		if queued.urgent == urgent && len(oldest) < maxBatchRecords {
+			oldest = append(oldest, queued)
 		}
 	}
-	return urgent
+	return oldest
 }
 
 // run appends pending records until the tomb dies.
@@ -252,6 +256,7 @@
 			close(queued.done)
 		}
 	}
+	c.urgentSettled = len(settled) > 0 && batch[0].urgent
 	if len(settled) == 0 {
 		return nil
 	}
