coordinator: stop copied runs of canceled jobs while an append is in progress

A run that was copied goes on after the cancellation of its job, for as long as the leader waits for an append.

While the append is in progress the runs of the job's tasks are stopped, but its tasks are assigned to the copies. The copied runs were left to the next cycle.

Evidence: TestCopiedRunOfACanceledJobStopsWhileProgressCannotBeStored. Without the change: go test -count=1 -run CopiedRunOfACanceled ./coordinator stalled_leader_test.go:208: no stop of both runs within 3s

Ruled out: a copied run that is listed before the cycle; its stop is ordered before the append.

Change: a cancellation during an append reviews the copied runs as well.

--- a/coordinator/cancellations.go
+++ b/coordinator/cancellations.go
@@ -46,6 +46,7 @@
 		}
 	}
 	if canceled {
+		c.reviewCopies(cycle)
 		c.publishCancellations(cycle)
 	}
 }
--- a/coordinator/stalled_leader_test.go
+++ b/coordinator/stalled_leader_test.go
@@ -194,3 +194,19 @@
 	f.waitSucceeded(f.entries[0], nextJobID)
 	f.assertNoDuplicateRuns()
 }
+
+// Guards against a copied run of a canceled job that goes on because the leader waits for an
+// append.
+func TestCopiedRunOfACanceledJobStopsWhileProgressCannotBeStored(t *testing.T) {
+	t.Parallel()
+	p := newCopyPlay(t)
+	leader := p.f.leader()
+	setFault(&appendFault{topic: "progress", hangs: true}, leader)
+	p.f.submit(leader, &wire.Job{Id: nextJobID, Steps: steps(2)})
+	p.f.pass(200 * time.Millisecond)
+	assert.NilError(t, leader.submitter.Cancel(t.Context(), nil, jobID))
+	p.f.waitWithin(cancelWithin, "stop of both runs", func() bool {
+		p.report()
+		return p.first.stops(1) && p.second.stops(2)
+	})
+}
