coordinator: stop canceled runs in sessions that open during an append

A run of a canceled job goes on if its agent opens a session while the leader waits for an append: after a restart of the agent, or at a new leader whose first append gets no response. The leader extends the lease of the run meanwhile.

Stops during an append are for the sessions of the cycle. One that is opened later, and what it lists, was left to the next cycle, and stops that were ordered in the session before may be lost with it.

Evidence: TestRunOfACanceledJobStopsInASessionOpenedDuringAnAppend, with the cancellation before and after the opening. Without the change: go test -count=1 -run OpenedDuringAnAppend ./coordinator stalled_leader_test.go:232: no stop within 3s

Ruled out: adoption or repeated starts in such a session; they still wait for the next cycle.

Change: at each signal during an append, the runs of canceled jobs that such sessions list are stopped, once a session. The next cycle may order the stop again, which has no further effect. Signals are handled at the pace of cycles: openings signal with each report, so the sessions would be looked through without a pause.

Before/after: no stop within 3 s; passes in 3 of 3 runs with -race.

--- a/coordinator/cancellations.go
+++ b/coordinator/cancellations.go
@@ -3,7 +3,9 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
+	"damaskspread.example/damaskspread/tracer"
 	"damaskspread.example/damaskspread/tracker"
 	"damaskspread.example/damaskspread/wire"
 )
@@ -16,6 +18,8 @@
 	appended := make(chan error, 1)
 	go func() { appended <- appendRecords() }()
 	signaled := false
+	wake := c.wake
+	var pauseEnd <-chan time.Time
 	for {
 		select {
 		case err := <-appended:
@@ -24,9 +28,13 @@
 				c.signal()
 			}
 			return err
-		case <-c.wake:
+		case <-wake:
 			signaled = true
 			c.applyCancellations(cycle)
+			c.stopInNewSessions(cycle)
+			wake, pauseEnd = nil, c.Clock.After(c.pauseAfterCycle())
+		case <-pauseEnd:
+			wake, pauseEnd = c.wake, nil
 		}
 	}
 }
@@ -51,6 +59,49 @@
 	}
 }
 
+// stopInNewSessions stops the runs of canceled jobs that agents list in sessions which were
+// opened since the cycle began.
+func (c *Coordinator) stopInNewSessions(cycle *cycleState) {
+	for _, view := range c.newSessions(cycle) {
+		for _, run := range view.running {
+			stopped := newListedRun(run.GetTask(), run.GetRun())
+			if cycle.stoppedEarly[view.session][stopped] || !c.isCanceled(run.GetTask()) {
+				continue
+			}
+			if cycle.stoppedEarly[view.session] == nil {
+				cycle.stoppedEarly[view.session] = map[listedRun]bool{}
+			}
+			cycle.stoppedEarly[view.session][stopped] = true
+			view.addStopOrder(run.GetTask(), run.GetRun(), tracer.StopOrdered{
+				Reason: tracer.StopJobOver,
+			})
+		}
+		if len(view.stops) > 0 {
+			c.publishStops(view, view.stops)
+		}
+	}
+}
+
+// newSessions returns the sessions with runs that were opened since the cycle began.
+func (c *Coordinator) newSessions(cycle *cycleState) []*sessionView {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var views []*sessionView
+	for _, s := range c.sessions {
+		view := cycle.byKey[s.key]
+		if !s.opening || len(s.running) == 0 || view != nil && view.session == s {
+			continue
+		}
+		views = append(views, &sessionView{
+			session: s,
+			host:    s.host,
+			key:     s.key,
+			running: s.running,
+		})
+	}
+	return views
+}
+
 // publishCancellations publishes the cycle's stop orders for the runs of canceled jobs, and
 // drops its start orders for them.
 func (c *Coordinator) publishCancellations(cycle *cycleState) {
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -33,6 +33,8 @@
 	witnessed map[tracker.ExecutorKey]bool
 	views     []*sessionView
 	byKey     map[tracker.ExecutorKey]*sessionView
+	// stoppedEarly has the runs stopped by stopInNewSessions.
+	stoppedEarly map[*session]map[listedRun]bool
 	// hosts are the placement candidates; nil if no task may start in this cycle.
 	hosts []*planner.Host
 	// groups are the steps that were ready at the plan, in their order.
@@ -132,6 +134,7 @@
 		witnessed: map[tracker.ExecutorKey]bool{},
 		byKey:     map[tracker.ExecutorKey]*sessionView{},
 
+		stoppedEarly:   map[*session]map[listedRun]bool{},
 		sessionRecords: map[string]*wire.ExecutorSession{},
 	}
 	c.extendAfterOutage()
--- a/coordinator/stalled_leader_test.go
+++ b/coordinator/stalled_leader_test.go
@@ -210,3 +210,28 @@
 		return p.first.stops(1) && p.second.stops(2)
 	})
 }
+
+// Guards against a run of a canceled job that goes on because its agent has restarted while the
+// leader waits for an append.
+func TestRunOfACanceledJobStopsInASessionOpenedDuringAnAppend(t *testing.T) {
+	t.Parallel()
+	for _, canceledBefore := range []bool{true, false} {
+		p := newStraggler(newCopyFleet(t, 1), steps(1))
+		leader := p.f.leader()
+		setFault(&appendFault{topic: "progress", hangs: true}, leader)
+		p.f.submit(leader, &wire.Job{Id: nextJobID, Steps: steps(2)})
+		p.f.pass(200 * time.Millisecond)
+		if !canceledBefore {
+			p.first.open(p.f, "a.2")
+		}
+		assert.NilError(t, leader.submitter.Cancel(t.Context(), nil, jobID))
+		if canceledBefore {
+			p.f.pass(200 * time.Millisecond)
+			p.first.open(p.f, "a.2")
+		}
+		p.f.waitWithin(cancelWithin, "stop", func() bool {
+			p.report()
+			return p.first.stops(1)
+		})
+	}
+}
