--- a/submitter/committer.go
+++ b/submitter/committer.go
@@ -75,10 +75,12 @@
 	// oldest first, including those of an append in flight.
 	pending []*queuedRecord
 	wake    chan struct{}
-	// batchLimit is the largest number of records in the next append. It is lower than
-	// maxBatchRecords while a record that the log rejects is searched for, and after an append
-	// without a response.
-	batchLimit int
+	// batchLimit is the largest number of records in the next append, urgentLimit in one of
+	// urgent records. They are lower than maxBatchRecords while a record that the log rejects
+	// is searched for, and after an append without a response.
+	batchLimit, urgentLimit int
+	// urgentSettled is set if the latest append settled urgent records.
+	urgentSettled bool
 	// failingSince is when the first append after the last success began; zero if it
 	// has not failed.
 	failingSince time.Time
@@ -132,15 +134,16 @@
 }
 
 // nextBatch returns the oldest pending records, urgent ones alone. They stay pending until
-// the append succeeds.
+// the append succeeds. After a batch of urgent records the others have a turn, so that
+// frequent cancellations don't keep them back.
 func (c *batchAppender) nextBatch() []*queuedRecord {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	candidates := c.urgentPending()
-	if len(candidates) == 0 {
-		candidates = c.pending
+	candidates, limit := c.pendingOf(true), c.urgentLimit
+	if others := c.pendingOf(false); len(candidates) == 0 || c.urgentSettled && len(others) > 0 {
+		candidates, limit = others, c.batchLimit
 	}
-	count := damaskspread.CountWithin(min(len(candidates), cmp.Or(c.batchLimit, maxBatchRecords)), damaskspread.MaxAppendBytes,
+	count := damaskspread.CountWithin(min(len(candidates), cmp.Or(limit, maxBatchRecords)), damaskspread.MaxAppendBytes,
 		func(i int) int { return damaskspread.RecordBytes(candidates[i].record) })
 	batch := candidates[:count]
 	for _, queued := range batch {
@@ -150,16 +153,17 @@
 	return append([]*queuedRecord(nil), batch...)
 }
 
-// urgentPending returns the oldest urgent records. A batch of large jobs may not get through a
-// slow link before its append times out, again and again. The lock is held.
-func (c *batchAppender) urgentPending() []*queuedRecord {
-	var urgent []*queuedRecord
+// pendingOf returns the oldest records that are urgent, or the oldest that are not. A batch of
+// large jobs may not get through a slow link before its append times out, again and again. The
+// lock is held.
+func (c *batchAppender) pendingOf(urgent bool) []*queuedRecord {
+	var oldest []*queuedRecord
 	for _, queued := range c.pending {
-		if queued.urgent && len(urgent) < maxBatchRecords {
-			urgent = append(urgent, queued)
+		if queued.urgent == urgent && len(oldest) < maxBatchRecords {
+			oldest = append(oldest, queued)
 		}
 	}
-	return urgent
+	return oldest
 }
 
 // run appends pending records until the tomb dies.
@@ -227,10 +231,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	settled := map[*queuedRecord]bool{}
-	c.batchLimit = 0
+	limit := &c.batchLimit
+	if batch[0].urgent {
+		limit = &c.urgentLimit
+	}
+	*limit = 0
 	rejected := isRejection(err)
 	if rejected || !outcomeCertain {
-		c.batchLimit = max(1, len(batch)/2)
+		*limit = max(1, len(batch)/2)
 	}
 	for i, queued := range batch {
 		queued.err = err
@@ -248,6 +256,7 @@
 			close(queued.done)
 		}
 	}
+	c.urgentSettled = len(settled) > 0 && batch[0].urgent
 	if len(settled) == 0 {
 		return nil
 	}
