Bounds of start orders move to the root package

The leader's part imported that of the agents for one duration. What both rely on stands beside the interfaces that they share; behavior is the same.

--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -5,14 +5,17 @@
 	"slices"
 	"time"
 
+	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/planner"
-	"damaskspread.example/damaskspread/runner"
 	"damaskspread.example/damaskspread/tracer"
 	"damaskspread.example/damaskspread/tracker"
 )
 
 const (
 	defaultCancelWithin = 3 * time.Second
+	// maxStartDelay is the longest time between the decision to start a run and the arrival of
+	// the call at an executor that responds.
+	maxStartDelay = damaskspread.MaxStartAge + damaskspread.OrderTimeout
 	// maxExcessAge makes agents refuse an order whatever the age of its inputs.
 	maxExcessAge = time.Minute
 )
@@ -70,7 +73,7 @@
 // because its inputs are so old that a cancellation would otherwise not be in force within
 // CancelWithin: the age of the inputs and the delays of an order add up.
 func (c *Coordinator) excessAge(inputs *planInputs) time.Duration {
-	allowed := max(0, cmp.Or(c.CancelWithin, defaultCancelWithin)-runner.MaxStartDelay)
+	allowed := max(0, cmp.Or(c.CancelWithin, defaultCancelWithin)-maxStartDelay)
 	return min(max(0, inputs.jobsAge-allowed, inputs.configAge-allowed), maxExcessAge)
 }
 
--- a/coordinator/repeated_start_test.go
+++ b/coordinator/repeated_start_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"damaskspread.example/damaskspread/runner"
+	"damaskspread.example/damaskspread"
 	"damaskspread.example/damaskspread/wire"
 )
 
@@ -239,7 +239,6 @@
 		orders = agent.pollOrders("s.1", info)
 		return len(orders) > 0
 	})
-	const cancelWithin = 3 * time.Second
 	age := time.Duration(orders[0].GetAgeMs()) * time.Millisecond
-	assert.Assert(t, age >= inputAge+runner.MaxStartDelay-cancelWithin, "age %s", age)
+	assert.Assert(t, age >= inputAge+damaskspread.MaxStartAge+damaskspread.OrderTimeout-cancelWithin, "age %s", age)
 }
--- a/jobs.go
+++ b/jobs.go
@@ -57,6 +57,15 @@
 	return n
 }
 
+// Bounds that the agents keep and the scheduling leader relies on.
+const (
+	// MaxStartAge is the time since the leader's decision after which an agent refuses a
+	// start order.
+	MaxStartAge = 1500 * time.Millisecond
+	// OrderTimeout bounds one call of an executor for an order.
+	OrderTimeout = 700 * time.Millisecond
+)
+
 // TaskExecutor calls the executor that runs the tasks of one host. id is that of
 // the expected executor incarnation; a WrongIncarnationError means that another
 // one responded. A run is one start of a task, numbered from 1. Deadlines are
--- a/runner/departure.go
+++ b/runner/departure.go
@@ -37,7 +37,7 @@
 	if left == nil {
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, damaskspread.OrderTimeout)
 	defer cancel()
 	_, err := r.Executor.Renew(callCtx, left.GetId(), &damaskspread.Lease{Token: token}, 0, 0)
 	var wrong *damaskspread.WrongIncarnationError
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -11,10 +11,7 @@
 	"damaskspread.example/damaskspread/wire"
 )
 
-const (
-	orderTimeout = 700 * time.Millisecond
-	orderRetry   = 100 * time.Millisecond
-)
+const orderRetry = 100 * time.Millisecond
 
 // executeOrder waits for one of the slots of its kind of order and carries out the order on
 // the executor for which it was given. Stops have slots of their own: they must not wait for
@@ -90,7 +87,7 @@
 // executor accepted it.
 func (r *Runner) tryStop(ctx context.Context, info *wire.ExecutorInfo, order *wire.StopOrder, token int64) (final, accepted bool) {
 	key := runKey{order.GetTask(), order.GetRun()}
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, damaskspread.OrderTimeout)
 	defer cancel()
 	err := r.Executor.Stop(callCtx, info.GetId(), order, token)
 	var wrong *damaskspread.WrongIncarnationError
--- a/runner/pace.go
+++ b/runner/pace.go
@@ -38,7 +38,7 @@
 // setPace sets the pace of a run on the executor and writes paced to the trace. It reports
 // whether the executor has responded.
 func (r *Runner) setPace(ctx context.Context, executorID string, token int64, paced *tracer.TaskPaced) bool {
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, damaskspread.OrderTimeout)
 	err := r.Executor.Pace(callCtx, executorID, paced.Task, paced.Run, paced.Percent, token)
 	cancel()
 	if err != nil {
--- a/runner/starts.go
+++ b/runner/starts.go
@@ -13,14 +13,6 @@
 	"damaskspread.example/damaskspread/wire"
 )
 
-// maxStartAge is the time since the leader's decision after which a start order is
-// refused.
-const maxStartAge = 1500 * time.Millisecond
-
-// MaxStartDelay is the longest time between the decision to start a run and the arrival of the
-// call at an executor that responds.
-const MaxStartDelay = maxStartAge + orderTimeout
-
 // startAttempt is a start order on its way to the executor for which it was given.
 type startAttempt struct {
 	info *wire.ExecutorInfo
@@ -115,7 +107,7 @@
 		decision.handled = true
 	case r.info.GetDraining():
 		decision.refusal = damaskspread.RefusedDraining
-	case r.Elapsed.Elapsed()-a.decidedAt > maxStartAge:
+	case r.Elapsed.Elapsed()-a.decidedAt > damaskspread.MaxStartAge:
 		decision.refusal = damaskspread.RefusedOrderExpired
 	case decision.lease.DeadlineMs == 0:
 		decision.refusal = damaskspread.RefusedLeaseOver
@@ -193,7 +185,7 @@
 }
 
 func (r *Runner) callStart(ctx context.Context, info *wire.ExecutorInfo, order *wire.StartOrder, lease *damaskspread.Lease) error {
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, damaskspread.OrderTimeout)
 	defer cancel()
 	return r.Executor.Start(callCtx, info.GetId(), order, lease)
 }
--- a/runner/tokens.go
+++ b/runner/tokens.go
@@ -42,7 +42,7 @@
 // has given a token for it yet: starts that were sent to the one before have no effect
 // there from then on.
 func (r *Runner) fenceLateStarts(ctx context.Context) {
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, damaskspread.OrderTimeout)
 	defer cancel()
 	info, token := r.unfencedExecutor(cancel)
 	if info == nil {
