--- a/coordinator/placement.go
+++ b/coordinator/placement.go
@@ -12,6 +12,9 @@
 )
 
 const (
+	// maxInputAge is the age of the known jobs or of the configuration above
+	// which no tasks are assigned.
+	maxInputAge         = 1500 * time.Millisecond
 	defaultCancelWithin = 3 * time.Second
 	// maxStartDelay is the longest time between the decision to start a run and the arrival of
 	// the call at an executor that responds.
--- a/launcher/entry.go
+++ b/launcher/entry.go
@@ -15,11 +15,9 @@
 	"damaskspread.example/damaskspread/connector"
 	"damaskspread.example/damaskspread/coordinator"
 	"damaskspread.example/damaskspread/elector"
-	"damaskspread.example/damaskspread/estimator"
 	"damaskspread.example/damaskspread/indexer"
 	"damaskspread.example/damaskspread/locator"
 	"damaskspread.example/damaskspread/monitor"
-	"damaskspread.example/damaskspread/planner"
 	"damaskspread.example/damaskspread/platform"
 	"damaskspread.example/damaskspread/poller"
 	"damaskspread.example/damaskspread/relayer"
@@ -191,71 +189,6 @@
 	return followerReadPause
 }
 
-func (e *Entry) assembleScheduling() {
-	s := e.Settings
-	e.elector = &elector.Elector{
-		Log:        e.logRelayer,
-		Clock:      e.Clock,
-		Elapsed:    e.process.elapsed,
-		Process:    s.Process().ID(),
-		Address:    s.Listen().Agents(),
-		ClaimDelay: time.Duration(float64(maxClaimDelay) * (1 - min(s.Process().Processors(), 1))),
-	}
-	e.leadersTail = e.newTailer(elector.Topic, e.elector.Apply)
-	e.leadersTail.ReadWait = leaderTopicReadWait
-	e.elector.Tail = e.leadersTail
-	interferenceModel := &estimator.InterferenceModel{}
-	e.coordinator = &coordinator.Coordinator{
-		Log:        e.logRelayer,
-		Index:      e.index,
-		JobsTail:   e.jobsTail,
-		Operations: e.config,
-		Elector:    e.elector,
-		Planner: &planner.Planner{
-			Weight:          interferenceModel.Weight,
-			CostOrder:       s.Scheduling().CostOrder(),
-			LostWork:        s.Scheduling().LostWorkPreemption(),
-			BestEffortWait:  s.Scheduling().BestEffortWait(),
-			BestEffortSpeed: s.Scheduling().BestEffortSpeed(),
-			ClearHosts:      s.Scheduling().ClearHosts(),
-		},
-		InterferenceModel: interferenceModel,
-		Screen:            e.submitter,
-		Clock:             e.Clock,
-		Elapsed:           e.process.elapsed,
-		LeaseDuration:     leaseDuration(s.Bounds().LeaseMax()),
-		LongestLease:      s.Bounds().LeaseMax(),
-		CancelWithin:      s.Bounds().CancelWithin(),
-		StatusRetention:   s.Bounds().StatusFor(),
-		LearnRunTimes:     s.Scheduling().LearnedRunTimes(),
-		SpeculativeCopies: s.Scheduling().SpeculativeCopies(),
-	}
-	if address := s.Peers().Advice(); address != "" {
-		e.coordinator.Advisor = &platform.AdviceClient{
-			Address: address,
-			HTTP:    connector.NewHTTPClient(),
-		}
-	}
-	if s.Scheduling().PacedRecovery() {
-		e.coordinator.RecoveryTime = submitter.ReturnTime
-	}
-	if s.Scheduling().Admission() {
-		e.assembleLoad()
-	}
-	e.coordinator.Init()
-	e.elector.OnLeadershipWon = e.coordinator.StartLeading
-	e.elector.OnLeadershipLost = e.coordinator.StopLeading
-	e.elector.WaitingSince = e.coordinator.WaitingSince
-	e.elector.Probe = e.coordinator.ProbeLog
-	e.index.OnChange = e.coordinator.JobsChanged
-}
-
-// leaseDuration is the duration of the leases that the leader grants, from the longest one
-// that executors accept.
-func leaseDuration(leaseMax time.Duration) time.Duration {
-	return min(time.Duration(float64(leaseMax)*leaseShare), longestLease)
-}
-
 func (e *Entry) listen() error {
 	l := e.Settings.Listen()
 	jobsHandler := &platform.Jobs{
@@ -287,21 +220,6 @@
 	return time.Duration(float64(e.Settings.Bounds().ConfigWithin()) * currencyLimitShare)
 }
 
-// closeWhileStopping adds "Connection: close" to responses while the process
-// stops, so that callers open their next connection elsewhere. Idle connections
-// stay open: closing them would break off requests that callers are sending. It
-// also counts the requests in progress.
-func (e *Entry) closeWhileStopping(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		e.inFlight.Add(1)
-		defer e.inFlight.Add(-1)
-		if e.process.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // announce writes the address for agents to the log, trying until it succeeds.
 func (e *Entry) announce(t *tomb.Tomb) error {
 	ctx := t.Context(context.Background())
@@ -322,34 +240,3 @@
 	}
 	return nil
 }
-
-// stop turns readiness off, resigns the leadership and keeps serving until the
-// load balancer sends no more new connections, no request is in progress and the log
-// has all cancellations, at most for the grace period without stopMargin. Then it closes
-// the listener for callers.
-func (e *Entry) stop() {
-	log.Info().Int64("in_flight", e.inFlight.Load()).Msg("process stopping")
-	e.process.stopping.Store(true)
-	start := e.process.elapsed.Elapsed()
-	resignCtx, cancel := context.WithTimeout(context.Background(), announceTimeout)
-	e.elector.Resign(resignCtx)
-	cancel()
-	limit := e.Settings.Bounds().Grace() - stopMargin
-	for {
-		waited := e.process.elapsed.Elapsed() - start
-		finished := e.inFlight.Load() == 0 && e.submitter.PendingCancellations() == 0
-		if waited > limit || (waited > unreadyDelay && finished) {
-			break
-		}
-		e.Clock.Sleep(20 * time.Millisecond)
-	}
-	remaining := limit - (e.process.elapsed.Elapsed() - start)
-	shutdownCtx, cancelShutdown := context.WithTimeout(context.Background(), max(remaining, 100*time.Millisecond))
-	defer cancelShutdown()
-	if err := e.process.servers[0].Shutdown(shutdownCtx); err != nil {
-		log.Warn().Err(err).Msg("requests still running at the end of the grace period")
-	}
-	if pending := e.submitter.PendingCancellations(); pending > 0 {
-		log.Warn().Int("cancellations", pending).Msg("cancellations not recorded at the end of the grace period")
-	}
-}
