coordinator: test what is published before and dropped after an append

No test noticed when whileAppending no longer published the cycle's own stops before the append, or when it no longer dropped the starts of a job that was canceled meanwhile: the tests of cancel during an append that lasts longer than agents take a start order.

--- a/coordinator/stalled_leader_test.go
+++ b/coordinator/stalled_leader_test.go
@@ -195,6 +195,33 @@
 	f.assertNoDuplicateRuns()
 }
 
+// Guards against stops that wait for the append of the cycle which orders them.
+func TestRunsStopBeforeTheirCancellationIsStored(t *testing.T) {
+	t.Parallel()
+	f := newLastingTasks(t)
+	setFault(&appendFault{topic: "progress", hangs: true}, f.entries...)
+	assert.NilError(t, f.leader().submitter.Cancel(t.Context(), nil, jobID))
+	f.waitWithin(cancelWithin, "stop", func() bool { return f.countEvents(wire.EndCause_END_CAUSE_STOPPED) == 8 })
+}
+
+// Guards against a start order for a job that was canceled during the append before it.
+func TestJobCanceledBeforeItsStartIsStoredIsNotOrdered(t *testing.T) {
+	t.Parallel()
+	p := newStraggler(newCopyFleet(t, 1), steps(1))
+	leader := p.f.leader()
+	setFault(&appendFault{topic: "progress"}, leader)
+	p.f.submit(leader, &wire.Job{Id: nextJobID, Steps: steps(2)})
+	p.f.pass(200 * time.Millisecond)
+	assert.NilError(t, leader.submitter.Cancel(t.Context(), nil, nextJobID))
+	p.f.pass(200 * time.Millisecond)
+	setFault(nil, leader)
+	started := startedRun{nextJobID + ".0.0.0", 1}
+	p.waitFor("stop", func() bool { return p.first.stopped[started] || p.second.stopped[started] })
+	p.f.pass(time.Second)
+	p.report()
+	assert.Assert(t, !p.first.started[started] && !p.second.started[started], "started after its cancellation")
+}
+
 // Guards against a copied run of a canceled job that goes on because the leader waits for an
 // append.
 func TestCopiedRunOfACanceledJobStopsWhileProgressCannotBeStored(t *testing.T) {
