soak: cancel jobs in waves, and while their submission is unanswered

Change: seeds from 600 on submit jobs with lasting tasks and with tasks that wait for room. One of three is canceled at another entry while the last byte of its body is held back; two of three of these are submitted again afterwards. Waves cancel the others beside faults of the links between the log and the entries and kills of leaders: callers repeat until they have an answer, close or reset the connection after 0.3 to 3 s, or tell the entry for how long they wait. Executors drain, deregister and end, and their agents get a SIGTERM meanwhile. The odd seeds have no other faults, and it is calm after each second wave.

Seeds below 600 keep their faults and their random draws, and so do the seeds that soak keeps as regression tests.

Evidence: on this code seeds 602 and 603 (12 s) fail: a cancellation whose caller gives up after up to 3 s while the log does not respond to its entry is dropped by the entry, and the tasks run on until another cancellation.

--- /dev/null
+++ b/soak/cancel_waves_test.go
@@ -0,0 +1,105 @@
+package soak_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	waveStream, drainStream = 0x3a5e, 0xd2a1
+	// waveRest is the time after each second wave in which canceled jobs have to be gone.
+	waveRest = ackBound + cancelBound + stopBound + time.Second
+)
+
+// The faults beside a wave of cancellations.
+const (
+	logOutage = iota
+	leaderKill
+	logOutageAndLeaderKill
+	waveFaultCount
+)
+
+// injectWaves cancels jobs in waves, beside outages of the log and kills of leaders, until
+// ctx ends.
+func (f *fleet) injectWaves(ctx context.Context, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, waveStream))
+	var faults sync.WaitGroup
+	for n := 0; ctx.Err() == nil; n++ {
+		kind, mode, lasting := random.IntN(waveFaultCount), droppingLog+random.IntN(delayingLog-droppingLog+1), randomTime(random, 500, 3500)
+		before, entries := randomTime(random, 0, 600), 1+random.IntN(entryCount)
+		pause(ctx, randomTime(random, 500, 2000))
+		if kind != leaderKill {
+			f.t.Logf("wave %d: log outage of kind %d at %d entries for %s", n, mode, entries, lasting)
+			for _, entry := range f.entries[:entries] {
+				faults.Go(func() {
+					f.disturbInSeries(ctx, []plannedFault{{process: entry, kind: mode, lasting: lasting}})
+				})
+			}
+		}
+		if kind != logOutage {
+			f.loseLeader(ctx, plannedFault{kind: killed, lasting: lasting}, &faults)
+		}
+		pause(ctx, before)
+		cancels := drawCancels(random)
+		for i, id := range f.abandoned.takeLive(len(cancels)) {
+			faults.Go(func() { f.sendCancel(id, cancels[i]) })
+		}
+		if f.onlyWaves && n%2 == 1 {
+			pause(ctx, lasting+waveRest)
+		}
+	}
+	faults.Wait()
+}
+
+func drawCancels(random *rand.Rand) []plannedCancel {
+	cancels := make([]plannedCancel, 1+random.IntN(maxAbandoned))
+	for i := range cancels {
+		cancels[i] = drawCancel(random)
+	}
+	return cancels
+}
+
+// injectDrains lets one executor after another drain and end, and another one start on its
+// host, while its agent gets a SIGTERM, until ctx ends.
+func (f *fleet) injectDrains(ctx context.Context, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, drainStream))
+	for ctx.Err() == nil {
+		host := random.IntN(hostCount)
+		remaining, terminatedAfter := randomTime(random, 1500, 3500), randomTime(random, 0, 2500)
+		absence, downtime := randomTime(random, 100, 800), randomTime(random, 200, 2500)
+		pause(ctx, randomTime(random, 1500, 4000))
+		h := f.executors[host]
+		if ctx.Err() != nil || !h.faulty.TryLock() {
+			continue
+		}
+		f.drain(ctx, host, remaining, absence, plannedFault{process: f.agents[host], kind: terminated, wait: terminatedAfter, lasting: downtime})
+		h.faulty.Unlock()
+	}
+}
+
+func (f *fleet) drain(ctx context.Context, host int, remaining, absence time.Duration, fault plannedFault) {
+	h := f.executors[host]
+	id := h.executor.Info("s", "z", nil).GetId()
+	if !f.checker.mayCrash(id) {
+		return
+	}
+	f.t.Logf("the executor of host %d drains for %s, its agent is terminated after %s", host, remaining, fault.wait)
+	f.executorLog.Printf("%s drains for %s", id, remaining)
+	h.drainsUntil.Store(time.Now().Add(remaining).UnixMilli())
+	h.announceNow()
+	var terminating sync.WaitGroup
+	terminating.Go(func() { f.disturbInSeries(ctx, []plannedFault{fault}) })
+	time.Sleep(remaining)
+	client := &http.Client{Timeout: time.Second}
+	if left, err := client.Post("http://"+f.agents[host].executorsAddress+"/Instances.Deregister/"+id, "application/json", nil); err == nil {
+		_ = left.Body.Close()
+	}
+	f.end(host)
+	h.drainsUntil.Store(0)
+	time.Sleep(absence)
+	f.startAgain(host, f.nextID(host), defaultCapacity.GetMillicores())
+	terminating.Wait()
+}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -19,8 +19,8 @@
 const (
 	// terminated is the fault of a process that gets a SIGTERM.
 	terminated = 1
-	// delayingLog is the last one of the faults of a process's links.
-	delayingLog = 6
+	// droppingLog to delayingLog are the faults of a process's links.
+	droppingLog, delayingLog = 3, 6
 )
 
 // setMillicores changes the capacity of a host's executor while it runs.
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -57,6 +57,10 @@
 	outages bool
 	// turnsAway is set if the log turns away appends of the leader to one topic.
 	turnsAway bool
+	// cancels is set if jobs are canceled in waves beside log outages and kills of leaders,
+	// and executors drain. onlyWaves is set if there are no other faults.
+	cancels, onlyWaves bool
+	abandoned          abandonedJobs
 	// executorLog records the calls and runs of the executors.
 	executorLog *log.Logger
 }
@@ -72,10 +76,12 @@
 		// Each fourth seed runs with the defaults.
 		scheduling: seed%4 != 0,
 		restarts:   seed != 0,
-		losses:     seed >= firstLossSeed,
-		onlyLosses: seed >= firstLossSeed && seed%2 != 0,
+		losses:     seed >= firstLossSeed && seed < firstCancelSeed,
+		onlyLosses: seed >= firstLossSeed && seed < firstCancelSeed && seed%2 != 0,
 		outages:    seed >= firstLossSeed && seed < firstTurnedAwaySeed && seed%4 < 2,
-		turnsAway:  seed >= firstTurnedAwaySeed,
+		turnsAway:  seed >= firstTurnedAwaySeed && seed < firstCancelSeed,
+		cancels:    seed >= firstCancelSeed,
+		onlyWaves:  seed >= firstCancelSeed && seed%2 != 0,
 	}
 	if kept, isKept := regressions[seed]; isKept {
 		f.restarts = kept.restarts
@@ -187,7 +193,7 @@
 	for sequence := 1; ; sequence++ {
 		interval := announcementRetry
 		info := h.executor.Info("s", "z", nil)
-		if !h.down.Load() && sendAnnouncement(client, info, address, sequence) {
+		if !h.down.Load() && sendAnnouncement(client, info, address, sequence, h.drainsUntil.Load()) {
 			h.noteAnnouncement(info.GetBornUnixMs())
 			interval = announcementInterval
 		}
@@ -201,10 +207,14 @@
 }
 
 // sendAnnouncement reports whether the agent acknowledged the announcement.
-func sendAnnouncement(client *http.Client, info *wire.ExecutorInfo, address string, sequence int) bool {
+func sendAnnouncement(client *http.Client, info *wire.ExecutorInfo, address string, sequence int, drainsUntil int64) bool {
 	capacity := info.GetCapacity()
+	state, remaining := "ready", int64(0)
+	if drainsUntil > 0 {
+		state, remaining = "draining", max(0, drainsUntil-time.Now().UnixMilli())
+	}
 	body, _ := json.Marshal(map[string]any{
-		"service": "s", "address": "127.0.0.1:80", "zone": "z", "state": "ready", "sequence": sequence, "clockMs": info.GetClockMs(),
+		"service": "s", "address": "127.0.0.1:80", "zone": "z", "state": state, "remainingMs": remaining, "sequence": sequence, "clockMs": info.GetClockMs(),
 		"born": info.GetBornUnixMs(), "capacity": map[string]int64{"cpu": capacity.GetMillicores(), "memMb": capacity.GetMemoryBytes() / megabyte}, "labels": []string{"a", "r"},
 	})
 	response, err := client.Post("http://"+address+"/Instances.Heartbeat/"+info.GetId(), "application/json", bytes.NewReader(body))
--- a/soak/lasting_jobs_test.go
+++ b/soak/lasting_jobs_test.go
@@ -101,12 +101,17 @@
 		}
 		time.Sleep(lastingInterval)
 	}
+	f.cancelAll(ids, deadline.Add(recoveryLimit))
+}
+
+// cancelAll cancels jobs until the deadline and waits for their ends.
+func (f *fleet) cancelAll(ids []string, deadline time.Time) {
 	client := &http.Client{Timeout: 3 * time.Second}
 	jobs := make(chan string, len(ids))
 	for _, id := range ids {
 		f.checker.requestCancellation(id)
 		for !f.cancel(client, id, 0) {
-			if time.Now().After(deadline.Add(recoveryLimit)) {
+			if time.Now().After(deadline) {
 				f.t.Errorf("the cancellation of %s was not accepted", id)
 				break
 			}
--- a/soak/restarts_test.go
+++ b/soak/restarts_test.go
@@ -144,10 +144,14 @@
 	}
 	h.down.Store(false)
 	if crash.announced {
-		select {
-		case h.wake <- struct{}{}:
-		default:
-		}
+		h.announceNow()
+	}
+}
+
+func (h *executorHandler) announceNow() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -140,10 +140,17 @@
 			callers.Go(func() { f.injectTurnedAway(ctx, seed) })
 		}
 	}
-	if f.onlyLosses {
+	if f.cancels {
+		callers.Go(func() { f.submitAbandoned(ctx, seed) })
+		callers.Go(func() { f.injectWaves(ctx, seed) })
+		callers.Go(func() { f.injectDrains(ctx, seed) })
+	}
+	if !f.onlyLosses {
+		f.submitDemanding(ctx, &callers, seed, jobs)
+	}
+	if f.onlyLosses || f.onlyWaves {
 		<-ctx.Done()
 	} else {
-		f.submitDemanding(ctx, &callers, seed, jobs)
 		if f.restarts {
 			callers.Go(func() { f.injectRestarts(ctx, seed) })
 		}
@@ -154,6 +161,7 @@
 	f.heal()
 	var awaiting sync.WaitGroup
 	awaiting.Go(func() { f.awaitLasting(lasting) })
+	awaiting.Go(f.awaitAbandoned)
 	f.awaitJobs(jobs)
 	awaiting.Wait()
 	f.awaitStops()
--- a/soak/stand_in_test.go
+++ b/soak/stand_in_test.go
@@ -27,6 +27,8 @@
 	server   *httptest.Server
 	// down is set while the executor sends no announcements.
 	down atomic.Bool
+	// drainsUntil is when the executor will end, in milliseconds, while it drains.
+	drainsUntil atomic.Int64
 	// faulty is held during a fault that changes the capacity or the incarnation.
 	faulty  sync.Mutex
 	log     *log.Logger
