soak: an entry drops a cancellation whose caller has given up

What callers saw: a caller that gave up its cancellation while the log did not respond found the tasks of its job running on after the outage, for good.

Change: a test with real processes of the two manners, a closed and a reset connection after 0.5 s, in an outage of 2 s at all entries.

--- a/soak/abandoned_jobs_test.go
+++ b/soak/abandoned_jobs_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 )
 
@@ -215,3 +216,44 @@
 	time.Sleep(ackBound + contactTime + cancelBound + stopBound + time.Second)
 	f.cancelAll(f.abandoned.accepted, time.Now().Add(recoveryLimit))
 }
+
+// Guards against a cancellation that an entry drops because its caller gives up, or the
+// connection breaks, while the log does not respond: the tasks run on for good.
+func TestAbandonedCancellationEndsTheJob(t *testing.T) {
+	jobs := map[string]int{
+		"00000000d8000001": givingUp,
+		"00000000d8000002": breakingOff,
+	}
+	f := newFleet(t, 0)
+	ctx, cancel := context.WithCancel(context.Background())
+	var faults, canceling, watching sync.WaitGroup
+	watching.Go(func() { f.watchLasting(ctx) })
+	for job := range jobs {
+		f.submitUntilAccepted(job, lastingBody())
+		f.awaitRuns(lastingTasks(job))
+	}
+	for _, entry := range f.entries {
+		faults.Go(func() { f.inject(ctx, entry, droppingLog, 0, 2*time.Second, 0) })
+	}
+	time.Sleep(lastingInterval)
+	for job, manner := range jobs {
+		canceling.Go(func() {
+			f.sendCancel(job, plannedCancel{
+				manner: manner,
+				wait:   500 * time.Millisecond,
+			})
+		})
+	}
+	canceling.Wait()
+	faults.Wait()
+	time.Sleep(ackBound)
+	f.awaitStops()
+	cancel()
+	watching.Wait()
+	for _, violation := range f.checker.violations {
+		t.Error(violation)
+	}
+	if f.checker.runsCanceled() {
+		t.Errorf("tasks of canceled jobs run on")
+	}
+}
