submitter: append no job whose caller gave up before it was queued

A job is recorded after its caller has given up, and perhaps canceled it, because its request took long before it was queued: its body arrived slowly, or the entry was stopped for a while.

Cause: append queues the record and then sees that the context has ended. The appender may take the record in between. The limit of a submission's time doesn't cover this.

Evidence: TestSubmissionOfACallerThatGaveUpIsNotAppended, 200 submissions.

Ruled out: records that are queued while their caller waits; abandon removes them or tells that the outcome is unknown.

Change: a record isn't queued once the context has ended, and the response is not_run.

--- a/submitter/cancel_test.go
+++ b/submitter/cancel_test.go
@@ -149,3 +149,16 @@
 	assert.Equal(t, e.submitter.PendingCancellations(), 4096)
 	assert.Equal(t, reasonOf(last), damaskspread.ReasonLogUnavailable)
 }
+
+// Guards against a job that is recorded although its caller had given up before it was queued, and
+// may have canceled it long ago.
+func TestSubmissionOfACallerThatGaveUpIsNotAppended(t *testing.T) {
+	t.Parallel()
+	e := newEntry(t, &emulator.KeyedLog{Clock: clockwork.NewRealClock()}, false, 0)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for i := range 200 {
+		assert.Equal(t, reasonOf(e.submit(ctx, fmt.Sprintf("%016x", i+1))), damaskspread.ReasonLogUnavailable)
+	}
+	assert.Equal(t, e.counted.appends.Load(), int64(0))
+}
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -163,6 +163,9 @@
 // rejects is refused with ReasonTooLarge. If ctx ends first, the outcome of the refusal is
 // not_run if no append can have taken effect, otherwise unknown.
 func (s *Submitter) append(ctx context.Context, record *wire.KeyedRecord) (int64, error) {
+	if err := ctx.Err(); err != nil {
+		return 0, logUnavailable(err)
+	}
 	queued := s.appender.add(record)
 	select {
 	case <-queued.done:
