Revert "coordinator: deliver the late starts of a test before the first renewal"

Its cause was wrong: in the log of the failure the second of the two tasks is assigned 0.8 s after the first (43:31.411 and 43:32.200), and the first one's late start is carried out and adopted.

--- a/coordinator/restarting_executor_test.go
+++ b/coordinator/restarting_executor_test.go
@@ -62,8 +62,6 @@
 	// up is closed while the executor is up; down is closed when it goes down.
 	up, down chan struct{}
 	wentDown chan struct{}
-	// delivering is locked for reading while a start is on its way to the next incarnation.
-	delivering sync.RWMutex
 }
 
 func (e *restartingExecutor) isDown() bool {
@@ -111,7 +109,6 @@
 	if silent || e.isDown() {
 		return nil, e.hang(ctx)
 	}
-	e.awaitLateStarts()
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
@@ -130,13 +127,6 @@
 	}
 }
 
-// awaitLateStarts makes the late starts reach a new incarnation before its first renewal does,
-// which would refuse them.
-func (e *restartingExecutor) awaitLateStarts() {
-	e.delivering.Lock()
-	defer e.delivering.Unlock()
-}
-
 func (e *restartingExecutor) Start(ctx context.Context, id string, order *wire.StartOrder, lease *damaskspread.Lease) error {
 	e.mu.Lock()
 	if e.armed {
@@ -160,9 +150,7 @@
 			return e.hang(ctx)
 		}
 	default:
-		e.delivering.RLock()
 		go func() {
-			defer e.delivering.RUnlock()
 			<-up
 			time.Sleep(deliveryDelay)
 			if e.delivery == deliverAll || ctx.Err() == nil {
