--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -5,8 +5,8 @@
 //
 // It owns the requests in flight at the entry. Each try updates the router's
 // endpoints if the replayed ones have changed; Run does so every 200 ms and blocks
-// until its tomb dies. A hedged request uses up to two goroutines, which wait for agents. The handler works
-// with HTTP/1.1 and HTTP/2 servers.
+// until its tomb dies. A hedged request uses up to two goroutines, which wait for
+// agents. The handler works with HTTP/1.1 and HTTP/2 servers.
 //
 // The outcome not_run of a request with an idempotency key covers all attempts
 // with the key. Unless the caller declared a first attempt, a refusal is reported
--- a/runner/late_starts.go
+++ b/runner/late_starts.go
@@ -3,11 +3,11 @@
 import "time"
 
 const (
-	// lateStartPeriod is how long after a start without response the executor is watched
-	// closely: another life under its id may carry out the call until its first renewal.
+	// lateStartPeriod is how long after a start without response the waits for renewals are
+	// short: another incarnation with the same id may carry out the call until it is renewed.
 	lateStartPeriod = 5 * time.Second
 	// fullMarginInterval makes one of this many renewals without response wait for the full
-	// margin, so that a slow executor is not taken for a silent one forever.
+	// margin, so that an executor which responds slowly has one that succeeds.
 	fullMarginInterval = 3
 )
 
