soak: let the waiting job of TestExplain wait whatever the times of acceptance

Cause: the test expects that a job of 200 tasks keeps a later job of one task waiting. Both have the same priority, and the planner puts jobs that are on time before those that are late. When the first job is late and the second not yet, the second one starts if a host becomes free at that moment. In a run that failed, with the logs kept: accepted at 50.555 and 50.556, the task of the second job is assigned at 51.569 and done at 51.736, so it has waited for nothing to report.

Ruled out: a late leader, or lost lines. The leader was elected 1 ms before the acceptances, and the run's lines are complete.

Change: the waiting job is in the queue of lower priority. What the test checks is the same.

--- a/soak/explain_test.go
+++ b/soak/explain_test.go
@@ -98,7 +98,8 @@
 // their logs alone.
 func TestExplain(t *testing.T) {
 	const (
-		blockingJob, waitingJob = "00000000000000b1", "00000000000000a1"
+		// The waiting job is in the queue of bulk jobs: all tasks of the other one go first.
+		blockingJob, waitingJob = "00000000000000b1", "00000000800000a1"
 		refusedJob              = "00000000000000a3"
 	)
 	f := newFleet(t, 0)
