submitter, coordinator: a copy and a nested map less

nextBatch copied a slice that pendingOf has just made, and the reason for urgent appends stood at the wrong function. The stops of sessions that open during an append are kept by session and run instead of in a map of maps. Behavior is the same.

Evidence: go test -race of submitter, and of the tests of coordinator named after late starts, cancellations, stalled leaders and appends, pass; the linter finds nothing.

--- a/coordinator/cancellations.go
+++ b/coordinator/cancellations.go
@@ -59,19 +59,25 @@
 	}
 }
 
+// earlyStop is the stop of a run that a session lists which was opened during an append.
+type earlyStop struct {
+	session *session
+	run     listedRun
+}
+
 // stopInNewSessions stops the runs of canceled jobs that agents list in sessions which were
 // opened since the cycle began.
 func (c *Coordinator) stopInNewSessions(cycle *cycleState) {
 	for _, view := range c.newSessions(cycle) {
 		for _, run := range view.running {
-			stopped := newListedRun(run.GetTask(), run.GetRun())
-			if cycle.stoppedEarly[view.session][stopped] || !c.isCanceled(run.GetTask()) {
-				continue
+			stop := earlyStop{
+				session: view.session,
+				run:     newListedRun(run.GetTask(), run.GetRun()),
 			}
-			if cycle.stoppedEarly[view.session] == nil {
-				cycle.stoppedEarly[view.session] = map[listedRun]bool{}
+			if cycle.stoppedEarly[stop] || !c.isCanceled(run.GetTask()) {
+				continue
 			}
-			cycle.stoppedEarly[view.session][stopped] = true
+			cycle.stoppedEarly[stop] = true
 			view.addStopOrder(run.GetTask(), run.GetRun(), tracer.StopOrdered{
 				Reason: tracer.StopJobOver,
 			})
--- a/coordinator/cycle.go
+++ b/coordinator/cycle.go
@@ -33,8 +33,8 @@
 	witnessed map[tracker.ExecutorKey]bool
 	views     []*sessionView
 	byKey     map[tracker.ExecutorKey]*sessionView
-	// stoppedEarly has the runs stopped by stopInNewSessions.
-	stoppedEarly map[*session]map[listedRun]bool
+	// stoppedEarly has the stops that stopInNewSessions has ordered.
+	stoppedEarly map[earlyStop]bool
 	// hosts are the placement candidates; nil if no task may start in this cycle.
 	hosts []*planner.Host
 	// groups are the steps that were ready at the plan, in their order.
@@ -134,7 +134,7 @@
 		witnessed: map[tracker.ExecutorKey]bool{},
 		byKey:     map[tracker.ExecutorKey]*sessionView{},
 
-		stoppedEarly:   map[*session]map[listedRun]bool{},
+		stoppedEarly:   map[earlyStop]bool{},
 		sessionRecords: map[string]*wire.ExecutorSession{},
 	}
 	c.extendAfterOutage()
--- a/submitter/committer.go
+++ b/submitter/committer.go
@@ -98,8 +98,9 @@
 	return queued.maybeAppended, queued.err
 }
 
-// nextBatch returns the oldest pending records, urgent ones alone. They stay pending until
-// the append succeeds. After a batch of urgent records the others have a turn, so that
+// nextBatch returns the oldest pending records, urgent ones alone: a batch of large jobs may
+// not get through a slow link before its append times out, again and again. They stay pending
+// until the append succeeds. After a batch of urgent records the others have a turn, so that
 // frequent cancellations don't keep them back.
 func (c *batchAppender) nextBatch() []*queuedRecord {
 	c.mu.Lock()
@@ -115,12 +116,11 @@
 		// The record may reach the log from now on.
 		queued.maybeAppended = true
 	}
-	return append([]*queuedRecord(nil), batch...)
+	return batch
 }
 
-// pendingOf returns the oldest records that are urgent, or the oldest that are not. A batch of
-// large jobs may not get through a slow link before its append times out, again and again. The
-// lock is held.
+// pendingOf returns a copy of the oldest records that are urgent, or of the oldest that are
+// not. The lock is held.
 func (c *batchAppender) pendingOf(urgent bool) []*queuedRecord {
 	var oldest []*queuedRecord
 	for _, queued := range c.pending {
