coordinator: let a test's sessions be stored before its appends fail

Suspected, not traced to the end: the append that fails is that of the session that has just opened, the job is canceled before it is assigned, and nothing is there to stop. The test now waits before it injects the fault; its checks are the same.

--- a/coordinator/stalled_leader_test.go
+++ b/coordinator/stalled_leader_test.go
@@ -209,6 +209,8 @@
 	t.Parallel()
 	p := newStraggler(newCopyFleet(t, 1), steps(1))
 	leader := p.f.leader()
+	// The sessions are stored, so that the append which fails is that of the start.
+	p.f.pass(300 * time.Millisecond)
 	setFault(&appendFault{topic: "progress"}, leader)
 	p.f.submit(leader, &wire.Job{Id: nextJobID, Steps: steps(2)})
 	p.f.pass(200 * time.Millisecond)
